Add a thin path from caller to upstream through separate daemons

A caller submits a job over HTTP to any daemon of three in two zones; the daemon forwards it to the dispatcher of the job's home zone, which runs the tasks on upstreams that announced themselves, and answers once. A cancel stops running tasks and drops queued ones.

The decision core takes clock, peers, upstreams, policy, configuration and replication as interfaces. Replication and configuration are fixed stand-ins in this commit: the first node of a zone leads and nothing is replicated yet.

--- /dev/null
+++ b/src/adapter/http/worker_api.ts
@@ -0,0 +1,52 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import * as v from 'valibot';
+import {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
+import {readJson} from './read_json.js';
+import {sendJson} from './send_json.js';
+import {sendProblem} from './send_problem.js';
+
+const MAX_BODY_BYTES = 256 * 1024;
+const RETRY_AFTER_MS = 500;
+
+interface LeaseGrant {
+  readonly lease_ms: number;
+  readonly epoch: number;
+}
+
+interface WorkerApiOptions {
+  /** Brings an announcement to the zone's dispatcher; undefined if none. */
+  readonly announce: (
+    announcement: WorkerAnnouncement,
+  ) => Promise<LeaseGrant | undefined>;
+}
+
+/** HTTP API for upstreams: `POST /v1/workers`. */
+export class WorkerApi {
+  constructor(private readonly opts: WorkerApiOptions) {}
+
+  async announce(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readJson(req, MAX_BODY_BYTES);
+    if (body.isErr) {
+      sendProblem(res, {...body.error, code: 'invalid'});
+      return;
+    }
+    const parsed = v.safeParse(WorkerAnnouncement, body.value);
+    if (!parsed.success) {
+      const [issue] = parsed.issues;
+      const detail = `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`;
+      sendProblem(res, {status: 400, code: 'invalid', detail});
+      return;
+    }
+    const grant = await this.opts.announce(parsed.output);
+    if (grant) {
+      sendJson(res, 200, grant);
+      return;
+    }
+    sendProblem(res, {
+      status: 503,
+      code: 'unreachable',
+      detail: `no dispatcher of zone "${parsed.output.zone}" can be reached`,
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+}
--- /dev/null
+++ b/src/adapter/peer/peer_frame.ts
@@ -0,0 +1,17 @@
+import * as v from 'valibot';
+
+const id = v.pipe(v.number(), v.integer());
+const name = v.pipe(v.string(), v.maxLength(64));
+
+/** Validator of a frame on a connection between two daemons. */
+export const PeerFrame = v.variant('type', [
+  v.object({type: v.literal('hello'), node: name}),
+  v.object({type: v.literal('ping')}),
+  v.object({type: v.literal('pong')}),
+  v.object({type: v.literal('message'), kind: name, body: v.unknown()}),
+  v.object({type: v.literal('request'), id, method: name, body: v.unknown()}),
+  v.object({type: v.literal('response'), id, body: v.unknown()}),
+]);
+
+/** A frame on a connection between two daemons. */
+export type PeerFrame = v.InferOutput<typeof PeerFrame>;
--- /dev/null
+++ b/src/adapter/peer/peer_link.ts
@@ -0,0 +1,156 @@
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import {Result} from 'true-myth';
+import type {Cancellable} from '../../core/clock/cancellable.js';
+import type {Clock} from '../../core/clock/clock.js';
+import type {PeerError} from '../../core/peer/peer_error.js';
+import {FrameCodec} from './frame_codec.js';
+import type {PeerAddress} from './peer_address.js';
+import type {PeerFrame} from './peer_frame.js';
+
+/** An idle link costs one small frame each way per interval. */
+const HEARTBEAT_MS = 500;
+/**
+ * A link without an answer for this long is replaced. Within the takeover goal
+ * of 2 s it leaves time for a new connection and a new try.
+ */
+const SILENCE_MS = 1_000;
+const RECONNECT_MS = 200;
+/** Bounds what waits for a slow node; more is dropped as unsent. */
+const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
+
+interface PendingRequest {
+  readonly resolve: (result: Result<unknown, PeerError>) => void;
+  readonly timer: Cancellable;
+}
+
+/**
+ * The outgoing connection to one daemon. Heartbeats find a connection that has
+ * gone silent without closing; it is then replaced, and its open requests end
+ * as `lost`.
+ */
+export class PeerLink {
+  private socket: Socket | undefined;
+  private isReady = false;
+  private isClosed = false;
+  private lastReceived = 0;
+  private nextId = 1;
+  private readonly pending = new Map<number, PendingRequest>();
+  private heartbeat: Cancellable | undefined;
+  private reconnect: Cancellable | undefined;
+
+  constructor(
+    private readonly node: string,
+    private readonly address: PeerAddress,
+    private readonly clock: Clock,
+  ) {
+    this.dial();
+  }
+
+  get isConnected(): boolean {
+    return this.isReady;
+  }
+
+  send(frame: PeerFrame): boolean {
+    const {socket} = this;
+    if (!socket || !this.isReady) return false;
+    if (socket.writableLength > MAX_UNSENT_BYTES) return false;
+    socket.write(FrameCodec.encode(frame));
+    return true;
+  }
+
+  request(
+    method: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, PeerError>> {
+    const id = this.nextId;
+    this.nextId += 1;
+    if (!this.send({type: 'request', id, method, body})) {
+      return Promise.resolve(fail('unsent', 'no connection'));
+    }
+    return new Promise(resolve => {
+      const timer = this.clock.schedule(timeoutMs, () =>
+        this.settle(id, fail('lost', `no response in ${timeoutMs} ms`)),
+      );
+      this.pending.set(id, {resolve, timer});
+    });
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.reconnect?.cancel();
+    this.drop('closed');
+  }
+
+  private dial(): void {
+    const {host, port} = this.address;
+    const socket = connect({host, port, noDelay: true});
+    const codec = new FrameCodec();
+    this.socket = socket;
+    this.lastReceived = this.clock.now();
+    this.scheduleHeartbeat(socket);
+    socket.on('connect', () => {
+      this.isReady = true;
+      this.send({type: 'hello', node: this.node});
+    });
+    socket.on('data', chunk => {
+      this.lastReceived = this.clock.now();
+      const frames = codec.push(chunk);
+      if (frames.isErr) {
+        socket.destroy();
+        return;
+      }
+      for (const frame of frames.value) {
+        if (frame.type === 'response') {
+          this.settle(frame.id, Result.ok(frame.body));
+        }
+      }
+    });
+    // The close event follows and does the work.
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      if (this.socket === socket) this.drop('the connection closed');
+    });
+  }
+
+  private scheduleHeartbeat(socket: Socket): void {
+    this.heartbeat = this.clock.schedule(HEARTBEAT_MS, () => {
+      if (this.socket !== socket) return;
+      if (this.clock.now() - this.lastReceived >= SILENCE_MS) {
+        this.drop('the connection went silent');
+        return;
+      }
+      this.send({type: 'ping'});
+      this.scheduleHeartbeat(socket);
+    });
+  }
+
+  private drop(detail: string): void {
+    const {socket} = this;
+    this.socket = undefined;
+    this.isReady = false;
+    this.heartbeat?.cancel();
+    socket?.destroy();
+    for (const id of [...this.pending.keys()]) {
+      this.settle(id, fail('lost', detail));
+    }
+    if (this.isClosed) return;
+    this.reconnect = this.clock.schedule(RECONNECT_MS, () => this.dial());
+  }
+
+  private settle(id: number, result: Result<unknown, PeerError>): void {
+    const request = this.pending.get(id);
+    if (!request) return;
+    this.pending.delete(id);
+    request.timer.cancel();
+    request.resolve(result);
+  }
+}
+
+function fail(
+  kind: PeerError['kind'],
+  detail: string,
+): Result<never, PeerError> {
+  return Result.err({kind, detail});
+}
--- /dev/null
+++ b/src/core/config/config.ts
@@ -0,0 +1,10 @@
+import type {ClassConfig} from './class_config.js';
+import type {TenantConfig} from './tenant_config.js';
+
+/** The configuration in force: one immutable value per version. */
+export interface Config {
+  /** Grows by one with each accepted change; 0 before the first. */
+  readonly version: number;
+  readonly classes: Readonly<Record<string, ClassConfig>>;
+  readonly tenants: Readonly<Record<string, TenantConfig>>;
+}
--- /dev/null
+++ b/src/core/dispatch/fleet_view.ts
@@ -0,0 +1,9 @@
+import type {WorkerState} from '../worker/worker_state.js';
+
+/** What a policy sees of the workers at one moment. */
+export interface FleetView {
+  /** Workers that may be given a task now, with at least one free slot. */
+  readonly startable: readonly WorkerState[];
+  /** Slots of all live workers that are not leaving. */
+  readonly totalSlots: number;
+}
--- /dev/null
+++ b/src/core/group/solo_replicator.ts
@@ -0,0 +1,35 @@
+import type {JobEvent} from '../job/job_event.js';
+import {Replicator} from './replicator.js';
+
+/** A group without replicas: a fixed leader that commits at once. */
+export class SoloReplicator extends Replicator {
+  private epoch: number | undefined;
+  private start = 0;
+
+  constructor(private readonly leaderNode: string) {
+    super();
+  }
+
+  /** Takes the lead; the epoch comes from the clock, as with a new group. */
+  lead(now: number): void {
+    this.epoch = now;
+    this.start = now;
+    this.listener?.leadership(now, now);
+  }
+
+  override get leading(): number | undefined {
+    return this.epoch;
+  }
+
+  override get leader(): string | undefined {
+    return this.leaderNode;
+  }
+
+  override get memoryStart(): number {
+    return this.start;
+  }
+
+  override propose(events: readonly JobEvent[], now: number): void {
+    this.listener?.committed(events, now);
+  }
+}
--- /dev/null
+++ b/src/core/upstream/attempt_start.ts
@@ -0,0 +1,8 @@
+/** One start as it goes to a worker. */
+export interface AttemptStart {
+  readonly id: string;
+  readonly key: string;
+  readonly task: number;
+  readonly class: string;
+  readonly payload: unknown;
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,40 @@
+#!/usr/bin/env node
+import {Command} from 'commander';
+import {SystemClock} from '../adapter/system_clock.js';
+import {Daemon} from './daemon.js';
+import {createLog} from './log/create_log.js';
+import {loadSettings} from './settings/load_settings.js';
+
+const EXIT_SETTINGS = 78;
+
+const program = new Command('pimentoyoked')
+  .description('Runs one node of a pimentoyoke deployment.')
+  .requiredOption('-c, --config <file>', 'settings file (TOML)')
+  .parse();
+
+const settings = loadSettings(program.opts<{config: string}>().config);
+if (settings.isErr) {
+  for (const line of settings.error) process.stderr.write(`${line}\n`);
+  process.exit(EXIT_SETTINGS);
+}
+
+const log = createLog(settings.value.node);
+const daemon = new Daemon(settings.value, new SystemClock(), log);
+
+let isStopping = false;
+async function stop(): Promise<void> {
+  if (isStopping) return;
+  isStopping = true;
+  await daemon.stop();
+  process.exit(0);
+}
+
+process.on('SIGTERM', () => void stop());
+process.on('SIGINT', () => void stop());
+
+try {
+  await daemon.start();
+} catch (err) {
+  log.error('cannot start', {detail: String(err)});
+  process.exit(1);
+}
--- /dev/null
+++ b/src/daemon/zone/worker_router.ts
@@ -0,0 +1,71 @@
+import type {PeerTransport} from '../../core/peer/peer_transport.js';
+import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
+import {WorkerRegistry} from '../../core/worker/worker_registry.js';
+import type {ZoneDirectory} from './zone_directory.js';
+import type {ZoneService} from './zone_service.js';
+
+const GRANT_TIMEOUT_MS = 500;
+
+interface LeaseGrant {
+  readonly lease_ms: number;
+  readonly epoch: number;
+}
+
+interface AnnounceReply {
+  readonly leader: string | undefined;
+  readonly grant: LeaseGrant | undefined;
+}
+
+/**
+ * Brings announcements to every node of the worker's zone, so that a successor
+ * knows the workers; only the dispatcher grants the lease.
+ */
+export class WorkerRouter {
+  constructor(
+    private readonly zone: string,
+    private readonly directory: ZoneDirectory,
+    private readonly peers: PeerTransport,
+    private readonly service: ZoneService,
+    private readonly leading: () => number | undefined,
+    private readonly leader: () => string | undefined,
+  ) {
+    peers.onRequest('worker.announce', async (_from, body) =>
+      this.receive(body as WorkerAnnouncement),
+    );
+  }
+
+  /** The lease the dispatcher grants; undefined if it cannot be reached. */
+  async announce(
+    announcement: WorkerAnnouncement,
+  ): Promise<LeaseGrant | undefined> {
+    const grants = this.directory.nodes(announcement.zone).map(async node => {
+      const reply = await this.send(node, announcement);
+      return reply?.grant ?? Promise.reject(new Error('no grant'));
+    });
+    // The first grant answers; a dead node must not delay the others.
+    return Promise.any(grants).catch(() => undefined);
+  }
+
+  private async send(
+    node: string,
+    announcement: WorkerAnnouncement,
+  ): Promise<AnnounceReply | undefined> {
+    const res = await this.peers.request(
+      node,
+      'worker.announce',
+      announcement,
+      GRANT_TIMEOUT_MS,
+    );
+    return res.unwrapOr(undefined) as AnnounceReply | undefined;
+  }
+
+  private receive(announcement: WorkerAnnouncement): AnnounceReply {
+    if (announcement.zone === this.zone) this.service.announce(announcement);
+    const epoch = this.leading();
+    const grant =
+      epoch === undefined
+        ? undefined
+        : {lease_ms: WorkerRegistry.LEASE_MS, epoch};
+    return {leader: this.leader(), grant};
+  }
+}
--- /dev/null
+++ b/src/daemon/zone/zone_service.ts
@@ -0,0 +1,111 @@
+import type {Clock} from '../../core/clock/clock.js';
+import type {ConfigSource} from '../../core/config/config_source.js';
+import type {DispatchPolicy} from '../../core/dispatch/dispatch_policy.js';
+import {Dispatcher} from '../../core/dispatch/dispatcher.js';
+import type {Replicator} from '../../core/group/replicator.js';
+import {JobKey} from '../../core/job/job_key.js';
+import {JobTable} from '../../core/job/job_table.js';
+import type {PeerTransport} from '../../core/peer/peer_transport.js';
+import {RetryPolicy} from '../../core/retry/retry_policy.js';
+import type {UpstreamClient} from '../../core/upstream/upstream_client.js';
+import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
+import {WorkerRegistry} from '../../core/worker/worker_registry.js';
+import type {JobRequest} from './job_request.js';
+import type {JobResponse} from './job_response.js';
+import {ZoneJobs} from './zone_jobs.js';
+
+const TICK_MS = 100;
+
+interface ZoneServiceOptions {
+  readonly clock: Clock;
+  readonly peers: PeerTransport;
+  readonly replicator: Replicator;
+  readonly policy: DispatchPolicy;
+  readonly config: ConfigSource;
+  readonly upstream: UpstreamClient;
+}
+
+/** This node's part in its zone: the job table, and the dispatcher if it leads. */
+export class ZoneService {
+  readonly registry = new WorkerRegistry();
+  readonly table = new JobTable();
+  readonly jobs: ZoneJobs;
+  readonly dispatcher: Dispatcher;
+  private isFlushRequested = false;
+  private isStopped = false;
+
+  constructor(private readonly opts: ZoneServiceOptions) {
+    this.dispatcher = new Dispatcher({
+      ...opts,
+      table: this.table,
+      registry: this.registry,
+      retry: new RetryPolicy(),
+      onFinished: key => this.jobs.finished(key),
+      requestFlush: () => this.requestFlush(),
+    });
+    this.jobs = new ZoneJobs(this.dispatcher, this.table, opts.clock);
+    opts.peers.onRequest('job', (_from, body) =>
+      this.handle(body as JobRequest),
+    );
+    this.scheduleTick();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Takes an announcement; the lease is granted only by the leader. */
+  announce(announcement: WorkerAnnouncement): void {
+    this.dispatcher.announce(announcement, this.opts.clock.now());
+  }
+
+  private async handle(req: JobRequest): Promise<JobResponse> {
+    const key = JobKey.parse(req.key);
+    if (key.isErr) return redirect(undefined);
+    if (!this.dispatcher.isLeading) {
+      return redirect(this.opts.replicator.leader);
+    }
+    const result = await this.serve(key.value, req);
+    if (result.isOk) return {kind: 'answer', answer: result.value};
+    if (result.error.code === 'not_leader') {
+      return redirect(this.opts.replicator.leader);
+    }
+    return {kind: 'refusal', refusal: result.error};
+  }
+
+  private serve(key: JobKey, req: JobRequest) {
+    switch (req.kind) {
+      case 'submit':
+        return this.jobs.submit(key, req.spec, req.waitMs);
+      case 'fetch':
+        return this.jobs.fetch(key, req.waitMs);
+      case 'cancel':
+        return this.jobs.cancel(key);
+      case 'acknowledge':
+        this.jobs.acknowledge(key);
+        return this.jobs.fetch(key, 0);
+    }
+  }
+
+  /** Collects the events of one turn of the loop into one proposal. */
+  private requestFlush(): void {
+    if (this.isFlushRequested || this.isStopped) return;
+    this.isFlushRequested = true;
+    this.opts.clock.defer(() => {
+      this.isFlushRequested = false;
+      this.dispatcher.flush(this.opts.clock.now());
+    });
+  }
+
+  private scheduleTick(): void {
+    this.opts.clock.schedule(TICK_MS, () => {
+      if (this.isStopped) return;
+      this.dispatcher.tick(this.opts.clock.now());
+      this.scheduleTick();
+    });
+  }
+}
+
+function redirect(leader: string | undefined): JobResponse {
+  return {kind: 'redirect', leader};
+}
--- /dev/null
+++ b/test-support/cluster/local_cluster.ts
@@ -0,0 +1,175 @@
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {stringify} from 'smol-toml';
+import {request} from 'undici';
+import {freePorts} from './free_ports.js';
+import {waitUntil} from './wait_until.js';
+
+const HOST = '127.0.0.1';
+const PORTS_PER_NODE = 3;
+const DAEMON = fileURLToPath(
+  new URL('../../src/daemon/main.js', import.meta.url),
+);
+const UPSTREAM = fileURLToPath(new URL('../upstream/main.js', import.meta.url));
+
+interface NodePlan {
+  readonly id: string;
+  readonly zone: string;
+  readonly voter?: boolean;
+}
+
+interface RunningNode extends NodePlan {
+  readonly settingsFile: string;
+  readonly caller: string;
+  readonly admin: string;
+  process: ChildProcess | undefined;
+}
+
+/** Real daemons and stand-in upstreams on loopback, as separate processes. */
+export class LocalCluster {
+  static readonly ADMIN_TOKEN = 'local-admin-token';
+
+  readonly nodes = new Map<string, RunningNode>();
+  /** Starts that the upstreams have reported, in order of arrival. */
+  readonly starts: Array<{start: string; key: string; task: number}> = [];
+  private readonly upstreams: ChildProcess[] = [];
+
+  private constructor(private readonly dir: string) {}
+
+  /** Writes the settings of every node; `startNode` starts them. */
+  static async create(plan: readonly NodePlan[]): Promise<LocalCluster> {
+    const cluster = new LocalCluster(mkdtempSync(join(tmpdir(), 'pimento-')));
+    const ports = await freePorts(plan.length * PORTS_PER_NODE);
+    const tokenFile = join(cluster.dir, 'admin-token');
+    writeFileSync(tokenFile, `${LocalCluster.ADMIN_TOKEN}\n`, {mode: 0o600});
+    const nodes = plan.map((node, at) => ({
+      ...node,
+      caller: ports[at * PORTS_PER_NODE]!,
+      peer: ports[at * PORTS_PER_NODE + 1]!,
+      admin: ports[at * PORTS_PER_NODE + 2]!,
+    }));
+    for (const node of nodes) {
+      const settingsFile = join(cluster.dir, `${node.id}.toml`);
+      const settings = {
+        node: node.id,
+        caller: {host: HOST, port: node.caller},
+        admin: {host: HOST, port: node.admin},
+        admin_token_file: tokenFile,
+        ...(node.voter ? {data_dir: join(cluster.dir, `${node.id}-data`)} : {}),
+        nodes: nodes.map(({id, zone, peer, voter}) => ({
+          id,
+          zone,
+          peer: {host: HOST, port: peer},
+          voter: voter ?? false,
+        })),
+      };
+      writeFileSync(settingsFile, stringify(settings));
+      cluster.nodes.set(node.id, {
+        id: node.id,
+        zone: node.zone,
+        settingsFile,
+        caller: `http://${HOST}:${node.caller}`,
+        admin: `http://${HOST}:${node.admin}`,
+        process: undefined,
+      });
+    }
+    return cluster;
+  }
+
+  node(id: string): RunningNode {
+    const node = this.nodes.get(id);
+    if (!node) throw new Error(`no node ${id}`);
+    return node;
+  }
+
+  startNode(id: string): void {
+    const node = this.node(id);
+    node.process = spawn(
+      process.execPath,
+      ['--enable-source-maps', DAEMON, '--config', node.settingsFile],
+      {
+        stdio: [
+          'ignore',
+          'ignore',
+          process.env['DEBUG'] ? 'inherit' : 'ignore',
+        ],
+      },
+    );
+  }
+
+  async startAll(): Promise<void> {
+    for (const id of this.nodes.keys()) this.startNode(id);
+    await Promise.all([...this.nodes.keys()].map(id => this.whenReady(id)));
+  }
+
+  async whenReady(id: string): Promise<void> {
+    const {caller} = this.node(id);
+    await waitUntil(`node ${id}`, () => isOk(`${caller}/healthz`));
+  }
+
+  startUpstream(worker: string, zone: string, slots = 8): ChildProcess {
+    const entries = [...this.nodes.values()]
+      .filter(node => node.zone === zone)
+      .map(node => node.caller);
+    const child = spawn(
+      process.execPath,
+      [UPSTREAM, '--worker', worker, '--zone', zone]
+        .concat(['--slots', String(slots)])
+        .concat(['--entry', ...entries]),
+      {stdio: ['ignore', 'pipe', 'inherit']},
+    );
+    let rest = '';
+    child.stdout.on('data', (chunk: Buffer) => {
+      const lines = (rest + chunk.toString()).split('\n');
+      rest = lines.pop() ?? '';
+      for (const line of lines) this.starts.push(JSON.parse(line));
+    });
+    this.upstreams.push(child);
+    return child;
+  }
+
+  /** Sends a signal to a node and waits for its exit code. */
+  async stopNode(
+    id: string,
+    signal: NodeJS.Signals = 'SIGTERM',
+  ): Promise<number | null> {
+    const child = this.node(id).process;
+    if (!child) return null;
+    this.node(id).process = undefined;
+    return exitOf(child, signal);
+  }
+
+  async stopAll(): Promise<void> {
+    await Promise.all(this.upstreams.map(child => exitOf(child, 'SIGKILL')));
+    await Promise.all([...this.nodes.keys()].map(id => this.stopNode(id)));
+    rmSync(this.dir, {recursive: true, force: true});
+  }
+}
+
+async function exitOf(
+  child: ChildProcess,
+  signal: NodeJS.Signals,
+): Promise<number | null> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return child.exitCode;
+  }
+  const exited = new Promise<number | null>(resolve =>
+    child.once('exit', resolve),
+  );
+  child.kill(signal);
+  return exited;
+}
+
+async function isOk(url: string): Promise<boolean> {
+  try {
+    const res = await request(url);
+    await res.body.dump();
+    return res.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/test-support/upstream/main.ts
@@ -0,0 +1,32 @@
+import {Command} from 'commander';
+import {StandInUpstream} from './stand_in_upstream.js';
+
+interface Options {
+  readonly worker: string;
+  readonly zone: string;
+  readonly slots: string;
+  readonly entry: string[];
+}
+
+const program = new Command('stand-in-upstream')
+  .description('An upstream that runs timed tasks, for tests.')
+  .requiredOption('--worker <id>', 'worker id')
+  .requiredOption('--zone <zone>', 'availability zone')
+  .requiredOption('--entry <url...>', 'caller addresses of daemons')
+  .option('--slots <n>', 'tasks at once', '8')
+  .parse();
+
+const opts = program.opts<Options>();
+const upstream = new StandInUpstream({
+  worker: opts.worker,
+  incarnation: `${Date.now()}`,
+  zone: opts.zone,
+  slots: Number(opts.slots),
+  connections: 64,
+  entries: opts.entry,
+  onStart: ({id, key, task}) => {
+    process.stdout.write(`${JSON.stringify({start: id, key, task})}\n`);
+  },
+});
+await upstream.start();
+process.on('SIGTERM', () => void upstream.stop().then(() => process.exit(0)));
