--- /dev/null
+++ b/src/check/jobs/check_history.ts
@@ -0,0 +1,69 @@
+import {checkAnswers} from './check_answers.js';
+import {checkStarts} from './check_starts.js';
+import {checkWorkers} from './check_workers.js';
+import type {HistoryEvent} from './history_event.js';
+import {JobHistory} from './job_history.js';
+
+/** Every violation of the invariants on jobs in one history. */
+export function checkHistory(history: readonly HistoryEvent[]): string[] {
+  const jobs = collectJobs(history);
+  const violations = checkWorkers(history);
+  for (const job of jobs.values()) {
+    violations.push(...checkStarts(job), ...checkAnswers(job));
+  }
+  return violations;
+}
+
+function collectJobs(
+  history: readonly HistoryEvent[],
+): Map<string, JobHistory> {
+  const jobs = new Map<string, JobHistory>();
+  const runs = new Map<string, JobHistory['runs'][number]>();
+  const jobOf = (key: string) => {
+    const job = jobs.get(key) ?? new JobHistory(key);
+    jobs.set(key, job);
+    return job;
+  };
+  history.forEach((event, order) => {
+    switch (event.kind) {
+      case 'submit':
+        jobOf(event.key).submits.push(event);
+        jobOf(event.key).submitOrders.push(order);
+        return;
+      case 'cancel':
+        jobOf(event.key).cancelled = true;
+        return;
+      case 'committed':
+        jobOf(event.key).committed = true;
+        return;
+      case 'answer':
+        jobOf(event.key).answers.push(event);
+        return;
+      case 'start': {
+        const run = {...event, order, endOrder: Infinity, succeeded: false};
+        jobOf(event.key).runs.push(run);
+        runs.set(runKey(event), run);
+        return;
+      }
+      case 'end': {
+        const run = runs.get(runKey(event));
+        if (!run || run.endOrder !== Infinity) return;
+        run.endOrder = order;
+        run.succeeded = event.succeeded;
+        return;
+      }
+      case 'memory_lost':
+        for (const job of jobs.values()) job.lostMemory = true;
+        return;
+    }
+  });
+  return jobs;
+}
+
+function runKey(event: {
+  readonly attempt: string;
+  readonly worker: string;
+  readonly incarnation: string;
+}): string {
+  return `${event.worker}/${event.incarnation}/${event.attempt}`;
+}
--- /dev/null
+++ b/src/check/jobs/check_jobs.ts
@@ -0,0 +1,79 @@
+import * as fc from 'fast-check';
+import {checkHistory} from './check_history.js';
+import type {HistoryEvent} from './history_event.js';
+import type {Mutation} from './mutation.js';
+import {runSteps} from './run_steps.js';
+import type {Step} from './step.js';
+import {stepsArbitrary} from './steps_arbitrary.js';
+
+interface CheckOptions {
+  readonly seed: number;
+  readonly runs: number;
+  readonly mutation?: Mutation;
+}
+
+interface Counterexample {
+  readonly steps: readonly Step[];
+  readonly violations: readonly string[];
+  readonly history: readonly HistoryEvent[];
+  readonly path: string;
+}
+
+interface CheckReport {
+  readonly runs: number;
+  readonly starts: number;
+  /** Number of steps by kind, over all runs. */
+  readonly steps: ReadonlyMap<string, number>;
+  /** Number of first answers by status and outcome. */
+  readonly answers: ReadonlyMap<string, number>;
+  readonly counterexample: Counterexample | undefined;
+}
+
+/** Generates runs, checks their histories, and shrinks the first violation. */
+export function checkJobs({seed, runs, mutation}: CheckOptions): CheckReport {
+  const steps = new Map<string, number>();
+  const answers = new Map<string, number>();
+  let done = 0;
+  let starts = 0;
+  let isShrinking = false;
+  const property = fc.property(stepsArbitrary, generated => {
+    const history = runSteps(generated, mutation);
+    const isSound = checkHistory(history).length === 0;
+    if (isShrinking) return isSound;
+    isShrinking = !isSound;
+    done += 1;
+    for (const {action} of generated) count(steps, action.kind);
+    const answered = new Set<string>();
+    for (const event of history) {
+      if (event.kind === 'start') starts += 1;
+      if (event.kind !== 'answer') continue;
+      if (event.answer.status === 'running') continue;
+      if (answered.has(event.key)) continue;
+      answered.add(event.key);
+      const {answer} = event;
+      const outcome = 'outcome' in answer ? ` ${answer.outcome}` : '';
+      count(answers, `${answer.status}${outcome}`);
+    }
+    return isSound;
+  });
+  const details = fc.check(property, {seed, numRuns: runs});
+  const failing = details.counterexample?.[0];
+  const history = failing && runSteps(failing, mutation);
+  return {
+    runs: done,
+    starts,
+    steps,
+    answers,
+    counterexample: failing &&
+      history && {
+        steps: failing,
+        violations: checkHistory(history),
+        history,
+        path: details.counterexamplePath ?? '',
+      },
+  };
+}
+
+function count(counts: Map<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
--- /dev/null
+++ b/src/check/jobs/check_workers.ts
@@ -0,0 +1,48 @@
+import type {HistoryEvent} from './history_event.js';
+
+/** I6: a leaving worker gets no new work after this time. */
+const LEAVING_LIMIT_MS = 2_000;
+
+type Size = Extract<HistoryEvent, {kind: 'size'}>;
+
+/** I6 and the limits that each worker announced. */
+export function checkWorkers(history: readonly HistoryEvent[]): string[] {
+  const violations: string[] = [];
+  const sizes = new Map<string, Size>();
+  const leavingSince = new Map<string, number>();
+  const running = new Map<string, Map<string, number>>();
+  let memoryLost = false;
+  for (const event of history) {
+    if (event.kind === 'memory_lost') {
+      memoryLost = true;
+    } else if (event.kind === 'size') {
+      sizes.set(event.worker, event);
+    } else if (event.kind === 'leaving') {
+      const id = `${event.worker}/${event.incarnation}`;
+      if (!leavingSince.has(id)) leavingSince.set(id, event.at);
+    } else if (event.kind === 'end') {
+      running.get(event.worker)?.delete(`${event.incarnation}${event.attempt}`);
+    } else if (event.kind === 'start') {
+      const {worker, incarnation, sentAt} = event;
+      const since = leavingSince.get(`${worker}/${incarnation}`);
+      if (since !== undefined && sentAt > since + LEAVING_LIMIT_MS) {
+        violations.push(
+          `${worker}: got ${event.attempt} ${sentAt - since} ms after leaving`,
+        );
+      }
+      const held = running.get(worker) ?? new Map<string, number>();
+      running.set(worker, held);
+      held.set(`${incarnation}${event.attempt}`, event.memoryMb);
+      const size = sizes.get(worker);
+      const memoryMb = [...held.values()].reduce((sum, mb) => sum + mb, 0);
+      // A group without memory does not know the sizes of what still runs.
+      if (size && memoryMb > size.memoryMb && !memoryLost) {
+        violations.push(`${worker}: ${memoryMb} of ${size.memoryMb} MB in use`);
+      }
+      if (size && held.size > Math.min(size.slots, size.connections)) {
+        violations.push(`${worker}: ${held.size} tasks on ${size.slots} slots`);
+      }
+    }
+  }
+  return violations;
+}
--- /dev/null
+++ b/src/check/jobs/job_history.ts
@@ -0,0 +1,35 @@
+import type {JobAnswer} from '../../core/job/job_answer.js';
+import type {HistoryEvent} from './history_event.js';
+
+type Start = Extract<HistoryEvent, {kind: 'start'}>;
+type Submit = Extract<HistoryEvent, {kind: 'submit'}>;
+
+interface AttemptRun extends Start {
+  readonly order: number;
+  endOrder: number;
+  succeeded: boolean;
+}
+
+/** All that happened to one key, collected for the checkers. */
+export class JobHistory {
+  readonly submits: Submit[] = [];
+  readonly runs: AttemptRun[] = [];
+  readonly answers: Array<{at: number; answer: JobAnswer}> = [];
+  /** Orders of the submissions, beside `submits`. */
+  readonly submitOrders: number[] = [];
+  cancelled = false;
+  committed = false;
+  lostMemory = false;
+
+  constructor(readonly key: string) {}
+
+  /**
+   * Whether an answer is due. A submission that was lost before its commit is
+   * made again by its caller; that one may be refused as too old.
+   */
+  get isAnswerDue(): boolean {
+    if (this.lostMemory) return false;
+    const last = this.submits.at(-1);
+    return this.committed || (last !== undefined && !last.refusal);
+  }
+}
--- /dev/null
+++ b/src/check/jobs/run_steps.ts
@@ -0,0 +1,237 @@
+import type {FakeWorker} from '../../../test-support/fakes/fake_worker.js';
+import type {HistoryEvent} from './history_event.js';
+import type {Mutation} from './mutation.js';
+import type {Step} from './step.js';
+import {ZoneRun} from './zone_run.js';
+
+type Action = Step['action'];
+type Submission = Parameters<ZoneRun['submit']>[0];
+type WorkerAction = Extract<Action, {worker: number}>;
+
+const WARM_UP_MS = 3_000;
+const RETENTION_MS = 620_000;
+/**
+ * After the faults stop: leases and orphans run out, all tasks run in turn on
+ * the smallest fleet, with back-off.
+ */
+const QUIET_MS = 40_000;
+const FOUND_MS = 25_000;
+
+/** Runs generated steps, stops the faults, waits, and returns the history. */
+export function runSteps(
+  steps: readonly Step[],
+  mutation: Mutation = {},
+): HistoryEvent[] {
+  const run = new StepRunner(mutation);
+  run.zone.clock.advance(WARM_UP_MS);
+  for (const {waitMs, action} of steps) {
+    run.zone.clock.advance(waitMs);
+    run.act(action);
+  }
+  run.settle();
+  return run.zone.history;
+}
+
+class StepRunner {
+  readonly zone: ZoneRun;
+  private readonly jobs: Submission[] = [];
+
+  constructor(mutation: Mutation) {
+    this.zone = new ZoneRun(mutation);
+  }
+
+  act(action: Action): void {
+    const {zone} = this;
+    if ('worker' in action) {
+      this.actOnWorker(action);
+      return;
+    }
+    switch (action.kind) {
+      case 'submit': {
+        const key = zone.newKey();
+        const {className, repeatable, tasks} = action;
+        this.submit({key, body: 'a', className, repeatable, tasks});
+        return;
+      }
+      case 'submit_aged':
+        this.submit({
+          key: zone.newKey(action.offsetMs),
+          body: 'a',
+          className: 'repeat',
+          repeatable: true,
+          tasks: [{ms: 50, mb: 0, fail: false}],
+        });
+        return;
+      case 'take_over':
+        zone.group.takeOver(`n${action.node + 1}`, action);
+        // Callers whose connection broke ask the successor.
+        for (const {key} of this.jobs) zone.fetch(key.text);
+        return;
+      case 'stall_commits':
+        zone.group.stall(action.ms);
+        return;
+      case 'lose_memory':
+        zone.loseMemory();
+        return;
+      case 'delete_class':
+        this.deleteClass();
+        return;
+      case 'pass_retention':
+        zone.clock.advance(RETENTION_MS);
+        return;
+      default:
+        this.actOnJob(action.kind, action.job);
+    }
+  }
+
+  /** Ends every fault; callers ask for what they have no answer to. */
+  settle(): void {
+    const {zone} = this;
+    for (const worker of zone.workers.values()) this.heal(worker);
+    zone.clock.advance(QUIET_MS);
+    const open = this.jobs.filter(({key}) => !zone.fetch(key.text));
+    for (const job of open) zone.submit(job);
+    zone.clock.advance(FOUND_MS);
+    for (const {key} of this.jobs) zone.fetch(key.text);
+    zone.record({kind: 'quiet'});
+  }
+
+  private submit(submission: Submission): void {
+    this.jobs.push(submission);
+    this.zone.submit(submission);
+  }
+
+  private actOnJob(
+    kind: Extract<Action, {job: number}>['kind'],
+    index: number,
+  ): void {
+    const {zone} = this;
+    if (kind === 'cancel_then_submit' || kind === 'submit_then_cancel') {
+      this.crossCancel(kind);
+      return;
+    }
+    const job = this.jobs[index % Math.max(1, this.jobs.length)];
+    if (!job) return;
+    // A deposed leader still gets requests until it notices.
+    const member = zone.leading[index % Math.max(1, zone.leading.length)];
+    switch (kind) {
+      case 'resubmit':
+        zone.submit(job, member);
+        return;
+      case 'submit_other_body':
+        zone.submit({...job, body: 'b'}, member);
+        return;
+      case 'cancel':
+        zone.cancel(job.key, member);
+        return;
+      case 'fetch':
+        zone.fetch(job.key.text, member);
+        return;
+      case 'acknowledge':
+        zone.acknowledge(job.key);
+        return;
+    }
+  }
+
+  /** A cancel and a submission of the same key in one turn of the loop. */
+  private crossCancel(kind: 'cancel_then_submit' | 'submit_then_cancel'): void {
+    const {zone} = this;
+    const job: Submission = {
+      key: zone.newKey(),
+      body: 'a',
+      className: 'strict',
+      repeatable: true,
+      tasks: [{ms: 100, mb: 0, fail: false}],
+    };
+    if (kind === 'cancel_then_submit') {
+      zone.cancel(job.key);
+      this.submit(job);
+      return;
+    }
+    this.submit(job);
+    zone.cancel(job.key);
+    zone.submit(job);
+  }
+
+  private actOnWorker(action: WorkerAction): void {
+    const {zone} = this;
+    const worker = [...zone.workers.values()][action.worker]!;
+    switch (action.kind) {
+      case 'die':
+        worker.kill();
+        return;
+      case 'restart':
+        zone.restart(worker);
+        return;
+      case 'cut':
+        worker.isCut = true;
+        return;
+      case 'deafen':
+        worker.isDeaf = true;
+        return;
+      case 'mute':
+        worker.isMute = true;
+        return;
+      case 'heal':
+        this.heal(worker);
+        return;
+      case 'fail_all':
+        worker.isFailing = true;
+        return;
+      case 'refuse_all':
+        worker.isRefusing = true;
+        return;
+      case 'leave':
+        worker.announcement = {...worker.announcement, leaving: true};
+        return;
+      case 'repeat_reports':
+        worker.isRepeating = true;
+        return;
+      case 'keep_announcement':
+        zone.keepForStale(worker);
+        return;
+      case 'stale_announcement':
+        zone.announceStale(worker);
+        return;
+      case 'lie_about_usage':
+        worker.announcement = {
+          ...worker.announcement,
+          usage: {slots_used: worker.running === 0 ? 4 : 0},
+        };
+        return;
+      case 'straggle':
+        worker.slowness = 1 + action.amount / 1_000;
+        return;
+      case 'delay_starts':
+        worker.startDelayMs = action.amount;
+        return;
+      case 'delay_reports':
+        worker.reportDelayMs = action.amount;
+        return;
+    }
+  }
+
+  private heal(worker: FakeWorker): void {
+    worker.isCut = false;
+    worker.isDeaf = false;
+    worker.isMute = false;
+    worker.isFailing = false;
+    worker.isRefusing = false;
+    worker.isRepeating = false;
+    worker.slowness = 1;
+    worker.startDelayMs = 0;
+    worker.reportDelayMs = 0;
+    if (worker.isDead || worker.announcement.leaving) this.zone.restart(worker);
+  }
+
+  private deleteClass(): void {
+    const {config} = this.zone;
+    const {version, classes, tenants} = config.current();
+    const kept = Object.entries(classes).filter(([name]) => name !== 'repeat');
+    config.set({
+      version: version + 1,
+      classes: Object.fromEntries(kept),
+      tenants,
+    });
+  }
+}
--- /dev/null
+++ b/src/check/jobs/step.ts
@@ -0,0 +1,64 @@
+/** One step of a generated run: a pause, then something that happens. */
+export interface Step {
+  /** Milliseconds before the step. */
+  readonly waitMs: number;
+  readonly action: Action;
+}
+
+type Action =
+  | {
+      readonly kind: 'submit';
+      readonly className: string;
+      readonly repeatable: boolean;
+      readonly tasks: ReadonlyArray<{
+        readonly ms: number;
+        readonly mb: number;
+        readonly fail: boolean;
+      }>;
+    }
+  | {
+      /** Things that callers do about an earlier job. */
+      readonly kind:
+        | 'resubmit'
+        | 'submit_other_body'
+        | 'cancel'
+        | 'cancel_then_submit'
+        | 'submit_then_cancel'
+        | 'fetch'
+        | 'acknowledge';
+      readonly job: number;
+    }
+  | {readonly kind: 'submit_aged'; readonly offsetMs: number}
+  | {
+      /** Things that happen to a worker. */
+      readonly kind:
+        | 'die'
+        | 'restart'
+        | 'cut'
+        | 'deafen'
+        | 'mute'
+        | 'heal'
+        | 'fail_all'
+        | 'refuse_all'
+        | 'leave'
+        | 'repeat_reports'
+        | 'keep_announcement'
+        | 'stale_announcement'
+        | 'lie_about_usage';
+      readonly worker: number;
+    }
+  | {
+      readonly kind: 'straggle' | 'delay_starts' | 'delay_reports';
+      readonly worker: number;
+      readonly amount: number;
+    }
+  | {
+      readonly kind: 'take_over';
+      readonly node: number;
+      readonly noticedAfterMs: number;
+      readonly keepsProposals: boolean;
+    }
+  | {readonly kind: 'stall_commits'; readonly ms: number}
+  | {readonly kind: 'lose_memory'}
+  | {readonly kind: 'delete_class'}
+  | {readonly kind: 'pass_retention'};
--- /dev/null
+++ b/src/check/jobs/zone_run.ts
@@ -0,0 +1,296 @@
+import {v7 as uuidv7} from 'uuid';
+import {FakeClock} from '../../../test-support/fakes/fake_clock.js';
+import {FakeFleet} from '../../../test-support/fakes/fake_fleet.js';
+import type {FakeWorker} from '../../../test-support/fakes/fake_worker.js';
+import {StandInGroup} from '../../../test-support/fakes/stand_in_group.js';
+import {ZoneMember} from '../../../test-support/fakes/zone_member.js';
+import type {ClassConfig} from '../../core/config/class_config.js';
+import {StaticConfigSource} from '../../core/config/static_config_source.js';
+import {JobKey} from '../../core/job/job_key.js';
+import type {JobSpec} from '../../core/job/job_spec.js';
+import {RetryPolicy} from '../../core/retry/retry_policy.js';
+import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
+import {WorkerRegistry} from '../../core/worker/worker_registry.js';
+import type {HistoryEvent} from './history_event.js';
+import type {Mutation} from './mutation.js';
+import {resultOf} from './result_of.js';
+
+const MEMBERS = 3;
+const ANNOUNCE_MS = 500;
+const TRAVEL_MS = 0.5;
+/** Sizes of the workers: the second has one slot, the third most memory. */
+const WORKERS = [
+  {slots: 2, memory_mb: 1_000},
+  {slots: 1, memory_mb: 1_000},
+  {slots: 2, memory_mb: 4_000},
+];
+const CLASSES = [classOf('strict', false), classOf('repeat', true)];
+
+interface Submission {
+  readonly key: JobKey;
+  readonly body: string;
+  readonly className: string;
+  readonly repeatable: boolean;
+  readonly tasks: ReadonlyArray<{
+    readonly ms: number;
+    readonly mb: number;
+    readonly fail: boolean;
+  }>;
+}
+
+/** A zone of several members with fake workers; records what everyone sees. */
+export class ZoneRun {
+  readonly clock = new FakeClock();
+  readonly history: HistoryEvent[] = [];
+  readonly workers = new Map<string, FakeWorker>();
+  readonly config = new StaticConfigSource({
+    version: 1,
+    classes: Object.fromEntries(CLASSES.map(c => [c.name, c])),
+    tenants: {},
+  });
+  group: StandInGroup;
+  members: ZoneMember[] = [];
+  private readonly announcer: FakeFleet;
+  private readonly stale = new Map<string, WorkerAnnouncement>();
+  private keys = 0;
+  private incarnations = 0;
+
+  constructor(private readonly mutation: Mutation = {}) {
+    this.announcer = new FakeFleet({clock: this.clock, workers: this.workers});
+    WORKERS.forEach((size, at) => this.addWorker(`w${at + 1}`, size));
+    this.group = this.formGroup();
+    this.announceForever();
+  }
+
+  get leader(): ZoneMember | undefined {
+    return this.members.find(
+      member => member.node === this.group.current?.node,
+    );
+  }
+
+  /** Members that believe they lead: the leader and deposed ones. */
+  get leading(): ZoneMember[] {
+    return this.members.filter(member => member.dispatcher.isLeading);
+  }
+
+  newKey(offsetMs = 0): JobKey {
+    this.keys += 1;
+    const random = Uint8Array.from({length: 16}, (_, at) =>
+      at >= 12 ? (this.keys >>> (8 * (at - 12))) & 0xff : 1,
+    );
+    const msecs = Math.floor(this.clock.now() + offsetMs);
+    const text = `arbat~${uuidv7({msecs, random})}`;
+    return JobKey.parse(text).unwrapOrElse(err => {
+      throw new Error(err);
+    });
+  }
+
+  submit(submission: Submission, member = this.leader): void {
+    const {key, body, className, repeatable, tasks} = submission;
+    if (!member) return;
+    const now = this.clock.now();
+    const spec: JobSpec = {
+      key: key.text,
+      keyTimeMs: key.timeMs,
+      className,
+      tenant: 'default',
+      repeatable,
+      tasks: tasks.map(({ms, mb, fail}, at) => ({
+        payload: {ms, mb, fail, body, value: resultOf(key.text, body, at)},
+        memory_mb: mb,
+      })),
+      fingerprint: body,
+      submittedAt: now,
+    };
+    const {classes} = this.config.current();
+    const result = member.dispatcher.submit(key, spec, now);
+    this.record({
+      kind: 'submit',
+      key: key.text,
+      body,
+      tasks: tasks.length,
+      repeatable: repeatable && classes[className]?.repeatable === true,
+      refusal: result.isErr ? result.error : undefined,
+    });
+  }
+
+  cancel(key: JobKey, member = this.leader): void {
+    const result = member?.dispatcher.cancel(key, this.clock.now());
+    const taken = result?.isOk ?? false;
+    this.record({kind: 'cancel', key: key.text, taken});
+  }
+
+  /** What a caller is told now; nothing if the member knows no such job. */
+  fetch(key: string, member = this.leader): boolean {
+    if (!member?.dispatcher.isLeading) return false;
+    const record = member.table.get(key);
+    if (!record) return member.dispatcher.isActive(key);
+    const answer = member.table.answer(record);
+    // A deposed leader may say `running` for longer; that is no answer.
+    if (answer.status === 'running' && member !== this.leader) return true;
+    this.record({kind: 'answer', key, answer});
+    return true;
+  }
+
+  acknowledge(key: JobKey): void {
+    this.leader?.dispatcher.acknowledge(key.text);
+    this.record({kind: 'acknowledge', key: key.text});
+  }
+
+  restart(worker: FakeWorker): void {
+    this.incarnations += 1;
+    worker.restart(`i${this.incarnations}`);
+    this.voidLease(worker);
+    worker.announcement = {...worker.announcement, leaving: false};
+  }
+
+  /** Delivers an announcement that an earlier incarnation or time sent. */
+  announceStale(worker: FakeWorker): void {
+    const earlier = this.stale.get(worker.announcement.worker);
+    if (earlier) this.deliver(worker, earlier);
+  }
+
+  keepForStale(worker: FakeWorker): void {
+    this.stale.set(worker.announcement.worker, worker.announcement);
+  }
+
+  /** All members restart at once without memory. */
+  loseMemory(): void {
+    this.record({kind: 'memory_lost'});
+    for (const member of this.members) member.isStopped = true;
+    this.group.current = undefined;
+    this.group = this.formGroup();
+  }
+
+  record(event: HistoryEventBody): void {
+    this.history.push({at: this.clock.now(), ...event} as HistoryEvent);
+  }
+
+  private formGroup(): StandInGroup {
+    const {clock, mutation} = this;
+    const group = new StandInGroup({
+      clock,
+      onCommitted: event => {
+        if (event.kind !== 'accepted') return;
+        this.record({kind: 'committed', key: event.job.key});
+      },
+      ...mutation.group,
+    });
+    this.members = Array.from({length: MEMBERS}, (_, at) => {
+      const node = `n${at + 1}`;
+      return new ZoneMember({
+        node,
+        clock,
+        replicator: group.addMember(node),
+        registry: mutation.registry?.() ?? new WorkerRegistry(),
+        retry: mutation.retry?.() ?? new RetryPolicy(),
+        config: this.config,
+        upstream: new FakeFleet({clock, workers: this.workers}),
+        onFinished: (member, key) => this.fetch(key, member),
+      });
+    });
+    group.takeOver('n1', {noticedAfterMs: 0, keepsProposals: false});
+    return group;
+  }
+
+  private addWorker(
+    id: string,
+    size: {readonly slots: number; readonly memory_mb: number},
+  ): void {
+    const worker = this.announcer.add({
+      worker: id,
+      incarnation: `${id}-1`,
+      sequence: 0,
+      zone: 'arbat',
+      rack: 'rack-1',
+      address: `http://127.0.0.1/${id}`,
+      connections: 64,
+      processors: 32,
+      accelerators: 0,
+      classes: [],
+      leaving: false,
+      epoch: 0,
+      ...size,
+    });
+    worker.rules = this.mutation.worker ?? {};
+    this.voidLease(worker);
+    this.record({
+      kind: 'size',
+      worker: id,
+      slots: size.slots,
+      connections: 64,
+      memoryMb: size.memory_mb,
+    });
+    worker.observer = {
+      started: (_, start) => {
+        const payload = start.payload as {body: string; mb: number};
+        this.record({
+          kind: 'start',
+          key: start.key,
+          body: payload.body,
+          task: start.task,
+          attempt: start.id,
+          worker: id,
+          incarnation: worker.announcement.incarnation,
+          memoryMb: payload.mb,
+          sentAt: worker.sentAt.get(start.id) ?? 0,
+        });
+      },
+      ended: (_, report) =>
+        this.record({
+          kind: 'end',
+          attempt: report.id,
+          worker: id,
+          incarnation: worker.announcement.incarnation,
+          succeeded: report.state === 'succeeded',
+        }),
+    };
+  }
+
+  private voidLease(worker: FakeWorker): void {
+    if (worker.rules.obeysLease !== false) worker.leaseExpiresAt = 0;
+  }
+
+  private announceForever(): void {
+    for (const worker of this.workers.values()) {
+      if (worker.isDead) continue;
+      const announcement = worker.nextAnnouncement();
+      if (worker.isCut || worker.isMute) continue;
+      this.clock.schedule(TRAVEL_MS, () => this.deliver(worker, announcement));
+    }
+    this.clock.schedule(ANNOUNCE_MS, () => this.announceForever());
+  }
+
+  private deliver(worker: FakeWorker, announcement: WorkerAnnouncement): void {
+    const sentAt = this.clock.now() - TRAVEL_MS;
+    const {incarnation} = announcement;
+    for (const member of this.members) {
+      const now = this.clock.now();
+      const accepted = member.dispatcher.announce(announcement, now);
+      const epoch = member.replicator.leading;
+      if (!accepted || epoch === undefined) continue;
+      if (announcement.leaving && member === this.leader) {
+        const {worker: id} = announcement;
+        this.record({kind: 'leaving', worker: id, incarnation});
+      }
+      this.clock.schedule(TRAVEL_MS, () => {
+        if (worker.isCut || worker.isDeaf) return;
+        worker.grant(incarnation, epoch, sentAt + WorkerRegistry.LEASE_MS);
+      });
+    }
+  }
+}
+
+type WithoutTime<T> = T extends unknown ? Omit<T, 'at'> : never;
+type HistoryEventBody = WithoutTime<HistoryEvent>;
+
+function classOf(name: string, repeatable: boolean): ClassConfig {
+  return {
+    name,
+    target_ms: 2_000,
+    percentile: 99,
+    repeatable,
+    memory_mb: 0,
+    accelerators: 0,
+  };
+}
--- a/src/core/dispatch/active_job.ts
+++ b/src/core/dispatch/active_job.ts
@@ -9,10 +9,16 @@
   readonly queued = new Map<number, QueuedTask>();
   /** Attempts that hold a slot, by attempt id. */
   readonly attempts = new Map<string, RunningAttempt>();
+  /** Tasks that wait out a pause before they are queued again. */
+  readonly paused = new Set<number>();
+  /** Refusals in a row, by task index. */
+  readonly refusals = new Map<number, number>();
   /** Attempts that ran or may have, by task index. */
   readonly starts = new Map<number, number>();
   /** True once the job is complete, failed or cancelled. */
   ended = false;
+  /** Since when no known worker could hold one of its tasks. */
+  unplaceableSince: number | undefined;
 
   constructor(
     readonly spec: JobSpec,
@@ -26,7 +32,11 @@
 
   /** True when nothing of the job waits or runs any more. */
   get isIdle(): boolean {
-    return this.queued.size === 0 && this.attempts.size === 0;
+    return (
+      this.queued.size === 0 &&
+      this.attempts.size === 0 &&
+      this.paused.size === 0
+    );
   }
 
   /** Makes the queue entry of one task. */
@@ -49,6 +59,12 @@
     return queued;
   }
 
+  countRefusal(index: number): number {
+    const count = (this.refusals.get(index) ?? 0) + 1;
+    this.refusals.set(index, count);
+    return count;
+  }
+
   countStart(index: number): number {
     const count = (this.starts.get(index) ?? 0) + 1;
     this.starts.set(index, count);
--- a/src/core/dispatch/attempt_manager.ts
+++ b/src/core/dispatch/attempt_manager.ts
@@ -8,6 +8,8 @@
 import type {WorkerAnnouncement} from '../worker/worker_announcement.js';
 import {WorkerRegistry} from '../worker/worker_registry.js';
 import type {WorkerState} from '../worker/worker_state.js';
+import {ForgetList} from './forget_list.js';
+import {LostAttempts} from './lost_attempts.js';
 
 /** Age from which the worker is asked about an attempt. Most tasks end sooner. */
 const ASK_AFTER_MS = 1_000;
@@ -31,11 +33,13 @@
  */
 export class AttemptManager implements UpstreamListener {
   private epoch = 0;
-  /** Attempts inherited from an earlier epoch on workers not yet heard of. */
-  private orphans = new Map<string, RunningAttempt[]>();
-  private orphansExpireAt = 0;
-  /** Ended attempts that the worker may forget, by worker. */
-  private readonly forgettable = new Map<string, string[]>();
+  private readonly lost = new LostAttempts();
+  private readonly forgettable = new ForgetList();
+  /**
+   * Attempts that ended here but whose outcome is not committed. A successor
+   * would ask about them, so their workers must not forget them.
+   */
+  private readonly uncommitted = new Set<string>();
 
   constructor(private readonly opts: AttemptManagerOptions) {
     opts.upstream.listen(this);
@@ -43,21 +47,16 @@
 
   /** Starts an epoch: every worker is fenced before its first start. */
   lead(epoch: number, inherited: readonly RunningAttempt[], now: number): void {
+    this.reset();
     this.epoch = epoch;
-    this.orphans.clear();
-    this.forgettable.clear();
     this.opts.registry.assumeFreshLeases(now);
-    this.orphansExpireAt = now + 2 * WorkerRegistry.LEASE_MS;
-    for (const worker of this.opts.registry.list()) clearAttempts(worker);
-    for (const attempt of inherited) this.inherit(attempt);
+    for (const attempt of inherited) this.inherit(attempt, now);
     for (const worker of this.opts.registry.list()) this.fence(worker, now);
   }
 
   /** Stops acting; the successor settles what runs. */
   follow(): void {
-    this.epoch = 0;
-    this.orphans.clear();
-    for (const worker of this.opts.registry.list()) clearAttempts(worker);
+    this.reset();
   }
 
   /** Takes a worker's announcement; false if a newer one overtook it. */
@@ -65,9 +64,11 @@
     const {registry} = this.opts;
     const {accepted, replaced} = registry.announce(announcement, now);
     if (!accepted || this.epoch === 0) return accepted;
-    if (replaced) this.endAll(replaced, 'the worker restarted');
+    if (replaced) this.lose(replaced);
     const worker = registry.get(announcement.worker)!;
-    this.adoptOrphans(worker);
+    for (const attempt of this.lost.takeFound(worker.id, worker.incarnation)) {
+      worker.occupy(attempt);
+    }
     if (announcement.epoch > this.epoch) {
       this.opts.onSuperseded(announcement.epoch);
     }
@@ -112,27 +113,40 @@
     if (worker) this.end(worker, attempt.id, {kind: 'never_started', reason});
   }
 
-  /** The result of the attempt is stored; its worker may drop it. */
-  forget(worker: string, attempt: string): void {
-    const ids = this.forgettable.get(worker) ?? [];
-    ids.push(attempt);
-    this.forgettable.set(worker, ids);
+  /** The outcome of the attempt is committed; its worker may drop it. */
+  forget(
+    worker: string,
+    attempt: string,
+    outcome: AttemptOutcome,
+    now: number,
+  ): void {
+    this.uncommitted.delete(attempt);
+    if (!this.opts.registry.get(worker)) return;
+    if (outcome.kind === 'never_started') {
+      this.forgettable.addTombstone(worker, attempt, now);
+    } else {
+      this.forgettable.add(worker, attempt);
+    }
   }
 
   tick(now: number): void {
     if (this.epoch === 0) return;
     this.expireLeases(now);
-    this.expireOrphans(now);
+    this.endLost(this.lost.takeOver(now), 'the worker is lost');
     for (const worker of this.opts.registry.list()) this.ask(worker, now);
   }
 
   reported(from: WorkerTarget, reports: readonly AttemptReport[]): void {
     const worker = this.matching(from);
-    if (!worker) return;
+    if (!worker) {
+      this.reportedLate(from, reports);
+      return;
+    }
     const stillRunning: string[] = [];
     for (const report of reports) {
       const attempt = worker.attempts.get(report.id);
       if (report.state !== 'running') {
+        if (worker.foreign.has(report.id)) this.endForeign(worker, report.id);
         this.end(worker, report.id, outcomeOf(report));
       } else if (attempt?.stopping) {
         stillRunning.push(report.id);
@@ -162,12 +176,19 @@
     for (const report of known) {
       if (worker.attempts.has(report.id)) continue;
       if (report.state === 'running') worker.foreign.add(report.id);
-      else this.forget(worker.id, report.id);
+      else this.endForeign(worker, report.id);
     }
+    const replaced = this.lost.takeReplaced(worker.id, worker.incarnation);
+    this.endLost(replaced, 'the worker restarted');
     this.reported(from, known);
     this.opts.onCapacity();
   }
 
+  forgotten(from: WorkerTarget, attempts: readonly string[]): void {
+    const worker = this.matching(from);
+    if (worker) this.forgettable.confirm(worker.id, attempts);
+  }
+
   replaced(from: WorkerTarget): void {
     const worker = this.matching(from);
     if (!worker) return;
@@ -182,43 +203,70 @@
     }
   }
 
-  private inherit(attempt: RunningAttempt): void {
+  private reset(): void {
+    this.epoch = 0;
+    this.lost.clear();
+    this.forgettable.clear();
+    this.uncommitted.clear();
+    for (const worker of this.opts.registry.list()) {
+      for (const id of [...worker.attempts.keys()]) worker.release(id);
+      worker.foreign.clear();
+    }
+  }
+
+  private inherit(attempt: RunningAttempt, now: number): void {
     const worker = this.opts.registry.get(attempt.worker);
     if (worker?.incarnation === attempt.incarnation) {
       worker.occupy(attempt);
-      return;
+    } else {
+      this.lost.add(attempt, now + WorkerRegistry.UNKNOWN_LEASE_MS);
     }
-    const waiting = this.orphans.get(attempt.worker) ?? [];
-    waiting.push(attempt);
-    this.orphans.set(attempt.worker, waiting);
   }
 
-  private adoptOrphans(worker: WorkerState): void {
-    const waiting = this.orphans.get(worker.id);
-    if (!waiting) return;
-    this.orphans.delete(worker.id);
-    for (const attempt of waiting) {
-      if (attempt.incarnation === worker.incarnation) {
-        worker.occupy(attempt);
+  /**
+   * Another incarnation has announced itself. Announcements may be overtaken
+   * on their way, so the attempts are over only when the new incarnation
+   * answers or the lease of the earlier one has ended.
+   */
+  private lose(replaced: WorkerState): void {
+    this.forgettable.drop(replaced.id);
+    replaced.foreign.clear();
+    for (const attempt of [...replaced.attempts.values()]) {
+      if (attempt.phase === 'proposed') {
+        const reason = 'the worker restarted before the start';
+        this.end(replaced, attempt.id, {kind: 'never_started', reason});
       } else {
-        this.opts.onEnded(attempt, unknown('the worker restarted'));
+        replaced.release(attempt.id);
+        this.lost.add(attempt, replaced.leaseExpiresAt);
       }
     }
   }
 
-  private expireOrphans(now: number): void {
-    if (this.orphans.size === 0 || now < this.orphansExpireAt) return;
-    const waiting = [...this.orphans.values()].flat();
-    this.orphans.clear();
-    for (const attempt of waiting) {
-      this.opts.onEnded(attempt, unknown('the worker is lost'));
+  private reportedLate(
+    {worker, incarnation}: WorkerTarget,
+    reports: readonly AttemptReport[],
+  ): void {
+    for (const report of reports) {
+      if (report.state === 'running') continue;
+      const {id} = report;
+      const attempt = this.lost.takeReported(worker, incarnation, id);
+      if (attempt) this.ended(attempt, outcomeOf(report));
     }
   }
 
+  private endLost(lost: readonly RunningAttempt[], reason: string): void {
+    for (const attempt of lost) this.ended(attempt, unknown(reason));
+  }
+
+  /** An attempt that no open job waits for is over. */
+  private endForeign(worker: WorkerState, id: string): void {
+    if (!this.uncommitted.has(id)) this.forgettable.add(worker.id, id);
+  }
+
   private expireLeases(now: number): void {
     const expired = this.opts.registry.expire(now);
     for (const worker of expired) {
-      this.forgettable.delete(worker.id);
+      this.forgettable.drop(worker.id);
       this.endAll(worker, "the worker's lease expired");
     }
     if (expired.length > 0) this.opts.onCapacity();
@@ -240,9 +288,8 @@
       const isOverdue = now - attempt.since >= ASK_AFTER_MS;
       if (attempt.phase === 'sent' && isOverdue) overdue.push(attempt.id);
     }
-    const forget = this.forgettable.get(worker.id) ?? [];
+    const forget = this.forgettable.due(worker.id, now);
     if (overdue.length === 0 && forget.length === 0) return;
-    this.forgettable.delete(worker.id);
     worker.lastAsked = now;
     this.opts.upstream.settle(target(worker), this.epoch, overdue, forget);
   }
@@ -261,7 +308,12 @@
 
   private end(worker: WorkerState, id: string, outcome: AttemptOutcome): void {
     const attempt = worker.release(id);
-    if (attempt) this.opts.onEnded(attempt, outcome);
+    if (attempt) this.ended(attempt, outcome);
+  }
+
+  private ended(attempt: RunningAttempt, outcome: AttemptOutcome): void {
+    this.uncommitted.add(attempt.id);
+    this.opts.onEnded(attempt, outcome);
   }
 
   private matching(from: WorkerTarget): WorkerState | undefined {
@@ -270,11 +322,6 @@
   }
 }
 
-function clearAttempts(worker: WorkerState): void {
-  for (const id of [...worker.attempts.keys()]) worker.release(id);
-  worker.foreign.clear();
-}
-
 function target({announcement}: WorkerState): WorkerTarget {
   const {worker, incarnation, address, connections} = announcement;
   return {worker, incarnation, address, connections};
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -7,9 +7,7 @@
 import type {JobSpec} from '../job/job_spec.js';
 import type {JobTable} from '../job/job_table.js';
 import type {Refusal} from '../job/refusal.js';
-import {RunOutcome} from '../job/run_outcome.js';
 import type {RetryPolicy} from '../retry/retry_policy.js';
-import type {AttemptStart} from '../upstream/attempt_start.js';
 import type {UpstreamClient} from '../upstream/upstream_client.js';
 import type {RunningAttempt} from '../worker/running_attempt.js';
 import type {WorkerAnnouncement} from '../worker/worker_announcement.js';
@@ -17,11 +15,18 @@
 import {ActiveJob} from './active_job.js';
 import {AttemptManager} from './attempt_manager.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
+import {intentOf} from './intent_of.js';
+import {NOT_LEADER} from './not_leader.js';
 import {resumeJob} from './resume_job.js';
+import {startOf} from './start_of.js';
 import {SubmissionGate} from './submission_gate.js';
 import {TaskAssigner} from './task_assigner.js';
+import {TaskRetrier} from './task_retrier.js';
 
 type Intent = Extract<JobEvent, {kind: 'intent'}>;
+type Settled = Extract<JobEvent, {kind: 'settled'}>;
+
+const SWEEP_INTERVAL_MS = 5_000;
 
 interface DispatcherOptions {
   readonly table: JobTable;
@@ -47,6 +52,10 @@
   private readonly gate: SubmissionGate;
   private readonly assigner: TaskAssigner;
   private readonly active = new Map<string, ActiveJob>();
+  /** Jobs whose `accepted` event is not committed yet, by key. */
+  private readonly proposed = new Map<string, JobSpec>();
+  private readonly retrier: TaskRetrier;
+  private nextSweep = 0;
   /** Events of this turn, proposed together by `flush`. */
   private outbox: JobEvent[] = [];
   private now = 0;
@@ -54,6 +63,10 @@
   constructor(private readonly opts: DispatcherOptions) {
     this.gate = new SubmissionGate(opts);
     this.assigner = new TaskAssigner(opts, this.active);
+    this.retrier = new TaskRetrier({
+      retry: opts.retry,
+      enqueue: (job, index, avoid) => this.enqueue(job, index, avoid),
+    });
     this.attempts = new AttemptManager({
       registry: opts.registry,
       upstream: opts.upstream,
@@ -76,9 +89,9 @@
     return this.opts.policy.queued;
   }
 
-  /** Whether the dispatcher still has work of this job in hand. */
+  /** Whether the dispatcher has work of this job or waits for its commit. */
   isActive(key: string): boolean {
-    return this.active.has(key);
+    return this.active.has(key) || this.proposed.has(key);
   }
 
   /**
@@ -90,7 +103,7 @@
     const epoch = this.opts.replicator.leading;
     if (epoch === undefined) return Result.err(NOT_LEADER);
     const known =
-      this.active.get(spec.key)?.spec ?? this.opts.table.get(spec.key)?.spec;
+      this.proposed.get(spec.key) ?? this.opts.table.get(spec.key)?.spec;
     if (known) return this.gate.join(known, spec);
     const decision = this.gate.admit(
       key,
@@ -101,7 +114,7 @@
     if (decision.isErr) return Result.err(decision.error);
     const job = new ActiveJob(spec, decision.value);
     this.active.set(spec.key, job);
-    this.outbox.push({kind: 'accepted', job: spec});
+    this.accept(spec);
     spec.tasks.forEach((_, index) => this.enqueue(job, index));
     this.opts.requestFlush();
     return Result.ok(undefined);
@@ -116,10 +129,10 @@
     if (!this.isLeading) return Result.err(NOT_LEADER);
     const job = this.active.get(key.text);
     const record = this.opts.table.get(key.text);
-    if (!job && !record) {
+    if (!record && !this.proposed.has(key.text)) {
       const known = this.gate.checkAge(key, now);
       if (known.isErr) return known;
-      this.outbox.push({kind: 'accepted', job: this.gate.tombstone(key, now)});
+      this.accept(this.gate.tombstone(key, now));
     }
     if (!record || record.status === 'running') {
       this.outbox.push({kind: 'cancelled', key: key.text, at: now});
@@ -157,11 +170,35 @@
     this.now = now;
     if (!this.isLeading) return;
     this.attempts.tick(now);
+    this.retrier.tick(now);
+    this.sweep(now);
     const keys = this.gate.expiredKeys(now, key => this.active.has(key));
     if (keys.length > 0) this.outbox.push({kind: 'expired', keys});
     this.flush(now);
   }
 
+  /** Fails the jobs that cannot end by themselves any more. */
+  private sweep(now: number): void {
+    if (now < this.nextSweep) return;
+    this.nextSweep = now + SWEEP_INTERVAL_MS;
+    for (const job of this.active.values()) {
+      if (job.ended) continue;
+      const reason = this.gate.findObstacle(job, now);
+      if (reason === undefined) continue;
+      this.outbox.push({kind: 'failed', key: job.spec.key, reason, at: now});
+      this.endJob(job);
+    }
+  }
+
+  /**
+   * Until the commit a cancelled job may be idle already; a submission that
+   * comes then must still find its key.
+   */
+  private accept(job: JobSpec): void {
+    this.proposed.set(job.key, job);
+    this.outbox.push({kind: 'accepted', job});
+  }
+
   private assign(now: number): void {
     const epoch = this.opts.replicator.leading ?? 0;
     for (const attempt of this.assigner.assign(epoch, now)) {
@@ -178,7 +215,7 @@
     const job = this.active.get(attempt.key);
     if (!job) return;
     job.attempts.delete(attempt.id);
-    const retry = !job.ended && this.shouldRetry(job, attempt, outcome);
+    const retry = !job.ended && this.retrier.shouldRetry(job, attempt, outcome);
     this.outbox.push({
       kind: 'settled',
       key: attempt.key,
@@ -190,7 +227,7 @@
       at: this.now,
     });
     if (retry) {
-      this.enqueue(job, attempt.task, attempt.worker);
+      this.retrier.retry(job, attempt, outcome, this.now);
     } else if (outcome.kind !== 'succeeded') {
       this.endJob(job);
     }
@@ -198,22 +235,6 @@
     this.opts.requestFlush();
   }
 
-  private shouldRetry(
-    job: ActiveJob,
-    attempt: RunningAttempt,
-    outcome: AttemptOutcome,
-  ): boolean {
-    const {className} = attempt;
-    const ran = outcome.kind !== 'never_started';
-    if (ran) this.opts.retry.recordStart(className);
-    return this.opts.retry.shouldRetry({
-      className,
-      outcome,
-      repeatable: job.isRepeatable,
-      started: ran ? job.countStart(attempt.task) : 0,
-    });
-  }
-
   /** Drops the queued tasks of a job and stops its running ones. */
   private endJob(job: ActiveJob): void {
     if (job.ended) return;
@@ -223,6 +244,7 @@
       this.opts.policy.discarded(task);
     }
     job.queued.clear();
+    job.paused.clear();
     this.attempts.stop(job.attempts.values());
     if (job.isIdle) this.active.delete(job.spec.key);
   }
@@ -240,12 +262,14 @@
   /** Does what a committed event allows. */
   private act(event: JobEvent, starts: Map<string, RunningAttempt[]>): void {
     switch (event.kind) {
+      case 'accepted':
+        this.proposed.delete(event.job.key);
+        return;
       case 'intent':
         this.intentCommitted(event, starts);
         return;
       case 'settled':
-        this.attempts.forget(event.worker, event.attempt);
-        this.notifyIfFinished(event.key);
+        this.settledCommitted(event);
         return;
       case 'cancelled':
       case 'failed':
@@ -271,21 +295,26 @@
   }
 
   private send(id: string, attempts: RunningAttempt[], now: number): void {
-    const worker = this.opts.registry.get(id);
-    if (!worker) return;
-    const starts = attempts.map(attempt => this.startOf(attempt));
+    const {registry, replicator} = this.opts;
+    const worker = registry.get(id);
+    const epoch = replicator.leading;
+    if (!worker || epoch === undefined) return;
+    // The commit may have taken long enough for the worker to leave.
+    if (!registry.isStartable(worker, epoch, now)) {
+      for (const attempt of attempts) {
+        this.attempts.withdraw(attempt, 'the worker takes no more starts');
+      }
+      return;
+    }
+    const starts = attempts.map(attempt =>
+      startOf(attempt, this.active.get(attempt.key)?.spec),
+    );
     this.attempts.start(worker, attempts, starts, now);
   }
 
-  private startOf(attempt: RunningAttempt): AttemptStart {
-    const spec = this.active.get(attempt.key)?.spec;
-    return {
-      id: attempt.id,
-      key: attempt.key,
-      task: attempt.task,
-      class: attempt.className,
-      payload: spec?.tasks[attempt.task]?.payload,
-    };
+  private settledCommitted({worker, attempt, outcome, key}: Settled): void {
+    this.attempts.forget(worker, attempt, outcome, this.now);
+    this.notifyIfFinished(key);
   }
 
   private notifyIfFinished(key: string): void {
@@ -298,6 +327,8 @@
     this.outbox = [];
     this.opts.policy.reset();
     this.active.clear();
+    this.proposed.clear();
+    this.retrier.reset();
     if (epoch === undefined) {
       this.attempts.follow();
       return;
@@ -315,14 +346,3 @@
     this.opts.requestFlush();
   }
 }
-
-const NOT_LEADER: Refusal = {
-  code: 'not_leader',
-  outcome: RunOutcome.unknown,
-  detail: 'this node does not lead the zone',
-};
-
-function intentOf(attempt: RunningAttempt): JobEvent {
-  const {key, task, worker, incarnation} = attempt;
-  return {kind: 'intent', key, task, attempt: attempt.id, worker, incarnation};
-}
--- /dev/null
+++ b/src/core/dispatch/not_leader.ts
@@ -0,0 +1,9 @@
+import type {Refusal} from '../job/refusal.js';
+import {RunOutcome} from '../job/run_outcome.js';
+
+/** Says nothing about the request: the leader may know its key. */
+export const NOT_LEADER: Refusal = {
+  code: 'not_leader',
+  outcome: RunOutcome.unknown,
+  detail: 'this node does not lead the zone',
+};
--- a/src/core/dispatch/submission_gate.ts
+++ b/src/core/dispatch/submission_gate.ts
@@ -8,6 +8,7 @@
 import type {Refusal} from '../job/refusal.js';
 import {RunOutcome} from '../job/run_outcome.js';
 import type {WorkerRegistry} from '../worker/worker_registry.js';
+import type {ActiveJob} from './active_job.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
 import type {FleetView} from './fleet_view.js';
 
@@ -16,6 +17,10 @@
 /** How long a job is remembered, counted from the time in its key. */
 const RETENTION_MS = 600_000;
 const EXPIRY_INTERVAL_MS = 5_000;
+/** Longest wait of a caller; an answer is kept at least that long. */
+const ANSWER_GRACE_MS = 60_000;
+/** Covers the restart of a worker that alone can hold a task. */
+const UNPLACEABLE_MS = 10_000;
 /** Marks a record that a cancel made before any submission came. */
 const NO_BODY = '';
 
@@ -94,11 +99,10 @@
         detail: "the key's time is in the future; take one from POST /v1/keys",
       });
     }
-    const oldest = Math.max(
-      now - RETENTION_MS,
-      this.opts.replicator.memoryStart + MAX_CLOCK_SKEW_MS,
-    );
-    if (key.timeMs >= oldest) return Result.ok(undefined);
+    const remembersAfter = this.opts.replicator.memoryStart + MAX_CLOCK_SKEW_MS;
+    const isRemembered =
+      key.timeMs >= now - RETENTION_MS && key.timeMs > remembersAfter;
+    if (isRemembered) return Result.ok(undefined);
     return refuse({
       code: 'expired',
       outcome: RunOutcome.unknown,
@@ -129,24 +133,58 @@
     this.nextExpiry = now + EXPIRY_INTERVAL_MS;
     const oldest = now - RETENTION_MS - MAX_CLOCK_SKEW_MS;
     const keys: string[] = [];
-    for (const {spec} of this.opts.table.records()) {
+    for (const {spec, finishedAt} of this.opts.table.records()) {
       if (spec.keyTimeMs >= oldest || isActive(spec.key)) continue;
+      // The final state may be proposed but not committed, or just be read.
+      if (finishedAt === undefined || finishedAt > now - ANSWER_GRACE_MS) {
+        continue;
+      }
       keys.push(spec.key);
     }
     return keys;
   }
 
+  /**
+   * Why a job cannot end by itself any more; undefined while it can. Every job
+   * ends at the latest with the retention of its key, since its answer cannot
+   * be fetched later.
+   */
+  findObstacle(job: ActiveJob, now: number): string | undefined {
+    const {spec, config} = job;
+    if (now > spec.keyTimeMs + RETENTION_MS) {
+      return 'the retention period of the key has ended';
+    }
+    const waits = new Set([...job.queued.keys(), ...job.paused]);
+    const obstacle = this.findUnplaceable(spec, config, index =>
+      waits.has(index),
+    );
+    if (obstacle === undefined) {
+      job.unplaceableSince = undefined;
+      return undefined;
+    }
+    job.unplaceableSince ??= now;
+    return now - job.unplaceableSince >= UNPLACEABLE_MS ? obstacle : undefined;
+  }
+
   private findUnplaceable(
     spec: JobSpec,
     config: ClassConfig,
+    isIncluded = (_index: number) => true,
   ): string | undefined {
     const {registry} = this.opts;
     // Without any worker nothing is known about sizes; the job waits.
     if (registry.size === 0) return undefined;
+    const placeable = new Set<string>();
     for (const [index, task] of spec.tasks.entries()) {
+      if (!isIncluded(index)) continue;
       const memoryMb = task.memory_mb ?? config.memory_mb;
       const accelerators = task.accelerators ?? config.accelerators;
-      if (registry.isPlaceable(config.name, memoryMb, accelerators)) continue;
+      const size = `${memoryMb} ${accelerators}`;
+      if (placeable.has(size)) continue;
+      if (registry.isPlaceable(config.name, memoryMb, accelerators)) {
+        placeable.add(size);
+        continue;
+      }
       return (
         `no worker could hold task ${index} of class "${config.name}" with ` +
         `${memoryMb} MB and ${accelerators} accelerators`
--- a/src/core/job/job_record.ts
+++ b/src/core/job/job_record.ts
@@ -1,5 +1,6 @@
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {JobSpec} from './job_spec.js';
+import type {RunOutcome} from './run_outcome.js';
 import type {JobStatus} from './job_status.js';
 
 interface OpenIntent {
@@ -8,6 +9,13 @@
   readonly incarnation: string;
 }
 
+/** What a failed or cancelled job answers besides its reason. */
+interface FinalAnswer {
+  readonly outcome: RunOutcome;
+  /** Number of tasks that were started or may have been. */
+  readonly started: number;
+}
+
 interface TaskRecord {
   /** The attempt in progress, if any. */
   open: OpenIntent | undefined;
@@ -25,6 +33,8 @@
   readonly tasks: TaskRecord[];
   status: JobStatus;
   reason: string;
+  /** Set once with the final status, so that every fetch says the same. */
+  final: FinalAnswer | undefined;
   succeeded: number;
   finishedAt: number | undefined;
   acknowledged: boolean;
--- a/src/core/job/job_table.ts
+++ b/src/core/job/job_table.ts
@@ -58,14 +58,8 @@
       );
       return {status: 'complete', key, results};
     }
-    const started = job.tasks.filter(t => t.started || t.open).length;
-    return {
-      status: job.status,
-      key,
-      reason: job.reason,
-      outcome: runOutcome(job),
-      started,
-    };
+    const {status, reason, final = outcomeOf(job)} = job;
+    return {status, key, reason, ...final};
   }
 
   /** Plain data for a member that catches up. */
@@ -90,6 +84,7 @@
       })),
       status: 'running',
       reason: '',
+      final: undefined,
       succeeded: 0,
       finishedAt: undefined,
       acknowledged: false,
@@ -103,7 +98,8 @@
     switch (event.kind) {
       case 'intent': {
         const task = job.tasks[event.task];
-        if (!task || task.final) return;
+        // No start follows an intent that comes after the end of its job.
+        if (!task || task.final || job.status !== 'running') return;
         const {attempt, worker, incarnation} = event;
         task.open = {attempt, worker, incarnation};
         return;
@@ -154,16 +150,18 @@
   if (job.status !== 'running') return;
   job.status = status;
   job.reason = reason;
+  job.final = outcomeOf(job);
   job.finishedAt = at;
 }
 
-function runOutcome(job: JobRecord): RunOutcome {
-  let started = false;
-  for (const task of job.tasks) {
-    if (task.open || task.last?.kind === 'unknown') return RunOutcome.unknown;
-    started ||= task.started;
-  }
-  return started ? RunOutcome.failed : RunOutcome.notRun;
+function outcomeOf(job: JobRecord): NonNullable<JobRecord['final']> {
+  const started = job.tasks.filter(task => task.started || task.open).length;
+  const isUnknown = job.tasks.some(
+    task => task.open || task.last?.kind === 'unknown',
+  );
+  if (isUnknown) return {outcome: RunOutcome.unknown, started};
+  const outcome = started > 0 ? RunOutcome.failed : RunOutcome.notRun;
+  return {outcome, started};
 }
 
 function describe({outcome}: Settled): string {
--- a/src/core/retry/retry_policy.ts
+++ b/src/core/retry/retry_policy.ts
@@ -26,10 +26,11 @@
     const {outcome} = question;
     switch (outcome.kind) {
       case 'succeeded':
-      case 'stopped':
         return false;
       case 'never_started':
         return true;
+      // A worker may stop a task on its own; its job still needs the result.
+      case 'stopped':
       case 'failed':
       case 'unknown':
         if (!question.repeatable) return false;
--- a/src/core/upstream/upstream_listener.ts
+++ b/src/core/upstream/upstream_listener.ts
@@ -6,6 +6,9 @@
   /** Reports about attempts, from a start's answer or from a settle. */
   reported(target: WorkerTarget, reports: readonly AttemptReport[]): void;
 
+  /** The worker has dropped these ended attempts. */
+  forgotten(target: WorkerTarget, attempts: readonly string[]): void;
+
   /** The worker has accepted the epoch; `known` lists its attempts. */
   fenced(
     target: WorkerTarget,
--- a/src/core/worker/worker_registry.ts
+++ b/src/core/worker/worker_registry.ts
@@ -9,8 +9,20 @@
 /** Covers the skew of two clocks' rates and the delay of an event loop. */
 const LEASE_MARGIN_MS = 250;
 
+/**
+ * The longest lease that a worker may hold without this node's knowledge: a
+ * deposed dispatcher grants leases until it notices, which takes less than one
+ * lease.
+ */
+const UNKNOWN_LEASE_MS = 2 * LEASE_MS + LEASE_MARGIN_MS;
+/** For how long late announcements of an ended incarnation are refused. */
+const RETIRED_MS = 600_000;
+
 interface AnnounceResult {
-  /** False for an announcement that a newer one has overtaken. */
+  /**
+   * False for an announcement that a newer one has overtaken, and for one of
+   * an incarnation that was replaced or lost its lease.
+   */
   readonly accepted: boolean;
   /** The state of the earlier incarnation that this one replaces. */
   readonly replaced: WorkerState | undefined;
@@ -19,8 +31,11 @@
 /** The workers of a zone, with their leases. Soft state: rebuilt from announcements. */
 export class WorkerRegistry {
   static readonly LEASE_MS = LEASE_MS;
+  static readonly UNKNOWN_LEASE_MS = UNKNOWN_LEASE_MS;
 
   private readonly workers = new Map<string, WorkerState>();
+  /** Ended incarnations with the time of their end, in order of time. */
+  private readonly retired = new Map<string, number>();
 
   get size(): number {
     return this.workers.size;
@@ -43,9 +58,13 @@
         return {accepted: false, replaced: undefined};
       }
       known.announcement = announcement;
-      known.leaseExpiresAt = expiry;
+      known.leaseExpiresAt = Math.max(known.leaseExpiresAt, expiry);
       return {accepted: true, replaced: undefined};
     }
+    if (this.retired.has(retiredKey(announcement))) {
+      return {accepted: false, replaced: undefined};
+    }
+    if (known) this.retire(known, now);
     const state = new WorkerState(announcement, expiry);
     this.workers.set(announcement.worker, state);
     return {accepted: true, replaced: known};
@@ -57,18 +76,23 @@
     for (const worker of this.workers.values()) {
       if (worker.leaseExpiresAt > now) continue;
       this.workers.delete(worker.id);
+      this.retire(worker, now);
       expired.push(worker);
     }
+    for (const [key, at] of this.retired) {
+      if (now - at < RETIRED_MS) break;
+      this.retired.delete(key);
+    }
     return expired;
   }
 
   /**
-   * Extends every lease to a full one. A new dispatcher cannot know what its
-   * predecessor granted last, so it assumes the longest.
+   * Extends every lease. A new dispatcher cannot know what its predecessor
+   * granted last, so it assumes the longest.
    */
   assumeFreshLeases(now: number): void {
     for (const worker of this.workers.values()) {
-      worker.leaseExpiresAt = now + LEASE_MS + LEASE_MARGIN_MS;
+      worker.leaseExpiresAt = now + UNKNOWN_LEASE_MS;
     }
   }
 
@@ -93,4 +117,12 @@
     }
     return false;
   }
+
+  private retire(worker: WorkerState, now: number): void {
+    this.retired.set(retiredKey(worker.announcement), now);
+  }
+}
+
+function retiredKey({worker, incarnation}: WorkerAnnouncement): string {
+  return `${worker} ${incarnation}`;
 }
--- a/test-support/fakes/fake_fleet.ts
+++ b/test-support/fakes/fake_fleet.ts
@@ -6,10 +6,15 @@
 import type {WorkerAnnouncement} from '../../src/core/worker/worker_announcement.js';
 import {FakeWorker} from './fake_worker.js';
 
+/** Longer than the retry of a fence, shorter than a lease. */
+const REPEAT_AFTER_MS = 700;
+
 interface FakeFleetOptions {
   readonly clock: Clock;
   /** One-way delay of a message. Default 0.5 ms. */
   readonly delayMs?: number;
+  /** Workers shared with the fleets of other dispatchers. Default: none. */
+  readonly workers?: Map<string, FakeWorker>;
 }
 
 /** Messages sent to workers, by kind. */
@@ -22,13 +27,14 @@
 
 /** In-memory workers behind the upstream interface, on a fake clock. */
 export class FakeFleet extends UpstreamClient {
-  readonly workers = new Map<string, FakeWorker>();
+  readonly workers: Map<string, FakeWorker>;
   readonly sent: MessageCounts = {start: 0, stop: 0, settle: 0, fence: 0};
   private readonly clock: Clock;
   private readonly delayMs: number;
 
-  constructor({clock, delayMs = 0.5}: FakeFleetOptions) {
+  constructor({clock, delayMs = 0.5, workers}: FakeFleetOptions) {
     super();
+    this.workers = workers ?? new Map();
     this.clock = clock;
     this.delayMs = delayMs;
   }
@@ -45,11 +51,15 @@
     attempts: readonly AttemptStart[],
   ): void {
     this.sent.start += 1;
-    this.deliver(target, epoch, worker => {
+    const sentAt = this.clock.now();
+    const act = (worker: FakeWorker) => {
       for (const attempt of attempts) {
+        worker.sentAt.set(attempt.id, sentAt);
         worker.start(attempt, report => this.report(target, [report]));
       }
-    });
+    };
+    const late = this.workers.get(target.worker)?.startDelayMs ?? 0;
+    this.deliver(target, epoch, act, late);
   }
 
   override stop(
@@ -72,7 +82,11 @@
     this.sent.settle += 1;
     this.deliver(target, epoch, worker => {
       for (const id of forget) worker.forget(id);
-      this.report(target, worker.settle(attempts));
+      const reports = worker.settle(attempts);
+      this.answer(worker, () => {
+        this.listener?.reported(target, reports);
+        this.listener?.forgotten(target, forget);
+      });
     });
   }
 
@@ -88,21 +102,22 @@
     target: WorkerTarget,
     epoch: number,
     act: (worker: FakeWorker) => void,
+    lateMs = 0,
   ): void {
-    this.clock.schedule(this.delayMs, () => {
+    this.clock.schedule(this.delayMs + lateMs, () => {
       const worker = this.workers.get(target.worker);
-      if (!worker || worker.isDead || worker.isCut) return;
+      if (!worker || worker.isDead || worker.isCut || worker.isDeaf) return;
       const {incarnation} = worker.announcement;
       if (incarnation !== target.incarnation) {
         this.answer(worker, () => this.listener?.replaced(target, incarnation));
         return;
       }
-      if (epoch < worker.epoch) {
+      if (epoch < worker.epoch && worker.rules.fences !== false) {
         const higher = worker.epoch;
         this.answer(worker, () => this.listener?.superseded(target, higher));
         return;
       }
-      worker.epoch = epoch;
+      worker.epoch = Math.max(epoch, worker.epoch);
       act(worker);
     });
   }
@@ -117,8 +132,12 @@
   }
 
   private answer(worker: FakeWorker, act: () => void): void {
-    this.clock.schedule(this.delayMs, () => {
-      if (!worker.isDead && !worker.isCut) act();
-    });
+    const arrive = () => {
+      if (!worker.isDead && !worker.isCut && !worker.isMute) act();
+    };
+    this.clock.schedule(this.delayMs + worker.reportDelayMs, arrive);
+    if (worker.isRepeating) {
+      this.clock.schedule(this.delayMs + REPEAT_AFTER_MS, arrive);
+    }
   }
 }
--- a/test-support/fakes/fake_worker.ts
+++ b/test-support/fakes/fake_worker.ts
@@ -22,6 +22,23 @@
   readonly start: AttemptStart;
 }
 
+/** Sees every start and end, for the recording of histories. */
+interface WorkerObserver {
+  started(worker: FakeWorker, start: AttemptStart): void;
+  /** Also called when the process dies while a task runs. */
+  ended(worker: FakeWorker, report: AttemptReport): void;
+}
+
+/** Rules of the protocol that a test may switch off in a worker. */
+interface WorkerRules {
+  /** Default true: lower epochs are refused. */
+  readonly fences?: boolean;
+  /** Default true: an attempt that was asked for and unknown never starts. */
+  readonly keepsTombstones?: boolean;
+  /** Default true: a lapsed lease stops the tasks and renews the incarnation. */
+  readonly obeysLease?: boolean;
+}
+
 /** One in-memory worker that keeps the worker's side of the protocol. */
 export class FakeWorker {
   /** Every start, in order, for checks of histories. */
@@ -33,8 +50,28 @@
   isCut = false;
   /** True: every start fails at once. */
   isFailing = false;
+  /** True: requests to the worker are lost, its messages arrive. */
+  isDeaf = false;
+  /** True: requests arrive, answers and announcements are lost. */
+  isMute = false;
+  /** True: every start is refused. */
+  isRefusing = false;
+  /** Added to the way of each start, as over a slow second connection. */
+  startDelayMs = 0;
+  /** Added to the way of each report. */
+  reportDelayMs = 0;
+  /** True: every report arrives a second time, later. */
+  isRepeating = false;
   /** Factor on the run time of each task. */
   slowness = 1;
+  /** When each start was sent, for checks of histories. */
+  readonly sentAt = new Map<string, number>();
+  observer: WorkerObserver | undefined;
+  rules: WorkerRules = {};
+  /** Epoch milliseconds; a worker without grants in a test never lapses. */
+  leaseExpiresAt = Infinity;
+  private lapse: Cancellable | undefined;
+  private lapses = 0;
   private attempts = new Map<string, KnownAttempt>();
 
   constructor(
@@ -50,6 +87,21 @@
     return this.announcement;
   }
 
+  /**
+   * Takes a lease that counts from the sending of the announcement. A grant of
+   * an epoch below the worker's own is void.
+   */
+  grant(incarnation: string, epoch: number, expiresAt: number): void {
+    if (this.isDead || incarnation !== this.announcement.incarnation) return;
+    if (epoch < this.epoch || this.rules.obeysLease === false) return;
+    const isLonger = !(expiresAt <= this.leaseExpiresAt);
+    if (!isLonger && this.leaseExpiresAt !== Infinity) return;
+    this.leaseExpiresAt = expiresAt;
+    this.lapse?.cancel();
+    const delay = expiresAt - this.clock.now();
+    this.lapse = this.clock.schedule(delay, () => this.leaseLapsed());
+  }
+
   get running(): number {
     let count = 0;
     for (const {report} of this.attempts.values()) {
@@ -65,7 +117,12 @@
       else done(earlier.report);
       return;
     }
+    if (this.isRefusing || this.clock.now() >= this.leaseExpiresAt) {
+      done(this.settle([start.id])[0]!);
+      return;
+    }
     this.starts.push({at: this.clock.now(), start});
+    this.observer?.started(this, start);
     const payload = (start.payload ?? {}) as FakePayload;
     const {id} = start;
     const fails = this.isFailing || payload.fail === true;
@@ -93,6 +150,7 @@
       if (known) return known.report;
       const reason = 'not received';
       const report = {id, state: 'never_started' as const, reason};
+      if (this.rules.keepsTombstones === false) return report;
       this.attempts.set(id, {report, timer: undefined, done: undefined});
       return report;
     });
@@ -113,24 +171,48 @@
 
   /** Starts anew without memory, under another incarnation. */
   restart(incarnation: string): void {
-    for (const {timer} of this.attempts.values()) timer?.cancel();
-    this.attempts = new Map();
+    this.dropAttempts();
     this.epoch = 0;
+    this.leaseExpiresAt = Infinity;
     this.isDead = false;
     this.announcement = {...this.announcement, incarnation, sequence: 0};
   }
 
   kill(): void {
-    for (const {timer} of this.attempts.values()) timer?.cancel();
-    this.attempts = new Map();
+    this.dropAttempts();
     this.isDead = true;
   }
 
+  /**
+   * Stops everything and goes on as a new incarnation, so that a start which
+   * was sent under the old lease is refused however late it comes.
+   */
+  private leaseLapsed(): void {
+    if (this.isDead) return;
+    this.lapses += 1;
+    const base = this.announcement.incarnation.replace(/\+\d+$/, '');
+    const {epoch} = this;
+    this.restart(`${base}+${this.lapses}`);
+    this.epoch = epoch;
+    this.leaseExpiresAt = 0;
+  }
+
+  private dropAttempts(): void {
+    this.lapse?.cancel();
+    for (const [id, {timer, report}] of this.attempts) {
+      timer?.cancel();
+      if (report.state !== 'running') continue;
+      this.observer?.ended(this, {id, state: 'stopped'});
+    }
+    this.attempts = new Map();
+  }
+
   private end(id: string, report: AttemptReport): void {
     const known = this.attempts.get(id);
     if (known?.report.state !== 'running') return;
     known.timer?.cancel();
     known.report = report;
+    this.observer?.ended(this, report);
     known.done?.(report);
   }
 }
--- /dev/null
+++ b/test-support/fakes/stand_in_group.ts
@@ -0,0 +1,155 @@
+import type {Clock} from '../../src/core/clock/clock.js';
+import {Replicator} from '../../src/core/group/replicator.js';
+import type {JobEvent} from '../../src/core/job/job_event.js';
+
+type Batch = readonly JobEvent[];
+
+interface StandInGroupOptions {
+  readonly clock: Clock;
+  /** Time from a proposal to its commit at the leader. Default 1 ms. */
+  readonly commitMs?: number;
+  /** Called once for each event that is committed. Default: nothing. */
+  readonly onCommitted?: (event: JobEvent) => void;
+  /** Breaks the group for tests of checkers: commits before a majority has it. */
+  readonly commitsEarly?: boolean;
+  /** Breaks the group for tests of checkers: claims to remember everything. */
+  readonly hidesMemoryStart?: boolean;
+}
+
+interface TakeoverOptions {
+  /** How long the earlier leader goes on without noticing. */
+  readonly noticedAfterMs: number;
+  /** Whether its open proposals reached the successor. */
+  readonly keepsProposals: boolean;
+}
+
+/**
+ * A zone group in one process: one shared log, any member can be made leader.
+ * It stands in for elections and real replication.
+ */
+export class StandInGroup {
+  readonly members: GroupMember[] = [];
+  readonly log: Batch[] = [];
+  memoryStart: number;
+  current: GroupMember | undefined;
+  private epoch: number;
+  private stalledUntil = 0;
+  private open: Batch[] = [];
+
+  constructor(readonly opts: StandInGroupOptions) {
+    this.epoch = opts.clock.now();
+    this.memoryStart = opts.hidesMemoryStart ? 0 : opts.clock.now();
+  }
+
+  addMember(node: string): Replicator {
+    const member = new GroupMember(node, this);
+    this.members.push(member);
+    return member;
+  }
+
+  /** Makes a member leader at once; the earlier one notices later. */
+  takeOver(node: string, {noticedAfterMs, keepsProposals}: TakeoverOptions) {
+    const {clock} = this.opts;
+    const next = this.members.find(member => member.node === node);
+    const earlier = this.current;
+    if (!next || next === earlier || next.leading !== undefined) return;
+    const open = this.open;
+    this.open = [];
+    this.current = undefined;
+    if (keepsProposals) for (const batch of open) this.append(batch);
+    this.epoch = Math.max(this.epoch + 1, clock.now());
+    this.current = next;
+    next.catchUp();
+    next.lead(this.epoch);
+    clock.schedule(noticedAfterMs, () => earlier?.follow());
+  }
+
+  /** Holds back every commit for a time. */
+  stall(ms: number): void {
+    this.stalledUntil = this.opts.clock.now() + ms;
+  }
+
+  propose(member: GroupMember, events: Batch, now: number): void {
+    if (this.opts.commitsEarly) member.commitEarly(events, now);
+    // A deposed leader reaches no majority, so its proposals are lost.
+    if (member !== this.current) return;
+    this.open.push(events);
+    const {clock, commitMs = 1} = this.opts;
+    clock.schedule(commitMs, () => this.commit(member));
+  }
+
+  private append(batch: Batch): void {
+    this.log.push(batch);
+    for (const event of batch) this.opts.onCommitted?.(event);
+  }
+
+  private commit(leader: GroupMember): void {
+    const {clock} = this.opts;
+    if (leader !== this.current || this.open.length === 0) return;
+    if (clock.now() < this.stalledUntil) {
+      const wait = this.stalledUntil - clock.now();
+      clock.schedule(wait, () => this.commit(leader));
+      return;
+    }
+    this.append(this.open.shift()!);
+    for (const member of this.members) {
+      if (member === leader) member.catchUp();
+      else clock.schedule(1, () => member.catchUp());
+    }
+  }
+}
+
+class GroupMember extends Replicator {
+  private epoch: number | undefined;
+  private applied = 0;
+
+  constructor(
+    readonly node: string,
+    private readonly group: StandInGroup,
+  ) {
+    super();
+  }
+
+  override get leading(): number | undefined {
+    return this.epoch;
+  }
+
+  override get leader(): string | undefined {
+    return this.group.current?.node;
+  }
+
+  override get memoryStart(): number {
+    return this.group.memoryStart;
+  }
+
+  override propose(events: readonly JobEvent[], now: number): void {
+    this.group.propose(this, events, now);
+  }
+
+  lead(epoch: number): void {
+    this.epoch = epoch;
+    this.listener?.leadership(epoch, this.group.opts.clock.now());
+  }
+
+  follow(): void {
+    if (this.epoch === undefined || this.group.current === this) return;
+    this.epoch = undefined;
+    this.listener?.leadership(undefined, this.group.opts.clock.now());
+    this.catchUp();
+  }
+
+  /** Applies what is committed, unless the member is a deposed leader. */
+  catchUp(): void {
+    if (this.epoch !== undefined && this.group.current !== this) return;
+    while (this.applied < this.group.log.length) {
+      const events = this.group.log[this.applied]!;
+      this.applied += 1;
+      if (this.group.opts.commitsEarly && this.epoch !== undefined) continue;
+      this.listener?.committed(events, this.group.opts.clock.now());
+    }
+  }
+
+  commitEarly(events: readonly JobEvent[], now: number): void {
+    this.listener?.committed(events, now);
+  }
+}
