--- /dev/null
+++ b/src/adapter/disk/folder_lock.ts
@@ -0,0 +1,71 @@
+import {readFileSync, unlinkSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {Result} from 'true-myth';
+
+const FILE = 'lock';
+
+/**
+ * A file that names the process which uses the folder. A process is told apart
+ * from a later one with the same id by its start time and the boot, so the lock
+ * of a dead process does not stand in the way.
+ */
+export class FolderLock {
+  static readonly FILE = FILE;
+
+  private constructor(private readonly path: string) {}
+
+  static take(dir: string): Result<FolderLock, string> {
+    const path = join(dir, FILE);
+    const holder = readHolder(path);
+    if (holder !== undefined) {
+      if (isRunning(holder)) {
+        return Result.err(
+          `data_dir: ${dir} is in use by process ${holder.split(' ')[0]}`,
+        );
+      }
+      unlinkSync(path);
+    }
+    try {
+      writeFileSync(path, describe(process.pid), {flag: 'wx', mode: 0o600});
+    } catch (err) {
+      return Result.err(`data_dir: cannot lock ${dir}: ${String(err)}`);
+    }
+    return Result.ok(new FolderLock(path));
+  }
+
+  release(): void {
+    unlinkSync(this.path);
+  }
+}
+
+function readHolder(path: string): string | undefined {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch {
+    return undefined;
+  }
+}
+
+function isRunning(holder: string): boolean {
+  const pid = Number(holder.split(' ')[0]);
+  if (!Number.isInteger(pid) || pid <= 0) return false;
+  try {
+    process.kill(pid, 0);
+  } catch (err) {
+    if ((err as NodeJS.ErrnoException).code === 'ESRCH') return false;
+  }
+  return describe(pid) === holder;
+}
+
+/** Process id, start time in clock ticks and boot id, where the system tells. */
+function describe(pid: number): string {
+  try {
+    const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+    const boot = readFileSync('/proc/sys/kernel/random/boot_id', 'utf8').trim();
+    // The command may hold spaces; the fields after it are counted from 3.
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+    return `${pid} ${fields[22 - 3]} ${boot}`;
+  } catch {
+    return `${pid}`;
+  }
+}
--- /dev/null
+++ b/src/core/config/config_node.ts
@@ -0,0 +1,211 @@
+import {Result} from 'true-myth';
+import * as v from 'valibot';
+import type {PeerTransport} from '../peer/peer_transport.js';
+import type {RandomSource} from '../random/random_source.js';
+import type {Config} from './config.js';
+import {AppliedFile} from './follower/applied_file.js';
+import {ConfigExchange} from './follower/config_exchange.js';
+import {ReplicatedConfigSource} from './follower/replicated_config_source.js';
+import {LogFormer} from './log/log_former.js';
+import {LogMember} from './log/log_member.js';
+import {LogMessage} from './log/log_message.js';
+import type {LogRequest} from './router/log_request.js';
+import type {LogResponse} from './router/log_response.js';
+import type {LogStatus} from './router/log_status.js';
+import {RequestRouter} from './router/request_router.js';
+import type {Disk} from './storage/disk.js';
+import type {DiskError} from './storage/disk_error.js';
+import {LogStore} from './storage/log_store.js';
+
+/** A folder that failed is opened again after this time. */
+const REOPEN_MS = 10_000;
+const MESSAGE_TYPES = LogMessage.options.map(o => o.entries.type.literal);
+
+interface ConfigNodeOptions {
+  readonly node: string;
+  /** Every daemon of the deployment. */
+  readonly nodes: readonly string[];
+  /** Nodes that vote in a new deployment. */
+  readonly voters: readonly string[];
+  /** The data folder, on nodes that have one. */
+  readonly disk?: Disk;
+  /** Configuration of a new deployment. */
+  readonly initial: Config;
+  readonly peers: PeerTransport;
+  readonly random: RandomSource;
+  readonly onDiskError: (error: DiskError) => void;
+}
+
+/**
+ * One daemon's part in the configuration: the log if it has a data folder, the
+ * version in force, and the way to the log's leader.
+ */
+export class ConfigNode {
+  readonly source: ReplicatedConfigSource;
+  private readonly exchange: ConfigExchange;
+  private readonly router: RequestRouter;
+  private readonly former: LogFormer;
+  private member: LogMember | undefined;
+  private reopenAt: number | undefined;
+
+  constructor(private readonly opts: ConfigNodeOptions) {
+    const {disk, peers, node} = opts;
+    this.source = new ReplicatedConfigSource(disk && new AppliedFile(disk));
+    const member = () => this.member;
+    this.exchange = new ConfigExchange({...opts, source: this.source, member});
+    this.former = new LogFormer({...opts, member});
+    this.router = new RequestRouter({
+      node,
+      peers,
+      getLeader: () => this.exchange.leader,
+      noteLeader: id => this.exchange.noteLeader(id),
+      serve: (req, now, respond) => this.serve(req, now, respond),
+    });
+    for (const type of MESSAGE_TYPES) {
+      peers.onMessage(`config.${type}`, (from, body, now) => {
+        const parsed = v.safeParse(LogMessage, body);
+        if (parsed.success) this.member?.receive(from, parsed.output, now);
+      });
+    }
+  }
+
+  /** Reads the data folder; an error tells what the operator must mend. */
+  open(now: number): Result<void, string> {
+    const loaded = this.source.load();
+    return loaded.isErr ? loaded : this.openLog(now);
+  }
+
+  get log(): LogMember | undefined {
+    return this.member;
+  }
+
+  /** Does what is due; called every 100 ms or so. */
+  tick(now: number): void {
+    if (this.reopenAt !== undefined && now >= this.reopenAt) {
+      this.reopenAt = now + REOPEN_MS;
+      if (this.openLog(now).isOk) this.reopenAt = undefined;
+    }
+    this.former.tick(now);
+    this.member?.tick(now);
+    this.exchange.tick(now, this.router.isSeeking);
+    this.router.tick(now);
+  }
+
+  /** Brings a request to the log's leader. */
+  submit: RequestRouter['submit'] = (request, now, done) =>
+    this.router.submit(request, now, done);
+
+  /** Hands the lead over, before a planned stop. */
+  transfer(now: number): void {
+    this.member?.leader?.transfer(now);
+  }
+
+  status(now: number): LogStatus {
+    const {member, exchange} = this;
+    const {node} = this.opts;
+    const {leader} = exchange;
+    const reports = [...exchange.reports]
+      .filter(([id]) => id !== node)
+      .map(([id, r]) => ({
+        node: id,
+        version: r.version,
+        age_ms: Math.max(0, Math.round(now - r.at)),
+      }));
+    const {version} = this.source.current();
+    return {
+      node,
+      role: member?.role ?? 'none',
+      term: member?.term ?? 0,
+      ...(leader === undefined ? {} : {leader}),
+      commit_index: member?.commitIndex ?? 0,
+      members: member?.store.members ?? {voters: [], learners: []},
+      in_force: [{node, version, age_ms: 0}, ...reports],
+    };
+  }
+
+  private openLog(now: number): Result<void, string> {
+    const {disk, node, peers, random} = this.opts;
+    if (!disk) return Result.ok(undefined);
+    const opened = LogStore.open(disk, LogFormer.newId(random), (error, at) =>
+      this.onFailed(error, at),
+    );
+    return opened.map(store => {
+      this.member = new LogMember(
+        {
+          node,
+          store,
+          peers,
+          random,
+          onApplied: () => this.onApplied(),
+        },
+        now,
+      );
+    });
+  }
+
+  private onFailed(error: DiskError, now: number): void {
+    this.member?.stepDown(now);
+    this.reopenAt = now + REOPEN_MS;
+    this.opts.onDiskError(error);
+  }
+
+  private onApplied(): void {
+    const {member} = this;
+    const state = member?.current;
+    const log = member?.store.hard.log;
+    if (!member || !state || log === undefined) return;
+    this.source.offer(log, state.current);
+    if (member.leader) this.exchange.push(member);
+  }
+
+  private serve(
+    request: LogRequest,
+    now: number,
+    respond: (response: LogResponse) => void,
+  ): void {
+    const {member} = this;
+    const leader = member?.leader;
+    if (!member || !leader || !leader.isOpen(now)) {
+      const id = this.exchange.leader;
+      const other = id === this.opts.node ? undefined : id;
+      respond({kind: 'not_leader', ...(other ? {leader: other} : {})});
+      return;
+    }
+    switch (request.kind) {
+      case 'change': {
+        const body = {kind: 'change', change: request.change} as const;
+        leader.propose(body, now, decision => {
+          if (!decision) respond({kind: 'unknown'});
+          else if (decision.isOk) {
+            respond({kind: 'accepted', version: decision.value.version});
+          } else respond({kind: 'refused', refusal: decision.error});
+        });
+        return;
+      }
+      case 'members':
+        leader.members.request(
+          request.request,
+          node => this.exchange.findFolder(node),
+          now,
+          refusal =>
+            respond(
+              refusal ? {kind: 'refused', refusal} : {kind: 'members_done'},
+            ),
+        );
+        return;
+      case 'read':
+        leader.confirm(now, isCurrent => {
+          const config = member.current?.current;
+          respond(
+            isCurrent && config
+              ? {kind: 'config', config}
+              : {kind: 'not_leader'},
+          );
+        });
+        return;
+      case 'status':
+        respond({kind: 'status', status: this.status(now)});
+        return;
+    }
+  }
+}
--- /dev/null
+++ b/src/core/config/follower/apply_update.ts
@@ -0,0 +1,34 @@
+import type {Config} from '../config.js';
+import type {ConfigUpdate} from './config_update.js';
+
+/**
+ * The configuration that an update leads to; undefined when the difference
+ * starts from a version later than `config`.
+ */
+export function applyUpdate(
+  config: Config,
+  update: ConfigUpdate,
+): Config | undefined {
+  const {version} = update;
+  if (update.kind === 'whole') {
+    return {version, classes: update.classes, tenants: update.tenants};
+  }
+  if (config.version < update.base) return undefined;
+  return {
+    version,
+    classes: merge(config.classes, update.diff.classes),
+    tenants: merge(config.tenants, update.diff.tenants),
+  };
+}
+
+function merge<T>(
+  items: Readonly<Record<string, T>>,
+  changed: Readonly<Record<string, T | null>>,
+): Record<string, T> {
+  const merged: Record<string, T> = {...items};
+  for (const [name, item] of Object.entries(changed)) {
+    if (item === null) delete merged[name];
+    else merged[name] = item;
+  }
+  return merged;
+}
--- /dev/null
+++ b/src/core/config/follower/config_exchange.ts
@@ -0,0 +1,192 @@
+import * as v from 'valibot';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {RandomSource} from '../../random/random_source.js';
+import type {LogMember} from '../log/log_member.js';
+import type {LogNodeId} from '../log/log_node_id.js';
+import {applyUpdate} from './apply_update.js';
+import {ConfigUpdate} from './config_update.js';
+import type {ReplicatedConfigSource} from './replicated_config_source.js';
+
+/** Within 5 s after a cut heals, a poll has gone out and been answered. */
+const POLL_INTERVAL_MS = 2_000;
+/** Spreads the polls of many nodes; the sum of both stays under 2.5 s. */
+const POLL_JITTER_MS = 200;
+/** Interval while nothing is in force yet, or a request seeks the leader. */
+const URGENT_INTERVAL_MS = 250;
+/** A leader that left this many polls unanswered is no longer asked. */
+const MAX_UNANSWERED = 2;
+
+const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const Poll = v.object({
+  log: v.optional(v.string()),
+  /** Version in force at the sender. */
+  version: count,
+  /** Storage id of the sender's data folder, if it has one. */
+  storage: v.optional(v.string()),
+});
+const PollReply = v.object({
+  leader: v.optional(v.string()),
+  update: v.optional(ConfigUpdate),
+});
+
+interface ConfigExchangeOptions {
+  readonly node: string;
+  /** Every daemon of the deployment. */
+  readonly nodes: readonly string[];
+  readonly peers: PeerTransport;
+  readonly random: RandomSource;
+  readonly source: ReplicatedConfigSource;
+  /** This daemon's part in the log; undefined without a data folder. */
+  readonly member: () => LogMember | undefined;
+}
+
+/**
+ * Spreads accepted versions: the leader pushes differences to the daemons that
+ * do not store the log, and every daemon polls the leader with its version
+ * number, which heals lost pushes and tells the leader what is in force where.
+ */
+export class ConfigExchange {
+  /** Version in force and data folder of each node, as its polls tell. */
+  readonly reports = new Map<
+    string,
+    {version: number; storage: string | undefined; at: number}
+  >();
+  private leaderHint: string | undefined;
+  private unanswered = 0;
+  private polledAt = Number.NEGATIVE_INFINITY;
+  private interval = POLL_INTERVAL_MS;
+  private pushedVersion = 0;
+
+  constructor(private readonly opts: ConfigExchangeOptions) {
+    const {peers} = opts;
+    peers.onMessage('config.poll', (from, body, now) =>
+      this.onPoll(from, body, now),
+    );
+    peers.onMessage('config.poll_reply', (from, body) =>
+      this.onReply(from, body),
+    );
+    peers.onMessage('config.push', (from, body) => this.onPush(from, body));
+  }
+
+  /** The node to bring requests to; undefined while no leader is known. */
+  get leader(): string | undefined {
+    return this.opts.member()?.leaderId ?? this.leaderHint;
+  }
+
+  /** Where a node keeps its log, as its polls tell. */
+  findFolder(node: string): LogNodeId | undefined {
+    const {member, node: self} = this.opts;
+    if (node === self) return member()?.id;
+    const storage = this.reports.get(node)?.storage;
+    return storage === undefined ? undefined : {node, storage};
+  }
+
+  noteLeader(node: string | undefined): void {
+    this.leaderHint = node;
+    this.unanswered = 0;
+  }
+
+  /** Polls when it is time; sooner if a request waits for a leader. */
+  tick(now: number, isSought: boolean): void {
+    const {random, nodes, node, member, source} = this.opts;
+    const isUrgent = isSought || source.current().version === 0;
+    const waited = now - this.polledAt;
+    if (waited < (isUrgent ? URGENT_INTERVAL_MS : this.interval)) return;
+    this.polledAt = now;
+    this.interval = POLL_INTERVAL_MS + random.next() * POLL_JITTER_MS;
+    if (member()?.leader) return;
+    this.unanswered += 1;
+    if (this.unanswered > MAX_UNANSWERED) this.leaderHint = undefined;
+    const others = nodes.filter(id => id !== node);
+    const any = others[Math.floor(random.next() * others.length)];
+    const target = this.unanswered > MAX_UNANSWERED ? any : this.leader;
+    this.poll(target ?? any);
+  }
+
+  /** Pushes what the log has newly accepted; called on the leader. */
+  push(member: LogMember): void {
+    const state = member.current;
+    const log = member.store.hard.log;
+    if (!state || log === undefined) return;
+    const {version} = state.current;
+    const base = this.pushedVersion;
+    if (version <= base) return;
+    this.pushedVersion = version;
+    const update = this.updateFor(base);
+    const {voters, learners} = member.store.members;
+    const stores = new Set([...voters, ...learners].map(m => m.node));
+    for (const id of this.opts.nodes) {
+      if (id === this.opts.node || stores.has(id)) continue;
+      this.opts.peers.send(id, 'config.push', update);
+    }
+  }
+
+  private poll(target: string | undefined): void {
+    if (target === undefined) return;
+    const {source, member, peers} = this.opts;
+    const storage = member()?.id.storage;
+    peers.send(target, 'config.poll', {
+      version: source.current().version,
+      ...(source.log === undefined ? {} : {log: source.log}),
+      ...(storage === undefined ? {} : {storage}),
+    });
+  }
+
+  private onPoll(from: string, body: unknown, now: number): void {
+    const parsed = v.safeParse(Poll, body);
+    if (!parsed.success) return;
+    const {log, version, storage} = parsed.output;
+    const {source, member, peers} = this.opts;
+    this.reports.set(from, {version, storage, at: now});
+    if (storage !== undefined) {
+      member()?.leader?.members.noteFolder({node: from, storage}, now);
+    }
+    const isOneLog = log === undefined || log === source.log;
+    const isNewer = source.current().version > version;
+    const {leader} = this;
+    peers.send(from, 'config.poll_reply', {
+      ...(leader === undefined ? {} : {leader}),
+      ...(isOneLog && isNewer ? {update: this.updateFor(version)} : {}),
+    });
+  }
+
+  private onReply(from: string, body: unknown): void {
+    const parsed = v.safeParse(PollReply, body);
+    if (!parsed.success) return;
+    const {leader, update} = parsed.output;
+    this.unanswered = 0;
+    if (leader !== this.opts.node) this.leaderHint = leader;
+    if (update) this.take(from, update);
+  }
+
+  private onPush(from: string, body: unknown): void {
+    const parsed = v.safeParse(ConfigUpdate, body);
+    if (!parsed.success) return;
+    this.noteLeader(from);
+    this.take(from, parsed.output);
+  }
+
+  private take(from: string, update: ConfigUpdate): void {
+    const {source} = this.opts;
+    const config = source.current();
+    if (update.version <= config.version) return;
+    if (source.log !== undefined && source.log !== update.log) return;
+    const next = applyUpdate(config, update);
+    if (next) source.offer(update.log, next);
+    else this.poll(from);
+  }
+
+  /** An update for a daemon at `version`. */
+  private updateFor(version: number): ConfigUpdate {
+    const {source, member} = this.opts;
+    const state = member()?.current;
+    const config = source.current();
+    const log = source.log ?? member()?.store.hard.log ?? '';
+    const isNewest = state && state.current.version >= config.version;
+    const newest = isNewest ? state.current : config;
+    const diff = isNewest && version > 0 ? state.diffSince(version) : undefined;
+    return diff
+      ? {kind: 'diff', log, version: newest.version, base: version, diff}
+      : {kind: 'whole', log, ...newest};
+  }
+}
--- /dev/null
+++ b/src/core/config/follower/replicated_config_source.ts
@@ -0,0 +1,84 @@
+import {Result} from 'true-myth';
+import type {Config} from '../config.js';
+import {ConfigSource} from '../config_source.js';
+import type {AppliedFile} from './applied_file.js';
+
+const NOTHING: Config = {version: 0, classes: {}, tenants: {}};
+
+interface Offer {
+  readonly log: string;
+  readonly config: Config;
+}
+
+/**
+ * The configuration in force at this daemon. It takes newer versions of one log
+ * only, and with a data folder stores a version before it comes into force.
+ */
+export class ReplicatedConfigSource extends ConfigSource {
+  private inForce: Config = NOTHING;
+  private logId: string | undefined;
+  private pending: Offer | undefined;
+  private isWriting = false;
+  private readonly listeners: Array<(config: Config) => void> = [];
+
+  constructor(private readonly file?: AppliedFile) {
+    super();
+  }
+
+  /** Takes up the version that was in force before the restart. */
+  load(): Result<void, string> {
+    const found = this.file?.load() ?? Result.ok(undefined);
+    if (found.isErr) return Result.err(found.error);
+    if (found.value) {
+      this.logId = found.value.log;
+      this.inForce = found.value.config;
+    }
+    return Result.ok(undefined);
+  }
+
+  /** Id of the log that the versions count in; undefined before the first. */
+  get log(): string | undefined {
+    return this.logId;
+  }
+
+  override current(): Config {
+    return this.inForce;
+  }
+
+  override onChange(listener: (config: Config) => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Brings a configuration into force if it is newer. */
+  offer(log: string, config: Config): void {
+    if (this.logId !== undefined && this.logId !== log) return;
+    const newest = this.pending?.config.version ?? this.inForce.version;
+    if (config.version <= newest) return;
+    this.logId = log;
+    this.pending = {log, config};
+    this.store();
+  }
+
+  private store(): void {
+    const {pending, file} = this;
+    if (!pending || this.isWriting) return;
+    if (!file) {
+      this.publish(pending);
+      return;
+    }
+    this.isWriting = true;
+    file.write(pending.log, pending.config, () => {
+      this.isWriting = false;
+      // A disk that fails must not keep the daemon on an old configuration.
+      this.publish(pending);
+      this.store();
+    });
+  }
+
+  private publish(offer: Offer): void {
+    if (this.pending === offer) this.pending = undefined;
+    if (offer.config.version <= this.inForce.version) return;
+    this.inForce = offer.config;
+    for (const listener of this.listeners) listener(offer.config);
+  }
+}
--- /dev/null
+++ b/src/core/config/log/log_former.ts
@@ -0,0 +1,111 @@
+import {v4 as uuidv4} from 'uuid';
+import * as v from 'valibot';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {RandomSource} from '../../random/random_source.js';
+import type {Config} from '../config.js';
+import {ConfigState} from '../state/config_state.js';
+import type {LogMember} from './log_member.js';
+import type {LogNodeId} from './log_node_id.js';
+
+const ASK_INTERVAL_MS = 500;
+/** Answers older than this do not count. */
+const ANSWER_AGE_MS = 2_000;
+const UUID_BYTES = 16;
+
+const Form = v.object({storage: v.string()});
+const FormReply = v.object({
+  storage: v.string(),
+  /** The log that the answering folder belongs to. */
+  log: v.optional(v.string()),
+});
+
+interface LogFormerOptions {
+  readonly node: string;
+  /** Nodes that vote in a new deployment. */
+  readonly voters: readonly string[];
+  readonly initial: Config;
+  readonly peers: PeerTransport;
+  readonly random: RandomSource;
+  readonly member: () => LogMember | undefined;
+}
+
+/**
+ * Forms the log at a deployment's first start. Only the first voter does, and
+ * only while every voter of the settings answers that its folder is empty; one
+ * that lost its disk later is told of the log that exists.
+ */
+export class LogFormer {
+  private readonly answers = new Map<
+    string,
+    {readonly storage: string; readonly at: number}
+  >();
+  private nextAsk = 0;
+
+  constructor(private readonly opts: LogFormerOptions) {
+    const {peers} = opts;
+    peers.onMessage('config.form', (from, body) => this.onForm(from, body));
+    peers.onMessage('config.form_reply', (from, body, now) =>
+      this.onReply(from, body, now),
+    );
+  }
+
+  tick(now: number): void {
+    const {node, voters, peers} = this.opts;
+    const member = this.opts.member();
+    if (!member || voters.toSorted()[0] !== node || now < this.nextAsk) return;
+    if (member.store.hard.log !== undefined || member.store.isFailed) return;
+    this.nextAsk = now + ASK_INTERVAL_MS;
+    const others = voters.filter(id => id !== node);
+    const isFresh = (id: string) => {
+      const answer = this.answers.get(id);
+      return answer !== undefined && now - answer.at <= ANSWER_AGE_MS;
+    };
+    if (others.every(isFresh)) {
+      this.form(member, others, now);
+      return;
+    }
+    const {storage} = member.id;
+    for (const id of others) peers.send(id, 'config.form', {storage});
+  }
+
+  private form(
+    member: LogMember,
+    others: readonly string[],
+    now: number,
+  ): void {
+    const voters: LogNodeId[] = [
+      member.id,
+      ...others.map(node => ({
+        node,
+        storage: this.answers.get(node)!.storage,
+      })),
+    ];
+    const state = ConfigState.initial(this.opts.initial);
+    member.form(LogFormer.newId(this.opts.random), voters, state, now);
+  }
+
+  /** A new id for a log or a data folder. */
+  static newId(random: RandomSource): string {
+    const bytes = Uint8Array.from({length: UUID_BYTES}, () =>
+      Math.floor(random.next() * 256),
+    );
+    return uuidv4({random: bytes});
+  }
+
+  private onForm(from: string, body: unknown): void {
+    const member = this.opts.member();
+    if (!member || !v.is(Form, body) || !member.store.isHardDurable) return;
+    const {log} = member.store.hard;
+    const {storage} = member.id;
+    this.opts.peers.send(from, 'config.form_reply', {
+      storage,
+      ...(log === undefined ? {} : {log}),
+    });
+  }
+
+  private onReply(from: string, body: unknown, now: number): void {
+    if (!v.is(FormReply, body)) return;
+    if (body.log !== undefined) this.answers.delete(from);
+    else this.answers.set(from, {storage: body.storage, at: now});
+  }
+}
--- /dev/null
+++ b/src/core/config/log/log_member.ts
@@ -0,0 +1,347 @@
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {RandomSource} from '../../random/random_source.js';
+import type {ConfigSnapshot} from '../state/config_snapshot.js';
+import {ConfigState} from '../state/config_state.js';
+import type {LogStore} from '../storage/log_store.js';
+import {Election} from './election.js';
+import {FollowerLog} from './follower_log.js';
+import {LogLeader} from './log_leader.js';
+import type {LogMessage} from './log_message.js';
+import type {LogNodeId} from './log_node_id.js';
+import {LogRole} from './log_role.js';
+import {LogTiming} from './log_timing.js';
+
+const {ELECTION_TIMEOUT_MS} = LogTiming;
+/** Entries after which a snapshot replaces the log. */
+const SNAPSHOT_ENTRIES = 256;
+
+type Body<T extends LogMessage['type']> = Omit<
+  Extract<LogMessage, {type: T}>,
+  'log' | 'from' | 'to' | 'term'
+> & {readonly term?: number; readonly log?: string};
+
+interface LogMemberOptions {
+  readonly node: string;
+  readonly store: LogStore;
+  readonly peers: PeerTransport;
+  readonly random: RandomSource;
+  /** Called after entries were applied. */
+  readonly onApplied: (state: ConfigState, now: number) => void;
+}
+
+/**
+ * One member of the configuration log: elections, the replicated log and the
+ * state that it builds. Times come in with each call.
+ */
+export class LogMember {
+  readonly store: LogStore;
+  readonly id: LogNodeId;
+  private state: ConfigState | undefined;
+  private commit = 0;
+  private applied = 0;
+  private leaderNode: string | undefined;
+  /** When a leader was last heard; votes are refused for a time after it. */
+  private lastHeard = Number.NEGATIVE_INFINITY;
+  private electionDeadline: number;
+  private election: Election | undefined;
+  private leadership: LogLeader | undefined;
+  private readonly follower: FollowerLog;
+
+  constructor(
+    private readonly opts: LogMemberOptions,
+    now: number,
+  ) {
+    this.store = opts.store;
+    this.id = {node: opts.node, storage: opts.store.storage};
+    this.follower = new FollowerLog(this, opts.store);
+    this.restore();
+    this.electionDeadline = this.nextDeadline(now);
+    // Promises read from the folder count only once they are written again.
+    this.store.whenDurable(() => undefined);
+  }
+
+  get role(): LogRole {
+    if (this.store.isFailed) return LogRole.failed;
+    if (this.leadership) return LogRole.leader;
+    return this.election ? LogRole.candidate : LogRole.follower;
+  }
+
+  get term(): number {
+    return this.store.hard.term;
+  }
+
+  get leader(): LogLeader | undefined {
+    return this.leadership;
+  }
+
+  /** The node that leads as far as this member knows. */
+  get leaderId(): string | undefined {
+    return this.leaderNode;
+  }
+
+  get commitIndex(): number {
+    return this.commit;
+  }
+
+  /** Undefined before this member has joined a log. */
+  get current(): ConfigState | undefined {
+    return this.state;
+  }
+
+  get isVoter(): boolean {
+    const {storage} = this.id;
+    return this.store.members.voters.some(m => m.storage === storage);
+  }
+
+  /** Starts the log of a new deployment with these voters. */
+  form(
+    log: string,
+    voters: readonly LogNodeId[],
+    state: ConfigSnapshot,
+    now: number,
+  ): void {
+    this.store.setHard({log, term: 1});
+    this.store.compact({
+      index: 1,
+      term: 1,
+      members: {voters: [...voters], learners: []},
+      state,
+    });
+    this.restore();
+    this.store.whenDurable(at => this.startElection(true, false, at));
+    this.opts.onApplied(this.state!, now);
+  }
+
+  tick(now: number): void {
+    if (this.store.isFailed) return;
+    if (this.leadership) {
+      this.leadership.tick(now);
+      return;
+    }
+    if (now < this.electionDeadline) return;
+    this.electionDeadline = this.nextDeadline(now);
+    this.leaderNode = undefined;
+    if (this.isVoter) this.startElection(true, false, now);
+  }
+
+  receive(node: string, msg: LogMessage, now: number): void {
+    const {hard, isFailed} = this.store;
+    if (isFailed || msg.to !== this.id.storage) return;
+    if (hard.log !== undefined && msg.log !== hard.log) return;
+    switch (msg.type) {
+      case 'vote':
+        this.onVote(node, msg, now);
+        return;
+      case 'vote_reply':
+        this.onVoteReply(msg, now);
+        return;
+      case 'append':
+      case 'snapshot':
+        this.onLeaderMessage(node, msg, now);
+        return;
+      case 'append_reply':
+        if (msg.term > this.term) this.adoptTerm(msg, now);
+        else if (msg.term === this.term) this.leadership?.onReply(msg, now);
+        return;
+      case 'timeout_now':
+        if (msg.term !== this.term || !this.isVoter) return;
+        this.startElection(false, true, now);
+        return;
+    }
+  }
+
+  /** Sends to a member in the present term unless the body names another. */
+  send<T extends LogMessage['type']>(to: LogNodeId, body: Body<T>): void {
+    this.opts.peers.send(to.node, `config.${body.type}`, {
+      log: this.store.hard.log,
+      from: this.id.storage,
+      to: to.storage,
+      term: this.term,
+      ...body,
+    });
+  }
+
+  /** Applies what a majority has stored. */
+  advanceCommit(index: number, now: number): void {
+    const end = Math.min(index, this.store.lastIndex);
+    if (end <= this.commit) return;
+    this.commit = end;
+    while (this.applied < this.commit) {
+      this.applied += 1;
+      const {body} = this.store.entry(this.applied)!;
+      const outcome =
+        body.kind === 'change' ? this.state!.apply(body.change) : undefined;
+      this.leadership?.onApplied(this.applied, outcome, now);
+    }
+    this.opts.onApplied(this.state!, now);
+    this.compactIfLong();
+  }
+
+  /** Takes the state of a snapshot that a leader sent. */
+  restore(): void {
+    const {snapshot} = this.store;
+    if (!snapshot) return;
+    this.state = ConfigState.from(snapshot.state);
+    this.commit = snapshot.index;
+    this.applied = snapshot.index;
+  }
+
+  restored(now: number): void {
+    this.opts.onApplied(this.state!, now);
+  }
+
+  /** Ends the lead; proposals whose fate is open get an unknown outcome. */
+  stepDown(now: number): void {
+    const {leadership} = this;
+    this.leadership = undefined;
+    this.election = undefined;
+    this.leaderNode = undefined;
+    this.electionDeadline = this.nextDeadline(now);
+    leadership?.end();
+  }
+
+  private adoptTerm(msg: {term: number; log: string}, now: number): void {
+    this.stepDown(now);
+    this.store.setHard({log: msg.log, term: msg.term});
+    this.store.whenDurable(() => undefined);
+  }
+
+  private startElection(
+    isPre: boolean,
+    isTransfer: boolean,
+    now: number,
+  ): void {
+    const {store} = this;
+    if (this.leadership || store.isFailed) return;
+    const term = this.term + 1;
+    const members = store.members;
+    const election = new Election({isPre, term, members, isTransfer});
+    this.election = election;
+    this.electionDeadline = this.nextDeadline(now);
+    if (!isPre) {
+      store.setHard({log: store.hard.log, term, vote: this.id.storage});
+    }
+    store.whenDurable(at => {
+      if (this.election !== election) return;
+      election.add(this.id.storage);
+      for (const member of members.voters) {
+        if (member.storage === this.id.storage) continue;
+        this.send<'vote'>(member, {
+          type: 'vote',
+          term,
+          pre: isPre,
+          transfer: isTransfer,
+          last_index: store.lastIndex,
+          last_term: store.lastTerm,
+        });
+      }
+      this.checkElection(election, at);
+    });
+  }
+
+  private checkElection(election: Election, now: number): void {
+    if (this.election !== election || !election.isWon) return;
+    if (election.opts.isPre) {
+      this.startElection(false, false, now);
+      return;
+    }
+    this.election = undefined;
+    this.leaderNode = this.id.node;
+    this.leadership = new LogLeader(this, now);
+    this.leadership.start(now);
+  }
+
+  private onVote(
+    node: string,
+    msg: Extract<LogMessage, {type: 'vote'}>,
+    now: number,
+  ): void {
+    const to = {node, storage: msg.from};
+    const isServed =
+      this.leadership !== undefined ||
+      now - this.lastHeard < ELECTION_TIMEOUT_MS;
+    if (isServed && !msg.transfer) return;
+    const isUpToDate = this.follower.isUpToDate(msg.last_index, msg.last_term);
+    if (msg.pre) {
+      const granted = msg.term > this.term && isUpToDate;
+      const term = granted ? msg.term : this.term;
+      this.send<'vote_reply'>(to, {
+        type: 'vote_reply',
+        pre: true,
+        granted,
+        term,
+        // This member may have no log yet; the candidate's is meant.
+        log: msg.log,
+      });
+      return;
+    }
+    if (msg.term > this.term) this.adoptTerm(msg, now);
+    const {vote} = this.store.hard;
+    const isFree = vote === undefined || vote === msg.from;
+    const granted = msg.term === this.term && isFree && isUpToDate;
+    if (granted && vote === undefined) {
+      this.store.setHard({log: msg.log, term: msg.term, vote: msg.from});
+      this.electionDeadline = this.nextDeadline(now);
+    }
+    const {term} = this;
+    this.store.whenDurable(() => {
+      if (this.term !== term) return;
+      this.send<'vote_reply'>(to, {type: 'vote_reply', pre: false, granted});
+    });
+  }
+
+  private onVoteReply(
+    msg: Extract<LogMessage, {type: 'vote_reply'}>,
+    now: number,
+  ): void {
+    if (!msg.granted && msg.term > this.term) {
+      this.adoptTerm(msg, now);
+      return;
+    }
+    const {election} = this;
+    if (!election || !msg.granted) return;
+    if (msg.term !== election.opts.term || msg.pre !== election.opts.isPre) {
+      return;
+    }
+    election.add(msg.from);
+    this.checkElection(election, now);
+  }
+
+  private onLeaderMessage(
+    node: string,
+    msg: Extract<LogMessage, {type: 'append' | 'snapshot'}>,
+    now: number,
+  ): void {
+    const to = {node, storage: msg.from};
+    if (msg.term < this.term) {
+      this.follower.refuse(to, msg.round);
+      return;
+    }
+    if (msg.term > this.term || this.store.hard.log === undefined) {
+      this.adoptTerm(msg, now);
+    }
+    this.election = undefined;
+    this.leaderNode = node;
+    this.lastHeard = now;
+    this.electionDeadline = this.nextDeadline(now);
+    if (msg.type === 'append') this.follower.onAppend(to, msg, now);
+    else this.follower.onSnapshot(to, msg, now);
+  }
+
+  private compactIfLong(): void {
+    const {store} = this;
+    if (this.applied - store.baseIndex < SNAPSHOT_ENTRIES) return;
+    store.compact({
+      index: this.applied,
+      term: store.termAt(this.applied)!,
+      members: store.membersAt(this.applied),
+      state: this.state!.toSnapshot(),
+    });
+    store.whenDurable(() => undefined);
+  }
+
+  private nextDeadline(now: number): number {
+    const jitter = this.opts.random.next() * ELECTION_TIMEOUT_MS;
+    return now + ELECTION_TIMEOUT_MS + jitter;
+  }
+}
--- /dev/null
+++ b/src/core/config/log/membership.ts
@@ -0,0 +1,14 @@
+import * as v from 'valibot';
+import {LogNodeId} from './log_node_id.js';
+
+/** Validator of the members of the log. */
+export const Membership = v.object({
+  voters: v.array(LogNodeId),
+  /** Members that store the log and do not count for majorities. */
+  learners: v.array(LogNodeId),
+  /** A replacement under way; the leader of the day carries it on. */
+  replacing: v.optional(v.object({old: LogNodeId, next: LogNodeId})),
+});
+
+/** The members of the log; one entry changes at most one voter. */
+export type Membership = Readonly<v.InferOutput<typeof Membership>>;
--- /dev/null
+++ b/src/core/config/log/membership_manager.ts
@@ -0,0 +1,302 @@
+import type {ChangeRefusal} from '../state/change_refusal.js';
+import type {LogLeader} from './log_leader.js';
+import type {LogMember} from './log_member.js';
+import type {LogNodeId} from './log_node_id.js';
+import {LogTiming} from './log_timing.js';
+import type {Membership} from './membership.js';
+import type {MembershipRequest} from './membership_request.js';
+
+/** Undefined when done; else the reason, or that the outcome is unknown. */
+type Done = (refusal: ChangeRefusal | undefined) => void;
+
+/**
+ * Changes the members one at a time, and carries on a replacement that this or
+ * an earlier leader has begun.
+ */
+export class MembershipManager {
+  /** Index of the entry that must be committed before the next change. */
+  private pendingIndex = 0;
+  private readonly waiting: Array<{
+    isDone: (members: Membership) => boolean;
+    done: Done;
+  }> = [];
+
+  constructor(
+    private readonly leader: LogLeader,
+    private readonly member: LogMember,
+  ) {
+    this.pendingIndex = member.store.membersIndex;
+  }
+
+  /**
+   * Begins a change. `find` tells the storage id that a node announces.
+   */
+  request(
+    req: MembershipRequest,
+    find: (node: string) => LogNodeId | undefined,
+    now: number,
+    done: Done,
+  ): void {
+    const plan = this.plan(req, find);
+    if ('refusal' in plan) {
+      done(plan.refusal);
+      return;
+    }
+    const {next, isDone} = plan;
+    if (next && this.isBusy) {
+      done(refuse('unavailable', 'another change of members is under way'));
+      return;
+    }
+    this.waiting.push({isDone, done});
+    if (next) this.change(next, now);
+    else this.settle();
+  }
+
+  /** Begins the replacement of a voter whose folder was lost. */
+  noteFolder(found: LogNodeId, now: number): void {
+    if (this.isBusy) return;
+    const {members} = this.member.store;
+    const {voters, learners, replacing} = members;
+    const isFound = (m: LogNodeId) => m.storage === found.storage;
+    const isAtNode = (m: LogNodeId) => m.node === found.node;
+    if (replacing && isAtNode(replacing.next) && !isFound(replacing.next)) {
+      const {storage} = replacing.next;
+      if (voters.some(m => m.storage === storage)) return;
+      const rest = learners.filter(m => m.storage !== storage);
+      // The folder was lost again, or a late message told of an older one.
+      const next = voters.some(isFound)
+        ? {voters, learners: rest}
+        : {
+            voters,
+            learners: [...rest, found],
+            replacing: {...replacing, next: found},
+          };
+      this.change(next, now);
+      return;
+    }
+    if (voters.some(isFound) || learners.some(isFound)) return;
+    if (replacing) return;
+    const old = voters.find(isAtNode);
+    if (!old) return;
+    const rest = learners.filter(m => !isAtNode(m));
+    const next = {
+      voters,
+      learners: [...rest, found],
+      replacing: {old, next: found},
+    };
+    this.change(next, now);
+  }
+
+  tick(now: number): void {
+    const {replacing} = this.member.store.members;
+    if (replacing && !this.isBusy) this.carryOn(replacing, now);
+  }
+
+  onApplied(index: number, now: number): void {
+    if (index < this.pendingIndex) return;
+    this.settle();
+    if (index !== this.pendingIndex) return;
+    const {store, id} = this.member;
+    const isIn = store.members.voters.some(m => m.storage === id.storage);
+    // A removed leader leads until its removal is committed.
+    if (!isIn) this.member.stepDown(now);
+  }
+
+  end(): void {
+    for (const {done} of this.waiting.splice(0)) {
+      done({
+        code: 'unavailable',
+        outcome: 'outcome_unknown',
+        detail: 'the leader changed before the change of members was complete',
+      });
+    }
+  }
+
+  private get isBusy(): boolean {
+    const {commitIndex} = this.member;
+    return !this.leader.isSettled || commitIndex < this.pendingIndex;
+  }
+
+  private change(next: Membership, now: number): void {
+    this.pendingIndex = this.member.store.lastIndex + 1;
+    this.leader.propose({kind: 'members', members: next}, now, () => undefined);
+  }
+
+  private settle(): void {
+    if (this.isBusy) return;
+    const {members} = this.member.store;
+    const ready = this.waiting.filter(w => w.isDone(members));
+    for (const entry of ready) {
+      this.waiting.splice(this.waiting.indexOf(entry), 1);
+      entry.done(undefined);
+    }
+  }
+
+  private carryOn(
+    {old, next}: NonNullable<Membership['replacing']>,
+    now: number,
+  ): void {
+    const {voters, learners} = this.member.store.members;
+    const has = (list: readonly LogNodeId[], m: LogNodeId) =>
+      list.some(x => x.storage === m.storage);
+    const without = (list: readonly LogNodeId[], m: LogNodeId) =>
+      list.filter(x => x.storage !== m.storage);
+    if (has(voters, next)) {
+      this.change({voters: without(voters, old), learners}, now);
+      return;
+    }
+    if (!this.isCaughtUp(next, now)) return;
+    const replacing = {old, next};
+    if (has(voters, old) && !this.isAlive(old, now) && voters.length > 1) {
+      // Without the dead voter, the majority of the rest is no larger.
+      this.change({voters: without(voters, old), learners, replacing}, now);
+      return;
+    }
+    this.change(
+      {
+        voters: [...voters, next],
+        learners: without(learners, next),
+        ...(has(voters, old) ? {replacing} : {}),
+      },
+      now,
+    );
+  }
+
+  private isAlive(id: LogNodeId, now: number): boolean {
+    if (id.storage === this.member.id.storage) return true;
+    const heardAt = this.leader.progressOf(id)?.heardAt ?? 0;
+    return now - heardAt < LogTiming.ELECTION_TIMEOUT_MS;
+  }
+
+  private isCaughtUp(id: LogNodeId, now: number): boolean {
+    const match = this.leader.progressOf(id)?.match ?? 0;
+    return match >= this.member.commitIndex && this.isAlive(id, now);
+  }
+
+  private plan(
+    req: MembershipRequest,
+    find: (node: string) => LogNodeId | undefined,
+  ):
+    | {refusal: ChangeRefusal}
+    | {
+        next: Membership | undefined;
+        isDone: (members: Membership) => boolean;
+      } {
+    const {members} = this.member.store;
+    const {voters, learners} = members;
+    const isAt = (node: string) => (m: LogNodeId) => m.node === node;
+    const {replacing} = members;
+    if (replacing && req.op === 'remove' && req.node === replacing.next.node) {
+      return this.planCancel(replacing.next);
+    }
+    if (replacing && req.op !== 'replace') {
+      return {refusal: refuse('unavailable', 'a replacement is under way')};
+    }
+    switch (req.op) {
+      case 'add': {
+        const isMember = (m: Membership) =>
+          [...m.voters, ...m.learners].some(isAt(req.node));
+        if (isMember(members)) return {next: undefined, isDone: isMember};
+        const found = find(req.node);
+        if (!found) return {refusal: noFolder(req.node)};
+        const next = {voters, learners: [...learners, found]};
+        return {next, isDone: isMember};
+      }
+      case 'promote': {
+        const isVoter = (m: Membership) => m.voters.some(isAt(req.node));
+        if (isVoter(members)) return {next: undefined, isDone: isVoter};
+        const learner = learners.find(isAt(req.node));
+        if (!learner) {
+          const detail = `"${req.node}" is not a learner; add it first`;
+          return {refusal: refuse('invalid', detail)};
+        }
+        const match = this.leader.progressOf(learner)?.match ?? 0;
+        if (match < this.member.commitIndex) {
+          const detail = `"${req.node}" has not caught up yet`;
+          return {refusal: refuse('unavailable', detail)};
+        }
+        const next = {
+          voters: [...voters, learner],
+          learners: learners.filter(m => m !== learner),
+        };
+        return {next, isDone: isVoter};
+      }
+      case 'remove': {
+        const isGone = (m: Membership) =>
+          ![...m.voters, ...m.learners].some(isAt(req.node));
+        if (isGone(members)) return {next: undefined, isDone: isGone};
+        const next = {
+          voters: voters.filter(m => m.node !== req.node),
+          learners: learners.filter(m => m.node !== req.node),
+        };
+        if (next.voters.length === 0) {
+          const detail = `"${req.node}" is the last voter`;
+          return {refusal: refuse('invalid', detail)};
+        }
+        return {next, isDone: isGone};
+      }
+      case 'replace':
+        return this.planReplace(req, find);
+    }
+  }
+
+  /** Gives up a replacement whose new member does not vote yet. */
+  private planCancel(added: LogNodeId) {
+    const {voters, learners} = this.member.store.members;
+    if (voters.some(m => m.storage === added.storage)) {
+      const detail = 'the replacement is too far to be given up';
+      return {refusal: refuse('unavailable', detail)};
+    }
+    const rest = learners.filter(m => m.storage !== added.storage);
+    const isDone = (m: Membership) => !m.replacing;
+    return {next: {voters, learners: rest}, isDone};
+  }
+
+  private planReplace(
+    req: Extract<MembershipRequest, {op: 'replace'}>,
+    find: (node: string) => LogNodeId | undefined,
+  ) {
+    const {members} = this.member.store;
+    const {voters, learners, replacing} = members;
+    const isDone = (m: Membership) =>
+      !m.replacing &&
+      m.voters.some(x => x.node === req.next) &&
+      (req.old === req.next || !m.voters.some(x => x.node === req.old));
+    const isSame =
+      replacing?.old.node === req.old && replacing.next.node === req.next;
+    if (isSame || (req.old !== req.next && isDone(members))) {
+      return {next: undefined, isDone};
+    }
+    if (replacing) {
+      return {refusal: refuse('unavailable', 'a replacement is under way')};
+    }
+    const old = voters.find(m => m.node === req.old);
+    if (!old) return {refusal: refuse('invalid', `"${req.old}" does not vote`)};
+    const found = find(req.next);
+    if (!found) return {refusal: noFolder(req.next)};
+    if (voters.some(m => m.storage === found.storage)) {
+      return {refusal: refuse('invalid', `"${req.next}" votes already`)};
+    }
+    const rest = learners.filter(m => m.node !== req.next);
+    const next = {
+      voters,
+      learners: [...rest, found],
+      replacing: {old, next: found},
+    };
+    return {next, isDone};
+  }
+}
+
+function refuse(
+  code: 'invalid' | 'unavailable',
+  detail: string,
+): ChangeRefusal {
+  return {code, outcome: 'not_made', detail};
+}
+
+function noFolder(node: string): ChangeRefusal {
+  return refuse(
+    'unavailable',
+    `"${node}" has not announced a data folder; is its daemon running?`,
+  );
+}
--- /dev/null
+++ b/src/core/config/router/log_request.ts
@@ -0,0 +1,14 @@
+import * as v from 'valibot';
+import {MembershipRequest} from '../log/membership_request.js';
+import {ConfigChange} from '../state/config_change.js';
+
+/** Validator of what only the log's leader can answer. */
+export const LogRequest = v.variant('kind', [
+  v.object({kind: v.literal('change'), change: ConfigChange}),
+  v.object({kind: v.literal('members'), request: MembershipRequest}),
+  v.object({kind: v.literal('read')}),
+  v.object({kind: v.literal('status')}),
+]);
+
+/** A request that only the log's leader can answer. */
+export type LogRequest = Readonly<v.InferOutput<typeof LogRequest>>;
--- /dev/null
+++ b/src/core/config/router/log_response.ts
@@ -0,0 +1,40 @@
+import * as v from 'valibot';
+import {ClassConfig} from '../class_config.js';
+import {ConfigDiff} from '../state/config_diff.js';
+import {TenantConfig} from '../tenant_config.js';
+import {LogStatus} from './log_status.js';
+
+const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+
+/** Validator of a node's answer to a request for the leader. */
+export const LogResponse = v.variant('kind', [
+  /** The node did nothing, because it does not lead. */
+  v.object({kind: v.literal('not_leader'), leader: v.optional(v.string())}),
+  /** The node lost the lead before the request was decided. */
+  v.object({kind: v.literal('unknown')}),
+  v.object({kind: v.literal('accepted'), version: count}),
+  v.object({kind: v.literal('members_done')}),
+  v.object({
+    kind: v.literal('refused'),
+    refusal: v.object({
+      code: v.picklist(['invalid', 'conflict', 'key_reused', 'unavailable']),
+      outcome: v.picklist(['not_made', 'outcome_unknown']),
+      detail: v.string(),
+      version: v.optional(count),
+      diff: v.optional(ConfigDiff),
+      retryAfterMs: v.optional(count),
+    }),
+  }),
+  v.object({
+    kind: v.literal('config'),
+    config: v.object({
+      version: count,
+      classes: v.record(v.string(), ClassConfig),
+      tenants: v.record(v.string(), TenantConfig),
+    }),
+  }),
+  v.object({kind: v.literal('status'), status: LogStatus}),
+]);
+
+/** A node's answer to a request for the leader. */
+export type LogResponse = Readonly<v.InferOutput<typeof LogResponse>>;
--- /dev/null
+++ b/src/core/config/router/request_router.ts
@@ -0,0 +1,158 @@
+import * as v from 'valibot';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {ChangeRefusal} from '../state/change_refusal.js';
+import type {LogRequest} from './log_request.js';
+import {LogRequest as LogRequestSchema} from './log_request.js';
+import {LogResponse} from './log_response.js';
+
+/** An election takes up to 3 s; a request outlasts one. */
+const DEADLINE_MS = 5_000;
+const RETRY_AFTER_MS = 1_000;
+/** A leader that has not answered for this long is asked again. */
+const ATTEMPT_MS = 1_000;
+
+const Request = v.object({id: v.number(), request: LogRequestSchema});
+const Response = v.object({id: v.number(), response: LogResponse});
+
+type Done = (result: LogResponse | ChangeRefusal) => void;
+
+interface Pending {
+  readonly request: LogRequest;
+  readonly done: Done;
+  readonly deadline: number;
+  /** Attempts that the leader may have acted on. */
+  readonly open: Set<number>;
+  nextAttempt: number;
+}
+
+interface RequestRouterOptions {
+  readonly node: string;
+  readonly peers: PeerTransport;
+  readonly getLeader: () => string | undefined;
+  readonly noteLeader: (node: string | undefined) => void;
+  /** Serves a request here; answers `not_leader` if this node does not lead. */
+  readonly serve: (
+    request: LogRequest,
+    now: number,
+    respond: (response: LogResponse) => void,
+  ) => void;
+}
+
+/**
+ * Brings requests to the log's leader. Every request is idempotent, so one
+ * whose answer is lost is sent again until the deadline.
+ */
+export class RequestRouter {
+  private readonly pending = new Set<Pending>();
+  private readonly attempts = new Map<number, Pending>();
+  private nextId = 1;
+
+  constructor(private readonly opts: RequestRouterOptions) {
+    const {peers} = opts;
+    peers.onMessage('config.request', (from, body, now) =>
+      this.onRequest(from, body, now),
+    );
+    peers.onMessage('config.response', (from, body, now) =>
+      this.onResponse(from, body, now),
+    );
+  }
+
+  /** Calls `done` once, with a response or the refusal `unavailable`. */
+  submit(request: LogRequest, now: number, done: Done): void {
+    const pending: Pending = {
+      request,
+      done,
+      deadline: now + DEADLINE_MS,
+      open: new Set(),
+      nextAttempt: now,
+    };
+    this.pending.add(pending);
+    this.attempt(pending, now);
+  }
+
+  /** Whether a request waits because no leader is known. */
+  get isSeeking(): boolean {
+    return this.pending.size > 0 && this.opts.getLeader() === undefined;
+  }
+
+  tick(now: number): void {
+    for (const pending of [...this.pending]) {
+      if (now >= pending.deadline) this.giveUp(pending);
+      else if (now >= pending.nextAttempt) this.attempt(pending, now);
+    }
+  }
+
+  private attempt(pending: Pending, now: number): void {
+    const leader = this.opts.getLeader();
+    if (leader === undefined) return;
+    const id = this.nextId;
+    this.nextId += 1;
+    const {request} = pending;
+    pending.nextAttempt = now + ATTEMPT_MS;
+    pending.open.add(id);
+    this.attempts.set(id, pending);
+    if (leader === this.opts.node) {
+      this.opts.serve(request, now, res => this.settle(id, res, now));
+      return;
+    }
+    this.opts.peers.send(leader, 'config.request', {id, request});
+  }
+
+  private onRequest(from: string, body: unknown, now: number): void {
+    const parsed = v.safeParse(Request, body);
+    if (!parsed.success) return;
+    const {id, request} = parsed.output;
+    this.opts.serve(request, now, response =>
+      this.opts.peers.send(from, 'config.response', {id, response}),
+    );
+  }
+
+  private onResponse(from: string, body: unknown, now: number): void {
+    const parsed = v.safeParse(Response, body);
+    if (!parsed.success) return;
+    const {id, response} = parsed.output;
+    if (response.kind === 'not_leader' && this.opts.getLeader() === from) {
+      this.opts.noteLeader(response.leader);
+    }
+    this.settle(id, response, now);
+  }
+
+  private settle(id: number, response: LogResponse, now: number): void {
+    const pending = this.attempts.get(id);
+    if (!pending) return;
+    this.attempts.delete(id);
+    const isOpen = response.kind === 'unknown';
+    const isRefused =
+      response.kind === 'refused' && response.refusal.code === 'unavailable';
+    if (!isOpen) pending.open.delete(id);
+    // A refusal for now is final only if no earlier attempt may have succeeded.
+    const isAgain =
+      isOpen ||
+      response.kind === 'not_leader' ||
+      (isRefused && pending.open.size > 0);
+    if (isAgain) {
+      pending.nextAttempt = Math.max(now, pending.nextAttempt - ATTEMPT_MS / 2);
+      return;
+    }
+    this.finish(pending, response);
+  }
+
+  private giveUp(pending: Pending): void {
+    const isOpen = pending.open.size > 0;
+    this.finish(pending, {
+      code: 'unavailable',
+      outcome: isOpen ? 'outcome_unknown' : 'not_made',
+      detail: isOpen
+        ? 'the leader of the configuration log did not answer; the change may ' +
+          'be accepted later, and a resend with the same key tells'
+        : 'no leader of the configuration log can be reached',
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+
+  private finish(pending: Pending, result: LogResponse | ChangeRefusal): void {
+    this.pending.delete(pending);
+    for (const id of pending.open) this.attempts.delete(id);
+    pending.done(result);
+  }
+}
--- /dev/null
+++ b/src/core/config/state/change_outcome.ts
@@ -0,0 +1,5 @@
+/** An accepted change. */
+export interface ChangeOutcome {
+  /** Version that the change produced. */
+  readonly version: number;
+}
--- /dev/null
+++ b/src/core/config/state/config_state.ts
@@ -0,0 +1,212 @@
+import {Result} from 'true-myth';
+import {v5 as uuidv5} from 'uuid';
+import type {ClassConfig} from '../class_config.js';
+import type {Config} from '../config.js';
+import type {TenantConfig} from '../tenant_config.js';
+import type {ChangeOutcome} from './change_outcome.js';
+import type {ChangeRefusal} from './change_refusal.js';
+import type {ConfigChange} from './config_change.js';
+import type {ConfigDiff} from './config_diff.js';
+import type {ConfigSnapshot} from './config_snapshot.js';
+
+type OutcomeRecord = ConfigSnapshot['outcomes'][number];
+
+/** More than a day of changes at the growth size (6,700 a day). */
+const MAX_OUTCOMES = 10_000;
+/** Deleted names that are remembered for differences. */
+const MAX_DELETED = 2_000;
+const NAMESPACE = '7a3c1d0e-5b0f-4c56-9d3b-0e6f5c0a9a11';
+
+/** Applies changes in log order; equal logs give equal states. */
+export class ConfigState {
+  static readonly MAX_OUTCOMES = MAX_OUTCOMES;
+
+  private constructor(
+    private config: Config,
+    private readonly classVersions: Map<string, number>,
+    private readonly tenantVersions: Map<string, number>,
+    private diffFloor: number,
+    private readonly outcomes: Map<string, OutcomeRecord>,
+  ) {}
+
+  static from(snapshot: ConfigSnapshot): ConfigState {
+    const {version, classes, tenants} = snapshot;
+    return new ConfigState(
+      {version, classes, tenants},
+      new Map(Object.entries(snapshot.class_versions)),
+      new Map(Object.entries(snapshot.tenant_versions)),
+      snapshot.diff_floor,
+      new Map(snapshot.outcomes.map(o => [o.key, o])),
+    );
+  }
+
+  /** The state of a new deployment. */
+  static initial(config: Config): ConfigSnapshot {
+    const versions = (items: object) =>
+      Object.fromEntries(Object.keys(items).map(k => [k, config.version]));
+    return {
+      ...config,
+      class_versions: versions(config.classes),
+      tenant_versions: versions(config.tenants),
+      diff_floor: 0,
+      outcomes: [],
+    };
+  }
+
+  get current(): Config {
+    return this.config;
+  }
+
+  toSnapshot(): ConfigSnapshot {
+    return {
+      ...this.config,
+      class_versions: Object.fromEntries(this.classVersions),
+      tenant_versions: Object.fromEntries(this.tenantVersions),
+      diff_floor: this.diffFloor,
+      outcomes: [...this.outcomes.values()],
+    };
+  }
+
+  /** The outcome of a change that was decided before; undefined if unknown. */
+  outcomeOf(
+    change: ConfigChange,
+  ): Result<ChangeOutcome, ChangeRefusal> | undefined {
+    const record = this.outcomes.get(change.key);
+    if (!record) return undefined;
+    if (record.fingerprint !== fingerprint(change)) {
+      return Result.err({
+        code: 'key_reused',
+        outcome: 'not_made',
+        detail: `the key "${change.key}" belongs to another change`,
+      });
+    }
+    return this.toResult(record);
+  }
+
+  /** Decides a change. A key that was decided before keeps its outcome. */
+  apply(change: ConfigChange): Result<ChangeOutcome, ChangeRefusal> {
+    const known = this.outcomeOf(change);
+    if (known) return known;
+    const {version} = this.config;
+    const isCurrent = change.expected_version === version;
+    const invalid = isCurrent ? this.findInvalid(change) : undefined;
+    const isAccepted = isCurrent && invalid === undefined;
+    if (isAccepted) this.accept(change);
+    const record: OutcomeRecord = {
+      key: change.key,
+      fingerprint: fingerprint(change),
+      expected: change.expected_version,
+      accepted: isAccepted ? version + 1 : 0,
+      seen: version,
+      ...(invalid === undefined ? {} : {invalid}),
+    };
+    this.outcomes.set(change.key, record);
+    if (this.outcomes.size > MAX_OUTCOMES) {
+      const [oldest] = this.outcomes.keys();
+      this.outcomes.delete(oldest!);
+    }
+    return this.toResult(record);
+  }
+
+  /**
+   * What changed after `version`; undefined when deletions since then have been
+   * forgotten and only the whole configuration tells.
+   */
+  diffSince(version: number): ConfigDiff | undefined {
+    if (version < this.diffFloor) return undefined;
+    const {classes, tenants} = this.config;
+    return {
+      classes: changedSince(version, this.classVersions, classes),
+      tenants: changedSince(version, this.tenantVersions, tenants),
+    };
+  }
+
+  private toResult(
+    record: OutcomeRecord,
+  ): Result<ChangeOutcome, ChangeRefusal> {
+    if (record.accepted > 0) return Result.ok({version: record.accepted});
+    if (record.invalid !== undefined) {
+      return Result.err({
+        code: 'invalid',
+        outcome: 'not_made',
+        detail: record.invalid,
+      });
+    }
+    const {classes, tenants} = this.config;
+    return Result.err({
+      code: 'conflict',
+      outcome: 'not_made',
+      detail:
+        `the change expects version ${record.expected}, ` +
+        `but version ${record.seen} was in force`,
+      version: this.config.version,
+      diff: this.diffSince(record.expected) ?? {classes, tenants},
+    });
+  }
+
+  private findInvalid(change: ConfigChange): string | undefined {
+    const {classes, tenants} = this.config;
+    const noClass = change.delete_classes.find(n => !Object.hasOwn(classes, n));
+    if (noClass !== undefined) return `there is no class "${noClass}"`;
+    const noTenant = change.delete_tenants.find(
+      n => !Object.hasOwn(tenants, n),
+    );
+    if (noTenant !== undefined) return `there is no tenant "${noTenant}"`;
+    return undefined;
+  }
+
+  private accept(change: ConfigChange): void {
+    const version = this.config.version + 1;
+    const classes: Record<string, ClassConfig> = {...this.config.classes};
+    const tenants: Record<string, TenantConfig> = {...this.config.tenants};
+    for (const item of change.put_classes) classes[item.name] = item;
+    for (const name of change.delete_classes) delete classes[name];
+    for (const item of change.put_tenants) tenants[item.name] = item;
+    for (const name of change.delete_tenants) delete tenants[name];
+    for (const {name} of change.put_classes) {
+      this.classVersions.set(name, version);
+    }
+    for (const {name} of change.put_tenants) {
+      this.tenantVersions.set(name, version);
+    }
+    // Set anew, so that deleted names are in order of their deletion.
+    for (const name of change.delete_classes) {
+      this.classVersions.delete(name);
+      this.classVersions.set(name, version);
+    }
+    for (const name of change.delete_tenants) {
+      this.tenantVersions.delete(name);
+      this.tenantVersions.set(name, version);
+    }
+    this.config = {version, classes, tenants};
+    this.forgetDeleted(this.classVersions, classes);
+    this.forgetDeleted(this.tenantVersions, tenants);
+  }
+
+  private forgetDeleted(versions: Map<string, number>, items: object): void {
+    let excess = versions.size - Object.keys(items).length - MAX_DELETED;
+    for (const [name, version] of versions) {
+      if (excess <= 0) return;
+      if (Object.hasOwn(items, name)) continue;
+      versions.delete(name);
+      this.diffFloor = Math.max(this.diffFloor, version);
+      excess -= 1;
+    }
+  }
+}
+
+function changedSince<T>(
+  version: number,
+  versions: ReadonlyMap<string, number>,
+  items: Readonly<Record<string, T>>,
+): Record<string, T | null> {
+  const changed: Record<string, T | null> = {};
+  for (const [name, at] of versions) {
+    if (at > version) changed[name] = items[name] ?? null;
+  }
+  return changed;
+}
+
+function fingerprint(change: ConfigChange): string {
+  return uuidv5(JSON.stringify({...change, key: ''}), NAMESPACE);
+}
--- /dev/null
+++ b/src/core/config/storage/log_folder.ts
@@ -0,0 +1,160 @@
+import {Result} from 'true-myth';
+import * as v from 'valibot';
+import {LogEntry} from '../log/log_entry.js';
+import {LogSnapshot} from '../log/log_snapshot.js';
+import type {Disk} from './disk.js';
+import type {DiskOp} from './disk_op.js';
+import {FrameFile} from './frame_file.js';
+import {HardState} from './hard_state.js';
+
+const SEGMENT_PATTERN = /^log-(\d{8})$/;
+const SNAPSHOT_FILE = 'snapshot';
+const TEMPORARY_SUFFIX = '.tmp';
+
+const LogRecord = v.variant('kind', [
+  v.object({kind: v.literal('hard'), hard: HardState}),
+  v.object({kind: v.literal('entry'), entry: LogEntry}),
+  /** Entries from this index on are void. */
+  v.object({kind: v.literal('cut'), from: v.number()}),
+]);
+
+type LogRecord = v.InferOutput<typeof LogRecord>;
+
+interface FolderContent {
+  readonly storage: string;
+  readonly sequence: number;
+  readonly hard: HardState;
+  readonly snapshot: LogSnapshot | undefined;
+  readonly entries: LogEntry[];
+}
+
+/**
+ * Files of the log: `snapshot`, and `log-N`, a segment whose first batch
+ * restates all that follows the snapshot. A segment appears under its name only
+ * when that batch is synced, so the one with the highest number is complete.
+ */
+export class LogFolder {
+  private sequence = 0;
+  private segments: string[] = [];
+
+  constructor(private readonly disk: Disk) {}
+
+  /** Reads the folder; undefined if it holds no log. */
+  load(): Result<FolderContent | undefined, string> {
+    const names = this.disk.list();
+    if (names.isErr) return Result.err(names.error.detail);
+    this.segments = names.value.filter(n => SEGMENT_PATTERN.test(n)).sort();
+    const file = this.segments.at(-1);
+    if (file === undefined) {
+      return names.value.includes(SNAPSHOT_FILE)
+        ? Result.err(`${SNAPSHOT_FILE}: a snapshot without a log segment`)
+        : Result.ok(undefined);
+    }
+    this.sequence = Number(SEGMENT_PATTERN.exec(file)![1]);
+    const snapshot = names.value.includes(SNAPSHOT_FILE)
+      ? this.loadSnapshot()
+      : Result.ok<LogSnapshot | undefined, string>(undefined);
+    if (snapshot.isErr) return Result.err(snapshot.error);
+    return this.loadSegment(file, snapshot.value);
+  }
+
+  /** Steps that write a new segment, and a snapshot if one is given. */
+  rewrite(
+    storage: string,
+    hard: HardState,
+    entries: readonly LogEntry[],
+    snapshot: LogSnapshot | undefined,
+  ): DiskOp[] {
+    const ops: DiskOp[] = [];
+    if (snapshot) {
+      const content = Buffer.concat([
+        FrameFile.header('snapshot', storage),
+        FrameFile.frame(snapshot),
+      ]);
+      ops.push(...this.replace(SNAPSHOT_FILE, content));
+    }
+    this.sequence += 1;
+    const file = `log-${String(this.sequence).padStart(8, '0')}`;
+    const base = Buffer.concat([
+      FrameFile.header('log', storage),
+      this.batch([
+        {kind: 'hard', hard},
+        ...entries.map(entry => ({kind: 'entry' as const, entry})),
+      ]),
+    ]);
+    ops.push(...this.replace(file, base));
+    for (const old of this.segments) ops.push({op: 'remove', file: old});
+    this.segments = [file];
+    return ops;
+  }
+
+  /** Steps that append records to the segment and sync them. */
+  append(records: readonly LogRecord[]): DiskOp[] {
+    const file = this.segments[0]!;
+    const bytes = this.batch(records);
+    return [
+      {op: 'append', file, bytes},
+      {op: 'sync', file},
+    ];
+  }
+
+  private batch(records: readonly LogRecord[]): Uint8Array {
+    return FrameFile.frame(records);
+  }
+
+  private replace(file: string, bytes: Uint8Array): DiskOp[] {
+    const temporary = `${file}${TEMPORARY_SUFFIX}`;
+    return [
+      {op: 'remove', file: temporary},
+      {op: 'append', file: temporary, bytes},
+      {op: 'sync', file: temporary},
+      {op: 'rename', file: temporary, to: file},
+      {op: 'sync_folder'},
+    ];
+  }
+
+  private loadSnapshot(): Result<LogSnapshot | undefined, string> {
+    const bytes = this.disk.read(SNAPSHOT_FILE);
+    if (bytes.isErr) return Result.err(bytes.error.detail);
+    const content = FrameFile.parse(SNAPSHOT_FILE, 'snapshot', bytes.value);
+    if (content.isErr) return Result.err(content.error);
+    const parsed = v.safeParse(LogSnapshot, content.value.payloads[0]);
+    return parsed.success
+      ? Result.ok(parsed.output)
+      : Result.err(`${SNAPSHOT_FILE}: the content is corrupt`);
+  }
+
+  private loadSegment(
+    file: string,
+    snapshot: LogSnapshot | undefined,
+  ): Result<FolderContent, string> {
+    const bytes = this.disk.read(file);
+    if (bytes.isErr) return Result.err(bytes.error.detail);
+    const content = FrameFile.parse(file, 'log', bytes.value);
+    if (content.isErr) return Result.err(content.error);
+    const {storage, payloads} = content.value;
+    const batches = v.safeParse(v.array(v.array(LogRecord)), payloads);
+    if (!batches.success) return Result.err(`${file}: a record is corrupt`);
+    const [first] = batches.output[0] ?? [];
+    if (first?.kind !== 'hard') {
+      return Result.err(`${file}: the first record is missing`);
+    }
+    let {hard} = first;
+    const base = snapshot?.index ?? 0;
+    let entries: LogEntry[] = [];
+    for (const record of batches.output.flat()) {
+      if (record.kind === 'hard') hard = record.hard;
+      else if (record.kind === 'cut') {
+        entries = entries.filter(e => e.index < record.from);
+      } else if (record.entry.index > base) entries.push(record.entry);
+    }
+    // A crash between the two files of an installed snapshot leaves entries
+    // that the snapshot has made void.
+    const term = snapshot?.term ?? 0;
+    if (entries.some(e => e.term < term)) entries = [];
+    const isGapless = entries.every((e, at) => e.index === base + 1 + at);
+    if (!isGapless) return Result.err(`${file}: an entry is missing`);
+    const {sequence} = this;
+    return Result.ok({storage, sequence, hard, snapshot, entries});
+  }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,12 +3,13 @@
 import {CallerServer} from '../adapter/http/caller_server.js';
 import {WorkerApi} from '../adapter/http/worker_api.js';
 import {TcpPeerTransport} from '../adapter/peer/tcp_peer_transport.js';
+import {SystemRandom} from '../adapter/system_random.js';
 import {HttpUpstreamClient} from '../adapter/upstream/http_upstream_client.js';
 import type {Clock} from '../core/clock/clock.js';
-import {StaticConfigSource} from '../core/config/static_config_source.js';
 import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
 import {SubmissionGate} from '../core/dispatch/submission_gate.js';
 import {SoloReplicator} from '../core/group/solo_replicator.js';
+import {ConfigService} from './config/config_service.js';
 import type {Settings} from './settings/settings.js';
 import {Service} from './supervisor/service.js';
 import {Supervisor} from './supervisor/supervisor.js';
@@ -22,6 +23,7 @@
   override readonly name = 'daemon';
   private readonly peers: TcpPeerTransport;
   private readonly upstream: HttpUpstreamClient;
+  private readonly config: ConfigService;
   private readonly zone: ZoneService;
   private readonly replicator: SoloReplicator;
   private readonly server: CallerServer;
@@ -50,26 +52,22 @@
     this.upstream = new HttpUpstreamClient({
       onError: detail => this.log.debug('upstream error', {detail}),
     });
+    this.config = new ConfigService({
+      node: self.id,
+      nodes: settings.nodes,
+      dataDir: settings.data_dir,
+      clock,
+      peers: this.peers,
+      random: new SystemRandom(),
+      log,
+    });
     this.replicator = new SoloReplicator(directory.nodes(self.zone)[0]!);
     this.zone = new ZoneService({
       clock,
       peers: this.peers,
       replicator: this.replicator,
       policy: new FifoPolicy(),
-      config: new StaticConfigSource({
-        version: 1,
-        classes: {
-          default: {
-            name: 'default',
-            target_ms: 2_000,
-            percentile: 99,
-            repeatable: false,
-            memory_mb: 0,
-            accelerators: 0,
-          },
-        },
-        tenants: {},
-      }),
+      config: this.config.source,
       upstream: this.upstream,
     });
     const jobs = new JobRouter(directory, this.peers, clock);
@@ -94,6 +92,7 @@
     });
     this.supervisor = new Supervisor('daemon', [
       service('peers', this.peers),
+      this.config,
       service('zone', {
         start: async () => this.lead(),
         stop: async () => this.zone.stop(),
@@ -130,6 +129,7 @@
 
   private isReady(): boolean {
     if (this.isDraining) return false;
+    if (this.config.source.current().version === 0) return false;
     if (this.replicator.leading === undefined) return true;
     const remembers =
       this.replicator.memoryStart + SubmissionGate.MAX_CLOCK_SKEW_MS;
