--- /dev/null
+++ b/src/core/config/config_node.test.ts
@@ -0,0 +1,141 @@
+import {assert} from 'chai';
+import {ConfigBench} from '../../../test-support/fakes/config_bench.js';
+
+const {changeOf} = ConfigBench;
+
+test('racing operators: one winner for each version', () => {
+  const bench = new ConfigBench({followers: 2});
+  bench.startAll();
+  bench.untilLeader();
+  for (let version = 1; version <= 20; version += 1) {
+    const boxes = bench.ids.map(id =>
+      bench.submit(id, {
+        kind: 'change',
+        change: changeOf(`${id}-${version}`, version, 'a', version),
+      }),
+    );
+    bench.until('all answers', () => boxes.every(b => b.answer !== undefined));
+    const won = boxes.filter(
+      b => 'kind' in b.answer! && b.answer.kind === 'accepted',
+    );
+    assert.lengthOf(won, 1);
+  }
+});
+
+// The answer is lost with the leader; the operator sends the change again.
+test('a resent change has one outcome across leaders and restarts', () => {
+  const bench = new ConfigBench();
+  bench.startAll();
+  const change = changeOf('k1', 1, 'a');
+  const leader = bench.untilLeader();
+  bench.change(leader, change);
+  bench.crash(leader);
+  const successor = bench.untilLeader();
+  assert.deepEqual(bench.change(successor, change), {
+    kind: 'accepted',
+    version: 2,
+  });
+  bench.change(successor, changeOf('k2', 2, 'b'));
+  for (const id of bench.voters) bench.crash(id);
+  for (const id of bench.voters) bench.start(id);
+  assert.deepEqual(bench.change('f1', change), {kind: 'accepted', version: 2});
+});
+
+test('a change is in force everywhere within 2 s', () => {
+  const bench = new ConfigBench({voters: 5, followers: 3});
+  bench.startAll();
+  bench.untilLeader();
+  bench.clock.advance(5_000);
+  bench.change('f1', changeOf('k1', 1, 'a'));
+  const ms = bench.until('version 2', () =>
+    bench.ids.every(id => bench.version(id) === 2),
+  );
+  assert.isBelow(ms, 2_000);
+});
+
+test('a change is in force everywhere within 5 s of a healed cut', () => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const bench = new ConfigBench({followers: 3, seed});
+    bench.startAll();
+    const leader = bench.untilLeader();
+    const zone = [bench.voters.find(id => id !== leader)!, 'f1', 'f2'];
+    bench.peers.isolate(zone, bench.ids);
+    bench.clock.advance(30_000);
+    bench.change(leader, changeOf('k1', 1, 'a'));
+    bench.clock.advance(30_000);
+    assert.equal(bench.version('f1'), 1);
+    bench.peers.heal();
+    const ms = bench.until('version 2', () =>
+      bench.ids.every(id => bench.version(id) === 2),
+    );
+    assert.isBelow(ms, 5_000, `seed ${seed}`);
+  }
+});
+
+test('a cut-off zone keeps its configuration and refuses as not made', () => {
+  const bench = new ConfigBench({followers: 1});
+  bench.startAll();
+  const leader = bench.untilLeader();
+  const minority = [bench.voters.find(id => id !== leader)!, 'f1'];
+  bench.peers.isolate(minority, bench.ids);
+  bench.clock.advance(20_000);
+  const refused = bench.change('f1', changeOf('k1', 1, 'a'));
+  assert.deepInclude(refused, {code: 'unavailable', outcome: 'not_made'});
+  assert.equal(bench.version('f1'), 1);
+});
+
+test('a change whose leader is cut off has an unknown outcome', () => {
+  const bench = new ConfigBench();
+  bench.startAll();
+  const leader = bench.untilLeader();
+  bench.peers.isolate([leader], bench.ids);
+  const refused = bench.change(leader, changeOf('k1', 1, 'a'));
+  assert.deepInclude(refused, {
+    code: 'unavailable',
+    outcome: 'outcome_unknown',
+  });
+});
+
+test('a lost push is healed by the poll', () => {
+  const bench = new ConfigBench({followers: 2});
+  bench.startAll();
+  const leader = bench.untilLeader();
+  bench.clock.advance(3_000);
+  bench.peers.cut(leader, 'f1');
+  bench.change(leader, changeOf('k1', 1, 'a'));
+  bench.clock.advance(100);
+  assert.equal(bench.version('f1'), 1);
+  bench.peers.heal();
+  const ms = bench.until('version 2', () => bench.version('f1') === 2);
+  assert.isBelow(ms, 2_500);
+});
+
+test('a voter that restarts alone keeps the version in force', () => {
+  const bench = new ConfigBench();
+  bench.startAll();
+  bench.change('f1', changeOf('k1', 1, 'a'));
+  bench.until('version 2', () =>
+    bench.ids.every(id => bench.version(id) === 2),
+  );
+  for (const id of bench.ids) bench.crash(id);
+  bench.start('v2');
+  assert.equal(bench.version('v2'), 2);
+  bench.clock.advance(30_000);
+  assert.equal(bench.version('v2'), 2);
+});
+
+test('status tells the version in force at each daemon', () => {
+  const bench = new ConfigBench({followers: 2});
+  bench.startAll();
+  bench.untilLeader();
+  bench.change('f1', changeOf('k1', 1, 'a'));
+  bench.clock.advance(3_000);
+  const res = bench.ask('f2', {kind: 'status'});
+  assert.propertyVal(res, 'kind', 'status');
+  if (!('kind' in res) || res.kind !== 'status') return;
+  const versions = res.status.in_force.map(f => `${f.node}=${f.version}`);
+  assert.sameMembers(
+    versions,
+    bench.ids.map(id => `${id}=2`),
+  );
+});
--- /dev/null
+++ b/src/core/config/log/membership_manager.test.ts
@@ -0,0 +1,147 @@
+import {assert} from 'chai';
+import {ConfigBench} from '../../../../test-support/fakes/config_bench.js';
+
+const {changeOf} = ConfigBench;
+
+function votersOf(bench: ConfigBench): string[] {
+  const {members} = bench.node(bench.untilLeader()).log!.store;
+  return members.voters.map(m => m.node).sort();
+}
+
+test('a learner is added, promoted and removed', () => {
+  const bench = new ConfigBench({spares: 1});
+  bench.startAll();
+  bench.untilLeader();
+  bench.clock.advance(3_000);
+  const add = {op: 'add', node: 's1'} as const;
+  assert.propertyVal(bench.members('f1', add), 'kind', 'members_done');
+  assert.deepEqual(votersOf(bench), ['v1', 'v2', 'v3']);
+  bench.clock.advance(2_000);
+  const promote = {op: 'promote', node: 's1'} as const;
+  assert.propertyVal(bench.members('f1', promote), 'kind', 'members_done');
+  assert.deepEqual(votersOf(bench), ['s1', 'v1', 'v2', 'v3']);
+  const remove = {op: 'remove', node: 'v1'} as const;
+  assert.propertyVal(bench.members('f1', remove), 'kind', 'members_done');
+  assert.deepEqual(votersOf(bench), ['s1', 'v2', 'v3']);
+});
+
+test('replace is one operation, also when the leader is replaced', () => {
+  for (const target of ['leader', 'other']) {
+    const bench = new ConfigBench({spares: 1});
+    bench.startAll();
+    const leader = bench.untilLeader();
+    bench.clock.advance(3_000);
+    const old =
+      target === 'leader' ? leader : bench.voters.find(id => id !== leader)!;
+    const answer = bench.members('f1', {op: 'replace', old, next: 's1'});
+    assert.propertyVal(answer, 'kind', 'members_done');
+    const expected = ['s1', ...bench.voters.filter(id => id !== old)].sort();
+    assert.deepEqual(votersOf(bench), expected);
+  }
+});
+
+test('a leader that dies during a replacement is succeeded in it', () => {
+  const bench = new ConfigBench({voters: 5, spares: 1});
+  bench.startAll();
+  const leader = bench.untilLeader();
+  bench.clock.advance(3_000);
+  const old = bench.voters.find(id => id !== leader)!;
+  bench.crash('s1');
+  const box = bench.submit('f1', {
+    kind: 'members',
+    request: {op: 'replace', old, next: 's1'},
+  });
+  bench.clock.advance(1_000);
+  bench.crash(leader);
+  bench.start('s1');
+  bench.until('the end', () => {
+    const {leader: now} = bench;
+    return now !== undefined && !votersOf(bench).includes(old);
+  });
+  assert.include(votersOf(bench), 's1');
+  bench.until('an answer', () => box.answer !== undefined);
+  assert.propertyVal(box.answer, 'kind', 'members_done');
+});
+
+test('the last voter and unknown nodes cannot be changed', () => {
+  const bench = new ConfigBench({voters: 1});
+  bench.startAll();
+  bench.untilLeader();
+  const last = bench.members('v1', {op: 'remove', node: 'v1'});
+  assert.nestedPropertyVal(last, 'refusal.code', 'invalid');
+  const absent = bench.members('v1', {op: 'add', node: 'f1'});
+  assert.nestedPropertyVal(absent, 'refusal.outcome', 'not_made');
+});
+
+// An empty folder has forgotten its promises; it must not count as the voter.
+test('a lost disk comes back as a learner under a new storage id', () => {
+  const bench = new ConfigBench();
+  bench.startAll();
+  const leader = bench.untilLeader();
+  bench.change(leader, changeOf('k1', 1, 'a'));
+  const lost = bench.voters.find(id => id !== leader)!;
+  const before = bench.node(lost).log!.id.storage;
+  bench.lose(lost);
+  bench.clock.advance(2_000);
+  bench.start(lost);
+  assert.isFalse(bench.node(lost).log!.isVoter);
+  bench.until('the repair', () => bench.node(lost).log!.isVoter);
+  assert.notEqual(bench.node(lost).log!.id.storage, before);
+  assert.lengthOf(bench.node(leader).log!.store.members.voters, 3);
+});
+
+test('an emptied folder gives no vote to a log it has forgotten', () => {
+  const bench = new ConfigBench();
+  bench.startAll();
+  const leader = bench.untilLeader();
+  const [lost, third] = bench.voters.filter(id => id !== leader);
+  bench.change(leader, changeOf('k1', 1, 'a'));
+  // The change may be on the leader and the lost node only.
+  bench.crash(leader);
+  bench.lose(lost!);
+  bench.start(lost!);
+  bench.clock.advance(30_000);
+  assert.isUndefined(bench.node(third!).log!.leader);
+  assert.isUndefined(bench.node(lost!).log!.leader);
+  bench.start(leader);
+  bench.until('the repair', () => bench.node(lost!).log!.isVoter);
+  assert.equal(bench.version(lost!), 2);
+});
+
+test('a second node lost right after a repair costs nothing accepted', () => {
+  const bench = new ConfigBench();
+  bench.startAll();
+  const leader = bench.untilLeader();
+  const [a, b] = bench.voters.filter(id => id !== leader);
+  bench.lose(a!);
+  bench.change(leader, changeOf('k1', 1, 'a'));
+  bench.start(a!);
+  bench.until('the repair', () => {
+    const {members} = bench.node(leader).log!.store;
+    return bench.node(a!).log!.isVoter && !members.replacing;
+  });
+  bench.lose(b!);
+  const made = bench.change('f1', changeOf('k2', 2, 'b'));
+  assert.deepEqual(made, {kind: 'accepted', version: 3});
+  bench.start(b!);
+  bench.until('the second repair', () => bench.node(b!).log!.isVoter);
+  bench.crash(leader);
+  bench.untilLeader();
+  assert.equal(bench.version(bench.leader!), 3);
+});
+
+test('an existing log is not formed anew by emptied voters', () => {
+  const bench = new ConfigBench();
+  bench.startAll();
+  bench.change('f1', changeOf('k1', 1, 'a'));
+  const {log} = bench.node('v3').log!.store.hard;
+  // The first voter forms logs; with v2 it could outvote v3.
+  for (const id of ['v1', 'v2']) bench.lose(id);
+  for (const id of ['v1', 'v2']) bench.start(id);
+  bench.clock.advance(60_000);
+  for (const id of ['v1', 'v2']) {
+    assert.notInclude([undefined, log], bench.node(id).log!.store.storage);
+    assert.isUndefined(bench.node(id).log!.leader);
+  }
+  assert.equal(bench.version('f1'), 2);
+});
--- /dev/null
+++ b/test-support/fakes/config_bench.ts
@@ -0,0 +1,198 @@
+import type {Result} from 'true-myth';
+import type {ClassConfig} from '../../src/core/config/class_config.js';
+import {ConfigNode} from '../../src/core/config/config_node.js';
+import type {MembershipRequest} from '../../src/core/config/log/membership_request.js';
+import type {LogRequest} from '../../src/core/config/router/log_request.js';
+import type {LogResponse} from '../../src/core/config/router/log_response.js';
+import type {ChangeRefusal} from '../../src/core/config/state/change_refusal.js';
+import type {ConfigChange} from '../../src/core/config/state/config_change.js';
+import {FakeClock} from './fake_clock.js';
+import {FakeDisk} from './fake_disk.js';
+import {LossyPeers} from './lossy_peers.js';
+import {SeededRandom} from './seeded_random.js';
+
+const TICK_MS = 100;
+
+interface ConfigBenchOptions {
+  /** Default 3: v1, v2, ... */
+  readonly voters?: number;
+  /** Nodes with a folder that do not vote at first: s1, s2, ... Default 0. */
+  readonly spares?: number;
+  /** Nodes without a folder: f1, f2, ... Default 1. */
+  readonly followers?: number;
+  /** Default 1. */
+  readonly seed?: number;
+}
+
+type Answer = LogResponse | ChangeRefusal;
+
+/** Fake daemons with fake disks and a lossy network on a fake clock. */
+export class ConfigBench {
+  readonly clock = new FakeClock();
+  readonly random: SeededRandom;
+  readonly peers: LossyPeers;
+  readonly disks = new Map<string, FakeDisk>();
+  readonly running = new Map<string, ConfigNode>();
+  readonly ids: readonly string[];
+  readonly voters: readonly string[];
+  /** Called after each start of a node. */
+  onStart: (id: string, node: ConfigNode) => void = () => undefined;
+
+  constructor(opts: ConfigBenchOptions = {}) {
+    this.random = new SeededRandom(opts.seed ?? 1);
+    this.peers = new LossyPeers(this.clock, this.random);
+    const name = (prefix: string, count: number) =>
+      Array.from({length: count}, (_, at) => `${prefix}${at + 1}`);
+    this.voters = name('v', opts.voters ?? 3);
+    const stored = [...this.voters, ...name('s', opts.spares ?? 0)];
+    this.ids = [...stored, ...name('f', opts.followers ?? 1)];
+    for (const id of stored) {
+      this.disks.set(id, new FakeDisk(this.clock, this.random));
+    }
+  }
+
+  static classOf(name: string, targetMs = 2_000): ClassConfig {
+    return {
+      name,
+      target_ms: targetMs,
+      percentile: 99,
+      repeatable: false,
+      memory_mb: 0,
+      accelerators: 0,
+    };
+  }
+
+  static changeOf(
+    key: string,
+    expected: number,
+    name: string,
+    targetMs = 2_000,
+  ): ConfigChange {
+    return {
+      key,
+      expected_version: expected,
+      put_classes: [ConfigBench.classOf(name, targetMs)],
+      delete_classes: [],
+      put_tenants: [],
+      delete_tenants: [],
+    };
+  }
+
+  /** Starts every node and waits until the log is formed. */
+  startAll(): void {
+    for (const id of this.ids) this.start(id);
+    this.until('the first configuration everywhere', () =>
+      this.ids.every(id => this.version(id) === 1),
+    );
+  }
+
+  start(id: string): Result<void, string> {
+    const disk = this.disks.get(id);
+    const node = new ConfigNode({
+      node: id,
+      nodes: this.ids,
+      voters: this.voters,
+      ...(disk ? {disk} : {}),
+      initial: {
+        version: 1,
+        classes: {default: ConfigBench.classOf('default')},
+        tenants: {},
+      },
+      peers: this.peers.connect(id),
+      random: this.random,
+      onDiskError: () => undefined,
+    });
+    const opened = node.open(this.clock.now());
+    if (opened.isErr) return opened;
+    this.running.set(id, node);
+    this.onStart(id, node);
+    this.tick(id, node);
+    return opened;
+  }
+
+  /** Ends the process; written data stays in the page cache. */
+  kill(id: string): void {
+    this.running.delete(id);
+    this.peers.disconnect(id);
+    this.disks.get(id)?.kill();
+  }
+
+  /** Ends the machine; data that was not synced is lost. */
+  crash(id: string): void {
+    this.kill(id);
+    this.disks.get(id)?.crash();
+  }
+
+  /** Ends the machine and its disk. */
+  lose(id: string): void {
+    this.kill(id);
+    this.disks.get(id)?.wipe();
+  }
+
+  node(id: string): ConfigNode {
+    const node = this.running.get(id);
+    if (!node) throw new Error(`${id} is not running`);
+    return node;
+  }
+
+  version(id: string): number {
+    return this.running.get(id)?.source.current().version ?? 0;
+  }
+
+  /** The running leader of the highest term. */
+  get leader(): string | undefined {
+    return [...this.running]
+      .filter(([, node]) => node.log?.leader)
+      .sort(([, a], [, b]) => b.log!.term - a.log!.term)
+      .map(([id]) => id)[0];
+  }
+
+  /** Advances the clock until a condition holds; throws after the limit. */
+  until(what: string, condition: () => boolean, limitMs = 60_000): number {
+    const start = this.clock.now();
+    while (!condition()) {
+      if (this.clock.now() - start > limitMs) {
+        throw new Error(`gave up waiting for ${what}`);
+      }
+      this.clock.advance(10);
+    }
+    return this.clock.now() - start;
+  }
+
+  untilLeader(): string {
+    this.until('a leader', () => {
+      const {leader} = this;
+      return leader !== undefined && this.node(leader).log!.leader!.isSettled;
+    });
+    return this.leader!;
+  }
+
+  submit(id: string, request: LogRequest): {answer: Answer | undefined} {
+    const box: {answer: Answer | undefined} = {answer: undefined};
+    this.node(id).submit(request, this.clock.now(), answer => {
+      box.answer = answer;
+    });
+    return box;
+  }
+
+  /** Sends a request and waits for its answer. */
+  ask(id: string, request: LogRequest): Answer {
+    const box = this.submit(id, request);
+    this.until(`an answer to ${request.kind}`, () => box.answer !== undefined);
+    return box.answer!;
+  }
+
+  change(id: string, change: ConfigChange): Answer {
+    return this.ask(id, {kind: 'change', change});
+  }
+
+  members(id: string, request: MembershipRequest): Answer {
+    return this.ask(id, {kind: 'members', request});
+  }
+
+  private tick(id: string, node: ConfigNode): void {
+    if (this.running.get(id) !== node) return;
+    node.tick(this.clock.now());
+    this.clock.schedule(TICK_MS, () => this.tick(id, node));
+  }
+}
--- /dev/null
+++ b/test-support/fakes/fake_disk.ts
@@ -0,0 +1,202 @@
+import {Result} from 'true-myth';
+import {Disk} from '../../src/core/config/storage/disk.js';
+import type {DiskError} from '../../src/core/config/storage/disk_error.js';
+import type {DiskOp} from '../../src/core/config/storage/disk_op.js';
+import type {FakeClock} from './fake_clock.js';
+import type {SeededRandom} from './seeded_random.js';
+
+const MIN_SYNC_MS = 1;
+const SYNC_SPREAD_MS = 6;
+const WRITE_MS = 0.05;
+
+interface Inode {
+  /** What a read gives. */
+  cache: Buffer;
+  /** What survives the loss of the machine. */
+  durable: Buffer;
+  /** Ranges that a failed sync has dropped: later syncs skip them. */
+  readonly lost: Array<readonly [number, number]>;
+}
+
+type Done = (result: Result<void, DiskError>, now: number) => void;
+
+/**
+ * A folder in memory that loses what was not synced when the machine is lost,
+ * tears the last write, and fails on demand as real disks do.
+ */
+export class FakeDisk extends Disk {
+  isFull = false;
+  /** Number of syncs that fail from now on. */
+  failingSyncs = 0;
+  /** Syncs that were done, for the cost of a change. */
+  syncs = 0;
+  private names = new Map<string, Inode>();
+  private durableNames = new Map<string, Inode>();
+  /** Changes of names since the folder was synced. */
+  private nameChanges: Array<(names: Map<string, Inode>) => void> = [];
+  private readonly queue: Array<{ops: DiskOp[]; done: Done}> = [];
+  private isBusy = false;
+  /** Work of an earlier process is void. */
+  private generation = 0;
+
+  constructor(
+    private readonly clock: FakeClock,
+    private readonly random: SeededRandom,
+  ) {
+    super();
+  }
+
+  override list(): Result<string[], DiskError> {
+    return Result.ok([...this.names.keys()]);
+  }
+
+  override read(file: string): Result<Uint8Array, DiskError> {
+    const inode = this.names.get(file);
+    return inode
+      ? Result.ok(Buffer.from(inode.cache))
+      : Result.err({kind: 'io', detail: `${file} is absent`});
+  }
+
+  override run(ops: readonly DiskOp[], done: Done): void {
+    this.queue.push({ops: [...ops], done});
+    this.next();
+  }
+
+  /** Replaces a file's bytes, synced ones included, as a bad sector does. */
+  corrupt(file: string, change: (bytes: Buffer) => Buffer): void {
+    const inode = this.names.get(file)!;
+    inode.cache = change(Buffer.from(inode.cache));
+    inode.durable = Buffer.from(inode.cache);
+  }
+
+  /** The process dies; what it has written stays in the page cache. */
+  kill(): void {
+    this.generation += 1;
+    this.queue.length = 0;
+    this.isBusy = false;
+  }
+
+  /** The machine dies: only synced content surely survives. */
+  crash(): void {
+    this.kill();
+    const kept = this.random.below(this.nameChanges.length + 1);
+    for (const change of this.nameChanges.slice(0, kept)) {
+      change(this.durableNames);
+    }
+    this.nameChanges = [];
+    this.names = new Map();
+    for (const [name, inode] of this.durableNames) {
+      const content = this.tear(inode);
+      const survivor = {cache: content, durable: content, lost: []};
+      this.names.set(name, survivor);
+    }
+    this.durableNames = new Map(this.names);
+  }
+
+  /** The disk is replaced by an empty one. */
+  wipe(): void {
+    this.kill();
+    this.names.clear();
+    this.durableNames.clear();
+    this.nameChanges = [];
+  }
+
+  private tear(inode: Inode): Buffer {
+    const {cache, durable} = inode;
+    const extra = cache.length - durable.length;
+    if (extra <= 0) return Buffer.from(durable);
+    const kept = this.random.below(extra + 1);
+    const torn = Buffer.from(cache.subarray(0, durable.length + kept));
+    durable.copy(torn);
+    // Part of the last write may be on the disk as zeros.
+    if (kept > 0 && this.random.next() < 0.5) {
+      torn.fill(0, durable.length, durable.length + this.random.below(kept));
+    }
+    return torn;
+  }
+
+  private next(): void {
+    const job = this.queue[0];
+    if (!job || this.isBusy) return;
+    this.isBusy = true;
+    const {generation} = this;
+    const op = job.ops.shift();
+    const isSync = op?.op === 'sync' || op?.op === 'sync_folder';
+    const delay = isSync
+      ? MIN_SYNC_MS + this.random.next() * SYNC_SPREAD_MS
+      : WRITE_MS;
+    this.clock.schedule(op ? delay : 0, () => {
+      if (generation !== this.generation) return;
+      this.isBusy = false;
+      const error = op && this.apply(op);
+      if (error || !op) {
+        this.queue.shift();
+        const result = error ? Result.err(error) : Result.ok(undefined);
+        job.done(result as Result<void, DiskError>, this.clock.now());
+      }
+      if (generation === this.generation) this.next();
+    });
+  }
+
+  private apply(op: DiskOp): DiskError | undefined {
+    switch (op.op) {
+      case 'append':
+        return this.append(op.file, Buffer.from(op.bytes));
+      case 'sync':
+        return this.sync(this.names.get(op.file)!);
+      case 'rename':
+        this.changeName(names => {
+          const inode = names.get(op.file);
+          names.delete(op.file);
+          if (inode) names.set(op.to, inode);
+        });
+        return undefined;
+      case 'remove':
+        if (!this.names.has(op.file)) return undefined;
+        this.changeName(names => names.delete(op.file));
+        return undefined;
+      case 'sync_folder':
+        this.syncs += 1;
+        if (this.isSyncFailing()) return {kind: 'sync', detail: 'fake'};
+        this.durableNames = new Map(this.names);
+        this.nameChanges = [];
+        return undefined;
+    }
+  }
+
+  private append(file: string, bytes: Buffer): DiskError | undefined {
+    if (!this.names.has(file)) {
+      const fresh = {cache: Buffer.alloc(0), durable: Buffer.alloc(0)};
+      const inode = {...fresh, lost: []};
+      this.changeName(names => names.set(file, inode));
+    }
+    const inode = this.names.get(file)!;
+    // A full disk takes part of the write.
+    const taken = this.isFull ? this.random.below(bytes.length) : bytes.length;
+    inode.cache = Buffer.concat([inode.cache, bytes.subarray(0, taken)]);
+    return this.isFull ? {kind: 'full', detail: 'no space (fake)'} : undefined;
+  }
+
+  private sync(inode: Inode): DiskError | undefined {
+    this.syncs += 1;
+    if (this.isSyncFailing()) {
+      // The kernel drops the pages and reports the error once.
+      inode.lost.push([inode.durable.length, inode.cache.length]);
+      return {kind: 'sync', detail: 'sync failed (fake)'};
+    }
+    inode.durable = Buffer.from(inode.cache);
+    for (const [from, to] of inode.lost) inode.durable.fill(0, from, to);
+    return undefined;
+  }
+
+  private isSyncFailing(): boolean {
+    if (this.failingSyncs === 0) return false;
+    this.failingSyncs -= 1;
+    return true;
+  }
+
+  private changeName(change: (names: Map<string, Inode>) => void): void {
+    change(this.names);
+    this.nameChanges.push(change);
+  }
+}
--- /dev/null
+++ b/test-support/fakes/lossy_peers.ts
@@ -0,0 +1,106 @@
+import {Encoder} from 'cbor-x';
+import {Result} from 'true-myth';
+import type {PeerError} from '../../src/core/peer/peer_error.js';
+import {PeerTransport} from '../../src/core/peer/peer_transport.js';
+import type {FakeClock} from './fake_clock.js';
+import type {SeededRandom} from './seeded_random.js';
+
+const cbor = new Encoder({useRecords: false, mapsAsObjects: true});
+
+/** One-way messages between fake nodes, with loss, delay and cuts. */
+export class LossyPeers {
+  /** Share of messages that vanish. */
+  loss = 0;
+  minDelayMs = 0.5;
+  maxDelayMs = 1.5;
+  /** Messages and bytes of each node, both directions. */
+  readonly messages = new Map<string, number>();
+  readonly bytes = new Map<string, number>();
+  /** Messages lost by chance or by a cut. */
+  lost = 0;
+  private readonly ends = new Map<string, PeerEnd>();
+  private readonly cuts = new Set<string>();
+
+  constructor(
+    readonly clock: FakeClock,
+    private readonly random: SeededRandom,
+  ) {}
+
+  /** A transport for a node that starts; the one before it goes deaf. */
+  connect(node: string): PeerTransport {
+    const end = new PeerEnd(node, this);
+    this.ends.set(node, end);
+    return end;
+  }
+
+  disconnect(node: string): void {
+    this.ends.delete(node);
+  }
+
+  /** Cuts one direction of a link. */
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  /** Cuts every link between the nodes and the others, both ways. */
+  isolate(nodes: readonly string[], others: readonly string[]): void {
+    for (const a of nodes) {
+      for (const b of others) {
+        if (nodes.includes(b)) continue;
+        this.cut(a, b);
+        this.cut(b, a);
+      }
+    }
+  }
+
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  transmit(from: PeerEnd, to: string, kind: string, body: unknown): void {
+    if (this.ends.get(from.node) !== from) return;
+    const encoded = cbor.encode(body);
+    this.count(from.node, encoded.length);
+    const isCut = this.cuts.has(`${from.node}>${to}`);
+    if (isCut || this.random.next() < this.loss) {
+      this.lost += 1;
+      return;
+    }
+    const spread = this.maxDelayMs - this.minDelayMs;
+    const delay = this.minDelayMs + this.random.next() * spread;
+    this.clock.schedule(delay, () => {
+      // A cut also drops what is on its way.
+      if (this.cuts.has(`${from.node}>${to}`)) return;
+      const end = this.ends.get(to);
+      if (!end) return;
+      this.count(to, encoded.length);
+      end.deliver(from.node, kind, cbor.decode(encoded), this.clock.now());
+    });
+  }
+
+  private count(node: string, bytes: number): void {
+    this.messages.set(node, (this.messages.get(node) ?? 0) + 1);
+    this.bytes.set(node, (this.bytes.get(node) ?? 0) + bytes);
+  }
+}
+
+class PeerEnd extends PeerTransport {
+  constructor(
+    readonly node: string,
+    private readonly network: LossyPeers,
+  ) {
+    super();
+  }
+
+  override send(node: string, kind: string, body: unknown): void {
+    this.network.transmit(this, node, kind, body);
+  }
+
+  override async request(): Promise<Result<unknown, PeerError>> {
+    return Result.err({kind: 'unsent', detail: 'one-way messages only'});
+  }
+
+  deliver(from: string, kind: string, body: unknown, now: number): void {
+    this.messageHandlers.get(kind)?.(from, body, now);
+  }
+}
