Check settings whole and bound the HTTP servers

Settings were checked field by field with validator messages that named no accepted form, and relations between values were mostly unchecked. The HTTP server bounded header time only; a malformed request got an empty 400 from Node, deep JSON reached recursive encoders, and an over-long body destroyed the connection before the 413 was read.

HttpServer bounds connections, requests, header, URL, body and nesting, and answers each refusal with a problem document that names the outcome.

Ruled out: answering a parse error on the connection while an earlier request is open, since the caller would take it for that request's answer.

--- a/src/adapter/http/caller_api.ts
+++ b/src/adapter/http/caller_api.ts
@@ -11,11 +11,12 @@
 import {RunOutcome} from '../../core/job/run_outcome.js';
 import type {JobRequest} from '../../daemon/zone/job_request.js';
 import {JobSubmission} from './job_submission.js';
-import {readJson} from './read_json.js';
+import type {JsonBodyReader} from './json_body_reader.js';
+import {pathKey} from './path_key.js';
 import {sendJson} from './send_json.js';
 import {sendProblem} from './send_problem.js';
 
-const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024;
 const MAX_WAIT_MS = 60_000;
 
 const STATUS: Readonly<Record<Refusal['code'], number>> = {
@@ -34,6 +35,8 @@
 interface CallerApiOptions {
   readonly zone: string;
   readonly clock: Clock;
+  /** Largest body of a submission. Default 8 MiB. */
+  readonly maxBodyBytes?: number | undefined;
   readonly route: (
     key: JobKey,
     req: JobRequest,
@@ -42,7 +45,11 @@
 
 /** HTTP API for callers: submit, fetch, cancel and acknowledge jobs. */
 export class CallerApi {
-  constructor(private readonly opts: CallerApiOptions) {}
+  private readonly maxBodyBytes: number;
+
+  constructor(private readonly opts: CallerApiOptions) {
+    this.maxBodyBytes = opts.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+  }
 
   /** `POST /v1/keys` */
   mintKey(res: ServerResponse): void {
@@ -50,19 +57,25 @@
   }
 
   /** `POST /v1/jobs` */
-  async submit(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async submit(
+    req: IncomingMessage,
+    res: ServerResponse,
+    bodies: JsonBodyReader,
+  ): Promise<void> {
     const header = req.headers['idempotency-key'];
     const key = JobKey.parse(
       typeof header === 'string' ? unquote(header) : this.newKey(),
     );
     if (key.isErr) return invalid(res, 400, key.error);
-    const body = await readJson(req, MAX_BODY_BYTES);
-    if (body.isErr) return invalid(res, body.error.status, body.error.detail);
+    const body = await bodies.read(req, this.maxBodyBytes);
+    if (body.isErr) return refuseBody(res, body.error);
     const parsed = v.safeParse(JobSubmission, body.value);
     if (!parsed.success) return invalid(res, 400, issuesOf(parsed.issues));
     const spec = this.specOf(key.value, parsed.output);
     const waitMs = parsed.output.wait_ms;
     if (parsed.output.cancel_on_disconnect) {
+      // The caller may have gone while its body was read.
+      if (res.destroyed) return;
       res.once('close', () => {
         if (!res.writableFinished) this.cancelQuietly(key.value);
       });
@@ -77,9 +90,9 @@
 
   /** `GET /v1/jobs/KEY` */
   async fetch(res: ServerResponse, text: string, wait: string): Promise<void> {
-    const key = JobKey.parse(text);
+    const key = JobKey.parse(pathKey(text));
     if (key.isErr) return invalid(res, 400, key.error);
-    const waitMs = Number(wait);
+    const waitMs = /^\d{1,9}$/.test(wait) ? Number(wait) : Number.NaN;
     if (!(waitMs >= 0 && waitMs <= MAX_WAIT_MS)) {
       return invalid(res, 400, `wait_ms must be from 0 to ${MAX_WAIT_MS}`);
     }
@@ -96,7 +109,7 @@
     text: string,
     kind: 'cancel' | 'acknowledge',
   ): Promise<void> {
-    const key = JobKey.parse(text);
+    const key = JobKey.parse(pathKey(text));
     if (key.isErr) return invalid(res, 400, key.error);
     await this.serve(res, key.value, {kind, key: key.value.text});
   }
@@ -117,7 +130,10 @@
   }
 
   private cancelQuietly(key: JobKey): void {
-    void this.opts.route(key, {kind: 'cancel', key: key.text});
+    // Nobody is left to tell when the cancel fails.
+    this.opts
+      .route(key, {kind: 'cancel', key: key.text})
+      .catch(() => undefined);
   }
 
   private newKey(): string {
@@ -151,6 +167,14 @@
   sendProblem(res, {status, code: 'invalid', outcome, detail});
 }
 
+function refuseBody(
+  res: ServerResponse,
+  error: {status: number; detail: string; retryAfterMs?: number},
+): void {
+  const code = error.status === 503 ? 'overloaded' : 'invalid';
+  sendProblem(res, {...error, code, outcome: RunOutcome.notRun});
+}
+
 function issuesOf(issues: readonly v.BaseIssue<unknown>[]): string {
   return issues
     .map(issue => `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`)
--- /dev/null
+++ b/src/adapter/http/connection_tracker.ts
@@ -0,0 +1,122 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {STATUS_CODES} from 'node:http';
+import type {Socket} from 'node:net';
+import {RunOutcome} from '../../core/job/run_outcome.js';
+import {problemDocument} from './problem_document.js';
+
+interface Exchange {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+}
+
+interface Connection {
+  requests: number;
+  /** Requests that have no complete response yet, in order. */
+  readonly open: Set<Exchange>;
+  last: Exchange | undefined;
+  /** True when no further request is taken from the connection. */
+  isClosing: boolean;
+}
+
+interface ClientError extends Error {
+  readonly code?: string;
+}
+
+const STATUS_OF_CODE: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+/**
+ * Knows the open requests of each connection, so that a parse error is answered
+ * on the connection only where the answer cannot be taken for that of an
+ * earlier, well-formed request.
+ */
+export class ConnectionTracker {
+  /** While true every response closes its connection. */
+  isClosing = false;
+  private readonly connections = new WeakMap<Socket, Connection>();
+
+  constructor(
+    server: Server,
+    private readonly maxRequests: number,
+  ) {
+    server.on('clientError', (err: ClientError, socket) =>
+      this.refuse(err, socket as Socket),
+    );
+  }
+
+  /** Notes a request; false if its connection takes no further one. */
+  open(req: IncomingMessage, res: ServerResponse): boolean {
+    const connection = this.of(req.socket);
+    if (connection.isClosing) return false;
+    connection.requests += 1;
+    if (connection.requests >= this.maxRequests) connection.isClosing = true;
+    if (connection.isClosing || this.isClosing) {
+      res.setHeader('connection', 'close');
+    }
+    const exchange = {req, res};
+    connection.last = exchange;
+    connection.open.add(exchange);
+    res.once('close', () => connection.open.delete(exchange));
+    // A broken connection is no error of the server.
+    res.on('error', () => undefined);
+    return true;
+  }
+
+  private of(socket: Socket): Connection {
+    const known = this.connections.get(socket);
+    if (known) return known;
+    const connection: Connection = {
+      requests: 0,
+      open: new Set(),
+      last: undefined,
+      isClosing: false,
+    };
+    this.connections.set(socket, connection);
+    return connection;
+  }
+
+  private refuse(err: ClientError, socket: Socket): void {
+    const connection = this.of(socket);
+    connection.isClosing = true;
+    if (!socket.writable || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const {last, open} = connection;
+    const isPartOfLast = last !== undefined && !last.req.complete;
+    const earlier = [...open].filter(e => e !== last || !isPartOfLast);
+    if (earlier.length > 0) {
+      // The open requests get their answers; the malformed one gets none.
+      for (const {res} of earlier) {
+        res.once('close', () => {
+          if (connection.open.size === 0) socket.destroySoon();
+        });
+      }
+      return;
+    }
+    if (isPartOfLast && last.res.headersSent) {
+      socket.destroy();
+      return;
+    }
+    socket.end(rawProblem(err), () => socket.destroy());
+  }
+}
+
+/** A response for a request that Node could not parse. */
+function rawProblem(err: ClientError): string {
+  const status = STATUS_OF_CODE[err.code ?? ''] ?? 400;
+  const {headers, body} = problemDocument({
+    status,
+    code: status === 408 ? 'timeout' : 'invalid',
+    outcome: RunOutcome.notRun,
+    detail: err.message,
+  });
+  const lines = Object.entries({...headers, connection: 'close'}).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  const reason = STATUS_CODES[status] ?? '';
+  return `HTTP/1.1 ${status} ${reason}\r\n${lines.join('')}\r\n${body}`;
+}
--- /dev/null
+++ b/src/adapter/http/http_server.ts
@@ -0,0 +1,187 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import restana from 'restana';
+import {RunOutcome} from '../../core/job/run_outcome.js';
+import {checkBodyHeaders} from './check_body_headers.js';
+import {checkRequest} from './check_request.js';
+import {ConnectionTracker} from './connection_tracker.js';
+import type {HttpLimits} from './http_limits.js';
+import {JsonBodyReader} from './json_body_reader.js';
+import type {Problem} from './problem.js';
+import {sendProblem} from './send_problem.js';
+
+const MAX_HEADER_BYTES = 16 * 1024;
+/** How often Node looks for connections that exceed a timeout. */
+const CHECK_INTERVAL_MS = 1_000;
+const TCP_KEEP_ALIVE_MS = 10_000;
+/** Found routes that the router keeps; paths hold job keys and rarely repeat. */
+const ROUTE_CACHE_SIZE = 256;
+const METHODS = ['GET', 'POST', 'PUT', 'DELETE'] as const;
+
+type Method = (typeof METHODS)[number];
+
+interface HttpServerOptions {
+  readonly host: string;
+  /** 0 takes any free port. */
+  readonly port: number;
+  readonly limits?: HttpLimits | undefined;
+  /** Refuses a request before it is routed, for example without a token. */
+  readonly guard?: (
+    req: IncomingMessage,
+    res: ServerResponse,
+  ) => Problem | undefined;
+  readonly onError: (detail: string) => void;
+}
+
+interface RouteOptions {
+  /** Whether the request carries a JSON body. Default false. */
+  readonly takesBody?: boolean;
+}
+
+type Handler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  params: Readonly<Record<string, string>>,
+) => void | Promise<void>;
+
+/**
+ * An HTTP server that answers every malformed request with a problem document
+ * and can stop without cutting a request short.
+ */
+export class HttpServer {
+  readonly bodies = new JsonBodyReader();
+  private readonly server: Server;
+  private readonly app: restana.Service<restana.Protocol.HTTP>;
+  private readonly connections: ConnectionTracker;
+
+  constructor(private readonly opts: HttpServerOptions) {
+    const {limits = {}} = opts;
+    this.server = createServer({
+      headersTimeout: limits.headersTimeoutMs ?? 5_000,
+      requestTimeout: limits.requestTimeoutMs ?? 30_000,
+      keepAliveTimeout: limits.keepAliveTimeoutMs ?? 60_000,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      keepAlive: true,
+      keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
+      // `checkRequest` answers with a problem document instead.
+      requireHostHeader: false,
+    });
+    this.server.maxConnections = limits.maxConnections ?? 10_000;
+    this.server.timeout = limits.silenceTimeoutMs ?? 90_000;
+    this.connections = new ConnectionTracker(
+      this.server,
+      limits.maxRequestsPerConnection ?? 100_000,
+    );
+    this.app = restana<restana.Protocol.HTTP>({
+      routerCacheSize: ROUTE_CACHE_SIZE,
+      defaultRoute: (req, res) => this.refuseRoute(req, res),
+      errorHandler: (err, _req, res) => this.fail(err, res),
+    });
+    this.server.on('request', (req, res) => this.handle(req, res));
+    this.server.on('checkExpectation', (req, res) => {
+      this.connections.open(req, res);
+      sendProblem(res, UNKNOWN_EXPECTATION);
+    });
+  }
+
+  /** Port in use, for settings that ask for any free one. */
+  get port(): number {
+    const address = this.server.address();
+    return typeof address === 'object' && address ? address.port : 0;
+  }
+
+  /** Adds a route; `:name` in the path matches one segment. */
+  route(
+    method: Method,
+    path: string,
+    handler: Handler,
+    {takesBody = false}: RouteOptions = {},
+  ): void {
+    const register = method.toLowerCase() as Lowercase<Method>;
+    this.app[register](path, (req, res) => {
+      const problem = checkBodyHeaders(req, takesBody);
+      if (problem) return sendProblem(res, problem);
+      return handler(req, res, req.params);
+    });
+  }
+
+  /** Routes as `METHOD/path`, in the order in which they were added. */
+  routes(): readonly string[] {
+    return this.app.routes();
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.opts.port, this.opts.host, () => {
+        this.server.off('error', reject);
+        this.server.on('error', err => this.opts.onError(String(err)));
+        resolve();
+      });
+    });
+  }
+
+  /** Goes on serving, but asks every client to close its connection. */
+  announceDrain(): void {
+    this.connections.isClosing = true;
+  }
+
+  /** Stops listening and waits until every open request is answered. */
+  async drain(): Promise<void> {
+    this.announceDrain();
+    await new Promise<void>(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  private handle(req: IncomingMessage, res: ServerResponse): void {
+    if (!this.connections.open(req, res)) return;
+    const problem = checkRequest(req) ?? this.opts.guard?.(req, res);
+    if (problem) return sendProblem(res, problem);
+    try {
+      this.app.handle(req as never, res as never);
+    } catch (err) {
+      this.fail(err, res);
+    }
+  }
+
+  private refuseRoute(req: IncomingMessage, res: ServerResponse): void {
+    const path = (req.url ?? '/').split('?')[0]!;
+    const router = this.app.getRouter() as unknown as {
+      find(method: string, path: string): {handlers: unknown[]};
+    };
+    const allowed = METHODS.filter(
+      method => router.find(method, path).handlers.length > 0,
+    );
+    const outcome = RunOutcome.notRun;
+    if (allowed.length > 0) {
+      res.setHeader('allow', allowed.join(', '));
+      const detail = `${path} allows ${allowed.join(', ')}`;
+      const code = 'method_not_allowed';
+      return sendProblem(res, {status: 405, code, outcome, detail});
+    }
+    const detail = `there is no ${req.method} ${path}`;
+    sendProblem(res, {status: 404, code: 'no_route', outcome, detail});
+  }
+
+  private fail(err: unknown, res: ServerResponse): void {
+    this.opts.onError(err instanceof Error ? `${err.stack}` : String(err));
+    sendProblem(res, INTERNAL);
+    if (!res.writableEnded) res.destroy();
+  }
+}
+
+const UNKNOWN_EXPECTATION: Problem = {
+  status: 417,
+  code: 'invalid',
+  outcome: RunOutcome.notRun,
+  detail: 'the only supported expectation is 100-continue',
+};
+const INTERNAL: Problem = {
+  status: 500,
+  code: 'internal',
+  outcome: RunOutcome.unknown,
+  detail: 'internal error',
+};
--- /dev/null
+++ b/src/adapter/http/json_body_reader.ts
@@ -0,0 +1,97 @@
+import type {IncomingMessage} from 'node:http';
+import {Result} from 'true-myth';
+import {isNestedDeeperThan} from './json_depth.js';
+
+/** Deeper JSON would exhaust the stack of every recursive encoder after us. */
+const MAX_DEPTH = 64;
+/** Bodies held at once by one daemon; many slow uploads must not fill memory. */
+const DEFAULT_MAX_TOTAL_BYTES = 256 * 1024 * 1024;
+const RETRY_AFTER_MS = 1_000;
+
+interface BodyError {
+  readonly status: 400 | 413 | 503;
+  readonly detail: string;
+  readonly retryAfterMs?: number;
+}
+
+interface JsonBodyReaderOptions {
+  /** Bytes of all bodies being read at once. Default 256 MiB. */
+  readonly maxTotalBytes?: number;
+}
+
+/** Reads JSON bodies within bounds; every bad body is an error value. */
+export class JsonBodyReader {
+  private heldBytes = 0;
+  private readonly maxTotalBytes: number;
+
+  constructor(opts: JsonBodyReaderOptions = {}) {
+    this.maxTotalBytes = opts.maxTotalBytes ?? DEFAULT_MAX_TOTAL_BYTES;
+  }
+
+  /**
+   * The body of `req`. After an error the rest of the body is discarded, so
+   * that the client still reads the response.
+   */
+  async read(
+    req: IncomingMessage,
+    maxBytes: number,
+  ): Promise<Result<unknown, BodyError>> {
+    const bytes = await this.collect(req, maxBytes);
+    return bytes.isErr ? Result.err(bytes.error) : parseJson(bytes.value);
+  }
+
+  private collect(
+    req: IncomingMessage,
+    maxBytes: number,
+  ): Promise<Result<Buffer, BodyError>> {
+    return new Promise(resolve => {
+      const chunks: Buffer[] = [];
+      let bytes = 0;
+      const finish = (result: Result<Buffer, BodyError>) => {
+        this.heldBytes -= bytes;
+        bytes = 0;
+        req.off('data', take).off('end', end).off('close', cut);
+        req.resume();
+        resolve(result);
+      };
+      const take = (chunk: Buffer) => {
+        bytes += chunk.length;
+        this.heldBytes += chunk.length;
+        if (bytes > maxBytes) {
+          const detail = `the body is over ${maxBytes} bytes`;
+          finish(Result.err({status: 413, detail}));
+        } else if (this.heldBytes > this.maxTotalBytes) {
+          finish(Result.err(TOO_MANY));
+        } else {
+          chunks.push(chunk);
+        }
+      };
+      const end = () => finish(Result.ok(Buffer.concat(chunks)));
+      const cut = () => finish(Result.err(CUT_SHORT));
+      // An aborted upload emits an error before its close event.
+      req.on('error', () => undefined);
+      req.on('data', take).on('end', end).on('close', cut);
+      if (req.destroyed) cut();
+    });
+  }
+}
+
+const CUT_SHORT: BodyError = {status: 400, detail: 'the body ended early'};
+const TOO_MANY: BodyError = {
+  status: 503,
+  detail: 'too many request bodies are being read at once',
+  retryAfterMs: RETRY_AFTER_MS,
+};
+
+function parseJson(bytes: Buffer): Result<unknown, BodyError> {
+  if (isNestedDeeperThan(bytes, MAX_DEPTH)) {
+    const detail = `the body is nested deeper than ${MAX_DEPTH} levels`;
+    return Result.err({status: 400, detail});
+  }
+  try {
+    const text = new TextDecoder('utf-8', {fatal: true}).decode(bytes);
+    return Result.ok(JSON.parse(text));
+  } catch {
+    return Result.err({status: 400, detail: 'the body is not JSON in UTF-8'});
+  }
+}
--- a/src/adapter/http/send_json.ts
+++ b/src/adapter/http/send_json.ts
@@ -7,7 +7,12 @@
   body: unknown,
   headers: Readonly<Record<string, string>> = {},
 ): void {
-  if (res.headersSent) return;
-  res.writeHead(status, {'content-type': 'application/json', ...headers});
-  res.end(JSON.stringify(body));
+  if (res.headersSent || res.destroyed) return;
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  res.end(text);
 }
--- a/src/adapter/http/worker_api.ts
+++ b/src/adapter/http/worker_api.ts
@@ -1,7 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import * as v from 'valibot';
 import {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
-import {readJson} from './read_json.js';
+import {RunOutcome} from '../../core/job/run_outcome.js';
+import type {JsonBodyReader} from './json_body_reader.js';
 import {sendJson} from './send_json.js';
 import {sendProblem} from './send_problem.js';
 
@@ -24,17 +25,22 @@
 export class WorkerApi {
   constructor(private readonly opts: WorkerApiOptions) {}
 
-  async announce(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const body = await readJson(req, MAX_BODY_BYTES);
+  async announce(
+    req: IncomingMessage,
+    res: ServerResponse,
+    bodies: JsonBodyReader,
+  ): Promise<void> {
+    const body = await bodies.read(req, MAX_BODY_BYTES);
+    const outcome = RunOutcome.notRun;
     if (body.isErr) {
-      sendProblem(res, {...body.error, code: 'invalid'});
+      sendProblem(res, {...body.error, code: 'invalid', outcome});
       return;
     }
     const parsed = v.safeParse(WorkerAnnouncement, body.value);
     if (!parsed.success) {
       const [issue] = parsed.issues;
       const detail = `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`;
-      sendProblem(res, {status: 400, code: 'invalid', detail});
+      sendProblem(res, {status: 400, code: 'invalid', outcome, detail});
       return;
     }
     const grant = await this.opts.announce(parsed.output);
@@ -45,6 +51,7 @@
     sendProblem(res, {
       status: 503,
       code: 'unreachable',
+      outcome,
       detail: `no dispatcher of zone "${parsed.output.zone}" can be reached`,
       retryAfterMs: RETRY_AFTER_MS,
     });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,6 +9,7 @@
 import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
 import {SubmissionGate} from '../core/dispatch/submission_gate.js';
 import {SoloReplicator} from '../core/group/solo_replicator.js';
+import {httpLimits} from './settings/http_limits.js';
 import type {Settings} from './settings/settings.js';
 import {Service} from './supervisor/service.js';
 import {Supervisor} from './supervisor/supervisor.js';
@@ -83,9 +84,11 @@
     );
     this.server = new CallerServer({
       ...settings.caller,
+      limits: httpLimits(settings),
       callers: new CallerApi({
         zone: self.zone,
         clock,
+        maxBodyBytes: settings.http.max_body_bytes,
         route: (key, req) => jobs.route(key, req),
       }),
       workers: new WorkerApi({announce: a => workers.announce(a)}),
--- a/src/daemon/log/create_log.ts
+++ b/src/daemon/log/create_log.ts
@@ -1,27 +1,43 @@
-import {createConsola} from 'consola';
+import {createConsola, LogLevels} from 'consola';
 import type {ConsolaInstance, LogObject} from 'consola';
 
+interface LogOptions {
+  readonly node: string;
+  readonly zone: string;
+  /** Least severe level that is logged. Default `info`. */
+  readonly level?: 'error' | 'warn' | 'info' | 'debug';
+  /** Whether people read the log on a terminal. Default: if stderr is one. */
+  readonly isTerminal?: boolean;
+  /** Takes each JSON line, its newline included. Default: stderr. */
+  readonly write?: (line: string) => void;
+}
+
 /**
  * A log for people on a terminal, and one JSON object a line elsewhere. Fields
- * come as an object after the message; task payloads are never logged.
+ * come as an object after the message: `job`, `class`, `zone`, `worker` and the
+ * like. Task payloads are never logged.
  */
-export function createLog(node: string): ConsolaInstance {
-  if (process.stderr.isTTY) return createConsola().withTag(node);
+export function createLog(opts: LogOptions): ConsolaInstance {
+  const level = LogLevels[opts.level ?? 'info'];
+  if (opts.isTerminal ?? process.stderr.isTTY) {
+    const {stderr} = process;
+    return createConsola({level, stdout: stderr}).withTag(opts.node);
+  }
+  const write = opts.write ?? (line => process.stderr.write(line));
   const reporter = {
-    log: (entry: LogObject) => {
-      process.stderr.write(`${JSON.stringify(toRecord(entry, node))}\n`);
-    },
+    log: (entry: LogObject) => write(`${toLine(entry, opts)}\n`),
   };
-  return createConsola({reporters: [reporter]});
+  return createConsola({level, reporters: [reporter]});
 }
 
-function toRecord(entry: LogObject, node: string): object {
+function toLine(entry: LogObject, {node, zone}: LogOptions): string {
   const [message, fields] = entry.args as [unknown, object | undefined];
-  return {
+  return JSON.stringify({
     time: entry.date.toISOString(),
     level: entry.type,
     node,
+    zone,
     message: String(message),
     ...fields,
-  };
+  });
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -18,7 +18,9 @@
   process.exit(EXIT_SETTINGS);
 }
 
-const log = createLog(settings.value.node);
+const {node, nodes, log_level: level} = settings.value;
+const {zone} = nodes.find(each => each.id === node)!;
+const log = createLog({node, zone, level});
 const daemon = new Daemon(settings.value, new SystemClock(), log);
 
 let isStopping = false;
--- /dev/null
+++ b/src/daemon/settings/http_limits.ts
@@ -0,0 +1,13 @@
+import type {HttpLimits} from '../../adapter/http/http_limits.js';
+import type {Settings} from './settings.js';
+
+/** Bounds of an HTTP server as the settings give them. */
+export function httpLimits({http}: Settings): HttpLimits {
+  return {
+    maxConnections: http.max_connections,
+    maxRequestsPerConnection: http.max_requests_per_connection,
+    headersTimeoutMs: http.headers_timeout_ms,
+    requestTimeoutMs: http.request_timeout_ms,
+    keepAliveTimeoutMs: http.keep_alive_timeout_ms,
+  };
+}
--- a/src/daemon/settings/settings.ts
+++ b/src/daemon/settings/settings.ts
@@ -1,46 +1,103 @@
 import * as v from 'valibot';
 
 const MAX_PORT = 65_535;
+const MAX_NODES = 1_000;
 const ID_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
+const PREFIX_PATTERN = /^[A-Za-z0-9_.-]{0,64}$/;
 
-const name = v.pipe(
-  v.string(),
-  v.regex(ID_PATTERN, 'expected 1 to 63 of a-z, 0-9 and "-"'),
-);
+const NAME_FORM = '1 to 63 of a-z, 0-9 and "-", the first no "-"';
+const PATH_FORM = 'a path that is not empty';
+const BOOLEAN_FORM = 'true or false';
+const LEVELS = ['error', 'warn', 'info', 'debug'] as const;
+const LEVEL_FORM = LEVELS.map(level => `"${level}"`).join(', ');
+
+const name = v.pipe(v.string(NAME_FORM), v.regex(ID_PATTERN, NAME_FORM));
+const path = v.pipe(v.string(PATH_FORM), v.minLength(1, PATH_FORM));
 const address = v.strictObject({
-  host: v.pipe(v.string(), v.ip('expected an IP address')),
-  port: v.pipe(
-    v.number(),
-    v.integer(),
-    v.minValue(0, `expected a port from 0 to ${MAX_PORT}`),
-    v.maxValue(MAX_PORT, `expected a port from 0 to ${MAX_PORT}`),
+  host: v.pipe(
+    v.string('an IP address, as a string'),
+    v.ip('an IP address, as a string'),
   ),
+  port: whole(0, MAX_PORT, 'a port'),
 });
 
-/** Validator of a daemon's settings file. */
+/** A whole number with its range and, where it has one, its unit. */
+function whole(min: number, max: number, what = 'a whole number', unit = '') {
+  const form = `${what} from ${min} to ${max}${unit && ` ${unit}`}`;
+  return v.pipe(
+    v.number(form),
+    v.integer(form),
+    v.minValue(min, form),
+    v.maxValue(max, form),
+  );
+}
+
+const milliseconds = (min: number, max: number) =>
+  whole(min, max, 'a whole number', 'ms');
+
+/**
+ * Validator of a daemon's settings file. The message of each check is the form
+ * that is expected, and error lines are made of it.
+ */
 export const Settings = v.strictObject({
   /** This daemon; one of `nodes`. */
   node: name,
+  /** Address for callers and upstreams. Port 0 takes any free one. */
   caller: address,
+  /** Address of the admin API. */
   admin: address,
   /** File that holds the bearer token of the admin API. */
-  admin_token_file: v.optional(v.string()),
-  /** Folder for durable state, on nodes that have a disk. */
-  data_dir: v.optional(v.string()),
-  /** StatsD server; no metrics are sent without it. */
+  admin_token_file: path,
+  /** Folder for durable state, on nodes that have a disk. Default: no disk. */
+  data_dir: v.optional(path),
+  /** Least severe level that is logged. */
+  log_level: v.optional(v.picklist(LEVELS, `one of ${LEVEL_FORM}`), 'info'),
+  /** StatsD server (UDP); without it no metrics are sent. */
   statsd: v.optional(address),
+  /** Put before the name of each metric. */
+  statsd_prefix: v.optional(
+    v.pipe(
+      v.string('up to 64 of A-Z, a-z, 0-9, "_", "." and "-"'),
+      v.regex(PREFIX_PATTERN, 'up to 64 of A-Z, a-z, 0-9, "_", "." and "-"'),
+    ),
+    'pimentoyoke.',
+  ),
+  /**
+   * Time between the health check's 503 and the end of listening, in which the
+   * balancer notices. It must exceed the balancer's check interval.
+   */
+  drain_notice_ms: v.optional(milliseconds(0, 600_000), 3_000),
+  /** Histogram series kept; classes and tenants beyond share one series. */
+  max_histogram_series: v.optional(whole(2, 100_000), 512),
+  /** Bounds of the HTTP servers. */
+  http: v.optional(
+    v.strictObject({
+      max_connections: v.optional(whole(1, 1_000_000), 10_000),
+      max_requests_per_connection: v.optional(whole(1, 1e9), 100_000),
+      max_body_bytes: v.optional(
+        whole(1_024, 64 * 1024 * 1024, 'a whole number', 'bytes'),
+        8 * 1024 * 1024,
+      ),
+      headers_timeout_ms: v.optional(milliseconds(100, 60_000), 5_000),
+      request_timeout_ms: v.optional(milliseconds(100, 600_000), 30_000),
+      keep_alive_timeout_ms: v.optional(milliseconds(100, 600_000), 60_000),
+    }),
+    {},
+  ),
   /** Every daemon of the deployment, this one included. */
   nodes: v.pipe(
     v.array(
       v.strictObject({
         id: name,
         zone: name,
+        /** Address for the other daemons. */
         peer: address,
         /** Whether the node votes on configuration; it needs a disk. */
-        voter: v.optional(v.boolean(), false),
+        voter: v.optional(v.boolean(BOOLEAN_FORM), false),
       }),
     ),
-    v.minLength(1),
+    v.minLength(1, `1 to ${MAX_NODES} nodes`),
+    v.maxLength(MAX_NODES, `1 to ${MAX_NODES} nodes`),
   ),
 });
 
