--- a/src/adapter/http/connection_tracker.ts
+++ b/src/adapter/http/connection_tracker.ts
@@ -34,9 +34,9 @@
  * earlier, well-formed request.
  */
 export class ConnectionTracker {
-  /** While true every response closes its connection. */
-  isClosing = false;
+  private isClosing = false;
   private readonly connections = new WeakMap<Socket, Connection>();
+  private readonly responses = new Set<ServerResponse>();
 
   constructor(
     server: Server,
@@ -47,19 +47,31 @@
     );
   }
 
+  /**
+   * From here on every response closes its connection. Responses of requests
+   * that are open already are included: their connections would outlive the
+   * server's `close` by the keep-alive timeout.
+   */
+  closeAfterResponses(): void {
+    this.isClosing = true;
+    for (const res of this.responses) closeAfter(res);
+  }
+
   /** Notes a request; false if its connection takes no further one. */
   open(req: IncomingMessage, res: ServerResponse): boolean {
     const connection = this.of(req.socket);
     if (connection.isClosing) return false;
     connection.requests += 1;
     if (connection.requests >= this.maxRequests) connection.isClosing = true;
-    if (connection.isClosing || this.isClosing) {
-      res.setHeader('connection', 'close');
-    }
+    if (connection.isClosing || this.isClosing) closeAfter(res);
     const exchange = {req, res};
     connection.last = exchange;
     connection.open.add(exchange);
-    res.once('close', () => connection.open.delete(exchange));
+    this.responses.add(res);
+    res.once('close', () => {
+      connection.open.delete(exchange);
+      this.responses.delete(res);
+    });
     // A broken connection is no error of the server.
     res.on('error', () => undefined);
     return true;
@@ -105,6 +117,10 @@
   }
 }
 
+function closeAfter(res: ServerResponse): void {
+  if (!res.headersSent) res.setHeader('connection', 'close');
+}
+
 /** A response for a request that Node could not parse. */
 function rawProblem(err: ClientError): string {
   const status = STATUS_OF_CODE[err.code ?? ''] ?? 400;
--- a/src/adapter/http/http_server.ts
+++ b/src/adapter/http/http_server.ts
@@ -124,7 +124,7 @@
 
   /** Goes on serving, but asks every client to close its connection. */
   announceDrain(): void {
-    this.connections.isClosing = true;
+    this.connections.closeAfterResponses();
   }
 
   /** Stops listening and waits until every open request is answered. */
