Add the admin API, histograms, metrics and log fields

Operators had no way to see or change anything. AdminServer listens on its own address behind a bearer token that is compared in constant time. ConfigAdmin is the little it needs of the configuration log; LocalConfigAdmin serves one daemon from memory until the log is joined. DispatchObserver is called from the dispatcher at refusals, starts and ends; histograms are bounded in number.

The health check fails for drain_notice_ms before listening ends, so that a balancer notices; until then requests are served.

--- /dev/null
+++ b/src/adapter/http/bearer_guard.ts
@@ -0,0 +1,33 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {RunOutcome} from '../../core/job/run_outcome.js';
+import type {Problem} from './problem.js';
+
+const SCHEME = /^Bearer +(.+)$/i;
+
+/** Lets requests with the right bearer token pass. */
+export class BearerGuard {
+  private readonly digest: Buffer;
+
+  constructor(token: string) {
+    this.digest = digestOf(token);
+  }
+
+  check(req: IncomingMessage, res: ServerResponse): Problem | undefined {
+    const match = SCHEME.exec(req.headers.authorization ?? '');
+    // Digests have equal lengths, so the time tells nothing about the token.
+    const given = digestOf(match?.[1]?.trim() ?? '');
+    if (timingSafeEqual(given, this.digest) && match) return undefined;
+    res.setHeader('www-authenticate', 'Bearer');
+    return {
+      status: 401,
+      code: 'unauthorized',
+      outcome: RunOutcome.notRun,
+      detail: 'the bearer token is missing or wrong',
+    };
+  }
+}
+
+function digestOf(token: string): Buffer {
+  return createHash('sha256').update(token).digest();
+}
--- /dev/null
+++ b/src/adapter/metrics/histogram_set.ts
@@ -0,0 +1,69 @@
+import {build} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+import type {HistogramSummary} from './histogram_summary.js';
+
+/** One hour; a longer time is counted as this. */
+const MAX_TIME_MS = 3_600_000;
+const SIGNIFICANT_DIGITS = 2;
+/** No class or tenant can have this name. */
+const OTHER = '(other)';
+
+type Measure = HistogramSummary['measure'];
+type Grouping = HistogramSummary['by'];
+
+interface Series {
+  readonly measure: Measure;
+  readonly by: Grouping;
+  readonly name: string;
+  readonly histogram: Histogram;
+}
+
+/**
+ * Time histograms per class and per tenant. Their number is bounded, because
+ * callers choose tenant names: names beyond the bound share one series.
+ */
+export class HistogramSet {
+  private readonly series = new Map<string, Series>();
+
+  /** @param maxSeries Series besides the shared ones. */
+  constructor(private readonly maxSeries: number) {}
+
+  record(measure: Measure, by: Grouping, name: string, ms: number): void {
+    const {histogram} = this.find(measure, by, name);
+    const value = Math.min(MAX_TIME_MS, Math.max(0, Math.round(ms)));
+    histogram.recordValue(value);
+  }
+
+  summaries(): HistogramSummary[] {
+    return [...this.series.values()].map(
+      ({measure, by, name, histogram: h}) => ({
+        measure,
+        by,
+        name,
+        count: h.totalCount,
+        mean_ms: Math.round(h.mean),
+        p50_ms: h.getValueAtPercentile(50),
+        p90_ms: h.getValueAtPercentile(90),
+        p99_ms: h.getValueAtPercentile(99),
+        max_ms: h.maxValue,
+      }),
+    );
+  }
+
+  private find(measure: Measure, by: Grouping, name: string): Series {
+    const key = `${measure}/${by}/${name}`;
+    const known = this.series.get(key);
+    if (known) return known;
+    if (this.series.size >= this.maxSeries && name !== OTHER) {
+      return this.find(measure, by, OTHER);
+    }
+    const histogram = build({
+      lowestDiscernibleValue: 1,
+      highestTrackableValue: MAX_TIME_MS,
+      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    });
+    const series = {measure, by, name, histogram};
+    this.series.set(key, series);
+    return series;
+  }
+}
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -16,6 +16,7 @@
 import type {WorkerRegistry} from '../worker/worker_registry.js';
 import {ActiveJob} from './active_job.js';
 import {AttemptManager} from './attempt_manager.js';
+import type {DispatchObserver} from './dispatch_observer.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
 import {resumeJob} from './resume_job.js';
 import {SubmissionGate} from './submission_gate.js';
@@ -31,6 +32,8 @@
   readonly retry: RetryPolicy;
   readonly config: ConfigSource;
   readonly upstream: UpstreamClient;
+  /** Default: nothing is measured. */
+  readonly observer?: DispatchObserver | undefined;
   /** Called on the leader when a job's final state is committed. */
   readonly onFinished: (key: string) => void;
   /** Asks the owner of the loop to call `flush` once, soon. */
@@ -98,7 +101,10 @@
       this.assigner.fleet(epoch, now),
       now,
     );
-    if (decision.isErr) return Result.err(decision.error);
+    if (decision.isErr) {
+      this.opts.observer?.refused(spec, decision.error);
+      return Result.err(decision.error);
+    }
     const job = new ActiveJob(spec, decision.value);
     this.active.set(spec.key, job);
     this.outbox.push({kind: 'accepted', job: spec});
@@ -231,8 +237,10 @@
     this.now = now;
     const starts = new Map<string, RunningAttempt[]>();
     for (const event of events) {
-      this.opts.table.apply(event);
-      if (this.isLeading) this.act(event, starts);
+      const ended = this.opts.table.apply(event);
+      if (!this.isLeading) continue;
+      if (ended) this.opts.observer?.finished(ended, now);
+      this.act(event, starts);
     }
     for (const [id, attempts] of starts) this.send(id, attempts, now);
   }
@@ -265,6 +273,7 @@
       this.attempts.withdraw(attempt, 'the job ended before the start');
       return;
     }
+    this.opts.observer?.started(job.spec, this.now - job.spec.submittedAt);
     const batch = starts.get(event.worker) ?? [];
     batch.push(attempt);
     starts.set(event.worker, batch);
--- a/src/core/job/job_table.ts
+++ b/src/core/job/job_table.ts
@@ -25,18 +25,24 @@
     return this.jobs.values();
   }
 
-  /** Applies a committed event; an event about an unknown job has no effect. */
-  apply(event: JobEvent): void {
+  /**
+   * Applies a committed event; an event about an unknown job has no effect.
+   * Returns the job if the event ended it.
+   */
+  apply(event: JobEvent): JobRecord | undefined {
     switch (event.kind) {
       case 'accepted':
         this.accept(event.job);
-        return;
+        return undefined;
       case 'expired':
         for (const key of event.keys) this.jobs.delete(key);
-        return;
+        return undefined;
       default: {
         const job = this.jobs.get(event.key);
-        if (job) this.applyTo(job, event);
+        if (!job) return undefined;
+        const wasRunning = isRunning(job);
+        this.applyTo(job, event);
+        return wasRunning && !isRunning(job) ? job : undefined;
       }
     }
   }
@@ -144,6 +150,10 @@
   }
 }
 
+function isRunning(job: JobRecord): boolean {
+  return job.status === 'running';
+}
+
 /** The first final state of a job stands; later events do not change it. */
 function finish(
   job: JobRecord,
--- /dev/null
+++ b/src/daemon/admin/config_edit.ts
@@ -0,0 +1,9 @@
+import type {ClassConfig} from '../../core/config/class_config.js';
+import type {TenantConfig} from '../../core/config/tenant_config.js';
+
+/** One change of the configuration, as an operator asks for it. */
+export type ConfigEdit =
+  | {readonly kind: 'set_class'; readonly value: ClassConfig}
+  | {readonly kind: 'delete_class'; readonly name: string}
+  | {readonly kind: 'set_tenant'; readonly value: TenantConfig}
+  | {readonly kind: 'delete_tenant'; readonly name: string};
--- /dev/null
+++ b/src/daemon/admin/local_config_admin.ts
@@ -0,0 +1,81 @@
+import {isDeepStrictEqual} from 'node:util';
+import {Result} from 'true-myth';
+import type {Config} from '../../core/config/config.js';
+import type {StaticConfigSource} from '../../core/config/static_config_source.js';
+import {applyEdit} from './apply_edit.js';
+import {ConfigAdmin} from './config_admin.js';
+import type {ConfigChange} from './config_change.js';
+import type {ConfigOutcome} from './config_outcome.js';
+import type {ConfigRefusal} from './config_refusal.js';
+import type {ConfigStatus} from './config_status.js';
+import {diffConfigs} from './diff_configs.js';
+
+type Outcome = Result<ConfigOutcome, ConfigRefusal>;
+
+const MAX_REMEMBERED = 1_000;
+
+/** Configuration of one daemon in memory; it is lost when the daemon ends. */
+export class LocalConfigAdmin extends ConfigAdmin {
+  private readonly outcomes = new Map<
+    string,
+    {readonly change: ConfigChange; readonly outcome: Outcome}
+  >();
+  private readonly versions = new Map<number, Config>();
+
+  constructor(
+    private readonly source: StaticConfigSource,
+    private readonly node: string,
+  ) {
+    super();
+  }
+
+  override read(): Config {
+    return this.source.current();
+  }
+
+  override status(): ConfigStatus {
+    return {version: this.read().version, leader: this.node, voters: []};
+  }
+
+  override async change(change: ConfigChange): Promise<Outcome> {
+    const earlier = this.outcomes.get(change.key);
+    if (earlier) {
+      if (isDeepStrictEqual(earlier.change, change)) return earlier.outcome;
+      const detail = 'the idempotency key belongs to another change';
+      return Result.err({kind: 'key_reused', detail});
+    }
+    const outcome = this.apply(change);
+    remember(this.outcomes, change.key, {change, outcome});
+    return outcome;
+  }
+
+  override async changeVoters(): Promise<Outcome> {
+    const detail = 'this daemon runs without a configuration log';
+    return Result.err({kind: 'unsupported', detail});
+  }
+
+  private apply({expectedVersion, edit}: ConfigChange): Outcome {
+    const current = this.read();
+    const {version} = current;
+    if (expectedVersion !== version) {
+      const seen = this.versions.get(expectedVersion);
+      const changes = seen && diffConfigs(seen, current);
+      return Result.err({kind: 'conflict', version, changes});
+    }
+    const next = applyEdit(current, edit);
+    if (!next) {
+      const detail = 'there is no entry of this name';
+      return Result.err({kind: 'not_found', detail});
+    }
+    remember(this.versions, version, current);
+    this.source.set(next);
+    return Result.ok({version: next.version});
+  }
+}
+
+function remember<K, V>(map: Map<K, V>, key: K, value: V): void {
+  map.set(key, value);
+  if (map.size <= MAX_REMEMBERED) return;
+  const [oldest] = map.keys();
+  map.delete(oldest!);
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,7 +1,12 @@
+import {readFileSync} from 'node:fs';
 import type {ConsolaInstance} from 'consola';
+import Emittery from 'emittery';
+import {AdminApi} from '../adapter/http/admin_api.js';
+import {AdminServer} from '../adapter/http/admin_server.js';
 import {CallerApi} from '../adapter/http/caller_api.js';
 import {CallerServer} from '../adapter/http/caller_server.js';
 import {WorkerApi} from '../adapter/http/worker_api.js';
+import {Telemetry} from '../adapter/metrics/telemetry.js';
 import {TcpPeerTransport} from '../adapter/peer/tcp_peer_transport.js';
 import {HttpUpstreamClient} from '../adapter/upstream/http_upstream_client.js';
 import type {Clock} from '../core/clock/clock.js';
@@ -9,6 +14,9 @@
 import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
 import {SubmissionGate} from '../core/dispatch/submission_gate.js';
 import {SoloReplicator} from '../core/group/solo_replicator.js';
+import {LocalConfigAdmin} from './admin/local_config_admin.js';
+import {StatusReport} from './admin/status_report.js';
+import {LoggingObserver} from './log/logging_observer.js';
 import {httpLimits} from './settings/http_limits.js';
 import type {Settings} from './settings/settings.js';
 import {Service} from './supervisor/service.js';
@@ -18,14 +26,22 @@
 import {ZoneDirectory} from './zone/zone_directory.js';
 import {ZoneService} from './zone/zone_service.js';
 
+interface DaemonEvents {
+  /** An operator asks for a graceful stop. */
+  drain: undefined;
+}
+
 /** One node of a deployment, put together from its settings. */
 export class Daemon extends Service {
   override readonly name = 'daemon';
+  readonly events = new Emittery<DaemonEvents>();
   private readonly peers: TcpPeerTransport;
   private readonly upstream: HttpUpstreamClient;
   private readonly zone: ZoneService;
   private readonly replicator: SoloReplicator;
   private readonly server: CallerServer;
+  private readonly admin: AdminServer;
+  private readonly telemetry: Telemetry;
   private readonly supervisor: Supervisor;
   private readonly settings: Settings;
   private isDraining = false;
@@ -51,27 +67,37 @@
     this.upstream = new HttpUpstreamClient({
       onError: detail => this.log.debug('upstream error', {detail}),
     });
+    this.telemetry = new Telemetry({
+      statsd: settings.statsd,
+      prefix: settings.statsd_prefix,
+      tags: {node: self.id, zone: self.zone},
+      maxSeries: settings.max_histogram_series,
+      clock,
+      onError: detail => this.log.warn('metrics not sent', {detail}),
+    });
     this.replicator = new SoloReplicator(directory.nodes(self.zone)[0]!);
+    const config = new StaticConfigSource({
+      version: 1,
+      classes: {
+        default: {
+          name: 'default',
+          target_ms: 2_000,
+          percentile: 99,
+          repeatable: false,
+          memory_mb: 0,
+          accelerators: 0,
+        },
+      },
+      tenants: {},
+    });
     this.zone = new ZoneService({
       clock,
       peers: this.peers,
       replicator: this.replicator,
       policy: new FifoPolicy(),
-      config: new StaticConfigSource({
-        version: 1,
-        classes: {
-          default: {
-            name: 'default',
-            target_ms: 2_000,
-            percentile: 99,
-            repeatable: false,
-            memory_mb: 0,
-            accelerators: 0,
-          },
-        },
-        tenants: {},
-      }),
+      config,
       upstream: this.upstream,
+      observer: new LoggingObserver(log, this.telemetry.observer),
     });
     const jobs = new JobRouter(directory, this.peers, clock);
     const workers = new WorkerRouter(
@@ -95,7 +121,36 @@
       isReady: () => this.isReady(),
       onError: detail => this.log.error('request failed', {detail}),
     });
+    const configAdmin = new LocalConfigAdmin(config, self.id);
+    const report = new StatusReport({
+      node: self,
+      clock,
+      zone: this.zone,
+      replicator: this.replicator,
+      config: configAdmin,
+      isReady: () => this.isReady(),
+      isDraining: () => this.isDraining,
+    });
+    this.telemetry.watch(() => report.status());
+    this.admin = new AdminServer({
+      ...settings.admin,
+      limits: httpLimits(settings),
+      token: readFileSync(settings.admin_token_file, 'utf8').trim(),
+      api: new AdminApi({
+        config: configAdmin,
+        status: () => report.status(),
+        upstreams: () => report.upstreams(),
+        histograms: () => this.telemetry.histograms.summaries(),
+        drain: () => void this.events.emit('drain'),
+      }),
+      onError: detail => this.log.error('admin request failed', {detail}),
+    });
     this.supervisor = new Supervisor('daemon', [
+      service('metrics', this.telemetry),
+      service('admin', {
+        start: () => this.admin.http.start(),
+        stop: () => this.admin.http.drain(),
+      }),
       service('peers', this.peers),
       service('zone', {
         start: async () => this.lead(),
@@ -113,18 +168,38 @@
   }
 
   override async start(): Promise<void> {
+    this.logEvents();
     await this.supervisor.start();
-    const {node} = this.settings;
-    this.log.info('started', {node, port: this.server.port});
+    this.log.info('started', {
+      caller_port: this.server.port,
+      admin_port: this.admin.port,
+    });
   }
 
   override async stop(): Promise<void> {
     this.isDraining = true;
     this.log.info('draining');
+    this.server.http.announceDrain();
+    // The balancer sends requests until it has seen the health check fail.
+    const {drain_notice_ms: noticeMs} = this.settings;
+    await new Promise<void>(resolve => {
+      this.clock.schedule(noticeMs, resolve);
+    });
     await this.supervisor.stop();
     this.log.info('stopped');
   }
 
+  private logEvents(): void {
+    const {events} = this.supervisor;
+    events.on('started', ({service}) =>
+      this.log.debug('service started', {service}),
+    );
+    events.on('stopped', ({service}) =>
+      this.log.debug('service stopped', {service}),
+    );
+    events.on('failed', fields => this.log.error('service failed', fields));
+  }
+
   private lead(): void {
     if (this.replicator.leader === this.settings.node) {
       this.replicator.lead(this.clock.now());
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,6 +5,8 @@
 import {createLog} from './log/create_log.js';
 import {loadSettings} from './settings/load_settings.js';
 
+/** As in sysexits.h: EX_SOFTWARE and EX_CONFIG. */
+const EXIT_INTERNAL = 70;
 const EXIT_SETTINGS = 78;
 
 const program = new Command('pimentoyoked')
@@ -23,19 +25,30 @@
 const log = createLog({node, zone, level});
 const daemon = new Daemon(settings.value, new SystemClock(), log);
 
+const started = daemon.start();
+
 let isStopping = false;
+/** A second signal changes nothing: the first stop goes on. */
 async function stop(): Promise<void> {
   if (isStopping) return;
   isStopping = true;
+  // A failed start is reported below.
+  await started.catch(() => undefined);
   await daemon.stop();
   process.exit(0);
 }
 
 process.on('SIGTERM', () => void stop());
 process.on('SIGINT', () => void stop());
+daemon.events.on('drain', () => void stop());
+// A broken invariant: what this process does next cannot be trusted.
+process.on('uncaughtException', err => {
+  log.fatal('broken invariant', {detail: err.stack ?? String(err)});
+  process.exit(EXIT_INTERNAL);
+});
 
 try {
-  await daemon.start();
+  await started;
 } catch (err) {
   log.error('cannot start', {detail: String(err)});
   process.exit(1);
--- a/src/daemon/supervisor/supervisor.ts
+++ b/src/daemon/supervisor/supervisor.ts
@@ -27,8 +27,7 @@
       try {
         await child.start();
       } catch (err) {
-        const detail = err instanceof Error ? err.message : String(err);
-        await this.events.emit('failed', {service: child.name, detail});
+        await this.report(child, err);
         await this.stop();
         throw err;
       }
@@ -37,12 +36,22 @@
     }
   }
 
+  /** A service that fails to stop does not keep the others from stopping. */
   override async stop(): Promise<void> {
     for (;;) {
       const child = this.running.pop();
       if (!child) return;
-      await child.stop();
-      await this.events.emit('stopped', {service: child.name});
+      try {
+        await child.stop();
+        await this.events.emit('stopped', {service: child.name});
+      } catch (err) {
+        await this.report(child, err);
+      }
     }
   }
+
+  private async report(child: Service, err: unknown): Promise<void> {
+    const detail = err instanceof Error ? err.message : String(err);
+    await this.events.emit('failed', {service: child.name, detail});
+  }
 }
--- a/src/daemon/zone/zone_service.ts
+++ b/src/daemon/zone/zone_service.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../core/clock/clock.js';
 import type {ConfigSource} from '../../core/config/config_source.js';
+import type {DispatchObserver} from '../../core/dispatch/dispatch_observer.js';
 import type {DispatchPolicy} from '../../core/dispatch/dispatch_policy.js';
 import {Dispatcher} from '../../core/dispatch/dispatcher.js';
 import type {Replicator} from '../../core/group/replicator.js';
@@ -23,6 +24,7 @@
   readonly policy: DispatchPolicy;
   readonly config: ConfigSource;
   readonly upstream: UpstreamClient;
+  readonly observer?: DispatchObserver | undefined;
 }
 
 /** This node's part in its zone: the job table, and the dispatcher if it leads. */
--- a/test-support/cluster/local_cluster.ts
+++ b/test-support/cluster/local_cluster.ts
@@ -11,6 +11,8 @@
 
 const HOST = '127.0.0.1';
 const PORTS_PER_NODE = 3;
+/** No balancer watches a local cluster. */
+const DRAIN_NOTICE_MS = 50;
 const DAEMON = fileURLToPath(
   new URL('../../src/daemon/main.js', import.meta.url),
 );
@@ -59,6 +61,7 @@
         caller: {host: HOST, port: node.caller},
         admin: {host: HOST, port: node.admin},
         admin_token_file: tokenFile,
+        drain_notice_ms: DRAIN_NOTICE_MS,
         ...(node.voter ? {data_dir: join(cluster.dir, `${node.id}-data`)} : {}),
         nodes: nodes.map(({id, zone, peer, voter}) => ({
           id,
