--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -75,6 +75,11 @@
     return loaded.isErr ? loaded : this.openLog(now);
   }
 
+  /** Leader of the log as far as this daemon knows. */
+  get leader(): string | undefined {
+    return this.exchange.leader;
+  }
+
   get log(): LogMember | undefined {
     return this.member;
   }
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -82,6 +82,11 @@
     this.source = this.node.source;
   }
 
+  /** Leader of the log as far as this daemon knows. */
+  get leader(): string | undefined {
+    return this.node?.leader;
+  }
+
   /** Rejects if the data folder is missing, in use, damaged or too new. */
   override async start(): Promise<void> {
     const {node, nodes, dataDir, clock} = this.opts;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,7 +1,12 @@
+import {readFileSync} from 'node:fs';
 import type {ConsolaInstance} from 'consola';
+import Emittery from 'emittery';
+import {AdminApi} from '../adapter/http/admin_api.js';
+import {AdminServer} from '../adapter/http/admin_server.js';
 import {CallerApi} from '../adapter/http/caller_api.js';
 import {CallerServer} from '../adapter/http/caller_server.js';
 import {WorkerApi} from '../adapter/http/worker_api.js';
+import {Telemetry} from '../adapter/metrics/telemetry.js';
 import {TcpPeerTransport} from '../adapter/peer/tcp_peer_transport.js';
 import {SystemRandom} from '../adapter/system_random.js';
 import {HttpUpstreamClient} from '../adapter/upstream/http_upstream_client.js';
@@ -9,7 +14,11 @@
 import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
 import {SubmissionGate} from '../core/dispatch/submission_gate.js';
 import {SoloReplicator} from '../core/group/solo_replicator.js';
+import {LogConfigAdmin} from './admin/log_config_admin.js';
+import {StatusReport} from './admin/status_report.js';
 import {ConfigService} from './config/config_service.js';
+import {LoggingObserver} from './log/logging_observer.js';
+import {httpLimits} from './settings/http_limits.js';
 import type {Settings} from './settings/settings.js';
 import {Service} from './supervisor/service.js';
 import {Supervisor} from './supervisor/supervisor.js';
@@ -18,15 +27,23 @@
 import {ZoneDirectory} from './zone/zone_directory.js';
 import {ZoneService} from './zone/zone_service.js';
 
+interface DaemonEvents {
+  /** An operator asks for a graceful stop. */
+  drain: undefined;
+}
+
 /** One node of a deployment, put together from its settings. */
 export class Daemon extends Service {
   override readonly name = 'daemon';
+  readonly events = new Emittery<DaemonEvents>();
   private readonly peers: TcpPeerTransport;
   private readonly upstream: HttpUpstreamClient;
   private readonly config: ConfigService;
   private readonly zone: ZoneService;
   private readonly replicator: SoloReplicator;
   private readonly server: CallerServer;
+  private readonly admin: AdminServer;
+  private readonly telemetry: Telemetry;
   private readonly supervisor: Supervisor;
   private readonly settings: Settings;
   private isDraining = false;
@@ -61,6 +78,14 @@
       random: new SystemRandom(),
       log,
     });
+    this.telemetry = new Telemetry({
+      statsd: settings.statsd,
+      prefix: settings.statsd_prefix,
+      tags: {node: self.id, zone: self.zone},
+      maxSeries: settings.max_histogram_series,
+      clock,
+      onError: detail => this.log.warn('metrics not sent', {detail}),
+    });
     this.replicator = new SoloReplicator(directory.nodes(self.zone)[0]!);
     this.zone = new ZoneService({
       clock,
@@ -69,6 +94,7 @@
       policy: new FifoPolicy(),
       config: this.config.source,
       upstream: this.upstream,
+      observer: new LoggingObserver(log, this.telemetry.observer),
     });
     const jobs = new JobRouter(directory, this.peers, clock);
     const workers = new WorkerRouter(
@@ -81,16 +107,47 @@
     );
     this.server = new CallerServer({
       ...settings.caller,
+      limits: httpLimits(settings),
       callers: new CallerApi({
         zone: self.zone,
         clock,
+        maxBodyBytes: settings.http.max_body_bytes,
         route: (key, req) => jobs.route(key, req),
       }),
       workers: new WorkerApi({announce: a => workers.announce(a)}),
       isReady: () => this.isReady(),
       onError: detail => this.log.error('request failed', {detail}),
     });
+    const configAdmin = new LogConfigAdmin(this.config, clock);
+    const report = new StatusReport({
+      node: self,
+      clock,
+      zone: this.zone,
+      replicator: this.replicator,
+      config: configAdmin,
+      isReady: () => this.isReady(),
+      isDraining: () => this.isDraining,
+    });
+    this.telemetry.watch(() => report.status());
+    this.admin = new AdminServer({
+      ...settings.admin,
+      limits: httpLimits(settings),
+      token: readFileSync(settings.admin_token_file, 'utf8').trim(),
+      api: new AdminApi({
+        config: configAdmin,
+        status: () => report.status(),
+        upstreams: () => report.upstreams(),
+        histograms: () => this.telemetry.histograms.summaries(),
+        drain: () => void this.events.emit('drain'),
+      }),
+      onError: detail => this.log.error('admin request failed', {detail}),
+    });
     this.supervisor = new Supervisor('daemon', [
+      service('metrics', this.telemetry),
+      service('admin', {
+        start: () => this.admin.http.start(),
+        stop: () => this.admin.http.drain(),
+      }),
       service('peers', this.peers),
       this.config,
       service('zone', {
@@ -109,18 +166,38 @@
   }
 
   override async start(): Promise<void> {
+    this.logEvents();
     await this.supervisor.start();
-    const {node} = this.settings;
-    this.log.info('started', {node, port: this.server.port});
+    this.log.info('started', {
+      caller_port: this.server.port,
+      admin_port: this.admin.port,
+    });
   }
 
   override async stop(): Promise<void> {
     this.isDraining = true;
     this.log.info('draining');
+    this.server.http.announceDrain();
+    // The balancer sends requests until it has seen the health check fail.
+    const {drain_notice_ms: noticeMs} = this.settings;
+    await new Promise<void>(resolve => {
+      this.clock.schedule(noticeMs, resolve);
+    });
     await this.supervisor.stop();
     this.log.info('stopped');
   }
 
+  private logEvents(): void {
+    const {events} = this.supervisor;
+    events.on('started', ({service}) =>
+      this.log.debug('service started', {service}),
+    );
+    events.on('stopped', ({service}) =>
+      this.log.debug('service stopped', {service}),
+    );
+    events.on('failed', fields => this.log.error('service failed', fields));
+  }
+
   private lead(): void {
     if (this.replicator.leader === this.settings.node) {
       this.replicator.lead(this.clock.now());
