Elect one dispatcher per zone and replicate its events in memory

Cause: a zone's queue had a fixed owner, so the loss of that daemon stopped the zone and lost its jobs.

Change: GroupReplica takes the place of SoloReplicator in the daemon. Members are named by node and incarnation, elections use pre-vote, and an event counts as committed once a majority of the configured members holds it. Members that lost their memory are replaced in two steps (remove, admit), so that the majorities before and after a step overlap. A group forms anew when a majority has no memory. A worker that obeys a higher epoch makes the leader seek a higher one. SIGTERM hands the lead over before the daemon drains.

The number of members is always odd: half of an even number could lose its memory without either half being a majority.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -33,6 +33,8 @@
   readonly upstream: UpstreamClient;
   /** Called on the leader when a job's final state is committed. */
   readonly onFinished: (key: string) => void;
+  /** Called when this node no longer leads. */
+  readonly onLeadershipLost?: () => void;
   /** Asks the owner of the loop to call `flush` once, soon. */
   readonly requestFlush: () => void;
 }
@@ -59,7 +61,7 @@
       upstream: opts.upstream,
       onEnded: (attempt, outcome) => this.attemptEnded(attempt, outcome),
       onCapacity: () => opts.requestFlush(),
-      onSuperseded: () => opts.requestFlush(),
+      onSuperseded: epoch => opts.replicator.supersede(epoch, this.now),
     });
     opts.replicator.listen({
       committed: (events, now) => this.committed(events, now),
@@ -300,6 +302,7 @@
     this.active.clear();
     if (epoch === undefined) {
       this.attempts.follow();
+      this.opts.onLeadershipLost?.();
       return;
     }
     const inherited: RunningAttempt[] = [];
--- /dev/null
+++ b/src/core/group/group_replica.ts
@@ -0,0 +1,165 @@
+import * as v from 'valibot';
+import type {Cancellable} from '../clock/cancellable.js';
+import type {Clock} from '../clock/clock.js';
+import type {JobEvent} from '../job/job_event.js';
+import type {JobTable} from '../job/job_table.js';
+import type {PeerTransport} from '../peer/peer_transport.js';
+import type {RandomSource} from '../random/random_source.js';
+import {CandidateRole} from './candidate_role.js';
+import {GroupMessage} from './group_message.js';
+import {GroupTiming} from './group_timing.js';
+import {LeaderRole} from './leader_role.js';
+import {LearnerRole} from './learner_role.js';
+import {LogFollower} from './log_follower.js';
+import {ReplicaCore} from './replica_core.js';
+import {Replicator} from './replicator.js';
+import {Voter} from './voter.js';
+
+interface GroupReplicaOptions {
+  readonly zone: string;
+  readonly node: string;
+  /** Every member of the group, in the same order on all of them. */
+  readonly members: readonly string[];
+  /** Members that vote and store, but never lead. */
+  readonly witnesses: readonly string[];
+  /** Holds the jobs; snapshots are taken of it and restored to it. */
+  readonly table: JobTable;
+  readonly peers: PeerTransport;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/**
+ * A member of a zone's group. It elects one leader for each epoch and holds the
+ * events of the zone in memory; an event is committed once a majority of the
+ * configured members holds it.
+ */
+export class GroupReplica extends Replicator {
+  private readonly core: ReplicaCore;
+  private readonly voter: Voter;
+  private readonly follower: LogFollower;
+  private readonly clock: Clock;
+  private timer: Cancellable | undefined;
+  private isStopped = false;
+
+  constructor(opts: GroupReplicaOptions) {
+    super();
+    this.clock = opts.clock;
+    this.core = new ReplicaCore({
+      ...opts,
+      kind: `group.${opts.zone}`,
+      committed: (events, now) => this.listener?.committed(events, now),
+      leadership: (epoch, now) => this.listener?.leadership(epoch, now),
+    });
+    this.voter = new Voter(this.core);
+    this.follower = new LogFollower(this.core);
+    opts.peers.onMessage(this.core.opts.kind, (from, body, now) =>
+      this.receive(from, body, now),
+    );
+  }
+
+  /** Joins the group, without memory. */
+  start(): void {
+    const now = this.clock.now();
+    this.core.renew(now);
+    this.core.become(new LearnerRole(this.core), now);
+    this.tick();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.timer?.cancel();
+  }
+
+  override get leading(): number | undefined {
+    return this.leaderRole?.isActing ? this.core.epoch : undefined;
+  }
+
+  override get leader(): string | undefined {
+    return this.core.leader;
+  }
+
+  override get memoryStart(): number {
+    const {memory} = this.core;
+    return memory?.isSettled ? memory.memoryStart : Infinity;
+  }
+
+  override propose(events: readonly JobEvent[], now: number): void {
+    this.leaderRole?.propose(events, now);
+  }
+
+  override supersede(epoch: number, now: number): void {
+    const {core} = this;
+    if (!this.leaderRole || epoch <= core.epoch) return;
+    core.raise(epoch);
+    core.become(new CandidateRole(core, false), now);
+  }
+
+  override handOver(now: number): boolean {
+    const handed = this.leaderRole?.handOver(now) ?? true;
+    if (handed) this.core.isRetired = true;
+    return handed;
+  }
+
+  private get leaderRole(): LeaderRole | undefined {
+    const {role} = this.core;
+    return role instanceof LeaderRole ? role : undefined;
+  }
+
+  private tick(): void {
+    if (this.isStopped) return;
+    this.core.role?.tick(this.clock.now());
+    this.timer = this.clock.schedule(GroupTiming.TICK_MS, () => this.tick());
+  }
+
+  private receive(from: string, body: unknown, now: number): void {
+    const {core} = this;
+    const {role} = core;
+    if (this.isStopped || !role || !core.others().includes(from)) return;
+    const parsed = v.safeParse(GroupMessage, body);
+    if (!parsed.success) return;
+    const msg = parsed.output;
+    this.leaveObsolete(msg, now);
+    switch (msg.type) {
+      case 'append':
+        this.follower.append(from, msg, now);
+        return;
+      case 'install':
+        this.follower.install(from, msg, now);
+        return;
+      case 'ack':
+        core.role?.acknowledged(from, msg, now);
+        return;
+      case 'vote':
+        this.voter.vote(from, msg, now);
+        return;
+      case 'form':
+        this.voter.form(from, msg, now);
+        return;
+      case 'ballot':
+        core.role?.answered(from, msg, now);
+        return;
+      case 'handover':
+        this.takeOver(msg, now);
+    }
+  }
+
+  /**
+   * A group that formed later is proof that a majority lost the memory of this
+   * one, which can therefore never commit again.
+   */
+  private leaveObsolete(msg: GroupMessage, now: number): void {
+    const {core} = this;
+    if (!core.memory || !msg.settled || msg.group <= core.memory.group) return;
+    core.renew(now);
+    core.become(new LearnerRole(core), now);
+  }
+
+  private takeOver(msg: GroupMessage, now: number): void {
+    const {core} = this;
+    if (msg.epoch !== core.epoch || core.role?.name !== 'follower') return;
+    if (core.isFull && core.canLead) {
+      core.become(new CandidateRole(core, false), now);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/group/group_timing.ts
@@ -0,0 +1,26 @@
+/** Times of a group in milliseconds. */
+export const GroupTiming = {
+  /** With two followers the idle leader sends ten small messages a second. */
+  BEAT_MS: 200,
+  /**
+   * Silence of a leader after which a member asks for votes; a random share of
+   * the spread is added. Two lost beats are borne, and a takeover with one
+   * repeated election stays within 2 s.
+   */
+  ELECTION_MS: 600,
+  ELECTION_SPREAD_MS: 300,
+  /** Time for the answers of one round of an election. */
+  ROUND_MS: 150,
+  ROUND_SPREAD_MS: 150,
+  /** Silence that a member without memory awaits before it forms a group. */
+  FORM_MS: 300,
+  FORM_SPREAD_MS: 300,
+  /**
+   * Time without a leader after which a member that no committed event depends
+   * on gives its memory up, so that it can take part in forming a group.
+   */
+  RESET_MS: 5_000,
+  /** Time after which a snapshot is sent again. */
+  INSTALL_MS: 2_000,
+  TICK_MS: 25,
+} as const;
--- /dev/null
+++ b/src/core/group/replica_core.ts
@@ -0,0 +1,178 @@
+import type {JobEvent} from '../job/job_event.js';
+import type {JobTable} from '../job/job_table.js';
+import type {PeerTransport} from '../peer/peer_transport.js';
+import type {RandomSource} from '../random/random_source.js';
+import {GroupMemory} from './group_memory.js';
+import type {GroupMessage} from './group_message.js';
+import {GroupTiming} from './group_timing.js';
+import type {Role} from './role.js';
+
+/** Distinguishes two starts within a millisecond. */
+const INCARNATIONS_PER_MS = 1_000;
+
+type HeaderField = 'epoch' | 'group' | 'settled' | 'incarnation';
+type Unsent<M> = M extends unknown
+  ? Omit<M, HeaderField> & {epoch?: number}
+  : never;
+
+type Snapshot = Extract<GroupMessage, {type: 'install'}>['snapshot'];
+
+interface ReplicaCoreOptions {
+  readonly node: string;
+  /** Kind of the group's messages; it names the zone. */
+  readonly kind: string;
+  /** Every member's node, in the same order on all of them. */
+  readonly members: readonly string[];
+  /** Members that vote and store, but never lead. */
+  readonly witnesses: readonly string[];
+  readonly table: JobTable;
+  readonly peers: PeerTransport;
+  readonly random: RandomSource;
+  readonly committed: (events: readonly JobEvent[], now: number) => void;
+  readonly leadership: (epoch: number | undefined, now: number) => void;
+}
+
+/** State of a member that all of its roles share. */
+export class ReplicaCore {
+  /** Highest epoch seen; every lower one is refused. */
+  epoch = 0;
+  /** Who has this member's vote or grant in `epoch`. */
+  votedFor: string | undefined;
+  leader: string | undefined;
+  /** Undefined in a member that lost its memory or never had one. */
+  memory: GroupMemory | undefined;
+  /** When a leader was heard or a vote was given. */
+  heardAt = 0;
+  /** When a leader was heard. */
+  leaderSeenAt = 0;
+  /** A member that is about to stop asks for no more votes. */
+  isRetired = false;
+  incarnation = 0;
+  private current: Role | undefined;
+
+  constructor(readonly opts: ReplicaCoreOptions) {}
+
+  get role(): Role | undefined {
+    return this.current;
+  }
+
+  get majority(): number {
+    return Math.floor(this.opts.members.length / 2) + 1;
+  }
+
+  /** Whether votes and acknowledgements of this member count. */
+  get isFull(): boolean {
+    const members = this.memory?.latestMembers();
+    return members?.get(this.opts.node) === this.incarnation;
+  }
+
+  get canLead(): boolean {
+    const {witnesses, node} = this.opts;
+    return !witnesses.includes(node) && !this.isRetired;
+  }
+
+  others(): string[] {
+    return this.opts.members.filter(node => node !== this.opts.node);
+  }
+
+  become(role: Role, now: number): void {
+    this.current?.leave(now);
+    this.current = role;
+    role.enter(now);
+  }
+
+  /** Takes a new incarnation, without memory. */
+  renew(now: number): void {
+    const drawn = Math.floor(this.opts.random.next() * INCARNATIONS_PER_MS);
+    const fresh = Math.floor(now) * INCARNATIONS_PER_MS + drawn;
+    this.incarnation = Math.max(this.incarnation + 1, fresh);
+    this.memory = undefined;
+    this.leader = undefined;
+  }
+
+  /**
+   * An epoch above all seen that no other member picks: its remainder is the
+   * member's position. The clock keeps it above those of forgotten groups.
+   */
+  nextEpoch(now: number): number {
+    const {members, node} = this.opts;
+    const least = Math.max(this.epoch + 1, Math.floor(now));
+    const count = members.length;
+    const position = members.indexOf(node);
+    return least + ((position - (least % count) + count) % count);
+  }
+
+  /** Takes a higher epoch, without a vote in it. */
+  raise(epoch: number): void {
+    if (epoch <= this.epoch) return;
+    this.epoch = epoch;
+    this.votedFor = undefined;
+    this.leader = undefined;
+  }
+
+  /** Takes a leader's epoch and puts off the next election. */
+  follow(leader: string, epoch: number, now: number): void {
+    this.raise(epoch);
+    this.leader = leader;
+    this.heardAt = now;
+    this.leaderSeenAt = now;
+  }
+
+  /** Whether a leader was heard so recently that no election is due. */
+  isLed(now: number): boolean {
+    return (
+      this.leader !== undefined &&
+      now - this.leaderSeenAt < GroupTiming.ELECTION_MS
+    );
+  }
+
+  jitter(spreadMs: number): number {
+    return this.opts.random.next() * spreadMs;
+  }
+
+  /** Sends a message; its epoch is the member's own unless it names one. */
+  send(to: string, msg: Unsent<GroupMessage>): void {
+    const {kind, peers} = this.opts;
+    peers.send(to, kind, {
+      epoch: this.epoch,
+      ...msg,
+      group: this.memory?.group ?? 0,
+      settled: this.memory?.isSettled ?? false,
+      incarnation: this.incarnation,
+    });
+  }
+
+  /** The state as of the commit index; its records are live. */
+  snapshot(): Snapshot {
+    const {group, memoryStart, log, members} = this.memory!;
+    return {
+      group,
+      memoryStart,
+      index: log.commit,
+      indexEpoch: log.epochAt(log.commit) ?? 0,
+      members: [...members],
+      records: [...this.opts.table.snapshot()],
+    };
+  }
+
+  /** Replaces jobs and log by those of another member. */
+  install(snapshot: Snapshot): void {
+    this.opts.table.restore(snapshot.records);
+    this.memory = new GroupMemory(snapshot);
+  }
+
+  /** Commits entries up to `index` and reports their events in one call. */
+  commitTo(index: number, now: number): void {
+    const {memory} = this;
+    if (!memory) return;
+    const events: JobEvent[] = [];
+    while (memory.log.commit < index) {
+      const entry = memory.log.at(memory.log.commit + 1);
+      if (!entry) break;
+      memory.log.commit += 1;
+      if (entry.kind === 'events') events.push(...entry.events);
+      else memory.applyMembers(entry);
+    }
+    if (events.length > 0) this.opts.committed(events, now);
+  }
+}
--- a/src/core/group/replicator.ts
+++ b/src/core/group/replicator.ts
@@ -27,4 +27,16 @@
 
   /** Appends events; only the leader may call it. */
   abstract propose(events: readonly JobEvent[], now: number): void;
+
+  /**
+   * A worker obeys `epoch`: a leader of a lower one gives up the lead and seeks
+   * it again with a higher epoch.
+   */
+  abstract supersede(epoch: number, now: number): void;
+
+  /**
+   * Stops proposing and passes the lead on; this member asks for it no more.
+   * False if it leads and no other member can take over.
+   */
+  abstract handOver(now: number): boolean;
 }
--- a/src/core/group/solo_replicator.ts
+++ b/src/core/group/solo_replicator.ts
@@ -32,4 +32,15 @@
   override propose(events: readonly JobEvent[], now: number): void {
     this.listener?.committed(events, now);
   }
+
+  override supersede(epoch: number, now: number): void {
+    if (this.epoch === undefined || epoch <= this.epoch) return;
+    this.listener?.leadership(undefined, now);
+    this.epoch = epoch + 1;
+    this.listener?.leadership(this.epoch, now);
+  }
+
+  override handOver(): boolean {
+    return this.epoch === undefined;
+  }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,18 +3,18 @@
 import {CallerServer} from '../adapter/http/caller_server.js';
 import {WorkerApi} from '../adapter/http/worker_api.js';
 import {TcpPeerTransport} from '../adapter/peer/tcp_peer_transport.js';
+import {SystemRandom} from '../adapter/system_random.js';
 import {HttpUpstreamClient} from '../adapter/upstream/http_upstream_client.js';
 import type {Clock} from '../core/clock/clock.js';
 import {StaticConfigSource} from '../core/config/static_config_source.js';
 import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
-import {SubmissionGate} from '../core/dispatch/submission_gate.js';
-import {SoloReplicator} from '../core/group/solo_replicator.js';
 import type {Settings} from './settings/settings.js';
 import {Service} from './supervisor/service.js';
 import {Supervisor} from './supervisor/supervisor.js';
 import {JobRouter} from './zone/job_router.js';
 import {WorkerRouter} from './zone/worker_router.js';
 import {ZoneDirectory} from './zone/zone_directory.js';
+import {ZoneGroups} from './zone/zone_groups.js';
 import {ZoneService} from './zone/zone_service.js';
 
 /** One node of a deployment, put together from its settings. */
@@ -23,7 +23,7 @@
   private readonly peers: TcpPeerTransport;
   private readonly upstream: HttpUpstreamClient;
   private readonly zone: ZoneService;
-  private readonly replicator: SoloReplicator;
+  private readonly groups: ZoneGroups;
   private readonly server: CallerServer;
   private readonly supervisor: Supervisor;
   private readonly settings: Settings;
@@ -31,7 +31,7 @@
 
   constructor(
     settings: Settings,
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly log: ConsolaInstance,
   ) {
     super();
@@ -50,11 +50,19 @@
     this.upstream = new HttpUpstreamClient({
       onError: detail => this.log.debug('upstream error', {detail}),
     });
-    this.replicator = new SoloReplicator(directory.nodes(self.zone)[0]!);
+    this.groups = new ZoneGroups({
+      node: self.id,
+      zone: self.zone,
+      nodes: settings.nodes,
+      peers: this.peers,
+      clock,
+      random: new SystemRandom(),
+    });
     this.zone = new ZoneService({
       clock,
       peers: this.peers,
-      replicator: this.replicator,
+      replicator: this.groups.own,
+      table: this.groups.table,
       policy: new FifoPolicy(),
       config: new StaticConfigSource({
         version: 1,
@@ -78,8 +86,8 @@
       directory,
       this.peers,
       this.zone,
-      () => this.replicator.leading,
-      () => this.replicator.leader,
+      () => this.groups.own.leading,
+      () => this.groups.own.leader,
     );
     this.server = new CallerServer({
       ...settings.caller,
@@ -94,8 +102,12 @@
     });
     this.supervisor = new Supervisor('daemon', [
       service('peers', this.peers),
+      service('groups', {
+        start: async () => this.groups.start(),
+        stop: async () => this.groups.stop(),
+      }),
       service('zone', {
-        start: async () => this.lead(),
+        start: async () => undefined,
         stop: async () => this.zone.stop(),
       }),
       service('upstream', {
@@ -118,22 +130,13 @@
   override async stop(): Promise<void> {
     this.isDraining = true;
     this.log.info('draining');
+    await this.groups.handOver();
     await this.supervisor.stop();
     this.log.info('stopped');
   }
 
-  private lead(): void {
-    if (this.replicator.leader === this.settings.node) {
-      this.replicator.lead(this.clock.now());
-    }
-  }
-
   private isReady(): boolean {
-    if (this.isDraining) return false;
-    if (this.replicator.leading === undefined) return true;
-    const remembers =
-      this.replicator.memoryStart + SubmissionGate.MAX_CLOCK_SKEW_MS;
-    return this.clock.now() >= remembers;
+    return !this.isDraining && this.groups.isReady();
   }
 }
 
--- a/src/daemon/zone/zone_service.ts
+++ b/src/daemon/zone/zone_service.ts
@@ -4,7 +4,7 @@
 import {Dispatcher} from '../../core/dispatch/dispatcher.js';
 import type {Replicator} from '../../core/group/replicator.js';
 import {JobKey} from '../../core/job/job_key.js';
-import {JobTable} from '../../core/job/job_table.js';
+import type {JobTable} from '../../core/job/job_table.js';
 import type {PeerTransport} from '../../core/peer/peer_transport.js';
 import {RetryPolicy} from '../../core/retry/retry_policy.js';
 import type {UpstreamClient} from '../../core/upstream/upstream_client.js';
@@ -20,6 +20,8 @@
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly replicator: Replicator;
+  /** The table that the replicator takes snapshots of. */
+  readonly table: JobTable;
   readonly policy: DispatchPolicy;
   readonly config: ConfigSource;
   readonly upstream: UpstreamClient;
@@ -28,7 +30,6 @@
 /** This node's part in its zone: the job table, and the dispatcher if it leads. */
 export class ZoneService {
   readonly registry = new WorkerRegistry();
-  readonly table = new JobTable();
   readonly jobs: ZoneJobs;
   readonly dispatcher: Dispatcher;
   private isFlushRequested = false;
@@ -37,13 +38,13 @@
   constructor(private readonly opts: ZoneServiceOptions) {
     this.dispatcher = new Dispatcher({
       ...opts,
-      table: this.table,
       registry: this.registry,
       retry: new RetryPolicy(),
       onFinished: key => this.jobs.finished(key),
+      onLeadershipLost: () => this.jobs.leadershipLost(),
       requestFlush: () => this.requestFlush(),
     });
-    this.jobs = new ZoneJobs(this.dispatcher, this.table, opts.clock);
+    this.jobs = new ZoneJobs(this.dispatcher, opts.table, opts.clock);
     opts.peers.onRequest('job', (_from, body) =>
       this.handle(body as JobRequest),
     );
