--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -41,6 +41,8 @@
   readonly observer?: DispatchObserver | undefined;
   /** Called on the leader when a job's final state is committed. */
   readonly onFinished: (key: string) => void;
+  /** Called when this node no longer leads. */
+  readonly onLeadershipLost?: () => void;
   /** Asks the owner of the loop to call `flush` once, soon. */
   readonly requestFlush: () => void;
 }
@@ -75,7 +77,7 @@
       upstream: opts.upstream,
       onEnded: (attempt, outcome) => this.attemptEnded(attempt, outcome),
       onCapacity: () => opts.requestFlush(),
-      onSuperseded: () => opts.requestFlush(),
+      onSuperseded: epoch => opts.replicator.supersede(epoch, this.now),
     });
     opts.replicator.listen({
       committed: (events, now) => this.committed(events, now),
@@ -340,6 +342,7 @@
     this.retrier.reset();
     if (epoch === undefined) {
       this.attempts.follow();
+      this.opts.onLeadershipLost?.();
       return;
     }
     const inherited: RunningAttempt[] = [];
--- a/src/daemon/admin/status_report.ts
+++ b/src/daemon/admin/status_report.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../core/clock/clock.js';
 import type {Replicator} from '../../core/group/replicator.js';
+import type {JobTable} from '../../core/job/job_table.js';
 import type {ZoneService} from '../zone/zone_service.js';
 import type {ConfigAdmin} from './config_admin.js';
 import type {DaemonStatus} from './daemon_status.js';
@@ -10,6 +11,7 @@
   readonly clock: Clock;
   readonly zone: ZoneService;
   readonly replicator: Replicator;
+  readonly table: JobTable;
   readonly config: ConfigAdmin;
   readonly isReady: () => boolean;
   readonly isDraining: () => boolean;
@@ -36,7 +38,7 @@
       leads: replicator.leading !== undefined,
       dispatcher: replicator.leader ?? null,
       epoch: replicator.leading ?? null,
-      jobs: zone.table.size,
+      jobs: this.opts.table.size,
       queued_tasks: zone.dispatcher.queued,
       workers: workers.length,
       slots: sum(workers.map(worker => worker.announcement.slots)),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,8 +12,6 @@
 import {HttpUpstreamClient} from '../adapter/upstream/http_upstream_client.js';
 import type {Clock} from '../core/clock/clock.js';
 import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
-import {SubmissionGate} from '../core/dispatch/submission_gate.js';
-import {SoloReplicator} from '../core/group/solo_replicator.js';
 import {LogConfigAdmin} from './admin/log_config_admin.js';
 import {StatusReport} from './admin/status_report.js';
 import {ConfigService} from './config/config_service.js';
@@ -25,6 +23,7 @@
 import {JobRouter} from './zone/job_router.js';
 import {WorkerRouter} from './zone/worker_router.js';
 import {ZoneDirectory} from './zone/zone_directory.js';
+import {ZoneGroups} from './zone/zone_groups.js';
 import {ZoneService} from './zone/zone_service.js';
 
 interface DaemonEvents {
@@ -40,7 +39,7 @@
   private readonly upstream: HttpUpstreamClient;
   private readonly config: ConfigService;
   private readonly zone: ZoneService;
-  private readonly replicator: SoloReplicator;
+  private readonly groups: ZoneGroups;
   private readonly server: CallerServer;
   private readonly admin: AdminServer;
   private readonly telemetry: Telemetry;
@@ -86,11 +85,19 @@
       clock,
       onError: detail => this.log.warn('metrics not sent', {detail}),
     });
-    this.replicator = new SoloReplicator(directory.nodes(self.zone)[0]!);
+    this.groups = new ZoneGroups({
+      node: self.id,
+      zone: self.zone,
+      nodes: settings.nodes,
+      peers: this.peers,
+      clock,
+      random: new SystemRandom(),
+    });
     this.zone = new ZoneService({
       clock,
       peers: this.peers,
-      replicator: this.replicator,
+      replicator: this.groups.own,
+      table: this.groups.table,
       policy: new FifoPolicy(),
       config: this.config.source,
       upstream: this.upstream,
@@ -102,8 +109,8 @@
       directory,
       this.peers,
       this.zone,
-      () => this.replicator.leading,
-      () => this.replicator.leader,
+      () => this.groups.own.leading,
+      () => this.groups.own.leader,
     );
     this.server = new CallerServer({
       ...settings.caller,
@@ -123,7 +130,8 @@
       node: self,
       clock,
       zone: this.zone,
-      replicator: this.replicator,
+      replicator: this.groups.own,
+      table: this.groups.table,
       config: configAdmin,
       isReady: () => this.isReady(),
       isDraining: () => this.isDraining,
@@ -150,8 +158,12 @@
       }),
       service('peers', this.peers),
       this.config,
+      service('groups', {
+        start: async () => this.groups.start(),
+        stop: async () => this.groups.stop(),
+      }),
       service('zone', {
-        start: async () => this.lead(),
+        start: async () => undefined,
         stop: async () => this.zone.stop(),
       }),
       service('upstream', {
@@ -183,6 +195,7 @@
     await new Promise<void>(resolve => {
       this.clock.schedule(noticeMs, resolve);
     });
+    await this.groups.handOver();
     await this.supervisor.stop();
     this.log.info('stopped');
   }
@@ -198,19 +211,10 @@
     events.on('failed', fields => this.log.error('service failed', fields));
   }
 
-  private lead(): void {
-    if (this.replicator.leader === this.settings.node) {
-      this.replicator.lead(this.clock.now());
-    }
-  }
-
   private isReady(): boolean {
     if (this.isDraining) return false;
     if (this.config.source.current().version === 0) return false;
-    if (this.replicator.leading === undefined) return true;
-    const remembers =
-      this.replicator.memoryStart + SubmissionGate.MAX_CLOCK_SKEW_MS;
-    return this.clock.now() >= remembers;
+    return this.groups.isReady();
   }
 }
 
--- a/test-support/fakes/stand_in_group.ts
+++ b/test-support/fakes/stand_in_group.ts
@@ -126,6 +126,13 @@
     this.group.propose(this, events, now);
   }
 
+  /** Epochs come from the clock here, so none is ever exceeded. */
+  override supersede(): void {}
+
+  override handOver(): boolean {
+    return false;
+  }
+
   lead(epoch: number): void {
     this.epoch = epoch;
     this.listener?.leadership(epoch, this.group.opts.clock.now());
