Keep the fleet view and old keys without full scans

Cause: each flush scanned all workers, the retention check scanned all jobs every 5 s, and the size check of a submission looked at every worker for every task. Ruled out: a scan per timer, which would give tasks to workers that just left or filled up. Change: Fleet follows starts and ends worker by worker and scans only after a change of eligibility; JobTable keeps keys by age; the size check looks at the largest task for each number of accelerators. Attempts carry their tenant, and a new dispatcher reports inherited attempts to the policy, so that a policy can count slots.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -311,6 +311,7 @@
       inherited.push(...resumed.job.attempts.values());
       for (const index of resumed.waiting) this.enqueue(resumed.job, index);
     }
+    for (const attempt of inherited) this.opts.policy.started(attempt, now);
     this.attempts.lead(epoch, inherited, now);
     this.opts.requestFlush();
   }
--- /dev/null
+++ b/src/core/dispatch/fleet.test.ts
@@ -0,0 +1,78 @@
+import {assert} from 'chai';
+import fc from 'fast-check';
+import {DispatchBench} from '../../../test-support/fakes/dispatch_bench.js';
+import {Fleet} from './fleet.js';
+
+const EPOCH = 1;
+
+function benchFleet(workers: number) {
+  const bench = new DispatchBench({workers});
+  for (const worker of bench.registry.list()) worker.fencedEpoch = EPOCH;
+  const fleet = new Fleet(bench.registry);
+  fleet.refresh(EPOCH, bench.clock.now());
+  return {bench, fleet};
+}
+
+// A scan of all workers for each flush costs too much at 312 workers.
+test('starts and ends are followed without a scan of the fleet', () => {
+  const {bench, fleet} = benchFleet(3);
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.nat(2), fc.boolean()), {maxLength: 60}),
+      steps => {
+        for (const [at, isStart] of steps) {
+          const worker = bench.registry.get(`w${at + 1}`)!;
+          if (isStart && worker.freeSlots > 0) {
+            worker.occupy(attemptOn(worker.id));
+          } else {
+            const [id] = worker.attempts.keys();
+            if (id !== undefined) worker.release(id);
+          }
+          const workers = [...bench.registry.list()];
+          const free = workers.filter(w => w.freeSlots > 0).map(w => w.id);
+          assert.sameMembers(
+            fleet.startable.map(w => w.id),
+            free,
+          );
+          const slots = workers.reduce((sum, w) => sum + w.freeSlots, 0);
+          assert.equal(fleet.freeSlots, slots);
+        }
+      },
+    ),
+    {seed: 1, numRuns: 50},
+  );
+  assert.equal(fleet.scans, 1);
+});
+
+test('a worker whose lease ended is not startable', () => {
+  const {bench, fleet} = benchFleet(2);
+  const w1 = bench.registry.get('w1')!;
+  w1.leaseExpiresAt = 0;
+  fleet.refresh(EPOCH, bench.clock.now());
+  assert.deepEqual(
+    fleet.startable.map(w => w.id),
+    ['w2'],
+  );
+  const end = bench.clock.now() + 60_000;
+  assert.lengthOf(fleet.refresh(EPOCH, end).startable, 0);
+});
+
+let attempts = 0;
+
+function attemptOn(worker: string) {
+  attempts += 1;
+  return {
+    id: `1.${attempts}`,
+    key: 'k',
+    task: 0,
+    worker,
+    incarnation: 'i',
+    className: 'default',
+    tenant: 'default',
+    memoryMb: 0,
+    accelerators: 0,
+    phase: 'sent' as const,
+    since: 0,
+    stopping: false,
+  };
+}
--- /dev/null
+++ b/src/core/dispatch/fleet.ts
@@ -0,0 +1,89 @@
+import type {WorkerObserver} from '../worker/worker_observer.js';
+import {WorkerRegistry} from '../worker/worker_registry.js';
+import type {WorkerState} from '../worker/worker_state.js';
+import type {FleetView} from './fleet_view.js';
+
+/**
+ * Keeps the workers with free slots up to date start by start. A scan of all
+ * workers is needed only after a change of their eligibility, or when the
+ * first lease of a startable worker may have ended.
+ */
+export class Fleet implements FleetView, WorkerObserver {
+  readonly startable: WorkerState[] = [];
+  freeSlots = 0;
+  totalSlots = 0;
+  totalWorkers = 0;
+  /** Scans of all workers so far; for tests and slopes. */
+  scans = 0;
+  private readonly free = new Map<WorkerState, number>();
+  private readonly positions = new Map<WorkerState, number>();
+  private isStale = true;
+  private epoch = 0;
+  private validUntil = 0;
+
+  constructor(private readonly registry: WorkerRegistry) {
+    registry.observe(this);
+  }
+
+  /** Brings the view up to date; it costs nothing while nothing changed. */
+  refresh(epoch: number, now: number): FleetView {
+    const isValid = epoch === this.epoch && now < this.validUntil;
+    if (!this.isStale && isValid) return this;
+    this.isStale = false;
+    this.epoch = epoch;
+    this.scan(epoch, now);
+    return this;
+  }
+
+  eligibilityChanged(): void {
+    this.isStale = true;
+  }
+
+  usageChanged(worker: WorkerState): void {
+    const before = this.free.get(worker);
+    if (before === undefined) return;
+    const after = worker.freeSlots;
+    if (after === before) return;
+    this.free.set(worker, after);
+    this.freeSlots += after - before;
+    if (before === 0) this.add(worker);
+    else if (after === 0) this.remove(worker);
+  }
+
+  private scan(epoch: number, now: number): void {
+    const {registry} = this;
+    this.scans += 1;
+    this.free.clear();
+    this.positions.clear();
+    this.startable.length = 0;
+    this.freeSlots = 0;
+    this.totalSlots = 0;
+    this.totalWorkers = 0;
+    this.validUntil = Infinity;
+    for (const worker of registry.list()) {
+      if (worker.announcement.leaving) continue;
+      this.totalSlots += worker.announcement.slots;
+      this.totalWorkers += 1;
+      if (!registry.isStartable(worker, epoch, now)) continue;
+      const end = worker.leaseExpiresAt - WorkerRegistry.LEASE_MARGIN_MS;
+      this.validUntil = Math.min(this.validUntil, end);
+      const free = worker.freeSlots;
+      this.free.set(worker, free);
+      this.freeSlots += free;
+      if (free > 0) this.add(worker);
+    }
+  }
+
+  private add(worker: WorkerState): void {
+    this.positions.set(worker, this.startable.push(worker) - 1);
+  }
+
+  private remove(worker: WorkerState): void {
+    const at = this.positions.get(worker);
+    const last = this.startable.pop();
+    this.positions.delete(worker);
+    if (at === undefined || !last || last === worker) return;
+    this.startable[at] = last;
+    this.positions.set(last, at);
+  }
+}
--- a/src/core/dispatch/fleet_view.ts
+++ b/src/core/dispatch/fleet_view.ts
@@ -4,6 +4,10 @@
 export interface FleetView {
   /** Workers that may be given a task now, with at least one free slot. */
   readonly startable: readonly WorkerState[];
+  /** Free slots of the startable workers. */
+  readonly freeSlots: number;
   /** Slots of all live workers that are not leaving. */
   readonly totalSlots: number;
+  /** Live workers that are not leaving. */
+  readonly totalWorkers: number;
 }
--- a/src/core/dispatch/resume_job.ts
+++ b/src/core/dispatch/resume_job.ts
@@ -53,6 +53,7 @@
     worker: open.worker,
     incarnation: open.incarnation,
     className: job.spec.className,
+    tenant: job.spec.tenant,
     memoryMb: task?.memory_mb ?? job.config.memory_mb,
     accelerators: task?.accelerators ?? job.config.accelerators,
     // The predecessor may have sent the start right after the commit.
--- a/src/core/dispatch/submission_gate.ts
+++ b/src/core/dispatch/submission_gate.ts
@@ -129,9 +129,8 @@
     this.nextExpiry = now + EXPIRY_INTERVAL_MS;
     const oldest = now - RETENTION_MS - MAX_CLOCK_SKEW_MS;
     const keys: string[] = [];
-    for (const {spec} of this.opts.table.records()) {
-      if (spec.keyTimeMs >= oldest || isActive(spec.key)) continue;
-      keys.push(spec.key);
+    for (const key of this.opts.table.keysMadeBefore(oldest)) {
+      if (!isActive(key)) keys.push(key);
     }
     return keys;
   }
@@ -143,9 +142,7 @@
     const {registry} = this.opts;
     // Without any worker nothing is known about sizes; the job waits.
     if (registry.size === 0) return undefined;
-    for (const [index, task] of spec.tasks.entries()) {
-      const memoryMb = task.memory_mb ?? config.memory_mb;
-      const accelerators = task.accelerators ?? config.accelerators;
+    for (const [accelerators, {index, memoryMb}] of largest(spec, config)) {
       if (registry.isPlaceable(config.name, memoryMb, accelerators)) continue;
       return (
         `no worker could hold task ${index} of class "${config.name}" with ` +
@@ -159,3 +156,22 @@
 function refuse<T>(refusal: Refusal): Result<T, Refusal> {
   return Result.err(refusal);
 }
+
+/**
+ * The task with the most memory for each number of accelerators; if a worker
+ * could hold it, the other tasks with that number fit as well.
+ */
+function largest(
+  {tasks}: JobSpec,
+  config: ClassConfig,
+): Map<number, {readonly index: number; readonly memoryMb: number}> {
+  const found = new Map<number, {index: number; memoryMb: number}>();
+  tasks.forEach((task, index) => {
+    const memoryMb = task.memory_mb ?? config.memory_mb;
+    const accelerators = task.accelerators ?? config.accelerators;
+    const known = found.get(accelerators);
+    if (known && known.memoryMb >= memoryMb) return;
+    found.set(accelerators, {index, memoryMb});
+  });
+  return found;
+}
--- a/src/core/dispatch/task_assigner.ts
+++ b/src/core/dispatch/task_assigner.ts
@@ -3,6 +3,7 @@
 import type {ActiveJob} from './active_job.js';
 import type {Assignment} from './assignment.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
+import {Fleet} from './fleet.js';
 import type {FleetView} from './fleet_view.js';
 
 interface TaskAssignerOptions {
@@ -13,25 +14,18 @@
 /** Gives free slots to waiting tasks in the order of the policy. */
 export class TaskAssigner {
   private sequence = 0;
+  private readonly workers: Fleet;
 
   constructor(
     private readonly opts: TaskAssignerOptions,
     private readonly active: ReadonlyMap<string, ActiveJob>,
-  ) {}
+  ) {
+    this.workers = new Fleet(opts.registry);
+  }
 
   /** The workers as the policy may use them now. */
   fleet(epoch: number, now: number): FleetView {
-    const {registry} = this.opts;
-    const startable = [];
-    let totalSlots = 0;
-    for (const worker of registry.list()) {
-      if (!worker.announcement.leaving) {
-        totalSlots += worker.announcement.slots;
-      }
-      if (worker.freeSlots === 0) continue;
-      if (registry.isStartable(worker, epoch, now)) startable.push(worker);
-    }
-    return {startable, totalSlots};
+    return this.workers.refresh(epoch, now);
   }
 
   /** Occupies slots and returns the attempts whose intents to propose. */
@@ -62,6 +56,7 @@
       worker: worker.id,
       incarnation: worker.incarnation,
       className: task.className,
+      tenant: task.tenant,
       memoryMb: task.memoryMb,
       accelerators: task.accelerators,
       phase: 'proposed',
--- a/src/core/job/job_table.ts
+++ b/src/core/job/job_table.ts
@@ -6,12 +6,17 @@
 
 type Settled = Extract<JobEvent, {kind: 'settled'}>;
 
+/** Keys outlive their retention by less than this. */
+const AGE_STEP_MS = 1_000;
+
 /**
  * Replicated state of every job of a zone. All members of the group apply the
  * same events in the same order, so that any of them can take over.
  */
 export class JobTable {
   private jobs = new Map<string, JobRecord>();
+  /** Keys by the time in them, in steps of `AGE_STEP_MS`. */
+  private readonly ages = new Map<number, Set<string>>();
 
   get size(): number {
     return this.jobs.size;
@@ -25,6 +30,17 @@
     return this.jobs.values();
   }
 
+  /**
+   * Keys whose time lies in a step that ended before `timeMs`. The cost grows
+   * with the keys found, not with the size of the table.
+   */
+  *keysMadeBefore(timeMs: number): Generator<string> {
+    const end = stepOf(timeMs);
+    for (const [step, keys] of this.ages) {
+      if (step < end) yield* keys;
+    }
+  }
+
   /** Applies a committed event; an event about an unknown job has no effect. */
   apply(event: JobEvent): void {
     switch (event.kind) {
@@ -32,7 +48,7 @@
         this.accept(event.job);
         return;
       case 'expired':
-        for (const key of event.keys) this.jobs.delete(key);
+        for (const key of event.keys) this.expire(key);
         return;
       default: {
         const job = this.jobs.get(event.key);
@@ -75,11 +91,31 @@
 
   restore(records: readonly JobRecord[]): void {
     this.jobs = new Map(records.map(job => [job.spec.key, job]));
+    this.ages.clear();
+    for (const {spec} of records) this.noteAge(spec);
+  }
+
+  private noteAge({key, keyTimeMs}: JobSpec): void {
+    const step = stepOf(keyTimeMs);
+    const keys = this.ages.get(step);
+    if (keys) keys.add(key);
+    else this.ages.set(step, new Set([key]));
+  }
+
+  private expire(key: string): void {
+    const job = this.jobs.get(key);
+    if (!job) return;
+    this.jobs.delete(key);
+    const step = stepOf(job.spec.keyTimeMs);
+    const keys = this.ages.get(step);
+    keys?.delete(key);
+    if (keys?.size === 0) this.ages.delete(step);
   }
 
   private accept(spec: JobSpec): void {
     // A group may replay an accepted event after a change of leader.
     if (this.jobs.has(spec.key)) return;
+    this.noteAge(spec);
     this.jobs.set(spec.key, {
       spec,
       tasks: spec.tasks.map(() => ({
@@ -144,6 +180,10 @@
   }
 }
 
+function stepOf(timeMs: number): number {
+  return Math.floor(timeMs / AGE_STEP_MS);
+}
+
 /** The first final state of a job stands; later events do not change it. */
 function finish(
   job: JobRecord,
--- a/src/core/worker/running_attempt.ts
+++ b/src/core/worker/running_attempt.ts
@@ -6,6 +6,7 @@
   readonly worker: string;
   readonly incarnation: string;
   readonly className: string;
+  readonly tenant: string;
   readonly memoryMb: number;
   readonly accelerators: number;
   /** `proposed` until its intent is committed, then `sent`. */
--- a/src/core/worker/worker_registry.ts
+++ b/src/core/worker/worker_registry.ts
@@ -1,4 +1,5 @@
 import type {WorkerAnnouncement} from './worker_announcement.js';
+import type {WorkerObserver} from './worker_observer.js';
 import {WorkerState} from './worker_state.js';
 
 /**
@@ -19,8 +20,19 @@
 /** The workers of a zone, with their leases. Soft state: rebuilt from announcements. */
 export class WorkerRegistry {
   static readonly LEASE_MS = LEASE_MS;
+  static readonly LEASE_MARGIN_MS = LEASE_MARGIN_MS;
 
   private readonly workers = new Map<string, WorkerState>();
+  private observer: WorkerObserver | undefined;
+  private readonly states: WorkerObserver = {
+    eligibilityChanged: () => this.observer?.eligibilityChanged(),
+    usageChanged: worker => this.observer?.usageChanged(worker),
+  };
+
+  /** Sets the one receiver of changes of eligibility and usage. */
+  observe(observer: WorkerObserver): void {
+    this.observer = observer;
+  }
 
   get size(): number {
     return this.workers.size;
@@ -42,12 +54,19 @@
       if (announcement.sequence <= known.announcement.sequence) {
         return {accepted: false, replaced: undefined};
       }
+      const before = known.announcement;
       known.announcement = announcement;
       known.leaseExpiresAt = expiry;
+      if (isCapacityChanged(before, announcement)) {
+        this.states.eligibilityChanged();
+      } else {
+        this.states.usageChanged(known);
+      }
       return {accepted: true, replaced: undefined};
     }
-    const state = new WorkerState(announcement, expiry);
+    const state = new WorkerState(announcement, expiry, this.states);
     this.workers.set(announcement.worker, state);
+    this.states.eligibilityChanged();
     return {accepted: true, replaced: known};
   }
 
@@ -59,6 +78,7 @@
       this.workers.delete(worker.id);
       expired.push(worker);
     }
+    if (expired.length > 0) this.states.eligibilityChanged();
     return expired;
   }
 
@@ -94,3 +114,14 @@
     return false;
   }
 }
+
+function isCapacityChanged(
+  before: WorkerAnnouncement,
+  after: WorkerAnnouncement,
+): boolean {
+  return (
+    before.leaving !== after.leaving ||
+    before.slots !== after.slots ||
+    before.connections !== after.connections
+  );
+}
--- a/src/core/worker/worker_state.ts
+++ b/src/core/worker/worker_state.ts
@@ -1,5 +1,6 @@
 import type {RunningAttempt} from './running_attempt.js';
 import type {WorkerAnnouncement} from './worker_announcement.js';
+import type {WorkerObserver} from './worker_observer.js';
 
 /**
  * A dispatcher's view of one worker. The attempts it has placed there are the
@@ -11,18 +12,42 @@
   readonly foreign = new Set<string>();
   memoryUsedMb = 0;
   acceleratorsUsed = 0;
-  /** Epoch in which the worker confirmed its fence; 0 before the first. */
-  fencedEpoch = 0;
   /** Epoch milliseconds of the worker's last answer of any kind. */
   lastContact = 0;
   /** Epoch milliseconds of the last settle or fence sent. */
   lastAsked = 0;
 
+  private fence = 0;
+  private leaseEnd: number;
+
   constructor(
     public announcement: WorkerAnnouncement,
-    /** Epoch milliseconds until which the worker may take starts. */
-    public leaseExpiresAt: number,
-  ) {}
+    leaseExpiresAt: number,
+    private readonly observer?: WorkerObserver,
+  ) {
+    this.leaseEnd = leaseExpiresAt;
+  }
+
+  /** Epoch in which the worker confirmed its fence; 0 before the first. */
+  get fencedEpoch(): number {
+    return this.fence;
+  }
+
+  set fencedEpoch(epoch: number) {
+    this.fence = epoch;
+    this.observer?.eligibilityChanged();
+  }
+
+  /** Epoch milliseconds until which the worker may take starts. */
+  get leaseExpiresAt(): number {
+    return this.leaseEnd;
+  }
+
+  set leaseExpiresAt(at: number) {
+    // A longer lease makes no worker ineligible, so nothing is recomputed.
+    if (at < this.leaseEnd) this.observer?.eligibilityChanged();
+    this.leaseEnd = at;
+  }
 
   get id(): string {
     return this.announcement.worker;
@@ -68,16 +93,19 @@
     this.attempts.set(attempt.id, attempt);
     this.memoryUsedMb += attempt.memoryMb;
     this.acceleratorsUsed += attempt.accelerators;
+    this.observer?.usageChanged(this);
   }
 
   /** Frees the slot of an attempt; undefined if it holds none. */
   release(id: string): RunningAttempt | undefined {
-    this.foreign.delete(id);
+    const wasForeign = this.foreign.delete(id);
     const attempt = this.attempts.get(id);
-    if (!attempt) return undefined;
-    this.attempts.delete(id);
-    this.memoryUsedMb -= attempt.memoryMb;
-    this.acceleratorsUsed -= attempt.accelerators;
+    if (attempt) {
+      this.attempts.delete(id);
+      this.memoryUsedMb -= attempt.memoryMb;
+      this.acceleratorsUsed -= attempt.accelerators;
+    }
+    if (attempt || wasForeign) this.observer?.usageChanged(this);
     return attempt;
   }
 }
