--- a/src/core/dispatch/submission_gate.ts
+++ b/src/core/dispatch/submission_gate.ts
@@ -133,13 +133,14 @@
     this.nextExpiry = now + EXPIRY_INTERVAL_MS;
     const oldest = now - RETENTION_MS - MAX_CLOCK_SKEW_MS;
     const keys: string[] = [];
-    for (const {spec, finishedAt} of this.opts.table.records()) {
-      if (spec.keyTimeMs >= oldest || isActive(spec.key)) continue;
+    for (const key of this.opts.table.keysMadeBefore(oldest)) {
+      if (isActive(key)) continue;
+      const finishedAt = this.opts.table.get(key)?.finishedAt;
       // The final state may be proposed but not committed, or just be read.
       if (finishedAt === undefined || finishedAt > now - ANSWER_GRACE_MS) {
         continue;
       }
-      keys.push(spec.key);
+      keys.push(key);
     }
     return keys;
   }
@@ -174,17 +175,9 @@
     const {registry} = this.opts;
     // Without any worker nothing is known about sizes; the job waits.
     if (registry.size === 0) return undefined;
-    const placeable = new Set<string>();
-    for (const [index, task] of spec.tasks.entries()) {
-      if (!isIncluded(index)) continue;
-      const memoryMb = task.memory_mb ?? config.memory_mb;
-      const accelerators = task.accelerators ?? config.accelerators;
-      const size = `${memoryMb} ${accelerators}`;
-      if (placeable.has(size)) continue;
-      if (registry.isPlaceable(config.name, memoryMb, accelerators)) {
-        placeable.add(size);
-        continue;
-      }
+    const sizes = largest(spec, config, isIncluded);
+    for (const [accelerators, {index, memoryMb}] of sizes) {
+      if (registry.isPlaceable(config.name, memoryMb, accelerators)) continue;
       return (
         `no worker could hold task ${index} of class "${config.name}" with ` +
         `${memoryMb} MB and ${accelerators} accelerators`
@@ -197,3 +190,24 @@
 function refuse<T>(refusal: Refusal): Result<T, Refusal> {
   return Result.err(refusal);
 }
+
+/**
+ * The task with the most memory for each number of accelerators; if a worker
+ * could hold it, the other tasks with that number fit as well.
+ */
+function largest(
+  {tasks}: JobSpec,
+  config: ClassConfig,
+  isIncluded: (index: number) => boolean,
+): Map<number, {readonly index: number; readonly memoryMb: number}> {
+  const found = new Map<number, {index: number; memoryMb: number}>();
+  tasks.forEach((task, index) => {
+    if (!isIncluded(index)) return;
+    const memoryMb = task.memory_mb ?? config.memory_mb;
+    const accelerators = task.accelerators ?? config.accelerators;
+    const known = found.get(accelerators);
+    if (known && known.memoryMb >= memoryMb) return;
+    found.set(accelerators, {index, memoryMb});
+  });
+  return found;
+}
--- a/src/core/worker/worker_registry.ts
+++ b/src/core/worker/worker_registry.ts
@@ -1,4 +1,5 @@
 import type {WorkerAnnouncement} from './worker_announcement.js';
+import type {WorkerObserver} from './worker_observer.js';
 import {WorkerState} from './worker_state.js';
 
 /**
@@ -31,11 +32,22 @@
 /** The workers of a zone, with their leases. Soft state: rebuilt from announcements. */
 export class WorkerRegistry {
   static readonly LEASE_MS = LEASE_MS;
+  static readonly LEASE_MARGIN_MS = LEASE_MARGIN_MS;
   static readonly UNKNOWN_LEASE_MS = UNKNOWN_LEASE_MS;
 
   private readonly workers = new Map<string, WorkerState>();
   /** Ended incarnations with the time of their end, in order of time. */
   private readonly retired = new Map<string, number>();
+  private observer: WorkerObserver | undefined;
+  private readonly states: WorkerObserver = {
+    eligibilityChanged: () => this.observer?.eligibilityChanged(),
+    usageChanged: worker => this.observer?.usageChanged(worker),
+  };
+
+  /** Sets the one receiver of changes of eligibility and usage. */
+  observe(observer: WorkerObserver): void {
+    this.observer = observer;
+  }
 
   get size(): number {
     return this.workers.size;
@@ -57,16 +69,23 @@
       if (announcement.sequence <= known.announcement.sequence) {
         return {accepted: false, replaced: undefined};
       }
+      const before = known.announcement;
       known.announcement = announcement;
       known.leaseExpiresAt = Math.max(known.leaseExpiresAt, expiry);
+      if (isCapacityChanged(before, announcement)) {
+        this.states.eligibilityChanged();
+      } else {
+        this.states.usageChanged(known);
+      }
       return {accepted: true, replaced: undefined};
     }
     if (this.retired.has(retiredKey(announcement))) {
       return {accepted: false, replaced: undefined};
     }
     if (known) this.retire(known, now);
-    const state = new WorkerState(announcement, expiry);
+    const state = new WorkerState(announcement, expiry, this.states);
     this.workers.set(announcement.worker, state);
+    this.states.eligibilityChanged();
     return {accepted: true, replaced: known};
   }
 
@@ -83,6 +102,7 @@
       if (now - at < RETIRED_MS) break;
       this.retired.delete(key);
     }
+    if (expired.length > 0) this.states.eligibilityChanged();
     return expired;
   }
 
@@ -126,3 +146,14 @@
 function retiredKey({worker, incarnation}: WorkerAnnouncement): string {
   return `${worker} ${incarnation}`;
 }
+
+function isCapacityChanged(
+  before: WorkerAnnouncement,
+  after: WorkerAnnouncement,
+): boolean {
+  return (
+    before.leaving !== after.leaving ||
+    before.slots !== after.slots ||
+    before.connections !== after.connections
+  );
+}
