Lend spare slots to other zones

Cause: a zone's queue waits while another zone has free slots; small pools have a long tail. A borrowed start is a job of one task in the lending zone under a key of its own, so that the de-duplication and the answers of that zone's group cover it.

Ruled out: lending single workers to another dispatcher, because a worker obeys one epoch only; promising slots to one borrower, because idle promises waste what is spare. A start that finds no spare slot is refused as not started.

An attempt on a zone that is lost may still run there, so it is never retried.

The gain is not measured yet.

--- a/src/adapter/http/caller_api.ts
+++ b/src/adapter/http/caller_api.ts
@@ -9,7 +9,7 @@
 import type {JobSpec} from '../../core/job/job_spec.js';
 import type {Refusal} from '../../core/job/refusal.js';
 import {RunOutcome} from '../../core/job/run_outcome.js';
-import type {JobRequest} from '../../daemon/zone/job_request.js';
+import type {JobRequest} from '../../core/job/job_request.js';
 import {JobSubmission} from './job_submission.js';
 import type {JsonBodyReader} from './json_body_reader.js';
 import {pathKey} from './path_key.js';
--- a/src/core/dispatch/attempt_manager.ts
+++ b/src/core/dispatch/attempt_manager.ts
@@ -9,7 +9,9 @@
 import {WorkerRegistry} from '../worker/worker_registry.js';
 import type {WorkerState} from '../worker/worker_state.js';
 import {ForgetList} from './forget_list.js';
+import {lostOutcome} from './lost_outcome.js';
 import {LostAttempts} from './lost_attempts.js';
+import {outcomeOf} from './outcome_of.js';
 
 /** Age from which the worker is asked about an attempt. Most tasks end sooner. */
 const ASK_AFTER_MS = 1_000;
@@ -255,7 +257,9 @@
   }
 
   private endLost(lost: readonly RunningAttempt[], reason: string): void {
-    for (const attempt of lost) this.ended(attempt, unknown(reason));
+    for (const attempt of lost) {
+      this.ended(attempt, lostOutcome(reason, attempt.worker));
+    }
   }
 
   /** An attempt that no open job waits for is over. */
@@ -274,7 +278,8 @@
 
   private fence(worker: WorkerState, now: number): void {
     worker.lastAsked = now;
-    this.opts.upstream.fence(target(worker), this.epoch);
+    const inherited = [...worker.attempts.keys()];
+    this.opts.upstream.fence(target(worker), this.epoch, inherited);
   }
 
   private ask(worker: WorkerState, now: number): void {
@@ -301,7 +306,7 @@
       const outcome: AttemptOutcome =
         attempt.phase === 'proposed'
           ? {kind: 'never_started', reason}
-          : unknown(reason);
+          : lostOutcome(reason, worker.id);
       this.end(worker, attempt.id, outcome);
     }
   }
@@ -326,22 +331,3 @@
   const {worker, incarnation, address, connections} = announcement;
   return {worker, incarnation, address, connections};
 }
-
-function unknown(reason: string): AttemptOutcome {
-  return {kind: 'unknown', reason};
-}
-
-function outcomeOf(
-  report: Exclude<AttemptReport, {state: 'running'}>,
-): AttemptOutcome {
-  switch (report.state) {
-    case 'succeeded':
-      return {kind: 'succeeded', result: report.result};
-    case 'failed':
-      return {kind: 'failed', error: report.error};
-    case 'stopped':
-      return {kind: 'stopped'};
-    case 'never_started':
-      return {kind: 'never_started', reason: report.reason};
-  }
-}
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -16,10 +16,11 @@
 import {AttemptManager} from './attempt_manager.js';
 import type {DispatchObserver} from './dispatch_observer.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
+import {countLent} from './count_lent.js';
 import {intentOf} from './intent_of.js';
 import {NOT_LEADER} from './not_leader.js';
 import {resumeJob} from './resume_job.js';
-import {startOf} from './start_of.js';
+import {StartSender} from './start_sender.js';
 import {SubmissionGate} from './submission_gate.js';
 import {TaskAssigner} from './task_assigner.js';
 import {TaskRetrier} from './task_retrier.js';
@@ -54,6 +55,7 @@
  */
 export class Dispatcher {
   private readonly attempts: AttemptManager;
+  private readonly starts: StartSender;
   private readonly gate: SubmissionGate;
   private readonly assigner: TaskAssigner;
   private readonly active = new Map<string, ActiveJob>();
@@ -79,6 +81,7 @@
       onCapacity: () => opts.requestFlush(),
       onSuperseded: epoch => opts.replicator.supersede(epoch, this.now),
     });
+    this.starts = new StartSender(opts.registry, this.attempts);
     opts.replicator.listen({
       committed: (events, now) => this.committed(events, now),
       leadership: (epoch, now) => this.leadershipChanged(epoch, now),
@@ -89,6 +92,11 @@
     return this.opts.replicator.leading !== undefined;
   }
 
+  /** Tasks of other zones that run here, by zone. */
+  lentSlots(): ReadonlyMap<string, number> {
+    return countLent(this.active.values());
+  }
+
   /** Tasks that wait for a slot. */
   get queued(): number {
     return this.opts.policy.queued;
@@ -259,24 +267,23 @@
 
   private committed(events: readonly JobEvent[], now: number): void {
     this.now = now;
-    const starts = new Map<string, RunningAttempt[]>();
     for (const event of events) {
       const ended = this.opts.table.apply(event);
       if (!this.isLeading) continue;
       if (ended) this.opts.observer?.finished(ended, now);
-      this.act(event, starts);
+      this.act(event);
     }
-    for (const [id, attempts] of starts) this.send(id, attempts, now);
+    this.starts.send(this.opts.replicator.leading, now);
   }
 
   /** Does what a committed event allows. */
-  private act(event: JobEvent, starts: Map<string, RunningAttempt[]>): void {
+  private act(event: JobEvent): void {
     switch (event.kind) {
       case 'accepted':
         this.proposed.delete(event.job.key);
         return;
       case 'intent':
-        this.intentCommitted(event, starts);
+        this.intentCommitted(event);
         return;
       case 'settled':
         this.settledCommitted(event);
@@ -288,39 +295,16 @@
     }
   }
 
-  private intentCommitted(
-    event: Intent,
-    starts: Map<string, RunningAttempt[]>,
-  ): void {
-    const job = this.active.get(event.key);
-    const attempt = job?.attempts.get(event.attempt);
+  private intentCommitted({key, attempt: id}: Intent): void {
+    const job = this.active.get(key);
+    const attempt = job?.attempts.get(id);
     if (!job || !attempt) return;
     if (job.ended) {
       this.attempts.withdraw(attempt, 'the job ended before the start');
       return;
     }
     this.opts.observer?.started(job.spec, this.now - job.spec.submittedAt);
-    const batch = starts.get(event.worker) ?? [];
-    batch.push(attempt);
-    starts.set(event.worker, batch);
-  }
-
-  private send(id: string, attempts: RunningAttempt[], now: number): void {
-    const {registry, replicator} = this.opts;
-    const worker = registry.get(id);
-    const epoch = replicator.leading;
-    if (!worker || epoch === undefined) return;
-    // The commit may have taken long enough for the worker to leave.
-    if (!registry.isStartable(worker, epoch, now)) {
-      for (const attempt of attempts) {
-        this.attempts.withdraw(attempt, 'the worker takes no more starts');
-      }
-      return;
-    }
-    const starts = attempts.map(attempt =>
-      startOf(attempt, this.active.get(attempt.key)?.spec),
-    );
-    this.attempts.start(worker, attempts, starts, now);
+    this.starts.add(attempt, job.spec);
   }
 
   private settledCommitted({worker, attempt, outcome, key}: Settled): void {
--- a/src/core/dispatch/fleet.ts
+++ b/src/core/dispatch/fleet.ts
@@ -21,7 +21,11 @@
   private epoch = 0;
   private validUntil = 0;
 
-  constructor(private readonly registry: WorkerRegistry) {
+  /** `includes` tells the workers of this view from the others. */
+  constructor(
+    private readonly registry: WorkerRegistry,
+    private readonly includes: (worker: WorkerState) => boolean = () => true,
+  ) {
     registry.observe(this);
   }
 
@@ -61,7 +65,7 @@
     this.totalWorkers = 0;
     this.validUntil = Infinity;
     for (const worker of registry.list()) {
-      if (worker.announcement.leaving) continue;
+      if (worker.announcement.leaving || !this.includes(worker)) continue;
       this.totalSlots += worker.announcement.slots;
       this.totalWorkers += 1;
       if (!registry.isStartable(worker, epoch, now)) continue;
--- a/src/core/dispatch/start_of.ts
+++ b/src/core/dispatch/start_of.ts
@@ -12,6 +12,9 @@
     key: attempt.key,
     task: attempt.task,
     class: attempt.className,
+    tenant: attempt.tenant,
+    memory_mb: attempt.memoryMb,
+    accelerators: attempt.accelerators,
     payload: spec?.tasks[attempt.task]?.payload,
   };
 }
--- a/src/core/dispatch/submission_gate.ts
+++ b/src/core/dispatch/submission_gate.ts
@@ -77,6 +77,13 @@
         detail: obstacle,
       });
     }
+    if (spec.lentTo !== undefined && !this.isSpare(fleet)) {
+      return refuse({
+        code: 'overloaded',
+        outcome: RunOutcome.notRun,
+        detail: 'the zone has no spare slot',
+      });
+    }
     const admission = this.opts.policy.admit(spec, config, fleet, now);
     if (admission.admitted) return Result.ok(config);
     return refuse({
@@ -167,6 +174,11 @@
     return now - job.unplaceableSince >= UNPLACEABLE_MS ? obstacle : undefined;
   }
 
+  /** A zone lends only slots that none of its own tasks waits for. */
+  private isSpare(fleet: FleetView): boolean {
+    return this.opts.policy.queued === 0 && fleet.freeSlots > 0;
+  }
+
   private findUnplaceable(
     spec: JobSpec,
     config: ClassConfig,
--- a/src/core/dispatch/task_assigner.ts
+++ b/src/core/dispatch/task_assigner.ts
@@ -1,5 +1,8 @@
+import {lentKey} from '../overflow/lent_key.js';
+import {ZoneWorker} from '../overflow/zone_worker.js';
 import type {RunningAttempt} from '../worker/running_attempt.js';
 import type {WorkerRegistry} from '../worker/worker_registry.js';
+import type {WorkerState} from '../worker/worker_state.js';
 import type {ActiveJob} from './active_job.js';
 import type {Assignment} from './assignment.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
@@ -14,31 +17,54 @@
 /** Gives free slots to waiting tasks in the order of the policy. */
 export class TaskAssigner {
   private sequence = 0;
-  private readonly workers: Fleet;
+  private readonly local: Fleet;
+  /** Slots that other zones lend. */
+  private readonly borrowed: Fleet;
 
   constructor(
     private readonly opts: TaskAssignerOptions,
     private readonly active: ReadonlyMap<string, ActiveJob>,
   ) {
-    this.workers = new Fleet(opts.registry);
+    const {registry} = opts;
+    this.local = new Fleet(registry, ({id}) => !ZoneWorker.isZone(id));
+    this.borrowed = new Fleet(registry, ({id}) => ZoneWorker.isZone(id));
   }
 
   /** The workers as the policy may use them now. */
   fleet(epoch: number, now: number): FleetView {
-    return this.workers.refresh(epoch, now);
+    return this.local.refresh(epoch, now);
   }
 
   /** Occupies slots and returns the attempts whose intents to propose. */
   assign(epoch: number, now: number): RunningAttempt[] {
     const {policy} = this.opts;
     if (policy.queued === 0) return [];
-    const fleet = this.fleet(epoch, now);
+    const local = this.fleet(epoch, now);
+    const placed = this.fill(local, epoch, now);
+    if (policy.queued === 0) return placed;
+    const {startable, freeSlots} = this.borrowed.refresh(epoch, now);
+    if (freeSlots === 0) return placed;
+    // Shares are parts of the zone's own slots, whatever is borrowed.
+    const {totalSlots, totalWorkers} = local;
+    const borrowed = {startable, freeSlots, totalSlots, totalWorkers};
+    return placed.concat(this.fill(borrowed, epoch, now));
+  }
+
+  private fill(fleet: FleetView, epoch: number, now: number): RunningAttempt[] {
+    const {policy} = this.opts;
     const placed: RunningAttempt[] = [];
     for (;;) {
       const assignment = policy.next(fleet, now);
       if (!assignment) return placed;
-      const job = this.active.get(assignment.task.key);
-      if (job) placed.push(this.place(job, assignment, epoch, now));
+      const {task, worker} = assignment;
+      const job = this.active.get(task.key);
+      if (!job) continue;
+      if (job.spec.lentTo !== undefined && ZoneWorker.isZone(worker.id)) {
+        // A task that was lent to this zone is not lent on.
+        policy.enqueue(job.queueTask(task.index), now);
+        return placed;
+      }
+      placed.push(this.place(job, assignment, epoch, now));
     }
   }
 
@@ -48,9 +74,8 @@
     epoch: number,
     now: number,
   ): RunningAttempt {
-    this.sequence += 1;
     const attempt: RunningAttempt = {
-      id: `${epoch}.${this.sequence}`,
+      id: this.attemptId(worker, epoch, now),
       key: task.key,
       task: task.index,
       worker: worker.id,
@@ -69,4 +94,12 @@
     this.opts.policy.started(attempt, now);
     return attempt;
   }
+
+  private attemptId(worker: WorkerState, epoch: number, now: number): string {
+    const zone = ZoneWorker.zoneOf(worker.id);
+    this.sequence += 1;
+    return zone === undefined
+      ? `${epoch}.${this.sequence}`
+      : lentKey(zone, worker.announcement.zone, epoch, this.sequence, now);
+  }
 }
--- a/src/core/job/attempt_outcome.ts
+++ b/src/core/job/attempt_outcome.ts
@@ -7,5 +7,10 @@
   | {readonly kind: 'stopped'}
   /** The worker never started the task and never will. */
   | {readonly kind: 'never_started'; readonly reason: string}
-  /** The task may have started; it is no longer running. */
-  | {readonly kind: 'unknown'; readonly reason: string};
+  /** The task may have started. */
+  | {
+      readonly kind: 'unknown';
+      readonly reason: string;
+      /** True when it may run still; otherwise it is known to be over. */
+      readonly mayStillRun?: boolean;
+    };
--- a/src/daemon/zone/job_request.ts
+++ b/src/core/job/job_request.ts
@@ -1,4 +1,4 @@
-import type {JobSpec} from '../../core/job/job_spec.js';
+import type {JobSpec} from './job_spec.js';
 
 /** A request about one job, as it goes to the dispatcher of its home zone. */
 export type JobRequest =
@@ -10,4 +10,6 @@
     }
   | {readonly kind: 'fetch'; readonly key: string; readonly waitMs: number}
   | {readonly kind: 'cancel'; readonly key: string}
+  /** Asks about a lent task; one not known never starts from then on. */
+  | {readonly kind: 'settle'; readonly key: string}
   | {readonly kind: 'acknowledge'; readonly key: string};
--- a/src/core/job/job_spec.ts
+++ b/src/core/job/job_spec.ts
@@ -14,4 +14,6 @@
   readonly fingerprint: string;
   /** Epoch milliseconds of the submission at its first daemon. */
   readonly submittedAt: number;
+  /** Zone whose task this is, when it runs on slots lent to that zone. */
+  readonly lentTo?: string;
 }
--- /dev/null
+++ b/src/core/overflow/slot_lender.ts
@@ -0,0 +1,74 @@
+import type {WorkerAnnouncement} from '../worker/worker_announcement.js';
+import type {SpareSlots} from './spare_slots.js';
+import {ZoneWorker} from './zone_worker.js';
+
+const OFFER_INTERVAL_MS = 250;
+/** An unchanged offer is repeated this often, to renew the borrower's lease. */
+const RENEW_INTERVAL_MS = 1_000;
+
+interface SlotLenderOptions {
+  readonly zone: string;
+  /** The other zones. */
+  readonly zones: readonly string[];
+  readonly spare: SpareSlots;
+  /** Tasks that run here for each other zone. */
+  readonly lentSlots: () => ReadonlyMap<string, number>;
+  /** Epoch milliseconds since which this zone's group remembers its jobs. */
+  readonly memoryStart: () => number;
+  /** Sends an announcement to the daemons of its zone. */
+  readonly announce: (announcement: WorkerAnnouncement) => void;
+}
+
+/**
+ * Offers the spare slots of a zone to the others, as the announcements of one
+ * worker. An offer promises nothing: a start that finds no spare slot is
+ * refused as not started.
+ */
+export class SlotLender {
+  private sequence = 0;
+  private nextOffer = 0;
+  private nextRenewal = 0;
+  private lastSlots = 0;
+
+  constructor(private readonly opts: SlotLenderOptions) {}
+
+  /** Announces what is spare; called by the zone's dispatcher only. */
+  tick(epoch: number, now: number): void {
+    if (now < this.nextOffer) return;
+    this.nextOffer = now + OFFER_INTERVAL_MS;
+    const spare = this.opts.spare.find(epoch, now);
+    if (spare.slots === this.lastSlots && now < this.nextRenewal) return;
+    this.lastSlots = spare.slots;
+    this.nextRenewal = now + RENEW_INTERVAL_MS;
+    // A successor must not fall behind the sequence of its predecessor.
+    this.sequence = Math.max(this.sequence + 1, Math.floor(now));
+    const running = this.opts.lentSlots();
+    for (const zone of this.opts.zones) {
+      this.offer(zone, spare, running.get(zone) ?? 0);
+    }
+  }
+
+  private offer(
+    zone: string,
+    {slots, memoryMb, classes}: ReturnType<SpareSlots['find']>,
+    lent: number,
+  ): void {
+    const total = slots + lent;
+    this.opts.announce({
+      worker: ZoneWorker.idOf(this.opts.zone),
+      incarnation: `${Math.floor(this.opts.memoryStart())}`,
+      sequence: this.sequence,
+      zone,
+      rack: this.opts.zone,
+      address: ZoneWorker.addressOf(this.opts.zone),
+      slots: Math.max(1, total),
+      connections: Math.max(1, total),
+      processors: 0,
+      memory_mb: memoryMb,
+      accelerators: 0,
+      classes: [...classes],
+      leaving: slots === 0,
+      epoch: 0,
+    });
+  }
+}
--- /dev/null
+++ b/src/core/overflow/zone_upstream_client.ts
@@ -0,0 +1,171 @@
+import type {Result} from 'true-myth';
+import type {Clock} from '../clock/clock.js';
+import type {JobAnswer} from '../job/job_answer.js';
+import {JobKey} from '../job/job_key.js';
+import type {JobRequest} from '../job/job_request.js';
+import type {JobSpec} from '../job/job_spec.js';
+import type {Refusal} from '../job/refusal.js';
+import {RunOutcome} from '../job/run_outcome.js';
+import type {AttemptReport} from '../upstream/attempt_report.js';
+import type {AttemptStart} from '../upstream/attempt_start.js';
+import {UpstreamClient} from '../upstream/upstream_client.js';
+import type {WorkerTarget} from '../upstream/worker_target.js';
+
+/** A start is answered when its task ends; after this the task is asked about. */
+const START_WAIT_MS = 30_000;
+
+interface ZoneUpstreamClientOptions {
+  readonly clock: Clock;
+  /** The borrowing zone. */
+  readonly zone: string;
+  /** Brings a request to the dispatcher of the key's home zone. */
+  readonly route: (
+    key: JobKey,
+    req: JobRequest,
+  ) => Promise<Result<JobAnswer, Refusal>>;
+}
+
+/**
+ * Runs attempts on slots that another zone lends. Each attempt is a job of one
+ * task in that zone, under a key of its own, so that the zone's de-duplication
+ * and its answers that survive a change of dispatcher hold for it as well.
+ */
+export class ZoneUpstreamClient extends UpstreamClient {
+  constructor(private readonly opts: ZoneUpstreamClientOptions) {
+    super();
+  }
+
+  override start(
+    target: WorkerTarget,
+    _epoch: number,
+    attempts: readonly AttemptStart[],
+  ): void {
+    for (const attempt of attempts) {
+      void this.ask(target, attempt.id, {
+        kind: 'submit',
+        key: attempt.id,
+        spec: this.specOf(attempt),
+        waitMs: START_WAIT_MS,
+      });
+    }
+  }
+
+  override stop(
+    target: WorkerTarget,
+    _epoch: number,
+    attempts: readonly string[],
+  ): void {
+    for (const key of attempts) {
+      void this.ask(target, key, {kind: 'cancel', key});
+    }
+  }
+
+  override settle(
+    target: WorkerTarget,
+    _epoch: number,
+    attempts: readonly string[],
+    forget: readonly string[],
+  ): void {
+    // The zone keeps each record until the retention of its key ends.
+    this.listener?.forgotten(target, forget);
+    for (const key of attempts) {
+      void this.ask(target, key, {kind: 'settle', key});
+    }
+  }
+
+  /**
+   * Another zone obeys no epoch of this one. Instead each attempt of the
+   * earlier dispatcher is settled, which prevents those not yet received.
+   */
+  override fence(
+    target: WorkerTarget,
+    epoch: number,
+    attempts: readonly string[],
+  ): void {
+    void this.settleAll(target, epoch, attempts);
+  }
+
+  private async settleAll(
+    target: WorkerTarget,
+    epoch: number,
+    attempts: readonly string[],
+  ): Promise<void> {
+    const reports = await Promise.all(
+      attempts.map(key => this.exchange(key, {kind: 'settle', key})),
+    );
+    const known = reports.filter(report => report !== undefined);
+    // Without an answer about every attempt the fence is tried again.
+    if (known.length < attempts.length) return;
+    this.listener?.fenced(target, epoch, known);
+  }
+
+  private async ask(
+    target: WorkerTarget,
+    id: string,
+    req: JobRequest,
+  ): Promise<void> {
+    const report = await this.exchange(id, req);
+    if (report) this.listener?.reported(target, [report]);
+  }
+
+  private async exchange(
+    id: string,
+    req: JobRequest,
+  ): Promise<AttemptReport | undefined> {
+    const key = JobKey.parse(id);
+    if (key.isErr) return undefined;
+    const result = await this.opts.route(key.value, req);
+    return result.isOk
+      ? reportOf(id, result.value)
+      : reportOfRefusal(id, result.error);
+  }
+
+  private specOf(start: AttemptStart): JobSpec {
+    const {memory_mb, accelerators} = start;
+    const key = JobKey.parse(start.id);
+    return {
+      key: start.id,
+      keyTimeMs: key.isOk ? key.value.timeMs : 0,
+      className: start.class,
+      tenant: start.tenant,
+      // Whether to try again is for the borrowing zone to decide.
+      repeatable: false,
+      tasks: [{payload: start.payload, memory_mb, accelerators}],
+      fingerprint: `${start.key} ${start.task}`,
+      submittedAt: this.opts.clock.now(),
+      lentTo: this.opts.zone,
+    };
+  }
+}
+
+function reportOf(id: string, answer: JobAnswer): AttemptReport {
+  switch (answer.status) {
+    case 'running':
+      return {id, state: 'running'};
+    case 'complete':
+      return {id, state: 'succeeded', result: answer.results[0]};
+    case 'cancelled':
+    case 'failed': {
+      const {outcome, reason, status} = answer;
+      if (outcome === RunOutcome.notRun) {
+        return {id, state: 'never_started', reason};
+      }
+      if (status === 'cancelled') return {id, state: 'stopped'};
+      return outcome === RunOutcome.failed
+        ? {id, state: 'failed', error: reason}
+        : {id, state: 'unknown', reason};
+    }
+  }
+}
+
+/** Undefined when the zone was not reached, which says nothing. */
+function reportOfRefusal(
+  id: string,
+  {code, outcome, detail}: Refusal,
+): AttemptReport | undefined {
+  if (outcome === RunOutcome.notRun) {
+    return {id, state: 'never_started', reason: detail};
+  }
+  if (code === 'expired') return {id, state: 'unknown', reason: detail};
+  return undefined;
+}
--- a/src/core/retry/retry_policy.ts
+++ b/src/core/retry/retry_policy.ts
@@ -33,7 +33,7 @@
       case 'stopped':
       case 'failed':
       case 'unknown':
-        if (!question.repeatable) return false;
+        if (!question.repeatable || mayStillRun(outcome)) return false;
         if (question.started >= MAX_STARTS) return false;
         return this.budget(question.className).take();
     }
@@ -48,3 +48,8 @@
     return budget;
   }
 }
+
+/** A second attempt beside the first one is never allowed. */
+function mayStillRun(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'unknown' && outcome.mayStillRun === true;
+}
--- a/src/core/upstream/attempt_start.ts
+++ b/src/core/upstream/attempt_start.ts
@@ -4,5 +4,8 @@
   readonly key: string;
   readonly task: number;
   readonly class: string;
+  readonly tenant: string;
+  readonly memory_mb: number;
+  readonly accelerators: number;
   readonly payload: unknown;
 }
--- a/src/core/upstream/upstream_client.ts
+++ b/src/core/upstream/upstream_client.ts
@@ -36,5 +36,13 @@
     forget: readonly string[],
   ): void;
 
-  abstract fence(target: WorkerTarget, epoch: number): void;
+  /**
+   * Makes the worker obey no lower epoch. `attempts` are those of earlier
+   * epochs that the dispatcher counts on the worker.
+   */
+  abstract fence(
+    target: WorkerTarget,
+    epoch: number,
+    attempts: readonly string[],
+  ): void;
 }
--- a/src/core/worker/worker_registry.ts
+++ b/src/core/worker/worker_registry.ts
@@ -1,3 +1,4 @@
+import {ZoneWorker} from '../overflow/zone_worker.js';
 import type {WorkerAnnouncement} from './worker_announcement.js';
 import type {WorkerObserver} from './worker_observer.js';
 import {WorkerState} from './worker_state.js';
@@ -38,15 +39,19 @@
   private readonly workers = new Map<string, WorkerState>();
   /** Ended incarnations with the time of their end, in order of time. */
   private readonly retired = new Map<string, number>();
-  private observer: WorkerObserver | undefined;
+  private readonly observers: WorkerObserver[] = [];
   private readonly states: WorkerObserver = {
-    eligibilityChanged: () => this.observer?.eligibilityChanged(),
-    usageChanged: worker => this.observer?.usageChanged(worker),
+    eligibilityChanged: () => {
+      for (const observer of this.observers) observer.eligibilityChanged();
+    },
+    usageChanged: worker => {
+      for (const observer of this.observers) observer.usageChanged(worker);
+    },
   };
 
-  /** Sets the one receiver of changes of eligibility and usage. */
+  /** Adds a receiver of changes of eligibility and usage. */
   observe(observer: WorkerObserver): void {
-    this.observer = observer;
+    this.observers.push(observer);
   }
 
   get size(): number {
@@ -138,7 +143,12 @@
     return false;
   }
 
+  /**
+   * A zone keeps its incarnation through a partition, and a start that it
+   * knows already has no effect there, so it may come back.
+   */
   private retire(worker: WorkerState, now: number): void {
+    if (ZoneWorker.isZone(worker.id)) return;
     this.retired.set(retiredKey(worker.announcement), now);
   }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,6 +12,8 @@
 import {HttpUpstreamClient} from '../adapter/upstream/http_upstream_client.js';
 import type {Clock} from '../core/clock/clock.js';
 import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
+import {ZoneUpstreamClient} from '../core/overflow/zone_upstream_client.js';
+import {ZonedUpstreamClient} from '../core/overflow/zoned_upstream_client.js';
 import {LogConfigAdmin} from './admin/log_config_admin.js';
 import {StatusReport} from './admin/status_report.js';
 import {ConfigService} from './config/config_service.js';
@@ -93,17 +95,25 @@
       clock,
       random: new SystemRandom(),
     });
+    const jobs = new JobRouter(directory, this.peers, clock);
+    const zones = new ZoneUpstreamClient({
+      clock,
+      zone: self.zone,
+      route: (key, req) => jobs.route(key, req),
+    });
     this.zone = new ZoneService({
+      zone: self.zone,
+      otherZones: directory.zones.filter(zone => zone !== self.zone),
+      announceSpare: announcement => void workers.announce(announcement),
       clock,
       peers: this.peers,
       replicator: this.groups.own,
       table: this.groups.table,
       policy: new FifoPolicy(),
       config: this.config.source,
-      upstream: this.upstream,
+      upstream: new ZonedUpstreamClient(this.upstream, zones),
       observer: new LoggingObserver(log, this.telemetry.observer),
     });
-    const jobs = new JobRouter(directory, this.peers, clock);
     const workers = new WorkerRouter(
       self.zone,
       directory,
--- a/src/daemon/zone/job_router.ts
+++ b/src/daemon/zone/job_router.ts
@@ -5,7 +5,7 @@
 import type {Refusal} from '../../core/job/refusal.js';
 import {RunOutcome} from '../../core/job/run_outcome.js';
 import type {PeerTransport} from '../../core/peer/peer_transport.js';
-import type {JobRequest} from './job_request.js';
+import type {JobRequest} from '../../core/job/job_request.js';
 import type {JobResponse} from './job_response.js';
 import type {ZoneDirectory} from './zone_directory.js';
 
--- a/src/daemon/zone/zone_jobs.ts
+++ b/src/daemon/zone/zone_jobs.ts
@@ -51,6 +51,13 @@
     return this.wait(key.text, COMMIT_WAIT_MS);
   }
 
+  /** The state of a lent task; one not known is cancelled before it comes. */
+  async settle(key: JobKey): Promise<Result<JobAnswer, Refusal>> {
+    if (!this.dispatcher.isLeading) return Result.err(NOT_LEADER);
+    if (!this.isKnown(key.text)) return this.cancel(key);
+    return this.wait(key.text, 0);
+  }
+
   acknowledge(key: JobKey): void {
     this.dispatcher.acknowledge(key.text);
   }
--- a/src/daemon/zone/zone_service.ts
+++ b/src/daemon/zone/zone_service.ts
@@ -7,11 +7,13 @@
 import {JobKey} from '../../core/job/job_key.js';
 import type {JobTable} from '../../core/job/job_table.js';
 import type {PeerTransport} from '../../core/peer/peer_transport.js';
+import {SlotLender} from '../../core/overflow/slot_lender.js';
+import {SpareSlots} from '../../core/overflow/spare_slots.js';
 import {RetryPolicy} from '../../core/retry/retry_policy.js';
 import type {UpstreamClient} from '../../core/upstream/upstream_client.js';
 import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
 import {WorkerRegistry} from '../../core/worker/worker_registry.js';
-import type {JobRequest} from './job_request.js';
+import type {JobRequest} from '../../core/job/job_request.js';
 import type {JobResponse} from './job_response.js';
 import {ZoneJobs} from './zone_jobs.js';
 
@@ -26,6 +28,11 @@
   readonly policy: DispatchPolicy;
   readonly config: ConfigSource;
   readonly upstream: UpstreamClient;
+  readonly zone: string;
+  /** Zones that spare slots are offered to. */
+  readonly otherZones: readonly string[];
+  /** Brings an offer of spare slots to the daemons of its zone. */
+  readonly announceSpare: (announcement: WorkerAnnouncement) => void;
   readonly observer?: DispatchObserver | undefined;
 }
 
@@ -34,6 +41,7 @@
   readonly registry = new WorkerRegistry();
   readonly jobs: ZoneJobs;
   readonly dispatcher: Dispatcher;
+  private readonly lender: SlotLender;
   private isFlushRequested = false;
   private isStopped = false;
 
@@ -47,6 +55,14 @@
       requestFlush: () => this.requestFlush(),
     });
     this.jobs = new ZoneJobs(this.dispatcher, opts.table, opts.clock);
+    this.lender = new SlotLender({
+      zone: opts.zone,
+      zones: opts.otherZones,
+      spare: new SpareSlots(this.registry, opts.policy),
+      lentSlots: () => this.dispatcher.lentSlots(),
+      memoryStart: () => opts.replicator.memoryStart,
+      announce: opts.announceSpare,
+    });
     opts.peers.onRequest('job', (_from, body) =>
       this.handle(body as JobRequest),
     );
@@ -84,6 +100,8 @@
         return this.jobs.fetch(key, req.waitMs);
       case 'cancel':
         return this.jobs.cancel(key);
+      case 'settle':
+        return this.jobs.settle(key);
       case 'acknowledge':
         this.jobs.acknowledge(key);
         return this.jobs.fetch(key, 0);
@@ -100,10 +118,17 @@
     });
   }
 
+  private lend(now: number): void {
+    const epoch = this.opts.replicator.leading;
+    if (epoch !== undefined) this.lender.tick(epoch, now);
+  }
+
   private scheduleTick(): void {
     this.opts.clock.schedule(TICK_MS, () => {
       if (this.isStopped) return;
-      this.dispatcher.tick(this.opts.clock.now());
+      const now = this.opts.clock.now();
+      this.dispatcher.tick(now);
+      this.lend(now);
       this.scheduleTick();
     });
   }
--- a/test-support/fakes/caller_server_bench.ts
+++ b/test-support/fakes/caller_server_bench.ts
@@ -6,7 +6,7 @@
 import {SystemClock} from '../../src/adapter/system_clock.js';
 import type {JobAnswer} from '../../src/core/job/job_answer.js';
 import type {Refusal} from '../../src/core/job/refusal.js';
-import type {JobRequest} from '../../src/daemon/zone/job_request.js';
+import type {JobRequest} from '../../src/core/job/job_request.js';
 
 type Answer = Result<JobAnswer, Refusal>;
 
