Test borrowed slots between zones and admit lent tasks in one turn

Cause: of several lent tasks that arrive in one turn of the loop, only the first was admitted, because its own queue entry counted as waiting work. Change: a lent task is admitted while fewer tasks wait than slots are free.

--- a/src/core/dispatch/submission_gate.ts
+++ b/src/core/dispatch/submission_gate.ts
@@ -176,7 +176,7 @@
 
   /** A zone lends only slots that none of its own tasks waits for. */
   private isSpare(fleet: FleetView): boolean {
-    return this.opts.policy.queued === 0 && fleet.freeSlots > 0;
+    return this.opts.policy.queued < fleet.freeSlots;
   }
 
   private findUnplaceable(
--- a/src/core/overflow/spare_slots.ts
+++ b/src/core/overflow/spare_slots.ts
@@ -24,7 +24,7 @@
     private readonly policy: DispatchPolicy,
   ) {}
 
-  /** Nothing is spare while tasks of the zone wait. */
+  /** A slot for each waiting task of the zone is not spare. */
   find(epoch: number, now: number): Spare {
     let free = 0;
     let total = 0;
@@ -45,7 +45,7 @@
       for (const name of announcement.classes) classes.add(name);
     }
     const reserved = Math.ceil(total * RESERVED_SHARE);
-    const slots = this.policy.queued > 0 ? 0 : Math.max(0, free - reserved);
+    const slots = Math.max(0, free - this.policy.queued - reserved);
     return {slots, memoryMb, classes: servesAll ? [] : [...classes]};
   }
 }
--- /dev/null
+++ b/test-support/fakes/zones_bench.ts
@@ -0,0 +1,151 @@
+import {setImmediate} from 'node:timers/promises';
+import type {Result} from 'true-myth';
+import {StaticConfigSource} from '../../src/core/config/static_config_source.js';
+import type {DispatchPolicy} from '../../src/core/dispatch/dispatch_policy.js';
+import {FifoPolicy} from '../../src/core/dispatch/fifo_policy.js';
+import {SoloReplicator} from '../../src/core/group/solo_replicator.js';
+import type {JobAnswer} from '../../src/core/job/job_answer.js';
+import type {JobKey} from '../../src/core/job/job_key.js';
+import type {JobRequest} from '../../src/core/job/job_request.js';
+import {JobTable} from '../../src/core/job/job_table.js';
+import type {Refusal} from '../../src/core/job/refusal.js';
+import {ZoneUpstreamClient} from '../../src/core/overflow/zone_upstream_client.js';
+import {ZonedUpstreamClient} from '../../src/core/overflow/zoned_upstream_client.js';
+import type {WorkerAnnouncement} from '../../src/core/worker/worker_announcement.js';
+import {JobRouter} from '../../src/daemon/zone/job_router.js';
+import {ZoneDirectory} from '../../src/daemon/zone/zone_directory.js';
+import {ZoneService} from '../../src/daemon/zone/zone_service.js';
+import {DispatchBench} from './dispatch_bench.js';
+import {FakeClock} from './fake_clock.js';
+import {FakeFleet} from './fake_fleet.js';
+import {InMemoryPeers} from './in_memory_peers.js';
+
+const ANNOUNCE_MS = 500;
+const STEP_MS = 0.25;
+const WARM_UP_MS = 3_000;
+
+interface ZonesBenchOptions {
+  /** Slots of the one worker of each zone, by zone. */
+  readonly zones: Readonly<Record<string, number>>;
+  /** Default: first come first served. */
+  readonly newPolicy?: () => DispatchPolicy;
+}
+
+interface ZoneParts {
+  readonly fleet: FakeFleet;
+  readonly service: ZoneService;
+  readonly router: JobRouter;
+}
+
+/**
+ * A dispatcher in each of several zones, with fake workers, on one fake clock.
+ * Each zone has one node, named like the zone.
+ */
+export class ZonesBench {
+  readonly clock = new FakeClock();
+  readonly peers = new InMemoryPeers(this.clock);
+  readonly zones = new Map<string, ZoneParts>();
+
+  private constructor(private readonly opts: ZonesBenchOptions) {
+    const names = Object.keys(opts.zones);
+    for (const zone of names) this.zones.set(zone, this.build(zone, names));
+    this.announceForever();
+  }
+
+  /** A bench whose zones know their workers and each other's offers. */
+  static async create(opts: ZonesBenchOptions): Promise<ZonesBench> {
+    const bench = new ZonesBench(opts);
+    await bench.advance(WARM_UP_MS);
+    return bench;
+  }
+
+  zone(name: string): ZoneParts {
+    return this.zones.get(name)!;
+  }
+
+  /** Moves the clock and lets promises settle on the way. */
+  async advance(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += STEP_MS) {
+      this.clock.advance(STEP_MS);
+      await setImmediate();
+    }
+  }
+
+  /** Sends a request through the daemon of a zone. */
+  route(
+    zone: string,
+    key: JobKey,
+    req: JobRequest,
+  ): Promise<Result<JobAnswer, Refusal>> {
+    return this.zone(zone).router.route(key, req);
+  }
+
+  /** Tasks that the zone's worker has started. */
+  starts(zone: string): number {
+    return this.zone(zone).fleet.workers.get(`w-${zone}`)!.starts.length;
+  }
+
+  private build(zone: string, names: readonly string[]): ZoneParts {
+    const {clock} = this;
+    const fleet = new FakeFleet({clock});
+    fleet.add(workerOf(zone, this.opts.zones[zone]!));
+    const peers = this.peers.node(zone);
+    const directory = new ZoneDirectory(names.map(id => ({id, zone: id})));
+    const router = new JobRouter(directory, peers, clock);
+    const borrowed = new ZoneUpstreamClient({
+      clock,
+      zone,
+      route: (key, req) => router.route(key, req),
+    });
+    const replicator = new SoloReplicator(zone);
+    const service = new ZoneService({
+      clock,
+      peers,
+      replicator,
+      zone,
+      otherZones: names.filter(name => name !== zone),
+      announceSpare: offer => peers.send(offer.zone, 'worker.offer', offer),
+      table: new JobTable(),
+      policy: this.opts.newPolicy?.() ?? new FifoPolicy(),
+      config: new StaticConfigSource({
+        version: 1,
+        classes: {default: DispatchBench.classOf('default')},
+        tenants: {},
+      }),
+      upstream: new ZonedUpstreamClient(fleet, borrowed),
+    });
+    peers.onMessage('worker.offer', (_from, offer) =>
+      service.announce(offer as WorkerAnnouncement),
+    );
+    replicator.lead(clock.now());
+    return {fleet, service, router};
+  }
+
+  private announceForever(): void {
+    for (const {fleet, service} of this.zones.values()) {
+      for (const worker of fleet.workers.values()) {
+        if (!worker.isDead) service.announce(worker.nextAnnouncement());
+      }
+    }
+    this.clock.schedule(ANNOUNCE_MS, () => this.announceForever());
+  }
+}
+
+function workerOf(zone: string, slots: number): WorkerAnnouncement {
+  return {
+    worker: `w-${zone}`,
+    incarnation: '1',
+    sequence: 0,
+    zone,
+    rack: 'rack-1',
+    address: `http://127.0.0.1/${zone}`,
+    slots,
+    connections: 64,
+    processors: 32,
+    memory_mb: 128_000,
+    accelerators: 0,
+    classes: [],
+    leaving: false,
+    epoch: 0,
+  };
+}
