--- a/src/core/group/candidate_role.ts
+++ b/src/core/group/candidate_role.ts
@@ -38,11 +38,13 @@
     const isCurrent = msg.round === this.round && msg.pre === this.isPre;
     if (!msg.granted) {
       core.raise(msg.epoch);
-      if (isCurrent) this.adopt(msg, now);
+      // A round below an epoch that was seen since must not be won.
+      if (!this.isPre && core.epoch > this.round) this.endsAt = now;
+      else if (isCurrent) this.adopt(msg, now);
       return;
     }
-    if (!isCurrent) return;
-    if (memory.latestMembers().get(from) !== msg.incarnation) return;
+    if (!isCurrent || now >= this.endsAt) return;
+    if (memory.members.get(from) !== msg.incarnation) return;
     this.votes.add(from);
     this.count(now);
   }
@@ -93,9 +95,9 @@
     const {log} = core.memory!;
     if (log.isAheadOf(last.index, last.epoch)) return;
     if (snapshot && snapshot.index > log.commit) core.install(snapshot);
-    const after = core.memory!.log;
-    if (missing[0]!.index > after.commit + 1) return;
-    after.merge(missing);
+    const memory = core.memory!;
+    if (missing[0]!.index > memory.log.commit + 1) return;
+    memory.merge(missing);
     core.raise(last.epoch);
     this.isPre = true;
     this.ask(now);
--- a/src/core/group/follower_role.ts
+++ b/src/core/group/follower_role.ts
@@ -19,10 +19,10 @@
     if (now - core.heardAt < this.patienceMs) return;
     core.leader = undefined;
     const isNeeded = core.isFull && core.memory?.isSettled;
-    if (!isNeeded && now - core.leaderSeenAt >= GroupTiming.RESET_MS) {
+    if (!isNeeded && core.isAbandoned(now)) {
       core.renew(now);
       core.become(new LearnerRole(core), now);
-    } else if (core.isFull && core.canLead) {
+    } else if (core.isFull && core.canLead(now)) {
       core.become(new CandidateRole(core), now);
     }
   }
--- a/src/core/group/former_role.ts
+++ b/src/core/group/former_role.ts
@@ -29,9 +29,14 @@
   }
 
   override answered(from: string, msg: Ballot, now: number): void {
-    if (msg.epoch > this.core.epoch && !msg.granted) this.core.raise(msg.epoch);
+    if (!msg.granted) {
+      this.core.raise(msg.epoch);
+      // A round below an epoch that was seen since must not be won.
+      if (!this.isPre && this.core.epoch > this.round) this.endsAt = now;
+      return;
+    }
     const isCurrent = msg.round === this.round && msg.pre === this.isPre;
-    if (!isCurrent || !msg.granted || msg.group !== 0) return;
+    if (!isCurrent || now >= this.endsAt) return;
     this.grants.set(from, msg.incarnation);
     this.count(now);
   }
--- a/src/core/group/group_memory.ts
+++ b/src/core/group/group_memory.ts
@@ -16,14 +16,14 @@
   /** Epoch milliseconds at which the group formed. */
   readonly memoryStart: number;
   readonly log: GroupLog;
-  /** Incarnation of each full member, as committed. */
-  readonly members: Map<string, number>;
+  private readonly committedMembers: Map<string, number>;
+  private latestMembers: Map<string, number> | undefined;
 
   constructor(opts: GroupMemoryOptions) {
     this.group = opts.group;
     this.memoryStart = opts.memoryStart;
     this.log = new GroupLog(opts.index, opts.indexEpoch);
-    this.members = new Map(opts.members);
+    this.committedMembers = new Map(opts.members);
   }
 
   /**
@@ -35,28 +35,56 @@
     return this.log.commit > 0;
   }
 
-  /** The members as of the end of the log, which an election counts. */
-  latestMembers(): Map<string, number> {
-    const members = new Map(this.members);
-    for (const entry of this.log.from(this.log.commit + 1)) {
-      applyChange(members, entry);
+  /**
+   * Incarnation of each full member as of the end of the log. A change counts
+   * from its entry on; it alters one member, so the majorities before and after
+   * it overlap.
+   */
+  get members(): ReadonlyMap<string, number> {
+    if (!this.latestMembers) {
+      this.latestMembers = new Map(this.committedMembers);
+      for (const entry of this.log.from(this.log.commit + 1)) {
+        applyChange(this.latestMembers, entry);
+      }
     }
-    return members;
+    return this.latestMembers;
+  }
+
+  /** Full members as of the commit index, for a snapshot. */
+  get committed(): Array<[string, number]> {
+    return [...this.committedMembers];
   }
 
   /** Whether a change of members waits for its commit. */
   get isChanging(): boolean {
-    return this.log
-      .from(this.log.commit + 1)
-      .some(({kind}) => kind === 'remove' || kind === 'admit');
+    return this.log.from(this.log.commit + 1).some(isChange);
+  }
+
+  push(entry: GroupEntry): void {
+    this.log.push(entry);
+    if (isChange(entry)) this.latestMembers = undefined;
+  }
+
+  /** Adds entries of a leader; replaces conflicting ones. */
+  merge(entries: readonly GroupEntry[]): void {
+    this.log.merge(entries);
+    this.latestMembers = undefined;
   }
 
-  /** Applies a committed entry to the members. */
-  applyMembers(entry: GroupEntry): void {
-    applyChange(this.members, entry);
+  /** Commits the next entry and returns it; undefined if there is none. */
+  commitNext(): GroupEntry | undefined {
+    const entry = this.log.at(this.log.commit + 1);
+    if (!entry) return undefined;
+    this.log.commit += 1;
+    applyChange(this.committedMembers, entry);
+    return entry;
   }
 }
 
+function isChange({kind}: GroupEntry): boolean {
+  return kind === 'remove' || kind === 'admit';
+}
+
 function applyChange(members: Map<string, number>, entry: GroupEntry): void {
   if (entry.kind === 'remove') members.delete(entry.node);
   else if (entry.kind === 'admit') members.set(entry.node, entry.incarnation);
--- /dev/null
+++ b/src/core/group/group_replica.test.ts
@@ -0,0 +1,261 @@
+import {assert} from 'chai';
+import {GroupBench} from '../../../test-support/fakes/group_bench.js';
+
+const TAKEOVER_MS = 2_000;
+
+function others(bench: GroupBench, ...nodes: string[]): string[] {
+  return bench.members.filter(node => !nodes.includes(node));
+}
+
+test('three new members elect one leader and commit everywhere', () => {
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  const keys = [bench.propose(leader), bench.propose(leader)];
+  bench.clock.advance(1_000);
+  for (const node of bench.members) assert.deepEqual(bench.held(node), keys);
+  assert.isEmpty(bench.violations);
+});
+
+test('a group of one leads at once and commits alone', () => {
+  const bench = new GroupBench({members: ['n1']});
+  const key = bench.propose('n1');
+  assert.deepEqual(bench.held('n1'), [key]);
+});
+
+test('a successor holds every committed event', () => {
+  const bench = new GroupBench();
+  const first = bench.awaitLeader();
+  bench.awaitFull();
+  const start = bench.replica(first).memoryStart;
+  const keys = [1, 2, 3].map(() => bench.propose(first));
+  // The others hold the events but have not heard of the commit.
+  bench.clock.advance(2);
+  assert.deepEqual(bench.held(first), keys);
+  bench.kill(first);
+  const lostAt = bench.clock.now();
+  const second = bench.awaitLeader(first);
+  assert.isAtMost(bench.clock.now() - lostAt, TAKEOVER_MS);
+  assert.deepEqual(bench.held(second), keys);
+  assert.equal(bench.replica(second).memoryStart, start);
+  assert.isEmpty(bench.violations);
+});
+
+test('nothing commits without a majority', () => {
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  bench.awaitFull();
+  for (const node of others(bench, leader)) bench.kill(node);
+  bench.propose(leader);
+  bench.clock.advance(300);
+  assert.isEmpty(bench.held(leader));
+});
+
+test('a leader without a majority steps down', () => {
+  // A caller must not wait at a leader that can commit nothing.
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  bench.awaitFull();
+  bench.peers.isolate(leader);
+  bench.clock.advance(700);
+  assert.isUndefined(bench.replica(leader).leading);
+});
+
+test('a restarted member does not count before it has caught up', () => {
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  bench.awaitFull();
+  const [back, lost] = others(bench, leader) as [string, string];
+  bench.kill(lost);
+  bench.start(back);
+  const key = bench.propose(leader);
+  bench.clock.advance(400);
+  // Leader and learner are two of three, yet the learner may have nothing.
+  assert.notInclude(bench.held(leader), key);
+});
+
+test('a second loss right after a repair loses nothing', () => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const bench = new GroupBench({seed});
+    const first = bench.awaitLeader();
+    bench.awaitFull();
+    const start = bench.replica(first).memoryStart;
+    const keys = [1, 2, 3].map(() => bench.propose(first));
+    const [back, keeper] = others(bench, first) as [string, string];
+    bench.start(back);
+    bench.awaitFull();
+    bench.kill(first);
+    const second = bench.awaitLeader(first);
+    assert.deepEqual(bench.held(second), keys);
+    assert.equal(bench.replica(second).memoryStart, start);
+    // The repaired member now carries the group with the new process.
+    bench.start(first);
+    bench.awaitFull();
+    bench.kill(keeper);
+    const third = bench.awaitLeader(keeper);
+    assert.deepEqual(bench.held(third), keys);
+    assert.isEmpty(bench.violations);
+  }
+});
+
+test('a restart of all members forms a group with a later memory', () => {
+  const bench = new GroupBench();
+  const first = bench.awaitLeader();
+  const start = bench.replica(first).memoryStart;
+  const epoch = bench.replica(first).leading!;
+  bench.propose(first);
+  for (const node of bench.members) bench.start(node);
+  const second = bench.awaitLeader();
+  assert.isAbove(bench.replica(second).memoryStart, start);
+  assert.isAbove(bench.replica(second).leading!, epoch);
+  assert.isEmpty(bench.held(second));
+  assert.isEmpty(bench.violations);
+});
+
+test('a minority that kept its memory joins the group that formed anew', () => {
+  const bench = new GroupBench();
+  const first = bench.awaitLeader();
+  bench.awaitFull();
+  bench.propose(first);
+  for (const node of others(bench, first)) bench.start(node);
+  bench.await('a new group', 10_000, () => {
+    const leader = bench.leader();
+    return leader !== undefined && leader !== first;
+  });
+  bench.awaitFull();
+  const leader = bench.awaitLeader();
+  const key = bench.propose(leader);
+  bench.clock.advance(500);
+  assert.deepEqual(bench.held(first), [key]);
+  assert.isEmpty(bench.violations);
+});
+
+test('a single restart never forms a group without the old jobs', () => {
+  // All links are lossy, so the restarted member may hear no leader at first.
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const bench = new GroupBench({seed});
+    const leader = bench.awaitLeader();
+    bench.awaitFull();
+    const start = bench.replica(leader).memoryStart;
+    bench.peers.loss = 0.3;
+    bench.start(others(bench, leader)[0]!);
+    bench.clock.advance(3_000);
+    bench.peers.loss = 0;
+    bench.awaitFull();
+    assert.equal(bench.replica(bench.awaitLeader()).memoryStart, start);
+  }
+});
+
+test('a member isolated for long does not disturb the others', () => {
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  bench.awaitFull();
+  const [away] = others(bench, leader) as [string];
+  const epoch = bench.replica(leader).leading;
+  bench.peers.isolate(away);
+  bench.clock.advance(600_000);
+  const key = bench.propose(leader);
+  bench.peers.heal();
+  bench.clock.advance(2_000);
+  assert.equal(bench.replica(leader).leading, epoch);
+  assert.include(bench.held(away), key);
+});
+
+test('an isolated leader obeys its successor on return', () => {
+  const bench = new GroupBench();
+  const first = bench.awaitLeader();
+  bench.awaitFull();
+  bench.peers.isolate(first);
+  bench.propose(first);
+  const second = bench.awaitLeader(first);
+  const key = bench.propose(second);
+  bench.peers.heal();
+  bench.clock.advance(1_000);
+  assert.equal(bench.leader(), second);
+  // What only the deposed leader held is gone, in favour of the committed.
+  assert.deepEqual(bench.held(first), [key]);
+  assert.isEmpty(bench.violations);
+});
+
+test('a hand-over takes a few round trips and keeps the events', () => {
+  const bench = new GroupBench();
+  const first = bench.awaitLeader();
+  bench.awaitFull();
+  const keys = [bench.propose(first), bench.propose(first)];
+  const from = bench.clock.now();
+  assert.isTrue(bench.replica(first).handOver(from));
+  assert.isUndefined(bench.replica(first).leading);
+  const second = bench.awaitLeader(first);
+  assert.isAtMost(bench.clock.now() - from, 50);
+  assert.deepEqual(bench.held(second), keys);
+  bench.clock.advance(10_000);
+  assert.equal(bench.leader(), second);
+});
+
+test('a leader that no other can follow keeps the lead', () => {
+  const bench = new GroupBench({witnesses: ['n2', 'n3']});
+  const leader = bench.awaitLeader();
+  assert.equal(leader, 'n1');
+  assert.isFalse(bench.replica(leader).handOver(bench.clock.now()));
+  assert.isDefined(bench.replica(leader).leading);
+});
+
+test('a leader goes above the epoch that a worker obeys', () => {
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  bench.awaitFull();
+  const higher = bench.replica(leader).leading! + 1_000_000;
+  bench.replica(leader).supersede(higher, bench.clock.now());
+  assert.isUndefined(bench.replica(leader).leading);
+  assert.isAbove(bench.replica(bench.awaitLeader()).leading!, higher);
+  assert.isEmpty(bench.violations);
+});
+
+test('a witness hands on what only it holds, and never leads', () => {
+  // A committed event may be at the lost leader and the witness only.
+  const bench = new GroupBench({witnesses: ['n3']});
+  const first = bench.awaitLeader();
+  bench.awaitFull();
+  const [second] = others(bench, first, 'n3') as [string];
+  bench.peers.cut(first, second);
+  const key = bench.propose(first);
+  bench.clock.advance(50);
+  assert.deepEqual(bench.held(first), [key]);
+  bench.kill(first);
+  assert.equal(bench.awaitLeader(first), second);
+  assert.deepEqual(bench.held(second), [key]);
+  assert.notInclude([...bench.leaders.values()], 'n3');
+});
+
+test('a long outage of a member does not grow the log', () => {
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  bench.awaitFull();
+  const [away] = others(bench, leader) as [string];
+  bench.peers.isolate(away);
+  for (let n = 0; n < 25_000; n += 1) {
+    bench
+      .replica(leader)
+      .propose([{kind: 'acknowledged', key: 'none'}], bench.clock.now());
+    if (n % 100 === 0) bench.clock.advance(1);
+  }
+  bench.clock.advance(300);
+  assert.isBelow(bench.replica(leader).status.retained, 20_001);
+  bench.peers.heal();
+  bench.clock.advance(2_000);
+  const key = bench.propose(leader);
+  bench.clock.advance(500);
+  assert.deepEqual(bench.held(away), [key]);
+  assert.isBelow(bench.replica(leader).status.retained, 10);
+});
+
+test('a message of unknown form is ignored', () => {
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  const stranger = bench.peers.attach('n9');
+  const end = bench.peers.attach('n8');
+  for (const peers of [stranger, end]) {
+    peers.send(leader, 'group.arbat', {type: 'append', epoch: 'x'});
+  }
+  bench.clock.advance(100);
+  assert.equal(bench.leader(), leader);
+});
--- a/src/core/group/group_replica.ts
+++ b/src/core/group/group_replica.ts
@@ -13,6 +13,7 @@
 import {LogFollower} from './log_follower.js';
 import {ReplicaCore} from './replica_core.js';
 import {Replicator} from './replicator.js';
+import type {Role} from './role.js';
 import {Voter} from './voter.js';
 
 interface GroupReplicaOptions {
@@ -29,6 +30,19 @@
   readonly random: RandomSource;
 }
 
+interface GroupStatus {
+  readonly role: Role['name'] | 'stopped';
+  readonly epoch: number;
+  readonly leader: string | undefined;
+  /** Whether its votes and acknowledgements count. */
+  readonly isFull: boolean;
+  readonly isLeading: boolean;
+  /** Epoch in which its group formed; undefined without settled memory. */
+  readonly group: number | undefined;
+  /** Log entries held for members that lag. */
+  readonly retained: number;
+}
+
 /**
  * A member of a zone's group. It elects one leader for each epoch and holds the
  * events of the zone in memory; an event is committed once a majority of the
@@ -84,6 +98,20 @@
     return memory?.isSettled ? memory.memoryStart : Infinity;
   }
 
+  /** What this member is and holds, for operators and tests. */
+  get status(): GroupStatus {
+    const {role, epoch, leader, memory, isFull} = this.core;
+    return {
+      role: role?.name ?? 'stopped',
+      epoch,
+      leader,
+      isFull,
+      isLeading: this.leading !== undefined,
+      group: memory?.isSettled ? memory.group : undefined,
+      retained: memory ? memory.log.lastIndex - memory.log.base : 0,
+    };
+  }
+
   override propose(events: readonly JobEvent[], now: number): void {
     this.leaderRole?.propose(events, now);
   }
@@ -158,7 +186,9 @@
   private takeOver(msg: GroupMessage, now: number): void {
     const {core} = this;
     if (msg.epoch !== core.epoch || core.role?.name !== 'follower') return;
-    if (core.isFull && core.canLead) {
+    // One that is about to stop serves until then, if the leader has no other.
+    const isWitness = core.opts.witnesses.includes(core.opts.node);
+    if (core.isFull && !isWitness) {
       core.become(new CandidateRole(core, false), now);
     }
   }
--- a/src/core/group/group_timing.ts
+++ b/src/core/group/group_timing.ts
@@ -16,10 +16,11 @@
   FORM_MS: 300,
   FORM_SPREAD_MS: 300,
   /**
-   * Time without a leader after which a member that no committed event depends
-   * on gives its memory up, so that it can take part in forming a group.
+   * Silence of all leaders after which the usual elections have failed. A
+   * member that no committed event depends on then gives its memory up, so that
+   * it can take part in forming a group.
    */
-  RESET_MS: 5_000,
+  RESET_MS: 3_000,
   /** Time after which a snapshot is sent again. */
   INSTALL_MS: 2_000,
   TICK_MS: 25,
--- a/src/core/group/leader_role.ts
+++ b/src/core/group/leader_role.ts
@@ -110,9 +110,9 @@
   }
 
   private append(entry: Unplaced<GroupEntry>): void {
-    const {log} = this.memory;
-    const index = log.lastIndex + 1;
-    log.push({...entry, index, epoch: this.core.epoch});
+    const {memory} = this;
+    const index = memory.log.lastIndex + 1;
+    memory.push({...entry, index, epoch: this.core.epoch});
   }
 
   private broadcast(now: number): void {
@@ -157,11 +157,10 @@
   private advance(now: number): void {
     const {core, memory} = this;
     const {log} = memory;
-    for (;;) {
-      const index = Math.min(this.replicatedIndex(), log.lastIndex);
-      // Entries of earlier epochs commit only along with one of this epoch.
-      if (index <= log.commit || log.epochAt(index) !== core.epoch) break;
-      core.commitTo(this.nextChange(index), now);
+    const index = Math.min(this.replicatedIndex(), log.lastIndex);
+    // Entries of earlier epochs commit only along with one of this epoch.
+    if (index > log.commit && log.epochAt(index) === core.epoch) {
+      core.commitTo(index, now);
     }
     if (!this.isActing && !this.isHandingOver && log.commit >= this.leadIndex) {
       this.isActing = true;
@@ -182,16 +181,6 @@
     return held[core.majority - 1] ?? 0;
   }
 
-  /** Entries after a change of members are counted with the new members. */
-  private nextChange(index: number): number {
-    const {log} = this.memory;
-    for (let at = log.commit + 1; at < index; at += 1) {
-      const kind = log.at(at)?.kind;
-      if (kind === 'remove' || kind === 'admit') return at;
-    }
-    return index;
-  }
-
   private trim(): void {
     const {log, members, group} = this.memory;
     let held = log.commit;
@@ -210,11 +199,12 @@
    */
   private changeMembers(now: number): void {
     const {memory} = this;
-    if (!this.isActing || memory.isChanging) return;
+    if (!this.isActing) return;
     for (const [node, {incarnation, group, match}] of this.progress) {
       if (incarnation === 0) continue;
       const known = memory.members.get(node);
       if (known === incarnation) continue;
+      if (memory.isChanging) return;
       const isCaughtUp = group === memory.group && match >= memory.log.commit;
       if (known !== undefined) this.append({kind: 'remove', node});
       else if (isCaughtUp) this.append({kind: 'admit', node, incarnation});
--- a/src/core/group/learner_role.ts
+++ b/src/core/group/learner_role.ts
@@ -16,7 +16,7 @@
 
   override tick(now: number): void {
     const {core} = this;
-    if (now < this.formAt || !core.canLead || core.isLed(now)) return;
+    if (now < this.formAt || !core.canLead(now) || core.isLed(now)) return;
     core.become(new FormerRole(core), now);
   }
 }
--- a/src/core/group/log_follower.ts
+++ b/src/core/group/log_follower.ts
@@ -25,7 +25,7 @@
       this.answer(from, false, Math.min(log.lastIndex, prevIndex - 1));
       return;
     }
-    log.merge(entries);
+    if (entries.length > 0) memory.merge(entries);
     const match = Math.max(prevIndex + entries.length, log.commit);
     this.core.commitTo(Math.min(msg.commit, match), now);
     log.trim(msg.trim);
@@ -57,8 +57,9 @@
       this.answer(from, false, 0);
       return false;
     }
-    // A group that is not settled holds no job events, so it may be left.
-    if (isOther) core.renew(now);
+    // A group that is not settled holds no job events, so it may be left. The
+    // incarnation stays, because it may be a founder's in the other group.
+    if (isOther) core.memory = undefined;
     core.follow(from, msg.epoch, now);
     const name = core.memory ? 'follower' : 'learner';
     if (core.role?.name !== name) {
--- a/src/core/group/replica_core.ts
+++ b/src/core/group/replica_core.ts
@@ -45,7 +45,7 @@
   heardAt = 0;
   /** When a leader was heard. */
   leaderSeenAt = 0;
-  /** A member that is about to stop asks for no more votes. */
+  /** A member that is about to stop leaves the lead to others. */
   isRetired = false;
   incarnation = 0;
   private current: Role | undefined;
@@ -62,13 +62,19 @@
 
   /** Whether votes and acknowledgements of this member count. */
   get isFull(): boolean {
-    const members = this.memory?.latestMembers();
-    return members?.get(this.opts.node) === this.incarnation;
+    return this.memory?.members.get(this.opts.node) === this.incarnation;
   }
 
-  get canLead(): boolean {
+  /** Whether the member may ask for the lead; a retired one if nobody does. */
+  canLead(now: number): boolean {
     const {witnesses, node} = this.opts;
-    return !witnesses.includes(node) && !this.isRetired;
+    if (witnesses.includes(node)) return false;
+    return !this.isRetired || this.isAbandoned(now);
+  }
+
+  /** Whether no leader has been heard for long. */
+  isAbandoned(now: number): boolean {
+    return now - this.leaderSeenAt >= GroupTiming.RESET_MS;
   }
 
   others(): string[] {
@@ -144,13 +150,13 @@
 
   /** The state as of the commit index; its records are live. */
   snapshot(): Snapshot {
-    const {group, memoryStart, log, members} = this.memory!;
+    const {group, memoryStart, log, committed} = this.memory!;
     return {
       group,
       memoryStart,
       index: log.commit,
       indexEpoch: log.epochAt(log.commit) ?? 0,
-      members: [...members],
+      members: committed,
       records: [...this.opts.table.snapshot()],
     };
   }
@@ -167,11 +173,9 @@
     if (!memory) return;
     const events: JobEvent[] = [];
     while (memory.log.commit < index) {
-      const entry = memory.log.at(memory.log.commit + 1);
+      const entry = memory.commitNext();
       if (!entry) break;
-      memory.log.commit += 1;
       if (entry.kind === 'events') events.push(...entry.events);
-      else memory.applyMembers(entry);
     }
     if (events.length > 0) this.opts.committed(events, now);
   }
--- a/src/core/group/voter.ts
+++ b/src/core/group/voter.ts
@@ -1,5 +1,6 @@
 import {FollowerRole} from './follower_role.js';
 import type {GroupMessage} from './group_message.js';
+import {LearnerRole} from './learner_role.js';
 import type {ReplicaCore} from './replica_core.js';
 
 type Vote = Extract<GroupMessage, {type: 'vote'}>;
@@ -46,7 +47,10 @@
       this.answer(from, msg, msg.epoch > core.epoch);
       return;
     }
-    core.raise(msg.epoch);
+    if (msg.epoch > core.epoch) {
+      core.raise(msg.epoch);
+      if (core.role?.name === 'former') core.become(new LearnerRole(core), now);
+    }
     this.give(from, msg, true, now);
   }
 
