--- a/src/core/overflow/overflow.test.ts
+++ b/src/core/overflow/overflow.test.ts
@@ -100,8 +100,9 @@
   await bench.advance(10_000);
   const result = await answer;
   assert.isTrue(result.isOk);
-  if (result.isOk)
-    {assert.propertyVal(result.value, 'outcome', 'outcome_unknown');}
+  if (result.isOk) {
+    assert.propertyVal(result.value, 'outcome', 'outcome_unknown');
+  }
   assert.equal(bench.starts('arbat') + bench.starts('medeu'), 3);
 });
 
