--- /dev/null
+++ b/src/cli/admin_view.ts
@@ -0,0 +1,23 @@
+import type {Command} from 'commander';
+import type {ApiReply} from './api_reply.js';
+import type {CommandContext} from './command_context.js';
+import {ExitCode} from './exit_code.js';
+
+/** A command that shows what one GET of the admin API answers. */
+export function adminView(
+  ctx: CommandContext,
+  command: Command,
+  path: string,
+  format: (body: ApiReply['body']) => string,
+): Command {
+  return ctx.run<{json?: boolean}>(command, async opts => {
+    const reply = await ctx.admin(opts).call('GET', path);
+    if (reply.isErr) {
+      return ctx.lost(reply.error.detail, ExitCode.cannotConnect);
+    }
+    const {status, body} = reply.value;
+    if (status >= 400) return ctx.refused(opts, reply.value);
+    ctx.print(opts, body, format(body));
+    return ExitCode.success;
+  });
+}
--- /dev/null
+++ b/src/daemon/log/create_log.test.ts
@@ -0,0 +1,55 @@
+import {assert} from 'chai';
+import {DispatchBench} from '../../../test-support/fakes/dispatch_bench.js';
+import {Telemetry} from '../../adapter/metrics/telemetry.js';
+import {createLog} from './create_log.js';
+import {LoggingObserver} from './logging_observer.js';
+
+type Line = Record<string, unknown>;
+
+function logTo(lines: string[], level: 'info' | 'debug') {
+  return createLog({
+    node: 'a1',
+    zone: 'arbat',
+    level,
+    isTerminal: false,
+    write: line => lines.push(line),
+  });
+}
+
+test('a line is one JSON object with node, zone and fields', () => {
+  const lines: string[] = [];
+  logTo(lines, 'info').warn('peer error', {worker: 'w1'});
+  assert.lengthOf(lines, 1);
+  const line = JSON.parse(lines[0]!) as Line;
+  assert.include(line, {level: 'warn', node: 'a1', zone: 'arbat'});
+  assert.include(line, {message: 'peer error', worker: 'w1'});
+});
+
+test('levels below the setting are not logged', () => {
+  const lines: string[] = [];
+  logTo(lines, 'info').debug('detail');
+  assert.isEmpty(lines);
+});
+
+test('the end of a job is logged without any payload', () => {
+  const lines: string[] = [];
+  const log = logTo(lines, 'debug');
+  const {observer} = new Telemetry({
+    prefix: '',
+    tags: {},
+    maxSeries: 10,
+    clock: new DispatchBench().clock,
+    onError: () => undefined,
+  });
+  const bench = new DispatchBench({
+    observer: new LoggingObserver(log, observer),
+  });
+  const key = bench.submit([10], {
+    tasks: [{payload: {ms: 10, fail: true, value: 'secret-payload'}}],
+  });
+  bench.clock.advance(1_000);
+  const line = JSON.parse(lines.at(-1)!) as Line;
+  assert.include(line, {message: 'job finished', job: key.text});
+  assert.include(line, {class: 'default', status: 'failed'});
+  assert.notInclude(lines.join(), 'secret');
+});
--- /dev/null
+++ b/test-support/fakes/admin_server_bench.ts
@@ -0,0 +1,70 @@
+import {AdminApi} from '../../src/adapter/http/admin_api.js';
+import {AdminServer} from '../../src/adapter/http/admin_server.js';
+import {HistogramSet} from '../../src/adapter/metrics/histogram_set.js';
+import {StaticConfigSource} from '../../src/core/config/static_config_source.js';
+import {LocalConfigAdmin} from '../../src/daemon/admin/local_config_admin.js';
+
+/** An admin server on a free port over a configuration in memory. */
+export class AdminServerBench {
+  static readonly TOKEN = 'bench-token';
+
+  readonly source = new StaticConfigSource({
+    version: 1,
+    classes: {},
+    tenants: {},
+  });
+  readonly config = new LocalConfigAdmin(this.source, 'a1');
+  readonly histograms = new HistogramSet(100);
+  readonly server: AdminServer;
+  drains = 0;
+
+  constructor() {
+    this.server = new AdminServer({
+      host: '127.0.0.1',
+      port: 0,
+      token: AdminServerBench.TOKEN,
+      api: new AdminApi({
+        config: this.config,
+        status: () => ({
+          node: 'a1',
+          zone: 'arbat',
+          ready: true,
+          draining: false,
+          uptime_ms: 1,
+          leads: true,
+          dispatcher: 'a1',
+          epoch: 1,
+          jobs: 0,
+          queued_tasks: 0,
+          workers: 0,
+          slots: 0,
+          slots_used: 0,
+          config_version: this.source.current().version,
+          config_leader: 'a1',
+        }),
+        upstreams: () => [],
+        histograms: () => this.histograms.summaries(),
+        drain: () => {
+          this.drains += 1;
+        },
+      }),
+      onError: detail => {
+        throw new Error(detail);
+      },
+    });
+  }
+
+  static async started(): Promise<AdminServerBench> {
+    const bench = new AdminServerBench();
+    await bench.server.http.start();
+    return bench;
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${this.server.port}`;
+  }
+
+  stop(): Promise<void> {
+    return this.server.http.drain();
+  }
+}
--- a/test-support/fakes/dispatch_bench.ts
+++ b/test-support/fakes/dispatch_bench.ts
@@ -1,6 +1,7 @@
 import {v7 as uuidv7} from 'uuid';
 import type {ClassConfig} from '../../src/core/config/class_config.js';
 import {StaticConfigSource} from '../../src/core/config/static_config_source.js';
+import type {DispatchObserver} from '../../src/core/dispatch/dispatch_observer.js';
 import type {DispatchPolicy} from '../../src/core/dispatch/dispatch_policy.js';
 import {Dispatcher} from '../../src/core/dispatch/dispatcher.js';
 import {FifoPolicy} from '../../src/core/dispatch/fifo_policy.js';
@@ -28,6 +29,8 @@
   readonly classes?: readonly ClassConfig[];
   /** Default: first come first served. */
   readonly policy?: DispatchPolicy;
+  /** Default: nothing is measured. */
+  readonly observer?: DispatchObserver;
 }
 
 /** One dispatcher with fake workers on a fake clock, ready to take jobs. */
@@ -59,6 +62,7 @@
       retry: new RetryPolicy(),
       config: this.config,
       upstream: this.fleet,
+      observer: opts.observer,
       onFinished: key => this.finished.push({key, at: this.clock.now()}),
       requestFlush: () => this.requestFlush(),
     });
