Test daemons as processes and show histograms in the quickstart

Nothing ran the daemon, its admin API and its stop as processes. The quickstart uses the command-line tool for every step.

--- a/src/adapter/metrics/histogram_set.ts
+++ b/src/adapter/metrics/histogram_set.ts
@@ -42,9 +42,9 @@
         name,
         count: h.totalCount,
         mean_ms: Math.round(h.mean),
-        p50_ms: h.getValueAtPercentile(50),
-        p90_ms: h.getValueAtPercentile(90),
-        p99_ms: h.getValueAtPercentile(99),
+        p50_ms: percentile(h, 50),
+        p90_ms: percentile(h, 90),
+        p99_ms: percentile(h, 99),
         max_ms: h.maxValue,
       }),
     );
@@ -67,3 +67,8 @@
     return series;
   }
 }
+
+/** The upper end of the bucket, but no more than was ever recorded. */
+function percentile(histogram: Histogram, percent: number): number {
+  return Math.min(histogram.getValueAtPercentile(percent), histogram.maxValue);
+}
--- a/test-support/cluster/local_cluster.ts
+++ b/test-support/cluster/local_cluster.ts
@@ -11,17 +11,28 @@
 
 const HOST = '127.0.0.1';
 const PORTS_PER_NODE = 3;
+/** A node that does not exit in this time after SIGTERM is killed. */
+const STOP_LIMIT_MS = 20_000;
 /** No balancer watches a local cluster. */
 const DRAIN_NOTICE_MS = 50;
 const DAEMON = fileURLToPath(
   new URL('../../src/daemon/main.js', import.meta.url),
 );
+const CLI = fileURLToPath(new URL('../../src/cli/main.js', import.meta.url));
 const UPSTREAM = fileURLToPath(new URL('../upstream/main.js', import.meta.url));
 
 interface NodePlan {
   readonly id: string;
   readonly zone: string;
   readonly voter?: boolean;
+  /** Settings that replace or add to those of a local node. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+}
+
+interface CliRun {
+  readonly code: number | null;
+  readonly out: string;
+  readonly err: string;
 }
 
 interface RunningNode extends NodePlan {
@@ -40,13 +51,17 @@
   readonly starts: Array<{start: string; key: string; task: number}> = [];
   private readonly upstreams: ChildProcess[] = [];
 
-  private constructor(private readonly dir: string) {}
+  private constructor(
+    private readonly dir: string,
+    readonly tokenFile: string,
+  ) {}
 
   /** Writes the settings of every node; `startNode` starts them. */
   static async create(plan: readonly NodePlan[]): Promise<LocalCluster> {
-    const cluster = new LocalCluster(mkdtempSync(join(tmpdir(), 'pimento-')));
+    const dir = mkdtempSync(join(tmpdir(), 'pimento-'));
+    const tokenFile = join(dir, 'admin-token');
+    const cluster = new LocalCluster(dir, tokenFile);
     const ports = await freePorts(plan.length * PORTS_PER_NODE);
-    const tokenFile = join(cluster.dir, 'admin-token');
     writeFileSync(tokenFile, `${LocalCluster.ADMIN_TOKEN}\n`, {mode: 0o600});
     const nodes = plan.map((node, at) => ({
       ...node,
@@ -69,6 +84,7 @@
           peer: {host: HOST, port: peer},
           voter: voter ?? false,
         })),
+        ...node.settings,
       };
       writeFileSync(settingsFile, stringify(settings));
       cluster.nodes.set(node.id, {
@@ -135,6 +151,28 @@
     return child;
   }
 
+  /** Runs the command-line tool against the APIs of a node. */
+  async cli(id: string, ...args: string[]): Promise<CliRun> {
+    const {caller, admin} = this.node(id);
+    const child = spawn(process.execPath, [CLI, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: {
+        ...process.env,
+        PIMENTOYOKE_ENTRY: caller,
+        PIMENTOYOKE_ADMIN: admin,
+        PIMENTOYOKE_TOKEN_FILE: this.tokenFile,
+      },
+    });
+    let out = '';
+    let err = '';
+    child.stdout.on('data', (chunk: Buffer) => (out += chunk.toString()));
+    child.stderr.on('data', (chunk: Buffer) => (err += chunk.toString()));
+    const code = await new Promise<number | null>(resolve =>
+      child.once('close', resolve),
+    );
+    return {code, out, err};
+  }
+
   /** Sends a signal to a node and waits for its exit code. */
   async stopNode(
     id: string,
@@ -164,7 +202,10 @@
     child.once('exit', resolve),
   );
   child.kill(signal);
-  return exited;
+  const killer = setTimeout(() => child.kill('SIGKILL'), STOP_LIMIT_MS);
+  const code = await exited;
+  clearTimeout(killer);
+  return code;
 }
 
 async function isOk(url: string): Promise<boolean> {
--- a/test-support/quickstart/main.ts
+++ b/test-support/quickstart/main.ts
@@ -1,60 +1,59 @@
-import {request} from 'undici';
 import {LocalCluster} from '../cluster/local_cluster.js';
+import {waitUntil} from '../cluster/wait_until.js';
 
+const TASKS = 20;
 const TASK_MS = 100;
 const LONG_TASK_MS = 5_000;
 
-async function call(
-  method: 'POST' | 'DELETE',
-  url: string,
-  key: string | undefined,
-  body?: object,
-): Promise<Record<string, unknown>> {
-  const res = await request(url, {
-    method,
-    headers: {
-      'content-type': 'application/json',
-      ...(key === undefined ? {} : {'idempotency-key': key}),
-    },
-    body: body === undefined ? null : JSON.stringify(body),
-  });
-  return (await res.body.json()) as Record<string, unknown>;
-}
-
 const cluster = await LocalCluster.create([
   {id: 'a1', zone: 'arbat', voter: true},
   {id: 'a2', zone: 'arbat', voter: true},
   {id: 'p1', zone: 'panfilov', voter: true},
 ]);
+
+/** Runs the command-line tool against a2 and shows what it prints. */
+async function pimentoyoke(...args: string[]): Promise<string> {
+  console.log(`\n$ pimentoyoke ${args.join(' ')}`);
+  const {code, out, err} = await cluster.cli('a2', ...args);
+  process.stdout.write(out + err);
+  if (code !== 0) throw new Error(`exit code ${code}`);
+  return out;
+}
+
+/** The node that dispatches arbat's jobs holds the figures of the zone. */
+async function showHistograms(): Promise<void> {
+  for (const id of ['a1', 'a2']) {
+    const {out} = await cluster.cli(id, 'histograms', '--json');
+    const {histograms} = JSON.parse(out) as {histograms: object[]};
+    if (histograms.length > 0) console.table(histograms);
+  }
+}
+
 try {
   await cluster.startAll();
   cluster.startUpstream('w1', 'arbat');
   cluster.startUpstream('w2', 'panfilov');
   console.log('three daemons in two zones are ready');
 
-  const entry = cluster.node('a2').caller;
-  const tasks = Array.from({length: 20}, (_, value) => ({
-    payload: {ms: TASK_MS, value},
-  }));
-  const complete = await call('POST', `${entry}/v1/jobs`, undefined, {
-    class: 'default',
-    tasks,
-  });
-  console.log('job:', JSON.stringify(complete));
-
-  const {key} = (await call('POST', `${entry}/v1/keys`, undefined)) as {
-    key: string;
-  };
-  await call('POST', `${entry}/v1/jobs`, key, {
-    class: 'default',
-    tasks: [{payload: {ms: LONG_TASK_MS}}],
-    wait_ms: 0,
-  });
-  const cancelled = await call('DELETE', `${entry}/v1/jobs/${key}`, undefined);
-  console.log('cancelled job:', JSON.stringify(cancelled));
-  const isGood =
-    complete['status'] === 'complete' && cancelled['status'] === 'cancelled';
-  process.exitCode = isGood ? 0 : 1;
+  const tasks = Array.from({length: TASKS}, (_, value) =>
+    JSON.stringify({ms: TASK_MS, value}),
+  );
+  const submit = ['submit', '--class', 'default'];
+  await pimentoyoke(...submit, '--task', ...tasks);
+
+  const key = (await pimentoyoke('key', 'new')).trim();
+  const long = JSON.stringify({ms: LONG_TASK_MS});
+  await pimentoyoke(...submit, '--key', key, '--no-wait', '--task', long);
+  await waitUntil('the start of the long task', () =>
+    cluster.starts.some(start => start.key === key),
+  );
+  await pimentoyoke('cancel', key);
+
+  console.log('\nresponse and queue times in ms:');
+  await showHistograms();
+} catch (err) {
+  console.error(err);
+  process.exitCode = 1;
 } finally {
   await cluster.stopAll();
 }
