--- a/test-support/upstream/stand_in_upstream.ts
+++ b/test-support/upstream/stand_in_upstream.ts
@@ -69,7 +69,8 @@
     await new Promise<void>(resolve => this.server.close(() => resolve()));
   }
 
-  private get address(): string {
+  /** Origin of the running server. */
+  get address(): string {
     const address = this.server.address();
     const port = typeof address === 'object' && address ? address.port : 0;
     return `http://${this.opts.host ?? '127.0.0.1'}:${port}`;
