Answer a submission only when a majority has stored it

Cause: a submission that does not wait was answered with 202 and '0 of 0 tasks done' before the group had committed it, so a loss of the dispatcher right after the answer lost an acknowledged job. Found by reading the output of the quickstart. A change of the configuration was likewise answered before it was in force at the daemon that answered, which made the test of docs/api.md fail (404 on a class right after its PUT).

Change: requests about a job wait for the commit of its acceptance; accepted changes of the configuration wait until the daemon itself has them, for 2 s at most.

Ruled out: a read from the leader for each GET of a class, since reads must work without the quorum.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -40,6 +40,8 @@
   readonly upstream: UpstreamClient;
   /** Default: nothing is measured. */
   readonly observer?: DispatchObserver | undefined;
+  /** Called on the leader when a job's acceptance is committed. */
+  readonly onAccepted?: (key: string) => void;
   /** Called on the leader when a job's final state is committed. */
   readonly onFinished: (key: string) => void;
   /** Called when this node no longer leads. */
@@ -281,6 +283,7 @@
     switch (event.kind) {
       case 'accepted':
         this.proposed.delete(event.job.key);
+        this.opts.onAccepted?.(event.job.key);
         return;
       case 'intent':
         this.intentCommitted(event);
--- a/src/daemon/admin/log_config_admin.ts
+++ b/src/daemon/admin/log_config_admin.ts
@@ -19,6 +19,9 @@
 /** How long a new voter may take to catch up before the command gives up. */
 const CATCH_UP_MS = 10_000;
 const PROMOTE_PAUSE_MS = 200;
+/** The change is accepted whether or not it reaches this daemon in time. */
+const IN_FORCE_MS = 2_000;
+const POLL_MS = 10;
 
 /** The replicated configuration log as the admin API needs it. */
 export class LogConfigAdmin extends ConfigAdmin {
@@ -59,7 +62,9 @@
       expected_version: change.expectedVersion,
       ...itemsOf(change.edit),
     });
-    return result.mapErr(refusal => this.refusalOf(refusal));
+    if (result.isErr) return Result.err(this.refusalOf(result.error));
+    await this.whenInForce(result.value.version);
+    return Result.ok(result.value);
   }
 
   override async changeVoters(change: VoterChange): Promise<Outcome> {
@@ -71,6 +76,20 @@
     return Result.ok({version: this.read().version});
   }
 
+  /** An operator who reads at once must see the change. */
+  private async whenInForce(version: number): Promise<void> {
+    const deadline = this.clock.now() + IN_FORCE_MS;
+    while (this.read().version < version && this.clock.now() < deadline) {
+      await this.pause(POLL_MS);
+    }
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      this.clock.schedule(ms, resolve);
+    });
+  }
+
   /** Adds a learner and promotes it as soon as it has caught up. */
   private async addVoter(node: string): Promise<Result<void, ChangeRefusal>> {
     const added = await this.service.changeMembers({op: 'add', node});
@@ -80,9 +99,7 @@
       const promoted = await this.service.changeMembers({op: 'promote', node});
       const isWaiting = promoted.isErr && promoted.error.code === 'unavailable';
       if (!isWaiting || this.clock.now() > deadline) return promoted;
-      await new Promise<void>(resolve => {
-        this.clock.schedule(PROMOTE_PAUSE_MS, resolve);
-      });
+      await this.pause(PROMOTE_PAUSE_MS);
     }
   }
 
--- a/src/daemon/zone/zone_jobs.ts
+++ b/src/daemon/zone/zone_jobs.ts
@@ -7,18 +7,21 @@
 import type {JobTable} from '../../core/job/job_table.js';
 import type {Refusal} from '../../core/job/refusal.js';
 import {RunOutcome} from '../../core/job/run_outcome.js';
-
-type Waiter = () => void;
+import {KeyWaiters} from './key_waiters.js';
 
 /** Serves requests about the jobs of this zone while this node leads it. */
 export class ZoneJobs {
-  private readonly waiters = new Map<string, Set<Waiter>>();
+  private readonly commits: KeyWaiters;
+  private readonly ends: KeyWaiters;
 
   constructor(
     private readonly dispatcher: Dispatcher,
     private readonly table: JobTable,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.commits = new KeyWaiters(clock);
+    this.ends = new KeyWaiters(clock);
+  }
 
   async submit(
     key: JobKey,
@@ -62,57 +65,47 @@
     this.dispatcher.acknowledge(key.text);
   }
 
-  /** Wakes everyone who waits for the job. */
+  /** Wakes the requests that wait for the job to be stored. */
+  accepted(key: string): void {
+    this.commits.wake(key);
+  }
+
+  /** Wakes the requests that wait for the job to end. */
   finished(key: string): void {
-    const waiting = this.waiters.get(key);
-    this.waiters.delete(key);
-    for (const wake of waiting ?? []) wake();
+    this.ends.wake(key);
   }
 
-  /** Wakes everyone; the lead went to another node. */
+  /** Wakes every request; the lead went to another node. */
   leadershipLost(): void {
-    for (const key of [...this.waiters.keys()]) this.finished(key);
+    this.commits.wakeAll();
+    this.ends.wakeAll();
   }
 
   private isKnown(key: string): boolean {
     return this.table.get(key) !== undefined || this.dispatcher.isActive(key);
   }
 
+  /** Answers only with what a majority of the group has stored. */
   private async wait(
     key: string,
     waitMs: number,
   ): Promise<Result<JobAnswer, Refusal>> {
-    if (waitMs > 0 && !this.isFinished(key)) {
-      await this.sleepUntilFinished(key, waitMs);
-    }
+    if (!this.table.get(key)) await this.commits.wait(key, COMMIT_WAIT_MS);
+    if (waitMs > 0 && !this.isFinished(key)) await this.ends.wait(key, waitMs);
     if (!this.dispatcher.isLeading) return Result.err(NOT_LEADER);
     const record = this.table.get(key);
-    if (record) return Result.ok(this.table.answer(record));
-    return Result.ok({status: 'running', key, done: 0, total: 0});
+    return record
+      ? Result.ok(this.table.answer(record))
+      : Result.err(NOT_STORED);
   }
 
   private isFinished(key: string): boolean {
     const record = this.table.get(key);
     return record !== undefined && record.status !== 'running';
   }
-
-  private sleepUntilFinished(key: string, waitMs: number): Promise<void> {
-    return new Promise(resolve => {
-      const waiting = this.waiters.get(key) ?? new Set();
-      this.waiters.set(key, waiting);
-      const wake = () => {
-        timer.cancel();
-        waiting.delete(wake);
-        if (waiting.size === 0) this.waiters.delete(key);
-        resolve();
-      };
-      const timer = this.clock.schedule(waitMs, wake);
-      waiting.add(wake);
-    });
-  }
 }
 
-/** A cancel answers when it is committed; this bounds the wait. */
+/** Bounds the wait for a majority of the group to store a change. */
 const COMMIT_WAIT_MS = 2_000;
 
 const NOT_LEADER: Refusal = {
@@ -120,3 +113,10 @@
   outcome: RunOutcome.unknown,
   detail: 'this node does not lead the zone',
 };
+
+const NOT_STORED: Refusal = {
+  code: 'unreachable',
+  outcome: RunOutcome.unknown,
+  detail: 'no majority of the zone has stored the job in time',
+  retryAfterMs: COMMIT_WAIT_MS,
+};
--- a/src/daemon/zone/zone_service.ts
+++ b/src/daemon/zone/zone_service.ts
@@ -50,6 +50,7 @@
       ...opts,
       registry: this.registry,
       retry: new RetryPolicy(),
+      onAccepted: key => this.jobs.accepted(key),
       onFinished: key => this.jobs.finished(key),
       onLeadershipLost: () => this.jobs.leadershipLost(),
       requestFlush: () => this.requestFlush(),
