Refuse only as the confirmed leader, and prove the check by mutations

A deposed leader does not know what its successor accepted, so every `not_run` of it may be untrue.

Change: a refusal that says `not_run` waits for the commit of an event that changes nothing; all refusals of one turn share it. Without the commit the caller is sent to the leader. The generator now also delays announcements past a restart, lets them reach one member only, and kills the whole fleet. The check reports a submission that joins a job with another body.

Proof: check_jobs.test.ts switches off fences, tombstones, the worker's lease, the commit before the start, the age check, the strict retry rule, the leaving flag, slot counts and the lease's end, one at a time; each is reported within 600 runs.

--- a/src/check/jobs/check_answers.ts
+++ b/src/check/jobs/check_answers.ts
@@ -8,7 +8,7 @@
 /** I2, I3 and I4: what callers were told about one key. */
 export function checkAnswers(job: JobHistory): string[] {
   const {key, runs} = job;
-  const violations = checkRefusals(job);
+  const violations = [...checkRefusals(job), ...checkJoins(job)];
   let first: string | undefined;
   for (const {answer} of job.answers) {
     if (answer.key !== key) {
@@ -78,3 +78,18 @@
   });
   return violations;
 }
+
+/** A submission with another body than the stored one must be refused. */
+function checkJoins({
+  key,
+  stored,
+  submits,
+  submitOrders,
+}: JobHistory): string[] {
+  if (!stored || stored.body === '') return [];
+  return submits.flatMap(({body, refusal, byLeader}, at) => {
+    const isJoined = !refusal && byLeader && submitOrders[at]! > stored.order;
+    if (!isJoined || body === stored.body) return [];
+    return [`${key}: a submission joined a job with another body`];
+  });
+}
--- a/src/check/jobs/check_history.ts
+++ b/src/check/jobs/check_history.ts
@@ -35,6 +35,7 @@
         return;
       case 'committed':
         jobOf(event.key).committed = true;
+        jobOf(event.key).stored ??= {body: event.body, order};
         return;
       case 'answer':
         jobOf(event.key).answers.push(event);
--- /dev/null
+++ b/src/check/jobs/check_jobs.test.ts
@@ -0,0 +1,90 @@
+import {assert} from 'chai';
+import {RetryPolicy} from '../../core/retry/retry_policy.js';
+import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
+import {WorkerRegistry} from '../../core/worker/worker_registry.js';
+import type {WorkerState} from '../../core/worker/worker_state.js';
+import {checkJobs} from './check_jobs.js';
+import type {Mutation} from './mutation.js';
+
+const SEED = 1;
+const MAX_RUNS = 600;
+
+/** The checker must report a run in which the mechanism is missing. */
+function assertNoticed(mutation: Mutation, violation: RegExp): void {
+  const report = checkJobs({
+    seed: SEED,
+    runs: MAX_RUNS,
+    mutation,
+    shrinks: false,
+  });
+  const violations = report.counterexample?.violations ?? [];
+  assert.isTrue(
+    violations.some(text => violation.test(text)),
+    `no violation in ${report.runs} runs: ${violations.join('; ')}`,
+  );
+}
+
+test('generated histories keep the invariants', () => {
+  const report = checkJobs({seed: SEED, runs: 150});
+  assert.deepEqual(report.counterexample?.violations ?? [], []);
+  assert.isAbove(report.starts, 100);
+});
+
+test('the check notices workers without fences', () => {
+  assertNoticed({worker: {fences: false}}, /started \d times|at the same time/);
+});
+
+test('the check notices workers without tombstones', () => {
+  assertNoticed({worker: {keepsTombstones: false}}, /\d times|same time/);
+});
+
+test('the check notices workers that ignore their lease', () => {
+  assertNoticed({worker: {obeysLease: false}}, /at the same time|not_run/);
+});
+
+test('the check notices starts before the commit', () => {
+  assertNoticed({group: {commitsEarly: true}}, /started|differ|same time/);
+});
+
+test('the check notices keys older than the memory', () => {
+  assertNoticed({group: {hidesMemoryStart: true}}, /started \d times/);
+});
+
+test('the check notices retries of strict tasks', () => {
+  class EagerRetry extends RetryPolicy {
+    override shouldRetry(
+      question: Parameters<RetryPolicy['shouldRetry']>[0],
+    ): boolean {
+      return super.shouldRetry({...question, repeatable: true});
+    }
+  }
+  assertNoticed({retry: () => new EagerRetry()}, /started \d times/);
+});
+
+test('the check notices starts on leaving workers', () => {
+  class BlindRegistry extends WorkerRegistry {
+    override announce(announcement: WorkerAnnouncement, now: number) {
+      return super.announce({...announcement, leaving: false}, now);
+    }
+  }
+  assertNoticed({registry: () => new BlindRegistry()}, /after leaving/);
+});
+
+test('the check notices more starts than slots', () => {
+  class GenerousRegistry extends WorkerRegistry {
+    override announce(announcement: WorkerAnnouncement, now: number) {
+      const slots = announcement.slots + 1;
+      return super.announce({...announcement, slots}, now);
+    }
+  }
+  assertNoticed({registry: () => new GenerousRegistry()}, /slots/);
+});
+
+test('the check notices leases that end too early', () => {
+  class HastyRegistry extends WorkerRegistry {
+    override expire(now: number): WorkerState[] {
+      return super.expire(now + 2_000);
+    }
+  }
+  assertNoticed({registry: () => new HastyRegistry()}, /at the same time/);
+});
--- a/src/check/jobs/check_jobs.ts
+++ b/src/check/jobs/check_jobs.ts
@@ -10,6 +10,8 @@
   readonly seed: number;
   readonly runs: number;
   readonly mutation?: Mutation;
+  /** Whether to look for the smallest counterexample. Default true. */
+  readonly shrinks?: boolean;
 }
 
 interface Counterexample {
@@ -30,7 +32,12 @@
 }
 
 /** Generates runs, checks their histories, and shrinks the first violation. */
-export function checkJobs({seed, runs, mutation}: CheckOptions): CheckReport {
+export function checkJobs({
+  seed,
+  runs,
+  mutation,
+  shrinks = true,
+}: CheckOptions): CheckReport {
   const steps = new Map<string, number>();
   const answers = new Map<string, number>();
   let done = 0;
@@ -56,7 +63,11 @@
     }
     return isSound;
   });
-  const details = fc.check(property, {seed, numRuns: runs});
+  const details = fc.check(property, {
+    seed,
+    numRuns: runs,
+    endOnFailure: !shrinks,
+  });
   const failing = details.counterexample?.[0];
   const history = failing && runSteps(failing, mutation);
   return {
--- a/src/check/jobs/history_event.ts
+++ b/src/check/jobs/history_event.ts
@@ -10,12 +10,19 @@
       readonly tasks: number;
       /** Whether class and request allow a second attempt. */
       readonly repeatable: boolean;
+      /** False for a submission to a deposed leader, which cannot commit it. */
+      readonly byLeader: boolean;
       /** Undefined when the submission was taken or joined. */
       readonly refusal: Refusal | undefined;
     }
   | {readonly kind: 'cancel'; readonly key: string; readonly taken: boolean}
   /** The group has stored the job; its answer must come. */
-  | {readonly kind: 'committed'; readonly key: string}
+  | {
+      readonly kind: 'committed';
+      readonly key: string;
+      /** Empty when a cancel came before any submission. */
+      readonly body: string;
+    }
   | {readonly kind: 'acknowledge'; readonly key: string}
   /** What a caller was told about a job. */
   | {readonly kind: 'answer'; readonly key: string; readonly answer: JobAnswer}
--- a/src/check/jobs/job_history.ts
+++ b/src/check/jobs/job_history.ts
@@ -19,6 +19,8 @@
   readonly submitOrders: number[] = [];
   cancelled = false;
   committed = false;
+  /** The body that the group has stored, and when. */
+  stored: {readonly body: string; readonly order: number} | undefined;
   lostMemory = false;
 
   constructor(readonly key: string) {}
--- a/src/check/jobs/run_steps.ts
+++ b/src/check/jobs/run_steps.ts
@@ -10,6 +10,8 @@
 
 const WARM_UP_MS = 3_000;
 const RETENTION_MS = 620_000;
+/** Later than the next announcements of the same worker. */
+const LATE_MS = 1_200;
 /**
  * After the faults stop: leases and orphans run out, all tasks run in turn on
  * the smallest fleet, with back-off.
@@ -70,6 +72,9 @@
       case 'stall_commits':
         zone.group.stall(action.ms);
         return;
+      case 'all_die':
+        for (const worker of zone.workers.values()) worker.kill();
+        return;
       case 'lose_memory':
         zone.loseMemory();
         return;
@@ -187,11 +192,15 @@
       case 'repeat_reports':
         worker.isRepeating = true;
         return;
-      case 'keep_announcement':
-        zone.keepForStale(worker);
+      case 'restart_then_late_announcement':
+        zone.announceLate(worker, LATE_MS);
+        zone.restart(worker);
+        return;
+      case 'late_announcement':
+        zone.announceLate(worker, LATE_MS);
         return;
-      case 'stale_announcement':
-        zone.announceStale(worker);
+      case 'announce_to_one':
+        zone.routes.set(worker.announcement.worker, `n${action.node + 1}`);
         return;
       case 'lie_about_usage':
         worker.announcement = {
@@ -221,6 +230,7 @@
     worker.slowness = 1;
     worker.startDelayMs = 0;
     worker.reportDelayMs = 0;
+    this.zone.routes.delete(worker.announcement.worker);
     if (worker.isDead || worker.announcement.leaving) this.zone.restart(worker);
   }
 
--- a/src/check/jobs/step.ts
+++ b/src/check/jobs/step.ts
@@ -42,8 +42,8 @@
         | 'refuse_all'
         | 'leave'
         | 'repeat_reports'
-        | 'keep_announcement'
-        | 'stale_announcement'
+        | 'restart_then_late_announcement'
+        | 'late_announcement'
         | 'lie_about_usage';
       readonly worker: number;
     }
@@ -58,7 +58,14 @@
       readonly noticedAfterMs: number;
       readonly keepsProposals: boolean;
     }
+  /** Announcements of the worker reach this member only. */
+  | {
+      readonly kind: 'announce_to_one';
+      readonly worker: number;
+      readonly node: number;
+    }
   | {readonly kind: 'stall_commits'; readonly ms: number}
+  | {readonly kind: 'all_die'}
   | {readonly kind: 'lose_memory'}
   | {readonly kind: 'delete_class'}
   | {readonly kind: 'pass_retention'};
--- a/src/check/jobs/steps_arbitrary.ts
+++ b/src/check/jobs/steps_arbitrary.ts
@@ -58,8 +58,8 @@
     'refuse_all' as const,
     'leave' as const,
     'repeat_reports' as const,
-    'keep_announcement' as const,
-    'stale_announcement' as const,
+    'restart_then_late_announcement' as const,
+    'late_announcement' as const,
     'lie_about_usage' as const,
   ),
   worker,
@@ -82,7 +82,14 @@
   keepsProposals: fc.boolean(),
 });
 
+const announceToOne = fc.record({
+  kind: fc.constant('announce_to_one' as const),
+  worker,
+  node: fc.nat({max: MEMBERS - 1}),
+});
+
 const zone = fc.oneof(
+  fc.constant({kind: 'all_die' as const}),
   fc.record({
     kind: fc.constant('stall_commits' as const),
     ms: fc.constantFrom(20, 1_000, 3_500),
@@ -109,6 +116,7 @@
       {weight: 8, arbitrary: aboutWorker},
       {weight: 3, arbitrary: slowWorker},
       {weight: 3, arbitrary: takeOver},
+      {weight: 1, arbitrary: announceToOne},
       {weight: 1, arbitrary: zone},
     ),
   }),
--- a/src/check/jobs/zone_run.ts
+++ b/src/check/jobs/zone_run.ts
@@ -6,7 +6,10 @@
 import {ZoneMember} from '../../../test-support/fakes/zone_member.js';
 import type {ClassConfig} from '../../core/config/class_config.js';
 import {StaticConfigSource} from '../../core/config/static_config_source.js';
+import {NOT_LEADER} from '../../core/dispatch/not_leader.js';
 import {JobKey} from '../../core/job/job_key.js';
+import type {Refusal} from '../../core/job/refusal.js';
+import {RunOutcome} from '../../core/job/run_outcome.js';
 import type {JobSpec} from '../../core/job/job_spec.js';
 import {RetryPolicy} from '../../core/retry/retry_policy.js';
 import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
@@ -48,10 +51,11 @@
     classes: Object.fromEntries(CLASSES.map(c => [c.name, c])),
     tenants: {},
   });
+  /** The only member that a worker's announcements reach, by worker. */
+  readonly routes = new Map<string, string>();
   group: StandInGroup;
   members: ZoneMember[] = [];
   private readonly announcer: FakeFleet;
-  private readonly stale = new Map<string, WorkerAnnouncement>();
   private keys = 0;
   private incarnations = 0;
 
@@ -104,14 +108,22 @@
     };
     const {classes} = this.config.current();
     const result = member.dispatcher.submit(key, spec, now);
-    this.record({
-      kind: 'submit',
-      key: key.text,
-      body,
-      tasks: tasks.length,
-      repeatable: repeatable && classes[className]?.repeatable === true,
-      refusal: result.isErr ? result.error : undefined,
-    });
+    const told = (refusal: Refusal | undefined) =>
+      this.record({
+        kind: 'submit',
+        key: key.text,
+        body,
+        tasks: tasks.length,
+        repeatable: repeatable && classes[className]?.repeatable === true,
+        byLeader: member === this.leader,
+        refusal,
+      });
+    if (result.isOk) return told(undefined);
+    const refusal = result.error;
+    if (refusal.outcome !== RunOutcome.notRun) return told(refusal);
+    member.dispatcher.confirm(isConfirmed =>
+      told(isConfirmed ? refusal : NOT_LEADER),
+    );
   }
 
   cancel(key: JobKey, member = this.leader): void {
@@ -144,14 +156,10 @@
     worker.announcement = {...worker.announcement, leaving: false};
   }
 
-  /** Delivers an announcement that an earlier incarnation or time sent. */
-  announceStale(worker: FakeWorker): void {
-    const earlier = this.stale.get(worker.announcement.worker);
-    if (earlier) this.deliver(worker, earlier);
-  }
-
-  keepForStale(worker: FakeWorker): void {
-    this.stale.set(worker.announcement.worker, worker.announcement);
+  /** The present announcement arrives once more, after later ones. */
+  announceLate(worker: FakeWorker, lateMs: number): void {
+    const {announcement} = worker;
+    this.clock.schedule(lateMs, () => this.deliver(worker, announcement));
   }
 
   /** All members restart at once without memory. */
@@ -172,7 +180,8 @@
       clock,
       onCommitted: event => {
         if (event.kind !== 'accepted') return;
-        this.record({kind: 'committed', key: event.job.key});
+        const {key, fingerprint: body} = event.job;
+        this.record({kind: 'committed', key, body});
       },
       ...mutation.group,
     });
@@ -186,7 +195,9 @@
         retry: mutation.retry?.() ?? new RetryPolicy(),
         config: this.config,
         upstream: new FakeFleet({clock, workers: this.workers}),
-        onFinished: (member, key) => this.fetch(key, member),
+        // A waiting caller reads the answer after the commit is applied.
+        onFinished: (member, key) =>
+          this.clock.defer(() => this.fetch(key, member)),
       });
     });
     group.takeOver('n1', {noticedAfterMs: 0, keepsProposals: false});
@@ -264,7 +275,9 @@
   private deliver(worker: FakeWorker, announcement: WorkerAnnouncement): void {
     const sentAt = this.clock.now() - TRAVEL_MS;
     const {incarnation} = announcement;
+    const route = this.routes.get(announcement.worker);
     for (const member of this.members) {
+      if (route !== undefined && member.node !== route) continue;
       const now = this.clock.now();
       const accepted = member.dispatcher.announce(announcement, now);
       const epoch = member.replicator.leading;
--- a/src/core/dispatch/attempt_manager.ts
+++ b/src/core/dispatch/attempt_manager.ts
@@ -1,4 +1,5 @@
 import type {AttemptOutcome} from '../job/attempt_outcome.js';
+import type {JobEvent} from '../job/job_event.js';
 import type {AttemptReport} from '../upstream/attempt_report.js';
 import type {AttemptStart} from '../upstream/attempt_start.js';
 import type {UpstreamClient} from '../upstream/upstream_client.js';
@@ -16,6 +17,8 @@
 const ASK_INTERVAL_MS = 1_000;
 const FENCE_RETRY_MS = 250;
 
+type Settled = Extract<JobEvent, {kind: 'settled'}>;
+
 interface AttemptManagerOptions {
   readonly registry: WorkerRegistry;
   readonly upstream: UpstreamClient;
@@ -114,12 +117,7 @@
   }
 
   /** The outcome of the attempt is committed; its worker may drop it. */
-  forget(
-    worker: string,
-    attempt: string,
-    outcome: AttemptOutcome,
-    now: number,
-  ): void {
+  forget({worker, attempt, outcome}: Settled, now: number): void {
     this.uncommitted.delete(attempt);
     if (!this.opts.registry.get(worker)) return;
     if (outcome.kind === 'never_started') {
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -14,6 +14,7 @@
 import type {WorkerRegistry} from '../worker/worker_registry.js';
 import {ActiveJob} from './active_job.js';
 import {AttemptManager} from './attempt_manager.js';
+import {CommitBarrier} from './commit_barrier.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
 import {intentOf} from './intent_of.js';
 import {NOT_LEADER} from './not_leader.js';
@@ -24,9 +25,6 @@
 import {TaskRetrier} from './task_retrier.js';
 
 type Intent = Extract<JobEvent, {kind: 'intent'}>;
-type Settled = Extract<JobEvent, {kind: 'settled'}>;
-
-const SWEEP_INTERVAL_MS = 5_000;
 
 interface DispatcherOptions {
   readonly table: JobTable;
@@ -55,7 +53,7 @@
   /** Jobs whose `accepted` event is not committed yet, by key. */
   private readonly proposed = new Map<string, JobSpec>();
   private readonly retrier: TaskRetrier;
-  private nextSweep = 0;
+  private readonly barrier = new CommitBarrier();
   /** Events of this turn, proposed together by `flush`. */
   private outbox: JobEvent[] = [];
   private now = 0;
@@ -149,6 +147,17 @@
     this.opts.requestFlush();
   }
 
+  /**
+   * Tells whether this node led when it refused a submission. A deposed leader
+   * does not know what its successor runs, so its refusals are void.
+   */
+  confirm(done: (isConfirmed: boolean) => void): void {
+    const event = this.barrier.add(done);
+    if (event) this.outbox.push(event);
+    if (this.isLeading) this.opts.requestFlush();
+    else this.barrier.fail();
+  }
+
   announce(announcement: WorkerAnnouncement, now: number): boolean {
     this.now = now;
     return this.attempts.announce(announcement, now);
@@ -162,6 +171,7 @@
     if (this.outbox.length === 0) return;
     const events = this.outbox;
     this.outbox = [];
+    this.barrier.close();
     this.opts.replicator.propose(events, now);
   }
 
@@ -171,23 +181,13 @@
     if (!this.isLeading) return;
     this.attempts.tick(now);
     this.retrier.tick(now);
-    this.sweep(now);
-    const keys = this.gate.expiredKeys(now, key => this.active.has(key));
-    if (keys.length > 0) this.outbox.push({kind: 'expired', keys});
-    this.flush(now);
-  }
-
-  /** Fails the jobs that cannot end by themselves any more. */
-  private sweep(now: number): void {
-    if (now < this.nextSweep) return;
-    this.nextSweep = now + SWEEP_INTERVAL_MS;
-    for (const job of this.active.values()) {
-      if (job.ended) continue;
-      const reason = this.gate.findObstacle(job, now);
-      if (reason === undefined) continue;
+    for (const {job, reason} of this.gate.endless(this.active.values(), now)) {
       this.outbox.push({kind: 'failed', key: job.spec.key, reason, at: now});
       this.endJob(job);
     }
+    const keys = this.gate.expiredKeys(now, key => this.active.has(key));
+    if (keys.length > 0) this.outbox.push({kind: 'expired', keys});
+    this.flush(now);
   }
 
   /**
@@ -265,11 +265,15 @@
       case 'accepted':
         this.proposed.delete(event.job.key);
         return;
+      case 'barrier':
+        this.barrier.passed(event.id);
+        return;
       case 'intent':
         this.intentCommitted(event, starts);
         return;
       case 'settled':
-        this.settledCommitted(event);
+        this.attempts.forget(event, this.now);
+        this.notifyIfFinished(event.key);
         return;
       case 'cancelled':
       case 'failed':
@@ -312,11 +316,6 @@
     this.attempts.start(worker, attempts, starts, now);
   }
 
-  private settledCommitted({worker, attempt, outcome, key}: Settled): void {
-    this.attempts.forget(worker, attempt, outcome, this.now);
-    this.notifyIfFinished(key);
-  }
-
   private notifyIfFinished(key: string): void {
     const record = this.opts.table.get(key);
     if (record && record.status !== 'running') this.opts.onFinished(key);
@@ -329,6 +328,7 @@
     this.active.clear();
     this.proposed.clear();
     this.retrier.reset();
+    this.barrier.fail();
     if (epoch === undefined) {
       this.attempts.follow();
       return;
--- a/src/core/dispatch/submission_gate.ts
+++ b/src/core/dispatch/submission_gate.ts
@@ -38,6 +38,7 @@
   static readonly RETENTION_MS = RETENTION_MS;
 
   private nextExpiry = 0;
+  private nextSweep = 0;
 
   constructor(private readonly opts: SubmissionGateOptions) {}
 
@@ -144,19 +145,34 @@
     return keys;
   }
 
+  /** Jobs that cannot end by themselves, at most once per interval. */
+  endless(
+    jobs: Iterable<ActiveJob>,
+    now: number,
+  ): Array<{readonly job: ActiveJob; readonly reason: string}> {
+    if (now < this.nextSweep) return [];
+    this.nextSweep = now + EXPIRY_INTERVAL_MS;
+    const found = [];
+    for (const job of jobs) {
+      const reason = job.ended ? undefined : this.findObstacle(job, now);
+      if (reason !== undefined) found.push({job, reason});
+    }
+    return found;
+  }
+
   /**
-   * Why a job cannot end by itself any more; undefined while it can. Every job
-   * ends at the latest with the retention of its key, since its answer cannot
-   * be fetched later.
+   * Every job ends at the latest with the retention of its key, since its
+   * answer cannot be fetched later.
    */
-  findObstacle(job: ActiveJob, now: number): string | undefined {
+  private findObstacle(job: ActiveJob, now: number): string | undefined {
     const {spec, config} = job;
     if (now > spec.keyTimeMs + RETENTION_MS) {
       return 'the retention period of the key has ended';
     }
-    const waits = new Set([...job.queued.keys(), ...job.paused]);
-    const obstacle = this.findUnplaceable(spec, config, index =>
-      waits.has(index),
+    const obstacle = this.findUnplaceable(
+      spec,
+      config,
+      index => job.queued.has(index) || job.paused.has(index),
     );
     if (obstacle === undefined) {
       job.unplaceableSince = undefined;
--- a/src/core/job/job_event.ts
+++ b/src/core/job/job_event.ts
@@ -30,5 +30,7 @@
       readonly reason: string;
       readonly at: number;
     }
+  /** Changes nothing; its commit shows that its proposer led. */
+  | {readonly kind: 'barrier'; readonly id: number}
   | {readonly kind: 'acknowledged'; readonly key: string}
   | {readonly kind: 'expired'; readonly keys: readonly string[]};
--- a/src/core/job/job_table.ts
+++ b/src/core/job/job_table.ts
@@ -31,6 +31,8 @@
       case 'accepted':
         this.accept(event.job);
         return;
+      case 'barrier':
+        return;
       case 'expired':
         for (const key of event.keys) this.jobs.delete(key);
         return;
@@ -93,7 +95,7 @@
 
   private applyTo(
     job: JobRecord,
-    event: Exclude<JobEvent, {kind: 'accepted' | 'expired'}>,
+    event: Exclude<JobEvent, {kind: 'accepted' | 'expired' | 'barrier'}>,
   ): void {
     switch (event.kind) {
       case 'intent': {
--- a/src/daemon/zone/zone_jobs.ts
+++ b/src/daemon/zone/zone_jobs.ts
@@ -26,8 +26,13 @@
     waitMs: number,
   ): Promise<Result<JobAnswer, Refusal>> {
     const accepted = this.dispatcher.submit(key, spec, this.clock.now());
-    if (accepted.isErr) return Result.err(accepted.error);
-    return this.wait(key.text, waitMs);
+    if (accepted.isOk) return this.wait(key.text, waitMs);
+    const refusal = accepted.error;
+    if (refusal.outcome !== RunOutcome.notRun) return Result.err(refusal);
+    const isConfirmed = await new Promise<boolean>(resolve =>
+      this.dispatcher.confirm(resolve),
+    );
+    return Result.err(isConfirmed ? refusal : NOT_LEADER);
   }
 
   async fetch(
