--- a/src/core/job/job_table.ts
+++ b/src/core/job/job_table.ts
@@ -50,6 +50,8 @@
       case 'accepted':
         this.accept(event.job);
         return undefined;
+      case 'barrier':
+        return undefined;
       case 'expired':
         for (const key of event.keys) this.expire(key);
         return undefined;
@@ -135,7 +137,7 @@
 
   private applyTo(
     job: JobRecord,
-    event: Exclude<JobEvent, {kind: 'accepted' | 'expired'}>,
+    event: Exclude<JobEvent, {kind: 'accepted' | 'expired' | 'barrier'}>,
   ): void {
     switch (event.kind) {
       case 'intent': {
