--- a/src/adapter/http/caller_server.ts
+++ b/src/adapter/http/caller_server.ts
@@ -1,5 +1,5 @@
 import {createServer} from 'node:http';
-import type {IncomingMessage, Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import restana from 'restana';
 import type {CallerApi} from './caller_api.js';
 import {sendJson} from './send_json.js';
@@ -24,6 +24,9 @@
 /** The HTTP server for callers and upstreams. */
 export class CallerServer {
   private readonly server: Server;
+  /** Requests without an answer yet. */
+  private readonly open = new Set<ServerResponse>();
+  private isClosing = false;
 
   constructor(private readonly opts: CallerServerOptions) {
     this.server = createServer({
@@ -32,6 +35,11 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
     });
+    this.server.on('request', (_req, res: ServerResponse) => {
+      this.open.add(res);
+      res.once('close', () => this.open.delete(res));
+      if (this.isClosing) res.setHeader('connection', 'close');
+    });
     this.routes();
   }
 
@@ -48,6 +56,17 @@
     });
   }
 
+  /**
+   * Ends each connection with its next answer. A kept connection would hold up
+   * the drain, and closing an idle one may cut a request that is on its way.
+   */
+  closeConnections(): void {
+    this.isClosing = true;
+    for (const res of this.open) {
+      if (!res.headersSent) res.setHeader('connection', 'close');
+    }
+  }
+
   /** Stops listening and waits until every open request is answered. */
   async drain(): Promise<void> {
     await new Promise<void>(resolve => {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -17,6 +17,9 @@
 import {ZoneGroups} from './zone/zone_groups.js';
 import {ZoneService} from './zone/zone_service.js';
 
+/** Time for the balancer to see the health check fail and send no more. */
+const DRAIN_NOTICE_MS = 2_000;
+
 /** One node of a deployment, put together from its settings. */
 export class Daemon extends Service {
   override readonly name = 'daemon';
@@ -31,7 +34,7 @@
 
   constructor(
     settings: Settings,
-    clock: Clock,
+    private readonly clock: Clock,
     private readonly log: ConsolaInstance,
   ) {
     super();
@@ -130,7 +133,11 @@
   override async stop(): Promise<void> {
     this.isDraining = true;
     this.log.info('draining');
-    await this.groups.handOver();
+    this.server.closeConnections();
+    const noticed = new Promise<void>(resolve => {
+      this.clock.schedule(DRAIN_NOTICE_MS, resolve);
+    });
+    await Promise.all([this.groups.handOver(), noticed]);
     await this.supervisor.stop();
     this.log.info('stopped');
   }
