--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -202,10 +202,10 @@
     this.server.http.announceDrain();
     // The balancer sends requests until it has seen the health check fail.
     const {drain_notice_ms: noticeMs} = this.settings;
-    await new Promise<void>(resolve => {
+    const noticed = new Promise<void>(resolve => {
       this.clock.schedule(noticeMs, resolve);
     });
-    await this.groups.handOver();
+    await Promise.all([this.groups.handOver(), noticed]);
     await this.supervisor.stop();
     this.log.info('stopped');
   }
