--- a/src/check/main.ts
+++ b/src/check/main.ts
@@ -1,7 +1,10 @@
+#!/usr/bin/env node
 import {Command} from 'commander';
+import {configCheck} from './config/config_check.js';
 import {jobsCommand} from './jobs/jobs_command.js';
 
 await new Command('check')
   .description('Checks of invariants over generated histories.')
   .addCommand(jobsCommand)
+  .addCommand(configCheck())
   .parseAsync();
