--- a/src/core/dispatch/active_job.ts
+++ b/src/core/dispatch/active_job.ts
@@ -42,6 +42,7 @@
       submittedAt: this.spec.submittedAt,
       jobSize: this.spec.tasks.length,
       config: this.config,
+      repeatable: this.isRepeatable,
       avoid,
       removed: false,
     };
--- a/src/core/dispatch/dispatch_policy.ts
+++ b/src/core/dispatch/dispatch_policy.ts
@@ -41,6 +41,9 @@
     _now: number,
   ): void {}
 
+  /** Takes a reading of how late the event loop runs, in milliseconds. */
+  noteLag(_lagMs: number): void {}
+
   /** Forgets the queue and what runs; called when the lead changes. */
   abstract reset(): void;
 
--- a/src/core/dispatch/fleet.ts
+++ b/src/core/dispatch/fleet.ts
@@ -13,6 +13,7 @@
   freeSlots = 0;
   totalSlots = 0;
   totalWorkers = 0;
+  readonly rackLoads = new Map<string, number>();
   /** Scans of all workers so far; for tests and slopes. */
   scans = 0;
   private readonly free = new Map<WorkerState, number>();
@@ -46,6 +47,7 @@
     if (after === before) return;
     this.free.set(worker, after);
     this.freeSlots += after - before;
+    this.addLoad(worker, before - after);
     if (before === 0) this.add(worker);
     else if (after === 0) this.remove(worker);
   }
@@ -56,6 +58,7 @@
     this.free.clear();
     this.positions.clear();
     this.startable.length = 0;
+    this.rackLoads.clear();
     this.freeSlots = 0;
     this.totalSlots = 0;
     this.totalWorkers = 0;
@@ -70,10 +73,16 @@
       const free = worker.freeSlots;
       this.free.set(worker, free);
       this.freeSlots += free;
+      this.addLoad(worker, worker.outstanding);
       if (free > 0) this.add(worker);
     }
   }
 
+  private addLoad({announcement}: WorkerState, change: number): void {
+    const {rack} = announcement;
+    this.rackLoads.set(rack, (this.rackLoads.get(rack) ?? 0) + change);
+  }
+
   private add(worker: WorkerState): void {
     this.positions.set(worker, this.startable.push(worker) - 1);
   }
--- a/src/core/dispatch/fleet_view.ts
+++ b/src/core/dispatch/fleet_view.ts
@@ -10,4 +10,6 @@
   readonly totalSlots: number;
   /** Live workers that are not leaving. */
   readonly totalWorkers: number;
+  /** Slots in use by rack, of the startable workers. */
+  readonly rackLoads: ReadonlyMap<string, number>;
 }
--- a/src/core/dispatch/queued_task.ts
+++ b/src/core/dispatch/queued_task.ts
@@ -13,6 +13,8 @@
   /** Tasks of the same job in all. */
   readonly jobSize: number;
   readonly config: ClassConfig;
+  /** Whether class and request both allow a second attempt. */
+  readonly repeatable: boolean;
   /** Worker that refused the task last; another one is preferred. */
   avoid: string | undefined;
   /** True once it needs no slot any more; queues drop it lazily. */
--- /dev/null
+++ b/src/measure/throughput/throughput_measurement.ts
@@ -0,0 +1,9 @@
+import {Measurement} from '../measurement.js';
+/** x */
+export class ThroughputMeasurement extends Measurement {
+  override readonly name = 'throughput';
+  override readonly description = '';
+  override async run(): Promise<object> {
+    return {};
+  }
+}
--- /dev/null
+++ b/src/measure/workload/counting_fleet.ts
@@ -0,0 +1,66 @@
+import {FakeFleet} from '../../../test-support/fakes/fake_fleet.js';
+import type {AttemptStart} from '../../core/upstream/attempt_start.js';
+import type {WorkerTarget} from '../../core/upstream/worker_target.js';
+
+/** Counts what is sent to workers, task by task. */
+export class CountingFleet extends FakeFleet {
+  /** Keys of cancelled jobs; the owner adds them at the cancel. */
+  readonly cancelled = new Set<string>();
+  starts = 0;
+  /** Starts sent after the cancel of their job. */
+  startsAfterCancel = 0;
+  /** Attempts named in stop messages. */
+  stopEntries = 0;
+  /** Attempts named in a stop message for the second time or later. */
+  repeatedStops = 0;
+  /** Attempts named in a stop message that had never been sent. */
+  stopsWithoutStart = 0;
+  /** Attempts of cancelled jobs asked about in settle messages. */
+  asksAfterCancel = 0;
+  /** Settle messages that only let the worker forget. */
+  forgetMessages = 0;
+  private readonly keys = new Map<string, string>();
+  private readonly stopped = new Set<string>();
+
+  override start(
+    target: WorkerTarget,
+    epoch: number,
+    attempts: readonly AttemptStart[],
+  ): void {
+    for (const {id, key} of attempts) {
+      this.starts += 1;
+      this.keys.set(id, key);
+      if (this.cancelled.has(key)) this.startsAfterCancel += 1;
+    }
+    super.start(target, epoch, attempts);
+  }
+
+  override stop(
+    target: WorkerTarget,
+    epoch: number,
+    attempts: readonly string[],
+  ): void {
+    for (const id of attempts) {
+      this.stopEntries += 1;
+      if (!this.keys.has(id)) this.stopsWithoutStart += 1;
+      if (this.stopped.has(id)) this.repeatedStops += 1;
+      this.stopped.add(id);
+    }
+    super.stop(target, epoch, attempts);
+  }
+
+  override settle(
+    target: WorkerTarget,
+    epoch: number,
+    attempts: readonly string[],
+    forget: readonly string[],
+  ): void {
+    if (attempts.length === 0) this.forgetMessages += 1;
+    for (const id of attempts) {
+      if (this.cancelled.has(this.keys.get(id) ?? '')) {
+        this.asksAfterCancel += 1;
+      }
+    }
+    super.settle(target, epoch, attempts, forget);
+  }
+}
--- a/test-support/fakes/dispatch_bench.ts
+++ b/test-support/fakes/dispatch_bench.ts
@@ -1,6 +1,8 @@
 import {v7 as uuidv7} from 'uuid';
 import type {ClassConfig} from '../../src/core/config/class_config.js';
+import type {ConfigSource} from '../../src/core/config/config_source.js';
 import {StaticConfigSource} from '../../src/core/config/static_config_source.js';
+import type {TenantConfig} from '../../src/core/config/tenant_config.js';
 import type {DispatchPolicy} from '../../src/core/dispatch/dispatch_policy.js';
 import {Dispatcher} from '../../src/core/dispatch/dispatcher.js';
 import {FifoPolicy} from '../../src/core/dispatch/fifo_policy.js';
@@ -26,14 +28,22 @@
   readonly slots?: number;
   /** Default: one class `default` with a target of 2 s. */
   readonly classes?: readonly ClassConfig[];
+  /** Default: none. */
+  readonly tenants?: readonly TenantConfig[];
   /** Default: first come first served. */
-  readonly policy?: DispatchPolicy;
+  readonly policy?: (config: ConfigSource) => DispatchPolicy;
+  /** Workers of a rack. Default: all workers are in one rack. */
+  readonly rackSize?: number;
+  /** One-way delay of a message to a worker. Default 0.5 ms. */
+  readonly delayMs?: number;
+  /** Receives the messages to workers; default a {@link FakeFleet}. */
+  readonly fleet?: (clock: FakeClock) => FakeFleet;
 }
 
 /** One dispatcher with fake workers on a fake clock, ready to take jobs. */
 export class DispatchBench {
   readonly clock = new FakeClock();
-  readonly fleet = new FakeFleet({clock: this.clock});
+  readonly fleet: FakeFleet;
   readonly registry = new WorkerRegistry();
   readonly table = new JobTable();
   readonly config: StaticConfigSource;
@@ -45,17 +55,20 @@
   private keys = 0;
 
   constructor(opts: DispatchBenchOptions = {}) {
+    const {clock} = this;
+    this.fleet =
+      opts.fleet?.(clock) ?? new FakeFleet({clock, delayMs: opts.delayMs});
     const classes = opts.classes ?? [DispatchBench.classOf('default')];
     this.config = new StaticConfigSource({
       version: 1,
       classes: Object.fromEntries(classes.map(c => [c.name, c])),
-      tenants: {},
+      tenants: Object.fromEntries((opts.tenants ?? []).map(t => [t.name, t])),
     });
     this.dispatcher = new Dispatcher({
       table: this.table,
       replicator: this.replicator,
       registry: this.registry,
-      policy: opts.policy ?? new FifoPolicy(),
+      policy: opts.policy?.(this.config) ?? new FifoPolicy(),
       retry: new RetryPolicy(),
       config: this.config,
       upstream: this.fleet,
@@ -63,7 +76,8 @@
       requestFlush: () => this.requestFlush(),
     });
     for (let n = 1; n <= (opts.workers ?? 1); n += 1) {
-      this.addWorker(`w${n}`, opts.slots ?? 8);
+      const rack = Math.ceil(n / (opts.rackSize ?? Infinity)) || 1;
+      this.addWorker(`w${n}`, opts.slots ?? 8, `rack-${rack}`);
     }
     this.replicator.lead(this.clock.now());
     this.announceForever();
@@ -83,13 +97,13 @@
     };
   }
 
-  addWorker(worker: string, slots: number): FakeWorker {
+  addWorker(worker: string, slots: number, rack = 'rack-1'): FakeWorker {
     return this.fleet.add({
       worker,
       incarnation: `${worker}-1`,
       sequence: 0,
       zone: 'arbat',
-      rack: 'rack-1',
+      rack,
       address: `http://127.0.0.1/${worker}`,
       slots,
       connections: 64,
--- a/test-support/fakes/fake_fleet.ts
+++ b/test-support/fakes/fake_fleet.ts
@@ -9,7 +9,7 @@
 interface FakeFleetOptions {
   readonly clock: Clock;
   /** One-way delay of a message. Default 0.5 ms. */
-  readonly delayMs?: number;
+  readonly delayMs?: number | undefined;
 }
 
 /** Messages sent to workers, by kind. */
