Test each mechanism of the target policy

Cause: the policy came without tests of its own. Change: tests for slack order, small jobs before large ones, max-min parts of classes and tenants, quotas, the lending bound, admission with spread retry times, event-loop lag, ejection with cap and probes, slow workers, cancel waves, and slots under random crossings of events. Found by them: lending counted on releases of tasks whose run time was not known yet, and rounding gave away the last slot kept for an idle class. A single task may always go first near its target, also where it is a large part of the fleet's work.

--- a/src/core/dispatch/target/job_order.ts
+++ b/src/core/dispatch/target/job_order.ts
@@ -91,7 +91,7 @@
 ): number | undefined {
   const {target_ms: target} = config;
   const costMs = live * plan.msPerTask;
-  if (costMs > RISK_COST_SHARE * target) return undefined;
+  if (live > 1 && costMs > RISK_COST_SHARE * target) return undefined;
   if (now >= submittedAt + target) return undefined;
   const latest = submittedAt + plan.slackMs - costMs;
   if (latest - RISK_SHARE * target > now) return undefined;
--- a/src/core/dispatch/target/job_queue.ts
+++ b/src/core/dispatch/target/job_queue.ts
@@ -14,6 +14,8 @@
   live = 0;
   /** Search in which no worker had room for the head; see `TargetPolicy`. */
   blockedIn = 0;
+  /** Entries visited to drop dead ones so far; for tests. */
+  visited = 0;
   private readonly entries = new Map<string, JobEntry>();
   /** Binary heap by due time. */
   private heap: JobEntry[] = [];
@@ -78,12 +80,14 @@
     const live = this.entries.size;
     if (this.heap.length > 2 * live + MIN_GARBAGE) this.compactHeap();
     if (this.arrivals.length > 2 * live + MIN_GARBAGE) {
+      this.visited += this.arrivals.length;
       this.arrivals = this.arrivals.filter(isLive);
       this.arrivalHead = 0;
     }
   }
 
   private compactHeap(): void {
+    this.visited += this.heap.length;
     this.heap = this.heap.filter(isLive);
     for (let at = (this.heap.length >> 1) - 1; at >= 0; at -= 1) {
       this.siftDown(at);
--- a/src/core/dispatch/target/share_manager.ts
+++ b/src/core/dispatch/target/share_manager.ts
@@ -74,7 +74,7 @@
         if (owner.state === state) continue;
         missing += owner.missing;
         const reserve = missing - releases(classes, owner.waitMs);
-        state.reserve = Math.max(state.reserve, reserve);
+        state.reserve = Math.max(state.reserve, Math.round(reserve));
       }
     }
   }
@@ -111,7 +111,8 @@
 function releases(classes: readonly ClassState[], waitMs: number): number {
   let sum = 0;
   for (const {running, runtimes} of classes) {
-    if (running === 0) continue;
+    // Tasks whose run time is unknown are not expected to end soon.
+    if (running === 0 || runtimes.isEmpty) continue;
     sum += running * (1 - Math.exp(-waitMs / runtimes.meanRest));
   }
   return sum;
--- a/src/core/dispatch/target/target_policy.ts
+++ b/src/core/dispatch/target/target_policy.ts
@@ -73,6 +73,11 @@
     return this.live;
   }
 
+  /** Slots that the class holds, over all tenants. */
+  getRunning(className: string): number {
+    return this.classes.get(className)?.running ?? 0;
+  }
+
   override noteLag(lagMs: number): void {
     this.lag.note(lagMs);
   }
@@ -182,7 +187,8 @@
     let isBestWithin = false;
     for (const state of this.states) {
       if (state.live === 0) continue;
-      const isBorrowing = state.running >= state.part;
+      // A class may always hold one slot, even where there are few slots.
+      const isBorrowing = state.running >= Math.max(1, Math.floor(state.part));
       if (isBorrowing && fleet.freeSlots <= state.reserve) continue;
       const isWithin = !isBorrowing || !state.credit.isExhausted;
       if (!isWithin && isBestWithin) continue;
--- a/src/measure/badworker/bad_worker_measurement.ts
+++ b/src/measure/badworker/bad_worker_measurement.ts
@@ -5,7 +5,7 @@
 import {makeTrace} from '../workload/make_trace.js';
 import {MeasureBench} from '../workload/measure_bench.js';
 import {POLICIES} from '../workload/policies.js';
-import {SeededRandom} from '../workload/seeded_random.js';
+import {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
 import {TaskMix} from '../workload/task_mix.js';
 
 const LOAD = 0.8;
--- a/src/measure/response/response_measurement.ts
+++ b/src/measure/response/response_measurement.ts
@@ -7,7 +7,7 @@
 import {MeasureBench} from '../workload/measure_bench.js';
 import {POLICIES} from '../workload/policies.js';
 import {quantile} from '../workload/quantile.js';
-import {SeededRandom} from '../workload/seeded_random.js';
+import {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
 import {TaskMix} from '../workload/task_mix.js';
 
 const LOADS = [0.8, 0.95];
--- a/src/measure/workload/make_trace.ts
+++ b/src/measure/workload/make_trace.ts
@@ -1,4 +1,4 @@
-import type {SeededRandom} from './seeded_random.js';
+import type {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
 import type {TaskMix} from './task_mix.js';
 import type {TraceJob} from './trace_job.js';
 
--- a/src/measure/workload/policies.ts
+++ b/src/measure/workload/policies.ts
@@ -2,7 +2,7 @@
 import type {DispatchPolicy} from '../../core/dispatch/dispatch_policy.js';
 import {FifoPolicy} from '../../core/dispatch/fifo_policy.js';
 import {TargetPolicy} from '../../core/dispatch/target/target_policy.js';
-import {SeededRandom} from './seeded_random.js';
+import {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
 
 interface MeasuredPolicy {
   readonly name: 'ours' | 'baseline';
--- a/src/measure/workload/task_mix.ts
+++ b/src/measure/workload/task_mix.ts
@@ -1,4 +1,4 @@
-import type {SeededRandom} from './seeded_random.js';
+import type {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
 
 interface SizeBand {
   readonly share: number;
--- a/src/measure/workload/seeded_random.ts
+++ b/test-support/fakes/seeded_random.ts
@@ -1,6 +1,6 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import type {RandomSource} from '../../core/random/random_source.js';
+import type {RandomSource} from '../../src/core/random/random_source.js';
 
 /** Randomness that repeats with its seed. */
 export class SeededRandom implements RandomSource {
