Use the target policy in the daemon and feed it event-loop lag

Change: the daemon builds TargetPolicy with its zone; EventLoopLag reports how late a 50 ms timer runs, which admission takes into account.

--- /dev/null
+++ b/src/adapter/event_loop_lag.ts
@@ -0,0 +1,27 @@
+import type {Cancellable} from '../core/clock/cancellable.js';
+import type {Clock} from '../core/clock/clock.js';
+
+const INTERVAL_MS = 50;
+
+/** Measures how late the event loop runs its timers. */
+export class EventLoopLag {
+  private timer: Cancellable | undefined;
+
+  constructor(
+    private readonly clock: Clock,
+    /** Receives each reading in milliseconds. */
+    private readonly onLag: (lagMs: number) => void,
+  ) {}
+
+  start(): void {
+    const dueAt = this.clock.now() + INTERVAL_MS;
+    this.timer = this.clock.schedule(INTERVAL_MS, () => {
+      this.onLag(Math.max(0, this.clock.now() - dueAt));
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.timer?.cancel();
+  }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,13 +1,15 @@
 import type {ConsolaInstance} from 'consola';
+import {EventLoopLag} from '../adapter/event_loop_lag.js';
 import {CallerApi} from '../adapter/http/caller_api.js';
 import {CallerServer} from '../adapter/http/caller_server.js';
 import {WorkerApi} from '../adapter/http/worker_api.js';
 import {TcpPeerTransport} from '../adapter/peer/tcp_peer_transport.js';
+import {SystemRandom} from '../adapter/system_random.js';
 import {HttpUpstreamClient} from '../adapter/upstream/http_upstream_client.js';
 import type {Clock} from '../core/clock/clock.js';
 import {StaticConfigSource} from '../core/config/static_config_source.js';
-import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
 import {SubmissionGate} from '../core/dispatch/submission_gate.js';
+import {TargetPolicy} from '../core/dispatch/target/target_policy.js';
 import {SoloReplicator} from '../core/group/solo_replicator.js';
 import type {Settings} from './settings/settings.js';
 import {Service} from './supervisor/service.js';
@@ -24,6 +26,7 @@
   private readonly upstream: HttpUpstreamClient;
   private readonly zone: ZoneService;
   private readonly replicator: SoloReplicator;
+  private readonly lag: EventLoopLag;
   private readonly server: CallerServer;
   private readonly supervisor: Supervisor;
   private readonly settings: Settings;
@@ -50,26 +53,33 @@
     this.upstream = new HttpUpstreamClient({
       onError: detail => this.log.debug('upstream error', {detail}),
     });
+    const config = new StaticConfigSource({
+      version: 1,
+      classes: {
+        default: {
+          name: 'default',
+          target_ms: 2_000,
+          percentile: 99,
+          repeatable: false,
+          memory_mb: 0,
+          accelerators: 0,
+        },
+      },
+      tenants: {},
+    });
+    const policy = new TargetPolicy({
+      config,
+      random: new SystemRandom(),
+      zone: self.zone,
+    });
+    this.lag = new EventLoopLag(clock, lagMs => policy.noteLag(lagMs));
     this.replicator = new SoloReplicator(directory.nodes(self.zone)[0]!);
     this.zone = new ZoneService({
       clock,
       peers: this.peers,
       replicator: this.replicator,
-      policy: new FifoPolicy(),
-      config: new StaticConfigSource({
-        version: 1,
-        classes: {
-          default: {
-            name: 'default',
-            target_ms: 2_000,
-            percentile: 99,
-            repeatable: false,
-            memory_mb: 0,
-            accelerators: 0,
-          },
-        },
-        tenants: {},
-      }),
+      policy,
+      config,
       upstream: this.upstream,
     });
     const jobs = new JobRouter(directory, this.peers, clock);
@@ -95,8 +105,14 @@
     this.supervisor = new Supervisor('daemon', [
       service('peers', this.peers),
       service('zone', {
-        start: async () => this.lead(),
-        stop: async () => this.zone.stop(),
+        start: async () => {
+          this.lead();
+          this.lag.start();
+        },
+        stop: async () => {
+          this.lag.stop();
+          this.zone.stop();
+        },
       }),
       service('upstream', {
         start: async () => undefined,
