Measure the starts per second of one daemon

Change: npm run measure -- throughput runs one daemon, 33 stand-in upstreams in three processes and a driver process on loopback, for four job sizes.

--- a/src/measure/throughput/throughput_measurement.ts
+++ b/src/measure/throughput/throughput_measurement.ts
@@ -1,9 +1,129 @@
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {readFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {LocalCluster} from '../../../test-support/cluster/local_cluster.js';
+import {waitUntil} from '../../../test-support/cluster/wait_until.js';
 import {Measurement} from '../measurement.js';
-/** x */
+
+const HOSTS = 3;
+const UPSTREAMS_PER_HOST = 11;
+const SLOTS = 8;
+const OPEN_JOBS = 12;
+const TASK_MS = 10;
+const WARM_UP_MS = 3_000;
+const MEASURED_MS = 8_000;
+/** A worker's answer streams until its last attempt; all sizes share it. */
+const JOB_SIZES = [1, 12, 100, 840];
+const TICKS_PER_SECOND = 100;
+const KB = 1_024;
+
+const HOST = fileURLToPath(new URL('upstream_host.js', import.meta.url));
+const DRIVER = fileURLToPath(new URL('load_driver.js', import.meta.url));
+
+interface Reading {
+  readonly atMs: number;
+  readonly starts: number;
+  readonly cpuMs: number;
+  readonly rssMb: number;
+}
+
+/** Starts per second through one real daemon on loopback. */
 export class ThroughputMeasurement extends Measurement {
   override readonly name = 'throughput';
-  override readonly description = '';
+  override readonly description =
+    'starts per second through one real daemon on loopback';
+
   override async run(): Promise<object> {
-    return {};
+    const figures: Record<string, object> = {};
+    for (const size of JOB_SIZES) {
+      figures[`jobs of ${size}`] = await runOnce(size);
+    }
+    return {figures, task_ms: TASK_MS, baseline: 'not measured'};
+  }
+}
+
+async function runOnce(jobSize: number): Promise<object> {
+  const cluster = await LocalCluster.create([{id: 'a1', zone: 'arbat'}]);
+  const children: ChildProcess[] = [];
+  try {
+    await cluster.startAll();
+    const {caller, process: daemon} = cluster.node('a1');
+    const starts = Array.from({length: HOSTS}, () => 0);
+    for (let host = 0; host < HOSTS; host += 1) {
+      const first = host * UPSTREAMS_PER_HOST + 1;
+      const child = run([HOST, `${first}`, `${UPSTREAMS_PER_HOST}`, caller]);
+      children.push(child);
+      child.stdout!.on('data', (chunk: Buffer) => {
+        starts[host] = Number(chunk.toString().trim().split('\n').at(-1));
+      });
+    }
+    const read = (): Reading => ({
+      atMs: Date.now(),
+      starts: starts.reduce((sum, count) => sum + count, 0),
+      ...usageOf(daemon!.pid!),
+    });
+    // Small jobs need more of them to fill the slots.
+    const slots = HOSTS * UPSTREAMS_PER_HOST * SLOTS;
+    const open = Math.max(OPEN_JOBS, Math.ceil((2 * slots) / jobSize));
+    const forMs = WARM_UP_MS + MEASURED_MS + 1_000;
+    const driver = run(
+      [DRIVER, caller, open, jobSize, TASK_MS, forMs].map(String),
+    );
+    children.push(driver);
+    let output = '';
+    driver.stdout!.on('data', (chunk: Buffer) => (output += chunk.toString()));
+    await sleep(WARM_UP_MS);
+    const before = read();
+    await sleep(MEASURED_MS);
+    const after = read();
+    await waitUntil('the driver', () => output.endsWith('\n'));
+    const count = after.starts - before.starts;
+    return {
+      starts_per_s: {
+        ours: Math.round((1_000 * count) / (after.atMs - before.atMs)),
+        baseline: null,
+        ratio: null,
+      },
+      daemon_cpu_us_per_start: Math.round(
+        (1_000 * (after.cpuMs - before.cpuMs)) / Math.max(1, count),
+      ),
+      daemon_core_share: round(
+        (after.cpuMs - before.cpuMs) / (after.atMs - before.atMs),
+      ),
+      daemon_rss_mb: after.rssMb,
+      open_jobs: open,
+      jobs: JSON.parse(output) as object,
+    };
+  } finally {
+    for (const child of children) child.kill('SIGKILL');
+    await cluster.stopAll();
   }
 }
+
+function run(args: readonly string[]): ChildProcess {
+  return spawn(process.execPath, [...args], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+}
+
+/** Processor time and resident memory of a process of this machine. */
+function usageOf(pid: number): {cpuMs: number; rssMb: number} {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const rssKb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  return {
+    cpuMs: (1_000 * ticks) / TICKS_PER_SECOND,
+    rssMb: Math.round(rssKb / KB),
+  };
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+function round(value: number): number {
+  return Number(value.toFixed(2));
+}
