--- a/src/core/dispatch/task_assigner.ts
+++ b/src/core/dispatch/task_assigner.ts
@@ -42,11 +42,18 @@
     const local = this.fleet(epoch, now);
     const placed = this.fill(local, epoch, now);
     if (policy.queued === 0) return placed;
-    const {startable, freeSlots} = this.borrowed.refresh(epoch, now);
-    if (freeSlots === 0) return placed;
+    const lent = this.borrowed.refresh(epoch, now);
+    if (lent.freeSlots === 0) return placed;
     // Shares are parts of the zone's own slots, whatever is borrowed.
     const {totalSlots, totalWorkers} = local;
-    const borrowed = {startable, freeSlots, totalSlots, totalWorkers};
+    const {startable, freeSlots, rackLoads} = lent;
+    const borrowed = {
+      startable,
+      freeSlots,
+      rackLoads,
+      totalSlots,
+      totalWorkers,
+    };
     return placed.concat(this.fill(borrowed, epoch, now));
   }
 
--- a/src/daemon/config/config_service.test.ts
+++ b/src/daemon/config/config_service.test.ts
@@ -83,7 +83,7 @@
       clock,
       peers,
       random: new SystemRandom(),
-      log: createLog(id),
+      log: createLog({node: id, zone: 'z'}),
     });
     await peers.start();
     this.running.set(id, {peers, service});
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,7 @@
 import {readFileSync} from 'node:fs';
 import type {ConsolaInstance} from 'consola';
 import Emittery from 'emittery';
+import {EventLoopLag} from '../adapter/event_loop_lag.js';
 import {AdminApi} from '../adapter/http/admin_api.js';
 import {AdminServer} from '../adapter/http/admin_server.js';
 import {CallerApi} from '../adapter/http/caller_api.js';
@@ -11,7 +12,7 @@
 import {SystemRandom} from '../adapter/system_random.js';
 import {HttpUpstreamClient} from '../adapter/upstream/http_upstream_client.js';
 import type {Clock} from '../core/clock/clock.js';
-import {FifoPolicy} from '../core/dispatch/fifo_policy.js';
+import {TargetPolicy} from '../core/dispatch/target/target_policy.js';
 import {ZoneUpstreamClient} from '../core/overflow/zone_upstream_client.js';
 import {ZonedUpstreamClient} from '../core/overflow/zoned_upstream_client.js';
 import {LogConfigAdmin} from './admin/log_config_admin.js';
@@ -42,6 +43,7 @@
   private readonly config: ConfigService;
   private readonly zone: ZoneService;
   private readonly groups: ZoneGroups;
+  private readonly lag: EventLoopLag;
   private readonly server: CallerServer;
   private readonly admin: AdminServer;
   private readonly telemetry: Telemetry;
@@ -95,6 +97,12 @@
       clock,
       random: new SystemRandom(),
     });
+    const policy = new TargetPolicy({
+      config: this.config.source,
+      random: new SystemRandom(),
+      zone: self.zone,
+    });
+    this.lag = new EventLoopLag(clock, lagMs => policy.noteLag(lagMs));
     const jobs = new JobRouter(directory, this.peers, clock);
     const zones = new ZoneUpstreamClient({
       clock,
@@ -109,7 +117,7 @@
       peers: this.peers,
       replicator: this.groups.own,
       table: this.groups.table,
-      policy: new FifoPolicy(),
+      policy,
       config: this.config.source,
       upstream: new ZonedUpstreamClient(this.upstream, zones),
       observer: new LoggingObserver(log, this.telemetry.observer),
@@ -173,8 +181,11 @@
         stop: async () => this.groups.stop(),
       }),
       service('zone', {
-        start: async () => undefined,
-        stop: async () => this.zone.stop(),
+        start: async () => this.lag.start(),
+        stop: async () => {
+          this.lag.stop();
+          this.zone.stop();
+        },
       }),
       service('upstream', {
         start: async () => undefined,
--- a/src/daemon/zone/zone_takeover.test.ts
+++ b/src/daemon/zone/zone_takeover.test.ts
@@ -40,7 +40,7 @@
 /** Three daemons of one zone with one upstream that has proved to work. */
 async function start(): Promise<LocalCluster> {
   const cluster = await LocalCluster.create(
-    ['a1', 'a2', 'a3'].map(id => ({id, zone: 'arbat'})),
+    ['a1', 'a2', 'a3'].map(id => ({id, zone: 'arbat', voter: true})),
   );
   await cluster.startAll();
   cluster.startUpstream('w1', 'arbat', SLOTS);
--- a/test-support/cluster/local_cluster.ts
+++ b/test-support/cluster/local_cluster.ts
@@ -127,7 +127,11 @@
 
   async whenReady(id: string): Promise<void> {
     const {caller} = this.node(id);
-    await waitUntil(`node ${id}`, () => isOk(`${caller}/healthz`));
+    await waitUntil(`node ${id}`, () => {
+      const exitCode = this.node(id).process?.exitCode ?? null;
+      if (exitCode === null) return isOk(`${caller}/healthz`);
+      throw new Error(`node ${id} ended with exit code ${exitCode}`);
+    });
   }
 
   startUpstream(worker: string, zone: string, slots = 8): ChildProcess {
--- a/test-support/fakes/fake_fleet.ts
+++ b/test-support/fakes/fake_fleet.ts
@@ -12,7 +12,7 @@
 interface FakeFleetOptions {
   readonly clock: Clock;
   /** One-way delay of a message. Default 0.5 ms. */
-  readonly delayMs?: number;
+  readonly delayMs?: number | undefined;
   /** Workers shared with the fleets of other dispatchers. Default: none. */
   readonly workers?: Map<string, FakeWorker>;
 }
--- a/test-support/fakes/seeded_random.ts
+++ b/test-support/fakes/seeded_random.ts
@@ -2,7 +2,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {RandomSource} from '../../src/core/random/random_source.js';
 
-/** Randomness that a seed repeats. */
+/** Randomness that repeats with its seed. */
 export class SeededRandom implements RandomSource {
   private readonly generator;
 
@@ -18,4 +18,17 @@
   below(limit: number): number {
     return Math.floor(this.next() * limit);
   }
+
+  between(low: number, high: number): number {
+    return low + (high - low) * this.next();
+  }
+
+  integer(low: number, high: number): number {
+    return Math.floor(this.between(low, high + 1));
+  }
+
+  /** A gap of a Poisson process with this mean. */
+  gap(mean: number): number {
+    return -mean * Math.log(1 - this.next());
+  }
 }
