Check job histories over real replicas with elections and restarts

Cause: the check ran over a stand-in group only, so elections, restarts without memory and cut links between members were not part of any history.

--- a/src/check/jobs/check_jobs.test.ts
+++ b/src/check/jobs/check_jobs.test.ts
@@ -88,3 +88,11 @@
   }
   assertNoticed({registry: () => new HastyRegistry()}, /at the same time/);
 });
+
+// Guards against faults that only elections, restarts without memory and cut
+// links between the members bring about.
+test('generated histories over real replicas keep the invariants', () => {
+  const report = checkJobs({seed: SEED, runs: 60, group: 'replica'});
+  assert.deepEqual(report.counterexample?.violations ?? [], []);
+  assert.isAbove(report.starts, 100);
+});
--- a/src/check/jobs/check_jobs.ts
+++ b/src/check/jobs/check_jobs.ts
@@ -1,5 +1,6 @@
 import * as fc from 'fast-check';
 import {checkHistory} from './check_history.js';
+import type {GroupKind} from './group_kind.js';
 import type {HistoryEvent} from './history_event.js';
 import type {Mutation} from './mutation.js';
 import {runSteps} from './run_steps.js';
@@ -10,6 +11,8 @@
   readonly seed: number;
   readonly runs: number;
   readonly mutation?: Mutation;
+  /** Default: the stand-in. */
+  readonly group?: GroupKind;
   /** Whether to look for the smallest counterexample. Default true. */
   readonly shrinks?: boolean;
 }
@@ -36,6 +39,7 @@
   seed,
   runs,
   mutation,
+  group,
   shrinks = true,
 }: CheckOptions): CheckReport {
   const steps = new Map<string, number>();
@@ -44,7 +48,7 @@
   let starts = 0;
   let isShrinking = false;
   const property = fc.property(stepsArbitrary, generated => {
-    const history = runSteps(generated, mutation);
+    const history = runSteps(generated, mutation, group);
     const isSound = checkHistory(history).length === 0;
     if (isShrinking) return isSound;
     isShrinking = !isSound;
@@ -69,7 +73,7 @@
     endOnFailure: !shrinks,
   });
   const failing = details.counterexample?.[0];
-  const history = failing && runSteps(failing, mutation);
+  const history = failing && runSteps(failing, mutation, group);
   return {
     runs: done,
     starts,
--- a/src/check/jobs/jobs_command.ts
+++ b/src/check/jobs/jobs_command.ts
@@ -1,9 +1,11 @@
-import {Command} from 'commander';
+import {Command, Option} from 'commander';
 import {checkJobs} from './check_jobs.js';
+import {GroupKind} from './group_kind.js';
 
 interface Options {
   readonly seed: string;
   readonly runs: string;
+  readonly group: GroupKind;
   readonly history?: boolean;
 }
 
@@ -12,11 +14,17 @@
   .description('check the invariants on jobs over generated histories')
   .option('--seed <n>', 'seed of the generator', '1')
   .option('--runs <n>', 'number of histories', '2000')
+  .addOption(
+    new Option('--group <kind>', 'what replicates the events')
+      .choices(Object.values(GroupKind))
+      .default(GroupKind.standIn),
+  )
   .option('--history', 'print the history of a counterexample')
   .action((opts: Options) => {
     const seed = Number(opts.seed);
     const startedAt = performance.now();
-    const report = checkJobs({seed, runs: Number(opts.runs)});
+    const {group, runs} = opts;
+    const report = checkJobs({seed, runs: Number(runs), group});
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
     console.log(`seed ${seed}: ${report.runs} runs in ${seconds} s`);
     console.log(`starts: ${report.starts}`);
--- a/src/check/jobs/run_steps.ts
+++ b/src/check/jobs/run_steps.ts
@@ -1,4 +1,5 @@
 import type {FakeWorker} from '../../../test-support/fakes/fake_worker.js';
+import {GroupKind} from './group_kind.js';
 import type {HistoryEvent} from './history_event.js';
 import type {Mutation} from './mutation.js';
 import type {Step} from './step.js';
@@ -23,8 +24,9 @@
 export function runSteps(
   steps: readonly Step[],
   mutation: Mutation = {},
+  kind: GroupKind = GroupKind.standIn,
 ): HistoryEvent[] {
-  const run = new StepRunner(mutation);
+  const run = new StepRunner(mutation, kind);
   run.zone.clock.advance(WARM_UP_MS);
   for (const {waitMs, action} of steps) {
     run.zone.clock.advance(waitMs);
@@ -38,8 +40,11 @@
   readonly zone: ZoneRun;
   private readonly jobs: Submission[] = [];
 
-  constructor(mutation: Mutation) {
-    this.zone = new ZoneRun(mutation);
+  constructor(
+    mutation: Mutation,
+    private readonly kind: GroupKind,
+  ) {
+    this.zone = new ZoneRun(mutation, kind);
   }
 
   act(action: Action): void {
@@ -65,7 +70,7 @@
         });
         return;
       case 'take_over':
-        zone.group.takeOver(`n${action.node + 1}`, action);
+        this.takeOver(action);
         // Callers whose connection broke ask the successor.
         for (const {key} of this.jobs) zone.fetch(key.text);
         return;
@@ -101,6 +106,13 @@
     zone.record({kind: 'quiet'});
   }
 
+  private takeOver(action: Extract<Action, {kind: 'take_over'}>): void {
+    const {zone} = this;
+    const isReplica = this.kind === GroupKind.replica;
+    if (isReplica && action.noticedAfterMs === 0) zone.restartLeader();
+    else zone.group.takeOver(`n${action.node + 1}`, action);
+  }
+
   private submit(submission: Submission): void {
     this.jobs.push(submission);
     this.zone.submit(submission);
--- a/src/check/jobs/zone_run.ts
+++ b/src/check/jobs/zone_run.ts
@@ -2,23 +2,28 @@
 import {FakeClock} from '../../../test-support/fakes/fake_clock.js';
 import {FakeFleet} from '../../../test-support/fakes/fake_fleet.js';
 import type {FakeWorker} from '../../../test-support/fakes/fake_worker.js';
+import {ReplicaGroup} from '../../../test-support/fakes/replica_group.js';
 import {StandInGroup} from '../../../test-support/fakes/stand_in_group.js';
+import type {TestGroup} from '../../../test-support/fakes/test_group.js';
 import {ZoneMember} from '../../../test-support/fakes/zone_member.js';
 import type {ClassConfig} from '../../core/config/class_config.js';
 import {StaticConfigSource} from '../../core/config/static_config_source.js';
 import {NOT_LEADER} from '../../core/dispatch/not_leader.js';
+import type {JobEvent} from '../../core/job/job_event.js';
 import {JobKey} from '../../core/job/job_key.js';
 import type {Refusal} from '../../core/job/refusal.js';
 import {RunOutcome} from '../../core/job/run_outcome.js';
 import type {JobSpec} from '../../core/job/job_spec.js';
+import {JobTable} from '../../core/job/job_table.js';
 import {RetryPolicy} from '../../core/retry/retry_policy.js';
 import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
 import {WorkerRegistry} from '../../core/worker/worker_registry.js';
+import {GroupKind} from './group_kind.js';
 import type {HistoryEvent} from './history_event.js';
 import type {Mutation} from './mutation.js';
 import {resultOf} from './result_of.js';
 
-const MEMBERS = 3;
+const NODES = ['n1', 'n2', 'n3'];
 const ANNOUNCE_MS = 500;
 const TRAVEL_MS = 0.5;
 /** Sizes of the workers: the second has one slot, the third most memory. */
@@ -53,13 +58,16 @@
   });
   /** The only member that a worker's announcements reach, by worker. */
   readonly routes = new Map<string, string>();
-  group: StandInGroup;
+  group: TestGroup;
   members: ZoneMember[] = [];
   private readonly announcer: FakeFleet;
   private keys = 0;
   private incarnations = 0;
 
-  constructor(private readonly mutation: Mutation = {}) {
+  constructor(
+    private readonly mutation: Mutation = {},
+    private readonly kind: GroupKind = GroupKind.standIn,
+  ) {
     this.announcer = new FakeFleet({clock: this.clock, workers: this.workers});
     WORKERS.forEach((size, at) => this.addWorker(`w${at + 1}`, size));
     this.group = this.formGroup();
@@ -67,9 +75,8 @@
   }
 
   get leader(): ZoneMember | undefined {
-    return this.members.find(
-      member => member.node === this.group.current?.node,
-    );
+    const node = this.group.leaderNode;
+    return this.members.find(member => member.node === node);
   }
 
   /** Members that believe they lead: the leader and deposed ones. */
@@ -166,42 +173,63 @@
   loseMemory(): void {
     this.record({kind: 'memory_lost'});
     for (const member of this.members) member.isStopped = true;
-    this.group.current = undefined;
+    this.group.stop();
     this.group = this.formGroup();
   }
 
+  /** The leader's process ends, and a new one starts without memory. */
+  restartLeader(): void {
+    const at = this.members.findIndex(member => member === this.leader);
+    const old = this.members[at];
+    if (!old) return;
+    old.isStopped = true;
+    this.members[at] = this.newMember(this.group, old.node);
+  }
+
   record(event: HistoryEventBody): void {
     this.history.push({at: this.clock.now(), ...event} as HistoryEvent);
   }
 
-  private formGroup(): StandInGroup {
+  private formGroup(): TestGroup {
+    const group = this.newGroup();
+    this.members = NODES.map(node => this.newMember(group, node));
+    group.start();
+    return group;
+  }
+
+  private newGroup(): TestGroup {
     const {clock, mutation} = this;
-    const group = new StandInGroup({
+    const onCommitted = (event: JobEvent) => {
+      if (event.kind !== 'accepted') return;
+      const {key, fingerprint: body} = event.job;
+      this.record({kind: 'committed', key, body});
+    };
+    if (this.kind === GroupKind.standIn) {
+      return new StandInGroup({clock, onCommitted, ...mutation.group});
+    }
+    return new ReplicaGroup({
       clock,
-      onCommitted: event => {
-        if (event.kind !== 'accepted') return;
-        const {key, fingerprint: body} = event.job;
-        this.record({kind: 'committed', key, body});
-      },
-      ...mutation.group,
+      members: NODES,
+      onCommitted,
+      onMemoryLost: () => this.record({kind: 'memory_lost'}),
     });
-    this.members = Array.from({length: MEMBERS}, (_, at) => {
-      const node = `n${at + 1}`;
-      return new ZoneMember({
-        node,
-        clock,
-        replicator: group.addMember(node),
-        registry: mutation.registry?.() ?? new WorkerRegistry(),
-        retry: mutation.retry?.() ?? new RetryPolicy(),
-        config: this.config,
-        upstream: new FakeFleet({clock, workers: this.workers}),
-        // A waiting caller reads the answer after the commit is applied.
-        onFinished: (member, key) =>
-          this.clock.defer(() => this.fetch(key, member)),
-      });
+  }
+
+  private newMember(group: TestGroup, node: string): ZoneMember {
+    const {clock, mutation} = this;
+    const table = new JobTable();
+    return new ZoneMember({
+      node,
+      clock,
+      table,
+      replicator: group.addMember(node, table),
+      registry: mutation.registry?.() ?? new WorkerRegistry(),
+      retry: mutation.retry?.() ?? new RetryPolicy(),
+      config: this.config,
+      upstream: new FakeFleet({clock, workers: this.workers}),
+      // A waiting caller reads the answer after the commit is applied.
+      onFinished: (member, key) => clock.defer(() => this.fetch(key, member)),
     });
-    group.takeOver('n1', {noticedAfterMs: 0, keepsProposals: false});
-    return group;
   }
 
   private addWorker(
--- a/test-support/fakes/stand_in_group.ts
+++ b/test-support/fakes/stand_in_group.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '../../src/core/clock/clock.js';
 import {Replicator} from '../../src/core/group/replicator.js';
 import type {JobEvent} from '../../src/core/job/job_event.js';
+import {TestGroup} from './test_group.js';
 
 type Batch = readonly JobEvent[];
 
@@ -27,7 +28,7 @@
  * A zone group in one process: one shared log, any member can be made leader.
  * It stands in for elections and real replication.
  */
-export class StandInGroup {
+export class StandInGroup extends TestGroup {
   readonly members: GroupMember[] = [];
   readonly log: Batch[] = [];
   memoryStart: number;
@@ -37,18 +38,36 @@
   private open: Batch[] = [];
 
   constructor(readonly opts: StandInGroupOptions) {
+    super();
     this.epoch = opts.clock.now();
     this.memoryStart = opts.hidesMemoryStart ? 0 : opts.clock.now();
   }
 
-  addMember(node: string): Replicator {
+  override addMember(node: string): Replicator {
     const member = new GroupMember(node, this);
     this.members.push(member);
     return member;
   }
 
+  override start(): void {
+    const [first] = this.members;
+    if (!first) return;
+    this.takeOver(first.node, {noticedAfterMs: 0, keepsProposals: false});
+  }
+
+  override stop(): void {
+    this.current = undefined;
+  }
+
+  override get leaderNode(): string | undefined {
+    return this.current?.node;
+  }
+
   /** Makes a member leader at once; the earlier one notices later. */
-  takeOver(node: string, {noticedAfterMs, keepsProposals}: TakeoverOptions) {
+  override takeOver(
+    node: string,
+    {noticedAfterMs, keepsProposals}: TakeoverOptions,
+  ): void {
     const {clock} = this.opts;
     const next = this.members.find(member => member.node === node);
     const earlier = this.current;
@@ -64,8 +83,7 @@
     clock.schedule(noticedAfterMs, () => earlier?.follow());
   }
 
-  /** Holds back every commit for a time. */
-  stall(ms: number): void {
+  override stall(ms: number): void {
     this.stalledUntil = this.opts.clock.now() + ms;
   }
 
--- a/test-support/fakes/zone_member.ts
+++ b/test-support/fakes/zone_member.ts
@@ -3,7 +3,7 @@
 import {Dispatcher} from '../../src/core/dispatch/dispatcher.js';
 import {FifoPolicy} from '../../src/core/dispatch/fifo_policy.js';
 import type {Replicator} from '../../src/core/group/replicator.js';
-import {JobTable} from '../../src/core/job/job_table.js';
+import type {JobTable} from '../../src/core/job/job_table.js';
 import type {RetryPolicy} from '../../src/core/retry/retry_policy.js';
 import type {UpstreamClient} from '../../src/core/upstream/upstream_client.js';
 import type {WorkerRegistry} from '../../src/core/worker/worker_registry.js';
@@ -14,6 +14,7 @@
   readonly node: string;
   readonly clock: Clock;
   readonly replicator: Replicator;
+  readonly table: JobTable;
   readonly registry: WorkerRegistry;
   readonly retry: RetryPolicy;
   readonly config: ConfigSource;
@@ -24,7 +25,7 @@
 
 /** One member of a zone's group with its dispatcher, on a fake clock. */
 export class ZoneMember {
-  readonly table = new JobTable();
+  readonly table: JobTable;
   readonly dispatcher: Dispatcher;
   readonly node: string;
   readonly replicator: Replicator;
@@ -36,6 +37,7 @@
     this.node = opts.node;
     this.replicator = opts.replicator;
     this.registry = opts.registry;
+    this.table = opts.table;
     this.dispatcher = new Dispatcher({
       table: this.table,
       replicator: opts.replicator,
