--- a/src/core/dispatch/target/share_manager.ts
+++ b/src/core/dispatch/target/share_manager.ts
@@ -20,7 +20,7 @@
  */
 const WINDOW_SHARE = 0.5;
 const MIN_WINDOW_MS = 50;
-const MAX_WINDOW_MS = 2_000;
+const MAX_WINDOW_MS = 5_000;
 
 /**
  * Divides the slots among the classes and, inside a class, among the tenants.
