--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,4 +1,5 @@
 import {Result} from 'true-myth';
+import type {Clock} from '../clock/clock.js';
 import type {ConfigSource} from '../config/config_source.js';
 import type {Replicator} from '../group/replicator.js';
 import type {AttemptOutcome} from '../job/attempt_outcome.js';
@@ -40,6 +41,8 @@
   readonly observer?: DispatchObserver | undefined;
   /** Called on the leader when a job's acceptance is committed. */
   readonly onAccepted?: (key: string) => void;
+  /** Tells when a worker's report came; reports carry no time. */
+  readonly clock: Pick<Clock, 'now'>;
   /** Called on the leader when a job's final state is committed. */
   readonly onFinished: (key: string) => void;
   /** Called when this node no longer leads. */
@@ -229,6 +232,7 @@
   }
 
   private attemptEnded(attempt: RunningAttempt, outcome: AttemptOutcome): void {
+    this.now = this.opts.clock.now();
     this.opts.policy.ended(attempt, outcome, this.now);
     const job = this.active.get(attempt.key);
     if (!job) return;
--- a/test-support/fakes/dispatch_bench.ts
+++ b/test-support/fakes/dispatch_bench.ts
@@ -76,6 +76,7 @@
       config: this.config,
       upstream: this.fleet,
       observer: opts.observer,
+      clock,
       onFinished: key => this.finished.push({key, at: this.clock.now()}),
       requestFlush: () => this.requestFlush(),
     });
--- a/test-support/fakes/zone_member.ts
+++ b/test-support/fakes/zone_member.ts
@@ -39,6 +39,7 @@
     this.registry = opts.registry;
     this.table = opts.table;
     this.dispatcher = new Dispatcher({
+      clock: opts.clock,
       table: this.table,
       replicator: opts.replicator,
       registry: opts.registry,
