Wake group members by deadline

Cause: a timer of 50 ms for each replica took most of the group's share of an idle daemon's processor time.

Change: each role says when it is due.

--- a/src/core/group/candidate_role.ts
+++ b/src/core/group/candidate_role.ts
@@ -22,6 +22,10 @@
     super(core);
   }
 
+  override get dueAt(): number {
+    return this.endsAt;
+  }
+
   override enter(now: number): void {
     this.ask(now);
   }
--- a/src/core/group/follower_role.ts
+++ b/src/core/group/follower_role.ts
@@ -8,6 +8,10 @@
   override readonly name = 'follower';
   private patienceMs = 0;
 
+  override get dueAt(): number {
+    return this.core.heardAt + this.patienceMs;
+  }
+
   override enter(): void {
     this.patienceMs =
       GroupTiming.ELECTION_MS +
--- a/src/core/group/former_role.ts
+++ b/src/core/group/former_role.ts
@@ -19,6 +19,10 @@
   /** Incarnations of those that granted, by node. */
   private readonly grants = new Map<string, number>();
 
+  override get dueAt(): number {
+    return this.endsAt;
+  }
+
   override enter(now: number): void {
     this.ask(now);
   }
--- a/src/core/group/group_replica.ts
+++ b/src/core/group/group_replica.ts
@@ -63,6 +63,7 @@
     this.clock = opts.clock;
     this.core = new ReplicaCore({
       ...opts,
+      changed: () => this.schedule(),
       committed: (events, now) => this.listener?.committed(events, now),
       leadership: (epoch, now) => this.listener?.leadership(epoch, now),
     });
@@ -76,7 +77,7 @@
     const now = this.clock.now();
     this.core.renew(now);
     this.core.become(new LearnerRole(this.core), now);
-    this.tick();
+    this.tick(now);
   }
 
   stop(): void {
@@ -133,10 +134,21 @@
     return role instanceof LeaderRole ? role : undefined;
   }
 
-  private tick(): void {
-    if (this.isStopped) return;
-    this.core.role?.tick(this.clock.now());
-    this.timer = this.clock.schedule(GroupTiming.TICK_MS, () => this.tick());
+  private tick(now: number): void {
+    this.core.role?.tick(now);
+    this.schedule();
+  }
+
+  /** Wakes when the role is due; a role that waits for others is due again. */
+  private schedule(): void {
+    this.timer?.cancel();
+    const {role} = this.core;
+    if (!role || this.isStopped) return;
+    const restMs = role.dueAt - this.clock.now();
+    const delayMs = restMs > 0 ? restMs : GroupTiming.RETRY_MS;
+    this.timer = this.clock.schedule(delayMs, () =>
+      this.tick(this.clock.now()),
+    );
   }
 
   /** Takes messages of known form that come from members. */
--- a/src/core/group/group_timing.ts
+++ b/src/core/group/group_timing.ts
@@ -23,5 +23,6 @@
   RESET_MS: 3_000,
   /** Time after which a snapshot is sent again. */
   INSTALL_MS: 2_000,
-  TICK_MS: 50,
+  /** Interval of an act that is due but has to wait. */
+  RETRY_MS: 50,
 } as const;
--- a/src/core/group/leader_role.ts
+++ b/src/core/group/leader_role.ts
@@ -29,6 +29,10 @@
   private handOverAt = 0;
   private readonly progress = new Map<string, Progress>();
 
+  override get dueAt(): number {
+    return this.beatAt;
+  }
+
   override enter(now: number): void {
     const {core} = this;
     const {log} = this.memory;
--- a/src/core/group/learner_role.ts
+++ b/src/core/group/learner_role.ts
@@ -7,6 +7,10 @@
   override readonly name = 'learner';
   private formAt = 0;
 
+  override get dueAt(): number {
+    return this.formAt;
+  }
+
   override enter(now: number): void {
     this.formAt =
       now + GroupTiming.FORM_MS + this.core.jitter(GroupTiming.FORM_SPREAD_MS);
--- a/src/core/group/replica_core.ts
+++ b/src/core/group/replica_core.ts
@@ -30,6 +30,8 @@
   readonly table: JobTable;
   readonly peers: PeerTransport;
   readonly random: RandomSource;
+  /** Called after each change of role. */
+  readonly changed: () => void;
   readonly committed: (events: readonly JobEvent[], now: number) => void;
   readonly leadership: (epoch: number | undefined, now: number) => void;
 }
@@ -87,6 +89,7 @@
     this.current?.leave(now);
     this.current = role;
     role.enter(now);
+    this.opts.changed();
   }
 
   /** Takes a new incarnation, without memory. */
--- a/src/core/group/role.ts
+++ b/src/core/group/role.ts
@@ -12,6 +12,9 @@
   abstract readonly name:
     'learner' | 'former' | 'follower' | 'candidate' | 'leader';
 
+  /** Epoch milliseconds at which `tick` has something to do. */
+  abstract get dueAt(): number;
+
   /** Called once, when the member takes the role. */
   enter(_now: number): void {}
 
