--- a/src/core/group/group_replica.ts
+++ b/src/core/group/group_replica.ts
@@ -6,6 +6,8 @@
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {RandomSource} from '../random/random_source.js';
 import {CandidateRole} from './candidate_role.js';
+import {GroupAlive} from './group_alive.js';
+import {GroupBeat} from './group_beat.js';
 import {GroupMessage} from './group_message.js';
 import {GroupTiming} from './group_timing.js';
 import {LeaderRole} from './leader_role.js';
@@ -61,15 +63,13 @@
     this.clock = opts.clock;
     this.core = new ReplicaCore({
       ...opts,
-      kind: `group.${opts.zone}`,
+      changed: () => this.schedule(),
       committed: (events, now) => this.listener?.committed(events, now),
       leadership: (epoch, now) => this.listener?.leadership(epoch, now),
     });
     this.voter = new Voter(this.core);
     this.follower = new LogFollower(this.core);
-    opts.peers.onMessage(this.core.opts.kind, (from, body, now) =>
-      this.receive(from, body, now),
-    );
+    this.listenToPeers(opts);
   }
 
   /** Joins the group, without memory. */
@@ -77,7 +77,7 @@
     const now = this.clock.now();
     this.core.renew(now);
     this.core.become(new LearnerRole(this.core), now);
-    this.tick();
+    this.tick(now);
   }
 
   stop(): void {
@@ -134,19 +134,50 @@
     return role instanceof LeaderRole ? role : undefined;
   }
 
-  private tick(): void {
-    if (this.isStopped) return;
-    this.core.role?.tick(this.clock.now());
-    this.timer = this.clock.schedule(GroupTiming.TICK_MS, () => this.tick());
+  private tick(now: number): void {
+    this.core.role?.tick(now);
+    this.schedule();
+  }
+
+  /** Wakes when the role is due; a role that waits for others is due again. */
+  private schedule(): void {
+    this.timer?.cancel();
+    const {role} = this.core;
+    if (!role || this.isStopped) return;
+    const restMs = role.dueAt - this.clock.now();
+    const delayMs = restMs > 0 ? restMs : GroupTiming.RETRY_MS;
+    this.timer = this.clock.schedule(delayMs, () =>
+      this.tick(this.clock.now()),
+    );
+  }
+
+  /** Takes messages of known form that come from members. */
+  private listenToPeers({zone, peers}: GroupReplicaOptions): void {
+    const {core} = this;
+    const on = <S extends v.GenericSchema>(
+      kind: string,
+      schema: S,
+      handle: (from: string, body: v.InferOutput<S>, now: number) => void,
+    ) =>
+      peers.onMessage(kind, (from, body, now) => {
+        const isMember = core.others().includes(from);
+        if (this.isStopped || !core.role || !isMember) return;
+        const parsed = v.safeParse(schema, body);
+        if (parsed.success) handle(from, parsed.output, now);
+      });
+    on(`group.${zone}`, GroupMessage, (from, msg, now) =>
+      this.receive(from, msg, now),
+    );
+    on(`group.beat.${zone}`, GroupBeat, (from, beat, now) =>
+      this.follower.beat(from, beat, now),
+    );
+    on(`group.alive.${zone}`, GroupAlive, (from, alive, now) =>
+      core.role?.alive(from, alive, now),
+    );
   }
 
-  private receive(from: string, body: unknown, now: number): void {
+  private receive(from: string, msg: GroupMessage, now: number): void {
     const {core} = this;
-    const {role} = core;
-    if (this.isStopped || !role || !core.others().includes(from)) return;
-    const parsed = v.safeParse(GroupMessage, body);
-    if (!parsed.success) return;
-    const msg = parsed.output;
     this.leaveObsolete(msg, now);
     switch (msg.type) {
       case 'append':
--- a/src/core/group/role.ts
+++ b/src/core/group/role.ts
@@ -1,3 +1,4 @@
+import type {GroupAlive} from './group_alive.js';
 import type {GroupMessage} from './group_message.js';
 import type {ReplicaCore} from './replica_core.js';
 
@@ -11,6 +12,9 @@
   abstract readonly name:
     'learner' | 'former' | 'follower' | 'candidate' | 'leader';
 
+  /** Epoch milliseconds at which `tick` has something to do. */
+  abstract get dueAt(): number;
+
   /** Called once, when the member takes the role. */
   enter(_now: number): void {}
 
@@ -21,5 +25,7 @@
 
   acknowledged(_from: string, _msg: Ack, _now: number): void {}
 
+  alive(_from: string, _alive: GroupAlive, _now: number): void {}
+
   answered(_from: string, _msg: Ballot, _now: number): void {}
 }
