--- /dev/null
+++ b/src/core/config/follower/replicated_config_source.test.ts
@@ -0,0 +1,43 @@
+import {assert} from 'chai';
+import {FakeClock} from '../../../../test-support/fakes/fake_clock.js';
+import {FakeDisk} from '../../../../test-support/fakes/fake_disk.js';
+import {SeededRandom} from '../../../../test-support/fakes/seeded_random.js';
+import type {Config} from '../config.js';
+import {AppliedFile} from './applied_file.js';
+import {ReplicatedConfigSource} from './replicated_config_source.js';
+
+function configOf(version: number): Config {
+  return {version, classes: {}, tenants: {}};
+}
+
+// The older version must not reach the file either: a restart would go back.
+test('an older version is not applied while a newer one is written', () => {
+  const clock = new FakeClock();
+  const disk = new FakeDisk(clock, new SeededRandom(1));
+  const source = new ReplicatedConfigSource(new AppliedFile(disk));
+  source.offer('log', configOf(5));
+  source.offer('log', configOf(4));
+  clock.advance(1_000);
+  assert.equal(source.current().version, 5);
+  disk.crash();
+  const restarted = new ReplicatedConfigSource(new AppliedFile(disk));
+  assert.isTrue(restarted.load().isOk);
+  assert.equal(restarted.current().version, 5);
+});
+
+test('a version is in force only after it is stored', () => {
+  const clock = new FakeClock();
+  const disk = new FakeDisk(clock, new SeededRandom(1));
+  const source = new ReplicatedConfigSource(new AppliedFile(disk));
+  source.offer('log', configOf(1));
+  assert.equal(source.current().version, 0);
+  clock.advance(1_000);
+  assert.equal(source.current().version, 1);
+});
+
+test('versions of another log are not applied', () => {
+  const source = new ReplicatedConfigSource();
+  source.offer('log', configOf(1));
+  source.offer('other', configOf(2));
+  assert.equal(source.current().version, 1);
+});
--- a/src/core/config/log/log_member.test.ts
+++ b/src/core/config/log/log_member.test.ts
@@ -125,3 +125,26 @@
   const beats = 120 * 4 * 2 * 2;
   assert.approximately(count() - before, beats + 4 * 28 * 4, 60);
 });
+
+// The second change arrives while the sync of the first runs.
+test('a change is accepted only after its own sync', () => {
+  const bench = new ConfigBench({voters: 1, followers: 0});
+  bench.startAll();
+  bench.untilLeader();
+  bench.clock.advance(1_000);
+  const node = bench.node('v1');
+  const submit = (key: string, expected: number, done: () => void) => {
+    const change = changeOf(key, expected, key);
+    node.submit({kind: 'change', change}, bench.clock.now(), done);
+  };
+  let isAccepted = false;
+  submit('k1', 1, () => undefined);
+  bench.clock.advance(0.5);
+  submit('k2', 2, () => {
+    isAccepted = true;
+    bench.crash('v1');
+  });
+  bench.until('the second answer', () => isAccepted);
+  bench.start('v1');
+  bench.until('version 3', () => bench.version('v1') === 3, 10_000);
+});
--- a/src/core/config/log/membership_manager.test.ts
+++ b/src/core/config/log/membership_manager.test.ts
@@ -169,3 +169,22 @@
   bench.until('a leader', () => bench.leader !== undefined);
   bench.until('the removal', () => votersOf(bench).join() === 's1');
 });
+
+// Two open changes could form two majorities without a common voter.
+test('a second change of members waits for the first', () => {
+  const bench = new ConfigBench({voters: 5});
+  bench.startAll();
+  const leader = bench.untilLeader();
+  const [a, b] = bench.voters.filter(id => id !== leader);
+  bench.peers.isolate([leader], bench.ids);
+  const remove = (node: string) =>
+    bench.submit(leader, {
+      kind: 'members',
+      request: {op: 'remove', node},
+    });
+  const first = remove(a!);
+  const second = remove(b!);
+  bench.clock.advance(100);
+  assert.isUndefined(first.answer);
+  assert.nestedPropertyVal(second.answer, 'refusal.outcome', 'not_made');
+});
