--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
-import {Argument, Command, InvalidArgumentError, Option} from 'commander';
+import {Command, InvalidArgumentError, Option} from 'commander';
 import {BadWorkerMeasurement} from './badworker/bad_worker_measurement.js';
 import {CancelMeasurement} from './cancel/cancel_measurement.js';
+import {controlMeasure} from './control/control_measure.js';
 import {FloodMeasurement} from './flood/flood_measurement.js';
 import type {Measurement} from './measurement.js';
 import {ResponseMeasurement} from './response/response_measurement.js';
@@ -9,7 +10,7 @@
 import {ThroughputMeasurement} from './throughput/throughput_measurement.js';
 import {DEPLOYMENTS} from './workload/deployments.js';
 
-/** A new measurement is added here. */
+/** A new measurement of the decision core is added here. */
 const MEASUREMENTS: readonly Measurement[] = [
   new ResponseMeasurement(),
   new FloodMeasurement(),
@@ -31,29 +32,32 @@
   throw new InvalidArgumentError('expected a positive integer');
 }
 
-const program = new Command('measure')
-  .description(MEASUREMENTS.map(m => `${m.name}: ${m.description}`).join('\n'))
-  .addArgument(
-    new Argument('<name>', 'measurement').choices(
-      MEASUREMENTS.map(m => m.name),
-    ),
-  )
-  .option('--seed <n>', 'first seed', positive, 1)
-  .option('--seeds <n>', 'seeds of each figure', positive, 5)
-  .addOption(
-    new Option('--deployment <name>', 'default: all').choices(
-      DEPLOYMENTS.map(({name}) => name),
-    ),
-  )
-  .parse();
+function commandOf(measurement: Measurement): Command {
+  const {name, description} = measurement;
+  return new Command(name)
+    .description(description)
+    .option('--seed <n>', 'first seed', positive, 1)
+    .option('--seeds <n>', 'seeds of each figure', positive, 5)
+    .addOption(
+      new Option('--deployment <name>', 'default: all').choices(
+        DEPLOYMENTS.map(one => one.name),
+      ),
+    )
+    .action(async ({seed, seeds, deployment}: Options) => {
+      const deployments = DEPLOYMENTS.filter(
+        one => deployment === undefined || one.name === deployment,
+      );
+      const figures = await measurement.run({seed, seeds, deployments});
+      const report = {measurement: name, seed, seeds, ...figures};
+      process.stdout.write(`${JSON.stringify(report)}\n`);
+    });
+}
 
-const {seed, seeds, deployment} = program.opts<Options>();
-const measurement = MEASUREMENTS.find(m => m.name === program.args[0])!;
-const deployments = DEPLOYMENTS.filter(
-  ({name}) => deployment === undefined || name === deployment,
-);
-const figures = await measurement.run({seed, seeds, deployments});
-process.stdout.write(
-  `${JSON.stringify({measurement: measurement.name, seed, seeds, ...figures})}\n`,
+const program = new Command('measure').description(
+  'Measures parts of the system; the last line is one JSON object.',
 );
+for (const measurement of MEASUREMENTS) {
+  program.addCommand(commandOf(measurement));
+}
+await program.addCommand(controlMeasure()).parseAsync();
 process.exit(0);
