Bound the drain and count repeated log lines

With the deadline taken out, the new test does not end (trial). A header time-out above the request time-out made the daemon throw at start; it is a settings error now. consola appends '(repeated N times)' as a further argument, which a JSON line spread into one field per character.

--- a/src/adapter/http/caller_server.test.ts
+++ b/src/adapter/http/caller_server.test.ts
@@ -293,3 +293,26 @@
   assert.propertyVal(await res.body.json(), 'status', 'complete');
   await drained;
 });
+
+test('a slow request does not hold up a drain', async () => {
+  const bench = await CallerServerBench.started({
+    headersTimeoutMs: 300,
+    requestTimeoutMs: 300,
+  });
+  const part = request('POST', '/v1/jobs', JOB).slice(0, -JOB.length);
+  const clients = ['GET /heal', part].map(bytes => {
+    const client = new RawHttpClient(bench.port);
+    client.send(bytes);
+    return client;
+  });
+  const probe = await answerTo(bench, request('GET', '/healthz'));
+  assert.equal(probe.status, 200);
+  // A client that sends a byte now and then is never silent.
+  const dribble = setInterval(() => {
+    for (const client of clients) client.send('x');
+  }, 50);
+  await bench.server.drain();
+  clearInterval(dribble);
+  await Promise.all(clients.map(client => client.closed));
+  assert.isEmpty(bench.routed);
+});
--- a/src/adapter/http/connection_tracker.ts
+++ b/src/adapter/http/connection_tracker.ts
@@ -22,6 +22,11 @@
   readonly code?: string;
 }
 
+const TOO_SLOW: ClientError = Object.assign(
+  new Error('the request did not come in whole in time'),
+  {code: 'ERR_HTTP_REQUEST_TIMEOUT'},
+);
+
 const STATUS_OF_CODE: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
@@ -37,11 +42,16 @@
   private isClosing = false;
   private readonly connections = new WeakMap<Socket, Connection>();
   private readonly responses = new Set<ServerResponse>();
+  private readonly sockets = new Set<Socket>();
 
   constructor(
     server: Server,
     private readonly maxRequests: number,
   ) {
+    server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
     server.on('clientError', (err: ClientError, socket) =>
       this.refuse(err, socket as Socket),
     );
@@ -57,6 +67,11 @@
     for (const res of this.responses) closeAfter(res);
   }
 
+  /** Gives up every connection but those that wait for an answer. */
+  endUnfinishedRequests(): void {
+    for (const socket of this.sockets) this.refuse(TOO_SLOW, socket);
+  }
+
   /** Notes a request; false if its connection takes no further one. */
   open(req: IncomingMessage, res: ServerResponse): boolean {
     const connection = this.of(req.socket);
--- a/src/adapter/http/http_server.ts
+++ b/src/adapter/http/http_server.ts
@@ -130,10 +130,17 @@
   /** Stops listening and waits until every open request is answered. */
   async drain(): Promise<void> {
     this.announceDrain();
+    // A closed server no longer checks its time-outs, and one slow request
+    // would hold it up for good.
+    const timer = setTimeout(
+      () => this.connections.endUnfinishedRequests(),
+      this.server.requestTimeout,
+    );
     await new Promise<void>(resolve => {
       this.server.close(() => resolve());
       this.server.closeIdleConnections();
     });
+    clearTimeout(timer);
   }
 
   private handle(req: IncomingMessage, res: ServerResponse): void {
--- a/src/adapter/http/json_body_reader.ts
+++ b/src/adapter/http/json_body_reader.ts
@@ -36,6 +36,11 @@
     req: IncomingMessage,
     maxBytes: number,
   ): Promise<Result<unknown, BodyError>> {
+    if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+      // The rest is discarded until the request times out.
+      req.on('error', () => undefined).resume();
+      return Result.err(tooLarge(maxBytes));
+    }
     const bytes = await this.collect(req, maxBytes);
     return bytes.isErr ? Result.err(bytes.error) : parseJson(bytes.value);
   }
@@ -58,8 +63,7 @@
         bytes += chunk.length;
         this.heldBytes += chunk.length;
         if (bytes > maxBytes) {
-          const detail = `the body is over ${maxBytes} bytes`;
-          finish(Result.err({status: 413, detail}));
+          finish(Result.err(tooLarge(maxBytes)));
         } else if (this.heldBytes > this.maxTotalBytes) {
           finish(Result.err(TOO_MANY));
         } else {
@@ -83,6 +87,10 @@
   retryAfterMs: RETRY_AFTER_MS,
 };
 
+function tooLarge(maxBytes: number): BodyError {
+  return {status: 413, detail: `the body is over ${maxBytes} bytes`};
+}
+
 function parseJson(bytes: Buffer): Result<unknown, BodyError> {
   if (isNestedDeeperThan(bytes, MAX_DEPTH)) {
     const detail = `the body is nested deeper than ${MAX_DEPTH} levels`;
--- a/src/cli/job_follower.ts
+++ b/src/cli/job_follower.ts
@@ -65,7 +65,9 @@
         await this.pauseAfter(String(body['detail']));
       } else if (body['status'] === 'running' && !this.opts.once) {
         this.isSent = true;
-        mode = 'fetch';
+        // A request that cancels on disconnect must stay the open one.
+        const isBound = this.opts.body['cancel_on_disconnect'] === true;
+        mode = isBound ? 'submit' : 'fetch';
         this.opts.onProgress(Number(body['done']), Number(body['total']));
       } else {
         return this.conclude(reply.value);
--- a/src/cli/run_cli.test.ts
+++ b/src/cli/run_cli.test.ts
@@ -137,6 +137,19 @@
   assert.equal((await bench.run(...TASK)).code, ExitCode.outcomeUnknown);
 });
 
+test('a job bound to its connection waits with the submission', async () => {
+  let calls = 0;
+  bench.caller.answer = ({key}) => {
+    calls += 1;
+    return calls === 1
+      ? Result.ok({status: 'running', key, done: 0, total: 1})
+      : Result.ok({status: 'complete', key, results: []});
+  };
+  await bench.run(...TASK, '--cancel-on-disconnect');
+  const kinds = bench.caller.routed.map(req => req.kind);
+  assert.deepEqual(kinds, ['submit', 'submit']);
+});
+
 test('progress is shown in a terminal only', async () => {
   bench.isTerminal = true;
   let calls = 0;
--- a/src/daemon/log/create_log.test.ts
+++ b/src/daemon/log/create_log.test.ts
@@ -25,6 +25,17 @@
   assert.include(line, {message: 'peer error', worker: 'w1'});
 });
 
+test('quick repetitions are counted in one line of the same form', () => {
+  const lines: string[] = [];
+  const log = logTo(lines, 'info');
+  for (let n = 0; n < 20; n += 1) log.warn('flood');
+  log.warn('other');
+  const messages = lines.map(line => (JSON.parse(line) as Line)['message']);
+  assert.isBelow(messages.length, 10);
+  assert.match(messages.join(), /flood \(repeated \d+ times\),other$/);
+  for (const line of lines) assert.notProperty(JSON.parse(line), '0');
+});
+
 test('levels below the setting are not logged', () => {
   const lines: string[] = [];
   logTo(lines, 'info').debug('detail');
--- a/src/daemon/log/create_log.ts
+++ b/src/daemon/log/create_log.ts
@@ -31,13 +31,16 @@
 }
 
 function toLine(entry: LogObject, {node, zone}: LogOptions): string {
-  const [message, fields] = entry.args as [unknown, object | undefined];
+  const [message, ...rest] = entry.args as unknown[];
+  // consola drops quick repetitions and adds how many there were as text.
+  const texts = rest.filter(part => typeof part === 'string');
+  const fields = rest.find(part => typeof part === 'object');
   return JSON.stringify({
     time: entry.date.toISOString(),
     level: entry.type,
     node,
     zone,
-    message: String(message),
-    ...fields,
+    message: [message, ...texts].join(' '),
+    ...(fields as object | undefined),
   });
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -38,6 +38,8 @@
   process.exit(0);
 }
 
+// A log that nobody reads any more is no reason to stop.
+process.stderr.on('error', () => undefined);
 process.on('SIGTERM', () => void stop());
 process.on('SIGINT', () => void stop());
 daemon.events.on('drain', () => void stop());
--- a/src/daemon/settings/check_relations.ts
+++ b/src/daemon/settings/check_relations.ts
@@ -12,6 +12,7 @@
       nodes.map(node => node.id),
     ),
     ...sameAddresses(settings),
+    ...checkTimeouts(settings),
     ...checkToken(settings.admin_token_file),
   ];
   const self = nodes.find(node => node.id === settings.node);
@@ -47,6 +48,15 @@
   return repeated('caller, admin, nodes.*.peer', texts);
 }
 
+function checkTimeouts({http}: Settings): string[] {
+  const {headers_timeout_ms: headers, request_timeout_ms: request} = http;
+  if (headers <= request) return [];
+  return [
+    `http.headers_timeout_ms: got ${headers}; expected no more than ` +
+      `http.request_timeout_ms, ${request} ms`,
+  ];
+}
+
 function checkToken(file: string): string[] {
   const expected = 'expected a readable file that holds a token';
   try {
--- a/src/daemon/settings/load_settings.test.ts
+++ b/src/daemon/settings/load_settings.test.ts
@@ -115,6 +115,13 @@
   ]);
 });
 
+test('a header may not take longer than its request', () => {
+  const http = {headers_timeout_ms: 2_000, request_timeout_ms: 1_000};
+  assert.deepEqual(errorsOf({...valid(), http}), [
+    'http.headers_timeout_ms: got 2000; expected no more than http.request_timeout_ms, 1000 ms',
+  ]);
+});
+
 test('a token file that is absent or empty is an error', () => {
   const empty = join(dir, 'empty');
   writeFileSync(empty, ' \n');
