Fail a task whose result no encoder can take

A worker's result nested 200,000 levels deep ended the dispatcher: the frame encoder recursed past the stack when the answer went to another daemon, and the process exited with 70 (seen with two daemons and a hand-made worker). Payloads are bounded at 64 levels by the HTTP server; results are now bounded by the validator of attempt reports, which covers streams, settles and fences. Dropping such a report was ruled out, because the attempt would be asked about for good.

--- a/src/core/upstream/attempt_report.ts
+++ b/src/core/upstream/attempt_report.ts
@@ -1,13 +1,15 @@
 import * as v from 'valibot';
+import {isValueDeeperThan} from '../job/is_value_deeper_than.js';
 
 const MAX_ID_LENGTH = 64;
 const MAX_TEXT_LENGTH = 4096;
+/** As for payloads; encoders recurse and would exhaust the stack. */
+const MAX_RESULT_DEPTH = 64;
 
 const id = v.pipe(v.string(), v.maxLength(MAX_ID_LENGTH));
 const text = v.pipe(v.string(), v.maxLength(MAX_TEXT_LENGTH));
 
-/** Validator of what a worker says about one attempt. */
-export const AttemptReport = v.variant('state', [
+const Report = v.variant('state', [
   v.object({id, state: v.literal('running')}),
   v.object({id, state: v.literal('succeeded'), result: v.unknown()}),
   v.object({id, state: v.literal('failed'), error: text}),
@@ -15,5 +17,19 @@
   v.object({id, state: v.literal('never_started'), reason: text}),
 ]);
 
+/**
+ * Validator of what a worker says about one attempt. The task of a result that
+ * no encoder could take has run, so it counts as failed.
+ */
+export const AttemptReport = v.pipe(
+  Report,
+  v.transform((report): v.InferOutput<typeof Report> => {
+    if (report.state !== 'succeeded') return report;
+    if (!isValueDeeperThan(report.result, MAX_RESULT_DEPTH)) return report;
+    const error = `the result is nested deeper than ${MAX_RESULT_DEPTH} levels`;
+    return {id: report.id, state: 'failed', error};
+  }),
+);
+
 /** The state of one attempt as its worker reports it. */
 export type AttemptReport = v.InferOutput<typeof AttemptReport>;
