Keep control messages to workers apart from held connections

Cause: one pool carried starts, which hold a connection while tasks run, and control messages. A worker whose connections were all held, or that accepted connections and answered nothing, made stops and settles queue without bound. Reports were taken for any attempt id, one malformed line ended a stream, and bodies had no bound.

Change: a channel per worker with one connection for control messages and the announced rest for starts; a worker announces at least two. At most one fence and one settle wait for an answer. A start that finds no free connection is reported as never started. A stream is closed once all its attempts are settled by other means. Lines, replies and ids are checked; an incomplete last line is left out. The stand-in upstream stops its tasks when the lease lapses and then takes a new incarnation; it can straggle, hang and repeat reports. A relay that copies bytes can go silent on open connections.

Ruled out: sharing all connections and timing out starts; a stop would still wait behind them.

--- a/src/adapter/upstream/http_upstream_client.ts
+++ b/src/adapter/upstream/http_upstream_client.ts
@@ -1,10 +1,11 @@
-import {Pool} from 'undici';
+import type {Dispatcher as HttpDispatcher} from 'undici';
 import * as v from 'valibot';
 import {AttemptReport} from '../../core/upstream/attempt_report.js';
 import type {AttemptStart} from '../../core/upstream/attempt_start.js';
 import {UpstreamClient} from '../../core/upstream/upstream_client.js';
 import type {WorkerTarget} from '../../core/upstream/worker_target.js';
 import {readLines} from './read_lines.js';
+import {WorkerChannel} from './worker_channel.js';
 
 /** Time for a short answer; a connection without one is taken for silent. */
 const ANSWER_TIMEOUT_MS = 1_000;
@@ -13,7 +14,8 @@
  * longer are settled by asking, so nothing is lost when the stream is cut.
  */
 const STREAM_SILENCE_MS = 15_000;
-const CONNECT_TIMEOUT_MS = 1_000;
+/** Longest report of one attempt. */
+const MAX_LINE_LENGTH = 16 * 1024 * 1024;
 /** Errors that come before any byte of the request has left. */
 const UNSENT_CODES: ReadonlySet<unknown> = new Set([
   'ECONNREFUSED',
@@ -21,22 +23,32 @@
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
+const HTTP_OK = 200;
 const HTTP_CONFLICT = 409;
 const HTTP_GONE = 410;
 
 const Reply = v.object({
   incarnation: v.string(),
   epoch: v.optional(v.number()),
-  attempts: v.optional(v.array(AttemptReport)),
+  attempts: v.optional(v.array(v.unknown())),
 });
 
 interface HttpUpstreamClientOptions {
   readonly onError: (detail: string) => void;
 }
 
-/** Talks to workers over HTTP with a connection pool for each. */
+/** One request for starts whose answer still streams. */
+interface StartStream {
+  /** Attempts without a final report. */
+  readonly open: Set<string>;
+  readonly abort: AbortController;
+}
+
+/** Talks to workers over HTTP with a few connections to each. */
 export class HttpUpstreamClient extends UpstreamClient {
-  private readonly pools = new Map<string, Pool>();
+  private readonly channels = new Map<string, WorkerChannel>();
+  /** The stream that each attempt without a final report belongs to. */
+  private readonly streams = new Map<string, StartStream>();
 
   constructor(private readonly opts: HttpUpstreamClientOptions) {
     super();
@@ -48,12 +60,14 @@
     attempts: readonly AttemptStart[],
   ): void {
     void this.guard(target, async () => {
-      try {
-        await this.stream(target, epoch, attempts);
-      } catch (err) {
-        if (isUnsent(err)) this.reportUnsent(target, attempts);
-        throw err;
+      // Lets the dispatcher end its turn before any report.
+      await Promise.resolve();
+      const channel = this.channel(target);
+      if (!channel.hasFreeStream) {
+        this.reportUnsent(target, attempts, 'no free connection');
+        return;
       }
+      await this.stream(target, channel, epoch, attempts);
     });
   }
 
@@ -62,9 +76,7 @@
     epoch: number,
     attempts: readonly string[],
   ): void {
-    void this.guard(target, () =>
-      this.post(target, '/v1/stop', {epoch, attempts}),
-    );
+    void this.guard(target, () => this.post(target, 'stop', {epoch, attempts}));
   }
 
   override settle(
@@ -75,87 +87,150 @@
   ): void {
     void this.guard(target, async () => {
       const body = {epoch, attempts, forget};
-      const reply = await this.post(target, '/v1/settle', body);
-      if (reply?.attempts) this.listener?.reported(target, reply.attempts);
+      const reply = await this.post(target, 'settle', body);
+      if (!reply) return;
+      const asked = new Set(attempts);
+      const reports = this.reportsOf(target, reply).filter(({id}) =>
+        asked.has(id),
+      );
+      this.report(target, reports);
+      this.listener?.forgotten(target, forget);
     });
   }
 
   override fence(target: WorkerTarget, epoch: number): void {
     void this.guard(target, async () => {
-      const reply = await this.post(target, '/v1/fence', {epoch});
-      if (reply) this.listener?.fenced(target, epoch, reply.attempts ?? []);
+      const reply = await this.post(target, 'fence', {epoch});
+      if (!reply) return;
+      const known = this.reportsOf(target, reply);
+      // An attempt that cannot be read must not be taken for unknown.
+      if (known.length !== (reply.attempts ?? []).length) return;
+      this.listener?.fenced(target, epoch, known);
     });
   }
 
   async close(): Promise<void> {
-    const pools = [...this.pools.values()];
-    this.pools.clear();
-    await Promise.all(pools.map(pool => pool.destroy()));
+    const channels = [...this.channels.values()];
+    this.channels.clear();
+    await Promise.all(channels.map(channel => channel.destroy()));
   }
 
   private async stream(
     target: WorkerTarget,
+    channel: WorkerChannel,
     epoch: number,
     attempts: readonly AttemptStart[],
   ): Promise<void> {
-    const res = await this.pool(target).request({
-      path: '/v1/attempts',
-      method: 'POST',
-      headers: {'content-type': 'application/json'},
-      body: JSON.stringify({
-        incarnation: target.incarnation,
-        epoch,
-        attempts,
-      }),
-      headersTimeout: ANSWER_TIMEOUT_MS,
-      bodyTimeout: STREAM_SILENCE_MS,
-    });
-    if (res.statusCode === HTTP_CONFLICT || res.statusCode === HTTP_GONE) {
+    const abort = new AbortController();
+    const stream = {open: new Set(attempts.map(({id}) => id)), abort};
+    for (const id of stream.open) this.streams.set(keyOf(target, id), stream);
+    const {incarnation} = target;
+    try {
+      await channel.withStream(
+        {
+          path: '/v1/attempts',
+          body: {incarnation, epoch, attempts},
+          signal: abort.signal,
+        },
+        res => this.readStream(target, stream, res),
+        {headersTimeout: ANSWER_TIMEOUT_MS, bodyTimeout: STREAM_SILENCE_MS},
+      );
+    } catch (err) {
+      if (isUnsent(err)) {
+        this.reportUnsent(target, attempts, 'the worker cannot be reached');
+      }
+      // Aborted because every attempt is settled.
+      if (!abort.signal.aborted) throw err;
+    } finally {
+      for (const id of stream.open) this.streams.delete(keyOf(target, id));
+    }
+  }
+
+  private async readStream(
+    target: WorkerTarget,
+    {open}: StartStream,
+    res: HttpDispatcher.ResponseData,
+  ): Promise<void> {
+    if (res.statusCode !== HTTP_OK) {
       this.refused(target, res.statusCode, await res.body.json());
       return;
     }
-    for await (const line of readLines(res.body)) {
-      const report = v.safeParse(AttemptReport, line);
-      if (report.success) this.listener?.reported(target, [report.output]);
-      else this.opts.onError(`${target.worker}: a report has no known form`);
+    for await (const line of readLines(res.body, MAX_LINE_LENGTH)) {
+      const report = this.reportOf(target, parse(line));
+      if (report && open.has(report.id)) this.report(target, [report]);
+    }
+  }
+
+  /** Passes reports on and lets go of streams that have nothing to tell. */
+  private report(
+    target: WorkerTarget,
+    reports: readonly AttemptReport[],
+  ): void {
+    this.listener?.reported(target, reports);
+    for (const {id, state} of reports) {
+      if (state === 'running') continue;
+      const key = keyOf(target, id);
+      const stream = this.streams.get(key);
+      if (!stream) continue;
+      this.streams.delete(key);
+      stream.open.delete(id);
+      if (stream.open.size === 0) {
+        // The last report may come with the end of the body.
+        setImmediate(() => stream.abort.abort());
+      }
     }
   }
 
   private reportUnsent(
     target: WorkerTarget,
     attempts: readonly AttemptStart[],
+    reason: string,
   ): void {
-    const reason = 'the worker cannot be reached';
-    const reports = attempts.map(({id}) => {
-      return {id, state: 'never_started' as const, reason};
-    });
-    this.listener?.reported(target, reports);
+    this.listener?.reported(
+      target,
+      attempts.map(({id}) => ({id, state: 'never_started' as const, reason})),
+    );
   }
 
   private async post(
     target: WorkerTarget,
-    path: string,
+    kind: 'fence' | 'settle' | 'stop',
     body: object,
   ): Promise<v.InferOutput<typeof Reply> | undefined> {
-    const res = await this.pool(target).request({
-      path,
-      method: 'POST',
-      headers: {'content-type': 'application/json'},
-      body: JSON.stringify({...body, incarnation: target.incarnation}),
-      headersTimeout: ANSWER_TIMEOUT_MS,
-      bodyTimeout: ANSWER_TIMEOUT_MS,
+    const {incarnation} = target;
+    const answer = await this.channel(target).post(kind, {
+      path: `/v1/${kind}`,
+      body: {...body, incarnation},
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
     });
-    const json = await res.body.json();
-    if (res.statusCode === HTTP_CONFLICT || res.statusCode === HTTP_GONE) {
-      this.refused(target, res.statusCode, json);
+    if (!answer) return undefined;
+    if (answer.status !== HTTP_OK) {
+      this.refused(target, answer.status, answer.json);
       return undefined;
     }
-    const reply = v.safeParse(Reply, json);
-    if (!reply.success) {
-      this.opts.onError(`${target.worker}: ${path} has no known answer`);
-      return undefined;
+    const reply = v.safeParse(Reply, answer.json);
+    if (reply.success && reply.output.incarnation === incarnation) {
+      return reply.output;
     }
-    return reply.output;
+    this.opts.onError(`${target.worker}: ${kind} has no known answer`);
+    return undefined;
+  }
+
+  private reportsOf(
+    target: WorkerTarget,
+    {attempts = []}: v.InferOutput<typeof Reply>,
+  ): AttemptReport[] {
+    return attempts.flatMap(attempt => this.reportOf(target, attempt) ?? []);
+  }
+
+  private reportOf(
+    target: WorkerTarget,
+    value: unknown,
+  ): AttemptReport | undefined {
+    const report = v.safeParse(AttemptReport, value);
+    if (report.success) return report.output;
+    this.opts.onError(`${target.worker}: a report has no known form`);
+    return undefined;
   }
 
   /** 409 names a higher epoch, 410 another incarnation. */
@@ -163,8 +238,12 @@
     const reply = v.safeParse(Reply, json);
     if (!reply.success) return;
     const {incarnation, epoch} = reply.output;
-    if (status === HTTP_GONE) this.listener?.replaced(target, incarnation);
-    else if (epoch !== undefined) this.listener?.superseded(target, epoch);
+    if (status === HTTP_GONE) {
+      const isOther = incarnation !== target.incarnation;
+      if (isOther) this.listener?.replaced(target, incarnation);
+    } else if (status === HTTP_CONFLICT && epoch !== undefined) {
+      this.listener?.superseded(target, epoch);
+    }
   }
 
   /**
@@ -182,17 +261,26 @@
     }
   }
 
-  private pool({address, connections}: WorkerTarget): Pool {
-    let pool = this.pools.get(address);
-    if (!pool) {
-      pool = new Pool(address, {
-        connections,
-        pipelining: 1,
-        connect: {timeout: CONNECT_TIMEOUT_MS},
-      });
-      this.pools.set(address, pool);
-    }
-    return pool;
+  private channel({worker, address, connections}: WorkerTarget): WorkerChannel {
+    const known = this.channels.get(worker);
+    if (known?.address === address) return known;
+    // The worker has restarted at another address.
+    void known?.destroy();
+    const channel = new WorkerChannel(address, connections);
+    this.channels.set(worker, channel);
+    return channel;
+  }
+}
+
+function keyOf({worker, incarnation}: WorkerTarget, attempt: string): string {
+  return `${worker} ${incarnation} ${attempt}`;
+}
+
+function parse(line: string): unknown {
+  try {
+    return JSON.parse(line) as unknown;
+  } catch {
+    return undefined;
   }
 }
 
--- a/src/adapter/upstream/read_lines.ts
+++ b/src/adapter/upstream/read_lines.ts
@@ -1,9 +1,23 @@
 import type {Readable} from 'node:stream';
-import {createInterface} from 'node:readline';
+import {StringDecoder} from 'node:string_decoder';
 
-/** The JSON values of a body of newline-separated JSON. */
-export async function* readLines(body: Readable): AsyncGenerator<unknown> {
-  for await (const line of createInterface({input: body})) {
-    if (line !== '') yield JSON.parse(line) as unknown;
+/**
+ * The lines of a body, without empty ones; throws on a longer line than
+ * `maxLength` characters. A last line without its end is incomplete and left
+ * out.
+ */
+export async function* readLines(
+  body: Readable,
+  maxLength: number,
+): AsyncGenerator<string> {
+  const decoder = new StringDecoder('utf8');
+  let rest = '';
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    const lines = (rest + decoder.write(chunk)).split('\n');
+    rest = lines.pop() ?? '';
+    if (rest.length > maxLength) {
+      throw new Error(`a line is longer than ${maxLength} characters`);
+    }
+    for (const line of lines) if (line.trim() !== '') yield line;
   }
 }
--- /dev/null
+++ b/src/adapter/upstream/worker_channel.ts
@@ -0,0 +1,106 @@
+import {Pool} from 'undici';
+import type {Dispatcher as HttpDispatcher} from 'undici';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Longest answer to a control message; it may hold many results. */
+const MAX_REPLY_BYTES = 64 * 1024 * 1024;
+/** Control messages use one connection; starts get the others. */
+const CONTROL_CONNECTIONS = 1;
+/**
+ * Messages of one kind that may wait for an answer. More are dropped, because
+ * the dispatcher repeats what stays without effect.
+ */
+const MAX_PENDING: Readonly<Record<ControlKind, number>> = {
+  fence: 1,
+  settle: 1,
+  stop: 4,
+};
+
+type ControlKind = 'fence' | 'settle' | 'stop';
+
+interface PostOptions {
+  readonly path: string;
+  readonly body: object;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * The connections to one worker, never more than it announced. Starts hold
+ * theirs while tasks run, so control messages have one of their own.
+ */
+export class WorkerChannel {
+  private readonly control: Pool;
+  private readonly starts: Pool;
+  private readonly maxStreams: number;
+  private streams = 0;
+  private readonly pending = {fence: 0, settle: 0, stop: 0};
+
+  constructor(
+    readonly address: string,
+    connections: number,
+  ) {
+    this.maxStreams = Math.max(1, connections - CONTROL_CONNECTIONS);
+    const connect = {timeout: CONNECT_TIMEOUT_MS};
+    this.control = new Pool(address, {
+      connections: CONTROL_CONNECTIONS,
+      pipelining: 1,
+      connect,
+      maxResponseSize: MAX_REPLY_BYTES,
+    });
+    this.starts = new Pool(address, {
+      connections: this.maxStreams,
+      pipelining: 1,
+      connect,
+    });
+  }
+
+  /** False while every connection for starts is held. */
+  get hasFreeStream(): boolean {
+    return this.streams < this.maxStreams;
+  }
+
+  /** Runs an exchange that holds a connection until it ends. */
+  async withStream(
+    opts: PostOptions,
+    exchange: (res: HttpDispatcher.ResponseData) => Promise<void>,
+    timeouts: {readonly headersTimeout: number; readonly bodyTimeout: number},
+  ): Promise<void> {
+    this.streams += 1;
+    try {
+      await exchange(
+        await this.starts.request({...requestOf(opts), ...timeouts}),
+      );
+    } finally {
+      this.streams -= 1;
+    }
+  }
+
+  /** Sends a control message; undefined if too many wait already. */
+  async post(
+    kind: ControlKind,
+    opts: PostOptions,
+  ): Promise<{readonly status: number; readonly json: unknown} | undefined> {
+    if (this.pending[kind] >= MAX_PENDING[kind]) return undefined;
+    this.pending[kind] += 1;
+    try {
+      const res = await this.control.request(requestOf(opts));
+      return {status: res.statusCode, json: await res.body.json()};
+    } finally {
+      this.pending[kind] -= 1;
+    }
+  }
+
+  async destroy(): Promise<void> {
+    await Promise.all([this.control.destroy(), this.starts.destroy()]);
+  }
+}
+
+function requestOf({path, body, signal}: PostOptions) {
+  return {
+    path,
+    method: 'POST' as const,
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify(body),
+    signal,
+  };
+}
--- a/src/core/worker/worker_announcement.ts
+++ b/src/core/worker/worker_announcement.ts
@@ -21,7 +21,8 @@
   /** Origin at which the worker takes requests. */
   address: v.pipe(v.string(), v.url(), v.maxLength(256)),
   slots: v.pipe(count(MAX_SLOTS), v.minValue(1)),
-  connections: v.pipe(count(MAX_CONNECTIONS), v.minValue(1)),
+  /** One is for control messages; each start holds another one. */
+  connections: v.pipe(count(MAX_CONNECTIONS), v.minValue(2)),
   processors: v.optional(count(MAX_SLOTS), 0),
   memory_mb: v.optional(count(Number.MAX_SAFE_INTEGER), 0),
   accelerators: v.optional(count(MAX_SLOTS), 0),
--- a/src/core/worker/worker_state.ts
+++ b/src/core/worker/worker_state.ts
@@ -36,10 +36,13 @@
     return this.attempts.size + this.foreign.size;
   }
 
-  /** Slots that may take a start now; a running task holds a connection. */
+  /**
+   * Slots that may take a start now. A running task holds a connection, and one
+   * stays free for control messages.
+   */
   get freeSlots(): number {
     const {slots, connections} = this.announcement;
-    return Math.max(0, Math.min(slots, connections) - this.outstanding);
+    return Math.max(0, Math.min(slots, connections - 1) - this.outstanding);
   }
 
   serves(className: string): boolean {
--- a/test-support/upstream/main.ts
+++ b/test-support/upstream/main.ts
@@ -5,6 +5,10 @@
   readonly worker: string;
   readonly zone: string;
   readonly slots: string;
+  readonly slowness: string;
+  readonly failing?: boolean;
+  readonly hanging?: boolean;
+  readonly duplicating?: boolean;
   readonly entry: string[];
 }
 
@@ -14,6 +18,10 @@
   .requiredOption('--zone <zone>', 'availability zone')
   .requiredOption('--entry <url...>', 'caller addresses of daemons')
   .option('--slots <n>', 'tasks at once', '8')
+  .option('--slowness <factor>', 'factor on the run time of each task', '1')
+  .option('--failing', 'fail every task at once')
+  .option('--hanging', 'never answer a request')
+  .option('--duplicating', 'send each report twice')
   .parse();
 
 const opts = program.opts<Options>();
@@ -28,5 +36,12 @@
     process.stdout.write(`${JSON.stringify({start: id, key, task})}\n`);
   },
 });
+upstream.slowness = Number(opts.slowness);
+upstream.failing = opts.failing ?? false;
+upstream.hanging = opts.hanging ?? false;
+upstream.duplicating = opts.duplicating ?? false;
 await upstream.start();
+process.on('SIGUSR2', () => {
+  upstream.leaving = true;
+});
 process.on('SIGTERM', () => void upstream.stop().then(() => process.exit(0)));
--- a/test-support/upstream/stand_in_upstream.ts
+++ b/test-support/upstream/stand_in_upstream.ts
@@ -20,6 +20,8 @@
   readonly entries: readonly string[];
   readonly host?: string;
   readonly port?: number;
+  /** Address to announce, as that of a relay. Default: its own. */
+  readonly announcedAddress?: string;
   /** Called at each start, before the task runs. */
   readonly onStart?: (start: AttemptStart) => void;
 }
@@ -41,17 +43,46 @@
 export class StandInUpstream {
   /** While true every start fails at once. */
   failing = false;
+  /** While true it announces that it leaves, and soon refuses starts. */
   leaving = false;
+  /** While true requests are read and get no answer. */
+  hanging = false;
+  /** While true each report of a start is sent twice. */
+  duplicating = false;
+  /** Factor on the run time of each task that starts. */
+  slowness = 1;
   private epoch = 0;
+  private incarnation: string;
+  private lapses = 0;
+  private lapse: NodeJS.Timeout | undefined;
   private sequence = 0;
   private entry = 0;
   private leaseExpiresAt = 0;
   private readonly known = new Map<string, Known>();
   private readonly server: Server;
+  private isStopped = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly opts: StandInOptions) {
-    this.server = createServer((req, res) => void this.handle(req, res));
+    this.incarnation = opts.incarnation;
+    this.server = createServer((req, res) => {
+      // A caller that goes away in the middle of a request is no fault here.
+      this.handle(req, res).catch(() => res.destroy());
+    });
+  }
+
+  get port(): number {
+    const address = this.server.address();
+    return typeof address === 'object' && address ? address.port : 0;
+  }
+
+  /** Attempts that run now. */
+  get running(): number {
+    let count = 0;
+    for (const {report} of this.known.values()) {
+      if (report.state === 'running') count += 1;
+    }
+    return count;
   }
 
   async start(): Promise<void> {
@@ -59,24 +90,27 @@
     await new Promise<void>(resolve =>
       this.server.listen(port, host, () => resolve()),
     );
-    this.announceForever();
+    if (this.opts.entries.length > 0) this.announceForever();
   }
 
+  /** Ends at once, as a process that dies: nothing is answered any more. */
   async stop(): Promise<void> {
+    this.isStopped = true;
     clearTimeout(this.timer);
+    clearTimeout(this.lapse);
     for (const {timer} of this.known.values()) clearTimeout(timer);
     this.server.closeAllConnections();
     await new Promise<void>(resolve => this.server.close(() => resolve()));
   }
 
   private get address(): string {
-    const address = this.server.address();
-    const port = typeof address === 'object' && address ? address.port : 0;
-    return `http://${this.opts.host ?? '127.0.0.1'}:${port}`;
+    const {announcedAddress, host = '127.0.0.1'} = this.opts;
+    return announcedAddress ?? `http://${host}:${this.port}`;
   }
 
   private announceForever(): void {
     void this.announce().finally(() => {
+      if (this.isStopped) return;
       this.timer = setTimeout(() => this.announceForever(), ANNOUNCE_MS);
     });
   }
@@ -85,6 +119,7 @@
     const {opts} = this;
     const entry = opts.entries[this.entry % opts.entries.length]!;
     const sentAt = Date.now();
+    const {incarnation} = this;
     this.sequence += 1;
     try {
       const res = await request(`${entry}/v1/workers`, {
@@ -93,7 +128,7 @@
         headersTimeout: 1_000,
         body: JSON.stringify({
           worker: opts.worker,
-          incarnation: opts.incarnation,
+          incarnation,
           sequence: this.sequence,
           zone: opts.zone,
           rack: 'rack-1',
@@ -106,16 +141,40 @@
           epoch: this.epoch,
         }),
       });
-      const grant = (await res.body.json()) as {lease_ms?: number};
+      const grant = (await res.body.json()) as {
+        lease_ms?: number;
+        epoch?: number;
+      };
       if (grant.lease_ms !== undefined) {
-        this.leaseExpiresAt = sentAt + grant.lease_ms;
+        const {epoch = 0, lease_ms: leaseMs} = grant;
+        if (epoch >= this.epoch && incarnation === this.incarnation) {
+          this.renewLease(sentAt + leaseMs);
+        }
         return;
       }
     } catch {
       // The next announcement goes to another daemon.
     }
     this.entry += 1;
-    if (Date.now() > this.leaseExpiresAt) this.stopAll();
+  }
+
+  private renewLease(expiresAt: number): void {
+    if (expiresAt <= this.leaseExpiresAt) return;
+    this.leaseExpiresAt = expiresAt;
+    clearTimeout(this.lapse);
+    this.lapse = setTimeout(() => this.leaseLapsed(), expiresAt - Date.now());
+  }
+
+  /**
+   * Stops the tasks and goes on as a new incarnation: a start that was sent
+   * under the old lease is then refused however late it arrives.
+   */
+  private leaseLapsed(): void {
+    for (const id of this.known.keys()) this.end(id, {id, state: 'stopped'});
+    this.known.clear();
+    this.lapses += 1;
+    this.incarnation = `${this.opts.incarnation}.${this.lapses}`;
+    this.sequence = 0;
   }
 
   private async handle(
@@ -130,7 +189,9 @@
       attempts?: unknown[];
       forget?: string[];
     };
-    const {incarnation} = this.opts;
+    // The answer never comes; the connection stays open.
+    if (this.hanging) return;
+    const {incarnation} = this;
     if (body.incarnation !== incarnation) {
       return this.reply(res, {incarnation}, HTTP_GONE);
     }
@@ -169,7 +230,8 @@
     res.flushHeaders();
     let open = starts.length;
     const finish = (report: AttemptReport) => {
-      res.write(`${JSON.stringify(report)}\n`);
+      const line = `${JSON.stringify(report)}\n`;
+      res.write(this.duplicating ? line + line : line);
       open -= 1;
       if (open === 0) res.end();
     };
@@ -190,7 +252,7 @@
       }
       return;
     }
-    if (Date.now() > this.leaseExpiresAt) {
+    if (Date.now() >= this.leaseExpiresAt) {
       finish(this.settle(id, 'the lease has expired'));
       return;
     }
@@ -210,7 +272,8 @@
           ? {id, state: 'failed', error: 'the task failed'}
           : {id, state: 'succeeded', result: payload.value ?? null},
       );
-    known.timer = setTimeout(end, this.failing ? 0 : (payload.ms ?? 0));
+    const ms = (payload.ms ?? 0) * this.slowness;
+    known.timer = setTimeout(end, this.failing ? 0 : ms);
   }
 
   /** An attempt that is not known never starts from here on. */
@@ -227,10 +290,6 @@
     this.end(id, {id, state: 'stopped'});
   }
 
-  private stopAll(): void {
-    for (const id of this.known.keys()) this.end(id, {id, state: 'stopped'});
-  }
-
   private end(id: string, report: AttemptReport): void {
     const known = this.known.get(id);
     if (known?.report.state !== 'running') return;
