Keep peer links up when handlers throw, and check peers' requests

Cause: a request handler that threw left an unhandled rejection, which stops the process, and its caller waited for the time-out; a message handler that threw was an uncaught exception. Bodies of forwarded requests and announcements were taken without validation. Announcements that the registry refused still got a lease.

PeerLink counts unanswered pings instead of time, so a stall of the own event loop drops no link, and bounds open requests. Job requests and announcements of peers are validated where they enter; only accepted announcements get a lease.

--- a/src/adapter/peer/peer_frame.ts
+++ b/src/adapter/peer/peer_frame.ts
@@ -2,6 +2,7 @@
 
 const id = v.pipe(v.number(), v.integer());
 const name = v.pipe(v.string(), v.maxLength(64));
+const text = v.pipe(v.string(), v.maxLength(4096));
 
 /** Validator of a frame on a connection between two daemons. */
 export const PeerFrame = v.variant('type', [
@@ -11,6 +12,8 @@
   v.object({type: v.literal('message'), kind: name, body: v.unknown()}),
   v.object({type: v.literal('request'), id, method: name, body: v.unknown()}),
   v.object({type: v.literal('response'), id, body: v.unknown()}),
+  /** The node could not handle the request; what it did is not known. */
+  v.object({type: v.literal('failure'), id, detail: text}),
 ]);
 
 /** A frame on a connection between two daemons. */
--- a/src/adapter/peer/peer_link.ts
+++ b/src/adapter/peer/peer_link.ts
@@ -11,13 +11,17 @@
 /** An idle link costs one small frame each way per interval. */
 const HEARTBEAT_MS = 500;
 /**
- * A link without an answer for this long is replaced. Within the takeover goal
- * of 2 s it leaves time for a new connection and a new try.
+ * A link is replaced when this many pings have had no answer, which is 1 s
+ * after the first. Within the takeover goal of 2 s it leaves time for a new
+ * connection and a new try. Counting pings instead of time keeps a stall of
+ * this process's own event loop from dropping good links.
  */
-const SILENCE_MS = 1_000;
+const MAX_UNANSWERED = 2;
 const RECONNECT_MS = 200;
 /** Bounds what waits for a slow node; more is dropped as unsent. */
 const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
+/** Bounds the requests without a response to one node. */
+const MAX_PENDING = 65_536;
 
 interface PendingRequest {
   readonly resolve: (result: Result<unknown, PeerError>) => void;
@@ -33,7 +37,7 @@
   private socket: Socket | undefined;
   private isReady = false;
   private isClosed = false;
-  private lastReceived = 0;
+  private unanswered = 0;
   private nextId = 1;
   private readonly pending = new Map<number, PendingRequest>();
   private heartbeat: Cancellable | undefined;
@@ -64,6 +68,9 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, PeerError>> {
+    if (this.pending.size >= MAX_PENDING) {
+      return Promise.resolve(fail('unsent', 'too many open requests'));
+    }
     const id = this.nextId;
     this.nextId += 1;
     if (!this.send({type: 'request', id, method, body})) {
@@ -88,14 +95,14 @@
     const socket = connect({host, port, noDelay: true});
     const codec = new FrameCodec();
     this.socket = socket;
-    this.lastReceived = this.clock.now();
+    this.unanswered = 0;
     this.scheduleHeartbeat(socket);
     socket.on('connect', () => {
       this.isReady = true;
       this.send({type: 'hello', node: this.node});
     });
     socket.on('data', chunk => {
-      this.lastReceived = this.clock.now();
+      this.unanswered = 0;
       const frames = codec.push(chunk);
       if (frames.isErr) {
         socket.destroy();
@@ -104,6 +111,8 @@
       for (const frame of frames.value) {
         if (frame.type === 'response') {
           this.settle(frame.id, Result.ok(frame.body));
+        } else if (frame.type === 'failure') {
+          this.settle(frame.id, fail('failed', frame.detail));
         }
       }
     });
@@ -117,10 +126,11 @@
   private scheduleHeartbeat(socket: Socket): void {
     this.heartbeat = this.clock.schedule(HEARTBEAT_MS, () => {
       if (this.socket !== socket) return;
-      if (this.clock.now() - this.lastReceived >= SILENCE_MS) {
+      if (this.unanswered >= MAX_UNANSWERED) {
         this.drop('the connection went silent');
         return;
       }
+      this.unanswered += 1;
       this.send({type: 'ping'});
       this.scheduleHeartbeat(socket);
     });
--- /dev/null
+++ b/src/core/dispatch/job_ends.test.ts
@@ -0,0 +1,127 @@
+import {assert} from 'chai';
+import {DispatchBench} from '../../../test-support/fakes/dispatch_bench.js';
+
+const RETENTION_MS = 600_000;
+const REPEATABLE = DispatchBench.classOf('default', {repeatable: true});
+
+test('a cancel and a resubmission in one turn start nothing', () => {
+  const bench = new DispatchBench();
+  const key = bench.submit([100]);
+  bench.dispatcher.cancel(key, bench.clock.now());
+  bench.dispatcher.submit(key, bench.spec(key, [100]), bench.clock.now());
+  bench.clock.advance(1_000);
+  assert.equal(bench.answer(key)?.status, 'cancelled');
+  assert.lengthOf(bench.starts(), 0);
+});
+
+test('the answer of a cancelled job does not change later', () => {
+  const bench = new DispatchBench();
+  const key = bench.submit([300]);
+  bench.clock.advance(50);
+  bench.dispatcher.cancel(key, bench.clock.now());
+  bench.clock.advance(0.1);
+  const first = bench.answer(key);
+  assert.propertyVal(first, 'outcome', 'outcome_unknown');
+  bench.clock.advance(1_000);
+  assert.deepEqual(bench.answer(key), first);
+});
+
+test('a fleet that refuses everything is asked about once a second', () => {
+  const bench = new DispatchBench();
+  bench.worker('w1').isRefusing = true;
+  const before = bench.fleet.sent.start;
+  const key = bench.submit([10]);
+  bench.clock.advance(20_000);
+  assert.isAtMost(bench.fleet.sent.start - before, 30);
+  bench.worker('w1').isRefusing = false;
+  bench.clock.advance(1_500);
+  assert.equal(bench.answer(key)?.status, 'complete');
+});
+
+test('a cancel drops tasks that wait out a pause', () => {
+  const bench = new DispatchBench();
+  bench.worker('w1').isRefusing = true;
+  const key = bench.submit([10]);
+  bench.clock.advance(5_000);
+  bench.dispatcher.cancel(key, bench.clock.now());
+  bench.worker('w1').isRefusing = false;
+  bench.clock.advance(5_000);
+  assert.propertyVal(bench.answer(key), 'outcome', 'not_run');
+  assert.isFalse(bench.dispatcher.isActive(key.text));
+  assert.lengthOf(bench.starts(), 0);
+});
+
+test('a task that no worker can hold any more fails with the reason', () => {
+  const bench = new DispatchBench({workers: 2, slots: 1});
+  const small = bench.worker('w2');
+  small.announcement = {...small.announcement, memory_mb: 10};
+  bench.clock.advance(600);
+  const large = {payload: {ms: 60_000}, memory_mb: 1_000};
+  bench.submit([], {tasks: [large]});
+  const key = bench.submit([], {tasks: [large]});
+  bench.clock.advance(100);
+  bench.worker('w1').kill();
+  bench.clock.advance(30_000);
+  const answer = bench.answer(key);
+  assert.equal(answer?.status, 'failed');
+  assert.propertyVal(answer, 'outcome', 'not_run');
+  assert.match(JSON.stringify(answer), /no worker could hold task 0/);
+});
+
+test('a job ends with the retention of its key, and its answer stays', () => {
+  const bench = new DispatchBench();
+  bench.worker('w1').kill();
+  bench.clock.advance(5_000);
+  const key = bench.submit([10]);
+  bench.clock.advance(RETENTION_MS + 10_000);
+  const answer = bench.answer(key);
+  assert.equal(answer?.status, 'failed');
+  assert.propertyVal(answer, 'outcome', 'not_run');
+  assert.lengthOf(bench.finished, 1);
+  bench.clock.advance(70_000);
+  assert.isUndefined(bench.answer(key));
+});
+
+test('a task that runs past the retention is stopped', () => {
+  const bench = new DispatchBench();
+  const key = bench.submit([2 * RETENTION_MS]);
+  bench.clock.advance(RETENTION_MS + 10_000);
+  assert.propertyVal(bench.answer(key), 'outcome', 'outcome_unknown');
+  assert.equal(bench.worker('w1').running, 0);
+});
+
+test('a task that its worker stops on its own runs again', () => {
+  const bench = new DispatchBench({workers: 2, classes: [REPEATABLE]});
+  const key = bench.submit([1_000]);
+  bench.clock.advance(100);
+  for (const id of ['w1', 'w2']) bench.worker(id).stopAll();
+  bench.clock.advance(5_000);
+  assert.equal(bench.answer(key)?.status, 'complete');
+  assert.lengthOf(bench.starts(), 2);
+});
+
+test('a job whose class was deleted ends without retries', () => {
+  const bench = new DispatchBench({workers: 2, classes: [REPEATABLE]});
+  const key = bench.submit([500]);
+  bench.clock.advance(100);
+  bench.config.set({version: 2, classes: {}, tenants: {}});
+  const {replicator} = bench;
+  replicator.lead(bench.clock.now());
+  bench.clock.advance(2_500);
+  assert.equal(bench.answer(key)?.status, 'complete');
+  assert.lengthOf(bench.starts(), 1);
+});
+
+test('a task larger than the free room waits for it', () => {
+  const bench = new DispatchBench();
+  const half = {payload: {ms: 300}, memory_mb: 100_000};
+  const first = bench.submit([], {tasks: [half]});
+  bench.clock.advance(50);
+  const second = bench.submit([], {tasks: [half]});
+  bench.clock.advance(200);
+  assert.equal(bench.worker('w1').running, 1);
+  bench.clock.advance(700);
+  assert.equal(bench.answer(first)?.status, 'complete');
+  assert.equal(bench.answer(second)?.status, 'complete');
+  assert.equal(bench.registry.get('w1')?.memoryUsedMb, 0);
+});
--- a/src/core/job/job_spec.ts
+++ b/src/core/job/job_spec.ts
@@ -1,17 +1,31 @@
-import type {TaskSpec} from './task_spec.js';
+import * as v from 'valibot';
+import {TaskSpec} from './task_spec.js';
 
-/** A job as accepted: what the caller asked for and under which key. */
-export interface JobSpec {
-  readonly key: string;
+const MAX_NAME_LENGTH = 128;
+const MAX_TASKS = 840;
+
+const text = v.pipe(v.string(), v.maxLength(MAX_NAME_LENGTH));
+const timeMs = v.pipe(v.number(), v.minValue(0));
+
+/** Validator of a job as one daemon sends it to another. */
+export const JobSpec = v.strictObject({
+  key: text,
   /** Epoch milliseconds at which the key was made. */
-  readonly keyTimeMs: number;
-  readonly className: string;
-  readonly tenant: string;
+  keyTimeMs: timeMs,
+  className: text,
+  tenant: text,
   /** False when the request forbids a second attempt of any of its tasks. */
-  readonly repeatable: boolean;
-  readonly tasks: readonly TaskSpec[];
+  repeatable: v.boolean(),
+  tasks: v.pipe(v.array(TaskSpec), v.minLength(1), v.maxLength(MAX_TASKS)),
   /** Digest of the body, so that a reused key with another body is noticed. */
-  readonly fingerprint: string;
+  fingerprint: v.pipe(text, v.minLength(1)),
   /** Epoch milliseconds of the submission at its first daemon. */
-  readonly submittedAt: number;
+  submittedAt: timeMs,
+});
+
+/** A job as accepted: what the caller asked for and under which key. */
+export interface JobSpec extends Readonly<
+  Omit<v.InferOutput<typeof JobSpec>, 'tasks'>
+> {
+  readonly tasks: readonly TaskSpec[];
 }
--- a/src/daemon/zone/job_request.ts
+++ b/src/daemon/zone/job_request.ts
@@ -1,4 +1,20 @@
-import type {JobSpec} from '../../core/job/job_spec.js';
+import * as v from 'valibot';
+import {JobSpec} from '../../core/job/job_spec.js';
+
+const MAX_KEY_LENGTH = 128;
+/** Longest wait of a caller, with room for later changes of it. */
+const MAX_WAIT_MS = 600_000;
+
+const key = v.pipe(v.string(), v.maxLength(MAX_KEY_LENGTH));
+const waitMs = v.pipe(v.number(), v.minValue(0), v.maxValue(MAX_WAIT_MS));
+
+/** Validator of a request about one job that another daemon forwards. */
+export const JobRequest = v.variant('kind', [
+  v.object({kind: v.literal('submit'), key, spec: JobSpec, waitMs}),
+  v.object({kind: v.literal('fetch'), key, waitMs}),
+  v.object({kind: v.literal('cancel'), key}),
+  v.object({kind: v.literal('acknowledge'), key}),
+]);
 
 /** A request about one job, as it goes to the dispatcher of its home zone. */
 export type JobRequest =
--- a/src/daemon/zone/worker_router.ts
+++ b/src/daemon/zone/worker_router.ts
@@ -1,5 +1,6 @@
+import * as v from 'valibot';
 import type {PeerTransport} from '../../core/peer/peer_transport.js';
-import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
+import {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
 import {WorkerRegistry} from '../../core/worker/worker_registry.js';
 import type {ZoneDirectory} from './zone_directory.js';
 import type {ZoneService} from './zone_service.js';
@@ -30,7 +31,7 @@
     private readonly leader: () => string | undefined,
   ) {
     peers.onRequest('worker.announce', async (_from, body) =>
-      this.receive(body as WorkerAnnouncement),
+      this.receive(v.parse(WorkerAnnouncement, body)),
     );
   }
 
@@ -60,10 +61,12 @@
   }
 
   private receive(announcement: WorkerAnnouncement): AnnounceReply {
-    if (announcement.zone === this.zone) this.service.announce(announcement);
+    // An announcement of an ended incarnation must not renew its lease.
+    const isAccepted =
+      announcement.zone === this.zone && this.service.announce(announcement);
     const epoch = this.leading();
     const grant =
-      epoch === undefined
+      epoch === undefined || !isAccepted
         ? undefined
         : {lease_ms: WorkerRegistry.LEASE_MS, epoch};
     return {leader: this.leader(), grant};
--- a/src/daemon/zone/zone_service.ts
+++ b/src/daemon/zone/zone_service.ts
@@ -1,3 +1,4 @@
+import * as v from 'valibot';
 import type {Clock} from '../../core/clock/clock.js';
 import type {ConfigSource} from '../../core/config/config_source.js';
 import type {DispatchPolicy} from '../../core/dispatch/dispatch_policy.js';
@@ -10,7 +11,7 @@
 import type {UpstreamClient} from '../../core/upstream/upstream_client.js';
 import type {WorkerAnnouncement} from '../../core/worker/worker_announcement.js';
 import {WorkerRegistry} from '../../core/worker/worker_registry.js';
-import type {JobRequest} from './job_request.js';
+import {JobRequest} from './job_request.js';
 import type {JobResponse} from './job_response.js';
 import {ZoneJobs} from './zone_jobs.js';
 
@@ -44,9 +45,11 @@
       requestFlush: () => this.requestFlush(),
     });
     this.jobs = new ZoneJobs(this.dispatcher, this.table, opts.clock);
-    opts.peers.onRequest('job', (_from, body) =>
-      this.handle(body as JobRequest),
-    );
+    opts.peers.onRequest('job', (_from, body) => {
+      const req = v.safeParse(JobRequest, body);
+      if (req.success) return this.handle(req.output);
+      return Promise.reject(new Error('the request has no known form'));
+    });
     this.scheduleTick();
   }
 
@@ -54,14 +57,19 @@
     this.isStopped = true;
   }
 
-  /** Takes an announcement; the lease is granted only by the leader. */
-  announce(announcement: WorkerAnnouncement): void {
-    this.dispatcher.announce(announcement, this.opts.clock.now());
+  /**
+   * Takes an announcement; false if a newer one has overtaken it. The lease is
+   * granted only by the leader.
+   */
+  announce(announcement: WorkerAnnouncement): boolean {
+    return this.dispatcher.announce(announcement, this.opts.clock.now());
   }
 
   private async handle(req: JobRequest): Promise<JobResponse> {
     const key = JobKey.parse(req.key);
     if (key.isErr) return redirect(undefined);
+    const isOfKey = req.kind !== 'submit' || req.spec.key === key.value.text;
+    if (!isOfKey) throw new Error('the job belongs to another key');
     if (!this.dispatcher.isLeading) {
       return redirect(this.opts.replicator.leader);
     }
