--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,24 +1,16 @@
 import {Result} from 'true-myth';
-import type {Clock} from '../clock/clock.js';
-import type {ConfigSource} from '../config/config_source.js';
-import type {Replicator} from '../group/replicator.js';
 import type {AttemptOutcome} from '../job/attempt_outcome.js';
 import type {JobEvent} from '../job/job_event.js';
 import type {JobKey} from '../job/job_key.js';
 import type {JobSpec} from '../job/job_spec.js';
-import type {JobTable} from '../job/job_table.js';
 import type {Refusal} from '../job/refusal.js';
-import type {RetryPolicy} from '../retry/retry_policy.js';
-import type {UpstreamClient} from '../upstream/upstream_client.js';
 import type {RunningAttempt} from '../worker/running_attempt.js';
 import type {WorkerAnnouncement} from '../worker/worker_announcement.js';
-import type {WorkerRegistry} from '../worker/worker_registry.js';
 import {ActiveJob} from './active_job.js';
 import {AttemptManager} from './attempt_manager.js';
 import {CommitBarrier} from './commit_barrier.js';
-import type {DispatchObserver} from './dispatch_observer.js';
-import type {DispatchPolicy} from './dispatch_policy.js';
 import {countLent} from './count_lent.js';
+import type {DispatcherOptions} from './dispatcher_options.js';
 import {intentOf} from './intent_of.js';
 import {NOT_LEADER} from './not_leader.js';
 import {resumeJob} from './resume_job.js';
@@ -29,28 +21,6 @@
 
 type Intent = Extract<JobEvent, {kind: 'intent'}>;
 
-interface DispatcherOptions {
-  readonly table: JobTable;
-  readonly replicator: Replicator;
-  readonly registry: WorkerRegistry;
-  readonly policy: DispatchPolicy;
-  readonly retry: RetryPolicy;
-  readonly config: ConfigSource;
-  readonly upstream: UpstreamClient;
-  /** Default: nothing is measured. */
-  readonly observer?: DispatchObserver | undefined;
-  /** Called on the leader when a job's acceptance is committed. */
-  readonly onAccepted?: (key: string) => void;
-  /** Tells when a worker's report came; reports carry no time. */
-  readonly clock: Pick<Clock, 'now'>;
-  /** Called on the leader when a job's final state is committed. */
-  readonly onFinished: (key: string) => void;
-  /** Called when this node no longer leads. */
-  readonly onLeadershipLost?: () => void;
-  /** Asks the owner of the loop to call `flush` once, soon. */
-  readonly requestFlush: () => void;
-}
-
 /**
  * Runs the queue of one zone while its node leads the zone's group. Every
  * change is proposed to the group; what leaves the process (starts, answers)
--- a/src/measure/control/control_node.ts
+++ b/src/measure/control/control_node.ts
@@ -34,7 +34,7 @@
   clock,
   peers,
   random: new SystemRandom(),
-  log: createLog(self.id),
+  log: createLog({node: self.id, zone: 'z'}),
 });
 
 setFlagsFromString('--expose_gc');
