Test a deep payload and a bad query encoding

With the depth check or the check of encodings taken out no test failed: a deep array is no submission anyway, and a badly encoded key is no key. A deep payload in a valid job and a bad encoding in a query now fail without them (trials).

--- a/src/adapter/http/caller_server.test.ts
+++ b/src/adapter/http/caller_server.test.ts
@@ -29,6 +29,16 @@
   ['an unknown path', request('GET', '/v2/jobs'), 404],
   ['a wrong method', request('PUT', '/v1/jobs', JOB), 405],
   ['a bad percent-encoding', request('GET', '/v1/jobs/%E0%A4%A'), 400],
+  ['a bad percent-encoding in a query', request('GET', '/healthz?x=%zz'), 400],
+  [
+    'a deep payload in a valid job',
+    request(
+      'POST',
+      '/v1/jobs',
+      `{"class":"default","tasks":[{"payload":${'['.repeat(70)}${']'.repeat(70)}}]}`,
+    ),
+    400,
+  ],
   ['a path in absolute form', request('GET', 'http://x/v1/jobs/1'), 400],
   ['a long URL', request('GET', `/v1/jobs/${'k'.repeat(3_000)}`), 414],
   [
