--- a/src/measure/slopes/slopes_measurement.ts
+++ b/src/measure/slopes/slopes_measurement.ts
@@ -15,6 +15,8 @@
 const STARTS = 30_000;
 const MS_PER_STEP = 10;
 const ANNOUNCE_ROUNDS = 200;
+/** One collection leaves garbage that the next one finds. */
+const COLLECTIONS = 4;
 const NS_PER_MS = 1_000_000;
 
 /** What a slope is over: a bench of size `n`. */
@@ -118,8 +120,7 @@
 
 function heapFit(axis: Axis, policy: Policy, collect: () => void): LinearFit {
   const used = () => {
-    collect();
-    collect();
+    for (let at = 0; at < COLLECTIONS; at += 1) collect();
     const {heapUsed, arrayBuffers} = process.memoryUsage();
     return heapUsed + arrayBuffers;
   };
