Shorten the messages of the configuration log and close gaps in its tests

Cause: with 8 daemons the leader sent and received 3.4 KB/s when idle.

Change: ids of 10 digits instead of 36, no entries and no type in a heartbeat, members of the log poll every 6 s instead of 2 s (the log itself brings them new versions). The fake disk refuses writes of a process that has died; before, such a write hid that the leader counted entries that were not synced.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -65,7 +65,7 @@
     });
     for (const type of MESSAGE_TYPES) {
       peers.onMessage(`config.${type}`, (from, body, now) => {
-        const parsed = v.safeParse(LogMessage, body);
+        const parsed = v.safeParse(LogMessage, {...(body as object), type});
         if (parsed.success) this.member?.receive(from, parsed.output, now);
       });
     }
--- a/src/core/config/follower/config_exchange.ts
+++ b/src/core/config/follower/config_exchange.ts
@@ -9,6 +9,8 @@
 
 /** Within 5 s after a cut heals, a poll has gone out and been answered. */
 const POLL_INTERVAL_MS = 2_000;
+/** The log itself brings new versions to a member that hears its leader. */
+const MEMBER_INTERVAL_MS = 6_000;
 /** Spreads the polls of many nodes; the sum of both stays under 2.5 s. */
 const POLL_JITTER_MS = 200;
 /** Interval while nothing is in force yet, or a request seeks the leader. */
@@ -94,7 +96,8 @@
     const waited = now - this.polledAt;
     if (waited < (isUrgent ? URGENT_INTERVAL_MS : this.interval)) return;
     this.polledAt = now;
-    this.interval = POLL_INTERVAL_MS + random.next() * POLL_JITTER_MS;
+    const base = member()?.leaderId ? MEMBER_INTERVAL_MS : POLL_INTERVAL_MS;
+    this.interval = base + random.next() * POLL_JITTER_MS;
     if (member()?.leader) return;
     this.unanswered += 1;
     if (this.unanswered > MAX_UNANSWERED) this.leaderHint = undefined;
--- a/src/core/config/follower/replicated_config_source.test.ts
+++ b/src/core/config/follower/replicated_config_source.test.ts
@@ -20,6 +20,7 @@
   clock.advance(1_000);
   assert.equal(source.current().version, 5);
   disk.crash();
+  disk.boot();
   const restarted = new ReplicatedConfigSource(new AppliedFile(disk));
   assert.isTrue(restarted.load().isOk);
   assert.equal(restarted.current().version, 5);
--- a/src/core/config/log/follower_log.ts
+++ b/src/core/config/log/follower_log.ts
@@ -28,7 +28,7 @@
     now: number,
   ): void {
     const {store} = this;
-    const {round, prev_index: prevIndex} = msg;
+    const {round, prev_index: prevIndex, entries = []} = msg;
     const prevTerm = store.termAt(prevIndex);
     const isKnown = prevIndex < store.baseIndex || prevTerm === msg.prev_term;
     if (!isKnown) {
@@ -36,15 +36,15 @@
       this.acknowledge(to, {ok: false, matched: 0, last, round});
       return;
     }
-    for (const [at, entry] of msg.entries.entries()) {
+    for (const [at, entry] of entries.entries()) {
       if (entry.index <= store.baseIndex) continue;
       const known = store.termAt(entry.index);
       if (known === entry.term) continue;
       if (known !== undefined) store.cut(entry.index);
-      store.append(msg.entries.slice(at));
+      store.append(entries.slice(at));
       break;
     }
-    const matched = prevIndex + msg.entries.length;
+    const matched = prevIndex + entries.length;
     this.member.advanceCommit(Math.min(msg.commit, matched), now);
     this.acknowledge(to, {ok: true, matched, last: matched, round});
   }
--- a/src/core/config/log/log_former.ts
+++ b/src/core/config/log/log_former.ts
@@ -1,4 +1,3 @@
-import {v4 as uuidv4} from 'uuid';
 import * as v from 'valibot';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {RandomSource} from '../../random/random_source.js';
@@ -10,7 +9,9 @@
 const ASK_INTERVAL_MS = 500;
 /** Answers older than this do not count. */
 const ANSWER_AGE_MS = 2_000;
-const UUID_BYTES = 16;
+/** 51 bits; the ids travel in every message, so they are short. */
+const ID_LENGTH = 10;
+const ID_RADIX = 36;
 
 const Form = v.object({storage: v.string()});
 const FormReply = v.object({
@@ -86,10 +87,10 @@
 
   /** A new id for a log or a data folder. */
   static newId(random: RandomSource): string {
-    const bytes = Uint8Array.from({length: UUID_BYTES}, () =>
-      Math.floor(random.next() * 256),
+    const digits = Array.from({length: ID_LENGTH}, () =>
+      Math.floor(random.next() * ID_RADIX).toString(ID_RADIX),
     );
-    return uuidv4({random: bytes});
+    return digits.join('');
   }
 
   private onForm(from: string, body: unknown): void {
--- a/src/core/config/log/log_leader.ts
+++ b/src/core/config/log/log_leader.ts
@@ -199,7 +199,7 @@
       type: 'append',
       prev_index: prevIndex,
       prev_term: store.termAt(prevIndex) ?? 0,
-      entries,
+      ...(entries.length > 0 ? {entries} : {}),
       commit: this.member.commitIndex,
       round,
     });
--- a/src/core/config/log/log_member.ts
+++ b/src/core/config/log/log_member.ts
@@ -150,12 +150,13 @@
 
   /** Sends to a member in the present term unless the body names another. */
   send<T extends LogMessage['type']>(to: LogNodeId, body: Body<T>): void {
-    this.opts.peers.send(to.node, `config.${body.type}`, {
+    const {type, ...rest} = body;
+    this.opts.peers.send(to.node, `config.${type}`, {
       log: this.store.hard.log,
       from: this.id.storage,
       to: to.storage,
       term: this.term,
-      ...body,
+      ...rest,
     });
   }
 
--- a/src/core/config/log/log_message.ts
+++ b/src/core/config/log/log_message.ts
@@ -35,7 +35,8 @@
     type: v.literal('append'),
     prev_index: count,
     prev_term: count,
-    entries: v.array(LogEntry),
+    /** Absent in a heartbeat. */
+    entries: v.optional(v.array(LogEntry)),
     commit: count,
     /** Echoed, so that the leader knows it still led when it sent this. */
     round: count,
--- a/src/measure/control/control_measure.ts
+++ b/src/measure/control/control_measure.ts
@@ -33,8 +33,9 @@
     .option('--seconds <n>', 'length of each phase', toPositive, 30)
     .option('--factor <n>', 'acceleration of the changes', toPositive, 100)
     .action(async (opts: ControlOptions) => {
-      const report = await new ControlRun(opts).run();
-      console.log(JSON.stringify(report));
+      const links = await new ControlRun(opts, 0).run();
+      const report = await new ControlRun(opts, VOTERS).run();
+      console.log(JSON.stringify({...report, ...links}));
     });
 }
 
@@ -42,24 +43,31 @@
   private readonly children: ChildProcess[] = [];
   private nextId = 1;
 
-  constructor(private readonly opts: ControlOptions) {}
+  constructor(
+    private readonly opts: ControlOptions,
+    /** With none, the configuration is fixed and only the links cost. */
+    private readonly voters: number,
+  ) {}
 
   async run(): Promise<object> {
     const {nodes, seconds, factor} = this.opts;
     const dir = mkdtempSync(join(tmpdir(), 'pimento-control-'));
     try {
       await this.startAll(dir);
-      await this.load();
+      if (this.voters > 0) await this.load();
       await sleep(WARM_UP_S);
       const start = await this.sampleAll();
       await sleep(seconds);
       const idle = await this.sampleAll();
+      if (this.voters === 0) {
+        return {links_only_idle: costOf(start, idle, 1, undefined)};
+      }
       const changes = await this.change(start[0]!.version);
       const busy = await this.sampleAll();
       return {
         measure: 'control',
         nodes,
-        voters: VOTERS,
+        voters: this.voters,
         tenants: TENANTS,
         seconds,
         factor,
@@ -83,7 +91,7 @@
     const ports = await freePorts(this.opts.nodes);
     const nodes: ControlPlan['nodes'] = ports.map((port, at) => ({
       id: `n${at + 1}`,
-      voter: at < VOTERS,
+      voter: at < this.voters,
       port,
     }));
     for (const {id} of nodes) {
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -90,6 +90,7 @@
 
   start(id: string): Result<void, string> {
     const disk = this.disks.get(id);
+    disk?.boot();
     const node = new ConfigNode({
       node: id,
       nodes: this.ids,
--- a/test-support/fakes/fake_disk.ts
+++ b/test-support/fakes/fake_disk.ts
@@ -36,6 +36,7 @@
   private nameChanges: Array<(names: Map<string, Inode>) => void> = [];
   private readonly queue: Array<{ops: DiskOp[]; done: Done}> = [];
   private isBusy = false;
+  private isDown = false;
   /** Work of an earlier process is void. */
   private generation = 0;
 
@@ -58,6 +59,7 @@
   }
 
   override run(ops: readonly DiskOp[], done: Done): void {
+    if (this.isDown) return;
     this.queue.push({ops: [...ops], done});
     this.next();
   }
@@ -69,8 +71,14 @@
     inode.durable = Buffer.from(inode.cache);
   }
 
+  /** A new process begins to use the folder. */
+  boot(): void {
+    this.isDown = false;
+  }
+
   /** The process dies; what it has written stays in the page cache. */
   kill(): void {
+    this.isDown = true;
     this.generation += 1;
     this.queue.length = 0;
     this.isBusy = false;
