--- a/src/core/config/config_node.test.ts
+++ b/src/core/config/config_node.test.ts
@@ -96,6 +96,16 @@
   });
 });
 
+test('a change is pushed to daemons that do not store the log', () => {
+  const bench = new ConfigBench({followers: 3});
+  bench.startAll();
+  const leader = bench.untilLeader();
+  bench.clock.advance(5_000);
+  bench.change(leader, changeOf('k1', 1, 'a'));
+  bench.clock.advance(10);
+  for (const id of ['f1', 'f2', 'f3']) assert.equal(bench.version(id), 2);
+});
+
 test('a lost push is healed by the poll', () => {
   const bench = new ConfigBench({followers: 2});
   bench.startAll();
--- a/src/core/config/log/follower_log.test.ts
+++ b/src/core/config/log/follower_log.test.ts
@@ -108,6 +108,19 @@
   assert.deepInclude(bench.sent('vote_reply')[1], {granted: false, to: 'c1'});
 });
 
+// Such a candidate would overwrite what this member has acknowledged.
+test('a candidate with a shorter log gets no vote', () => {
+  const bench = new MemberBench();
+  bench.join();
+  bench.clock.advance(5_000);
+  bench.receive('c', {...VOTE, last_index: 1});
+  bench.clock.advance(100);
+  assert.deepInclude(bench.sent('vote_reply')[0], {granted: false});
+  bench.receive('c', {...VOTE, term: 3, last_index: 2});
+  bench.clock.advance(100);
+  assert.deepInclude(bench.sent('vote_reply')[1], {granted: true});
+});
+
 test('an entry is acknowledged only after it is synced', () => {
   const bench = new MemberBench();
   bench.receive('b', {
--- a/src/core/config/router/request_router.ts
+++ b/src/core/config/router/request_router.ts
@@ -5,8 +5,8 @@
 import {LogRequest as LogRequestSchema} from './log_request.js';
 import {LogResponse} from './log_response.js';
 
-/** An election takes up to 3 s; a request outlasts one. */
-const DEADLINE_MS = 5_000;
+/** An election begins within 4 s; a request outlasts one. */
+const DEADLINE_MS = 6_000;
 /** A status is not worth a long wait: the node's own view is the fallback. */
 const STATUS_DEADLINE_MS = 1_500;
 const RETRY_AFTER_MS = 1_000;
