--- a/src/core/group/group_replica.test.ts
+++ b/src/core/group/group_replica.test.ts
@@ -73,6 +73,23 @@
   assert.notInclude(bench.held(leader), key);
 });
 
+test('a learner without the jobs is not admitted', () => {
+  // An empty member would take part in a majority that holds nothing.
+  const bench = new GroupBench();
+  const leader = bench.awaitLeader();
+  bench.awaitFull();
+  bench.propose(leader);
+  const [back] = others(bench, leader) as [string];
+  bench.peers.loses = (to, body) =>
+    to === back && (body as {type?: string}).type === 'install';
+  bench.start(back);
+  bench.clock.advance(5_000);
+  assert.notInclude(bench.replica(leader).status.members, back);
+  bench.peers.loses = () => false;
+  bench.awaitFull();
+  assert.include(bench.replica(leader).status.members, back);
+});
+
 test('a second loss right after a repair loses nothing', () => {
   for (let seed = 1; seed <= 20; seed += 1) {
     const bench = new GroupBench({seed});
@@ -248,14 +265,42 @@
   assert.isBelow(bench.replica(leader).status.retained, 10);
 });
 
-test('a message of unknown form is ignored', () => {
+test('a member that handed its lead over leaves the next to others', () => {
+  // It is about to stop, so its election would only cause another.
+  for (let seed = 1; seed <= 10; seed += 1) {
+    const bench = new GroupBench({seed});
+    const first = bench.awaitLeader();
+    bench.awaitFull();
+    bench.replica(first).handOver(bench.clock.now());
+    const second = bench.awaitLeader(first);
+    bench.clock.advance(1_000);
+    bench.kill(second);
+    assert.notEqual(bench.awaitLeader(second), first);
+  }
+});
+
+test('messages of unknown form and of strangers are ignored', () => {
   const bench = new GroupBench();
   const leader = bench.awaitLeader();
-  const stranger = bench.peers.attach('n9');
-  const end = bench.peers.attach('n8');
-  for (const peers of [stranger, end]) {
-    peers.send(leader, 'group.arbat', {type: 'append', epoch: 'x'});
-  }
-  bench.clock.advance(100);
-  assert.equal(bench.leader(), leader);
+  bench.awaitFull();
+  const {epoch, group} = bench.replica(leader).status;
+  const vote = {
+    type: 'vote',
+    epoch: epoch + 1_000,
+    group,
+    settled: true,
+    incarnation: 1,
+    pre: false,
+    lastIndex: 1_000,
+    lastEpoch: epoch,
+    commit: 0,
+  };
+  const [member] = others(bench, leader) as [string];
+  const unknown = {...vote, lastIndex: 'last'};
+  bench.peers.forge(member, leader, 'group.arbat', unknown);
+  bench.peers.forge('n9', leader, 'group.arbat', vote);
+  assert.equal(bench.replica(leader).leading, epoch);
+  // The same message counts when it is whole and comes from a member.
+  bench.peers.forge(member, leader, 'group.arbat', vote);
+  assert.isUndefined(bench.replica(leader).leading);
 });
--- a/src/core/group/group_replica.ts
+++ b/src/core/group/group_replica.ts
@@ -41,6 +41,8 @@
   readonly isLeading: boolean;
   /** Epoch in which its group formed; undefined without settled memory. */
   readonly group: number | undefined;
+  /** Nodes whose votes and acknowledgements count. */
+  readonly members: readonly string[];
   /** Log entries held for members that lag. */
   readonly retained: number;
 }
@@ -108,6 +110,7 @@
       isFull,
       isLeading: this.leading !== undefined,
       group: memory?.isSettled ? memory.group : undefined,
+      members: [...(memory?.members.keys() ?? [])],
       retained: memory ? memory.log.lastIndex - memory.log.base : 0,
     };
   }
--- a/src/core/group/leader_role.ts
+++ b/src/core/group/leader_role.ts
@@ -95,6 +95,7 @@
     progress.heardAt = now;
     if (msg.group !== memory.group) {
       this.install(from, progress, now);
+      this.changeMembers(now);
       return;
     }
     if (msg.ok) {
--- a/test-support/fakes/fake_peers.ts
+++ b/test-support/fakes/fake_peers.ts
@@ -17,8 +17,8 @@
   loss = 0;
   /** Largest random addition to the delay; it reorders messages. */
   jitterMs = 0;
-  /** Messages sent so far. */
-  sent = 0;
+  /** Loses the messages for which it is true. */
+  loses: (to: string, body: unknown) => boolean = () => false;
   private readonly ends = new Map<string, FakeEnd>();
   private readonly cuts = new Set<string>();
 
@@ -51,10 +51,14 @@
     this.cuts.clear();
   }
 
+  /** Delivers a message at once that no process of `from` has sent. */
+  forge(from: string, to: string, kind: string, body: unknown): void {
+    this.ends.get(to)?.receive(from, kind, body, this.opts.clock.now());
+  }
+
   deliver(from: FakeEnd, to: string, kind: string, body: unknown): void {
     const {clock, random, delayMs = 1} = this.opts;
-    this.sent += 1;
-    const isLost = random.next() < this.loss;
+    const isLost = random.next() < this.loss || this.loses(to, body);
     const late = Math.floor(random.next() * (this.jitterMs + 1));
     if (isLost || this.cuts.has(linkOf(from.node, to))) return;
     if (this.ends.get(from.node) !== from) return;
