Give no starts to workers that stopped announcing

Change: a worker not heard of for 1.5 s, three announcements, is not startable. Ruled out: a shorter assumed lease, which would end attempts that may still run under a lease of the deposed dispatcher.

--- a/src/core/dispatch/attempt_manager.test.ts
+++ b/src/core/dispatch/attempt_manager.test.ts
@@ -146,6 +146,19 @@
   assert.deepEqual(bench.ended, [['7.1', 'unknown']]);
 });
 
+test('a worker that stops announcing gets no starts', () => {
+  // It may have told only the predecessor that it leaves.
+  const bench = new Bench();
+  bench.announce('i1', 0);
+  bench.manager.lead(EPOCH, [], 100);
+  bench.fence('i1');
+  const worker = bench.registry.get('w1')!;
+  assert.isTrue(bench.registry.isStartable(worker, EPOCH, 1_400));
+  assert.isFalse(bench.registry.isStartable(worker, EPOCH, 1_600));
+  bench.announce('i1', 1_700);
+  assert.isTrue(bench.registry.isStartable(worker, EPOCH, 1_800));
+});
+
 test('inherited attempts of workers never heard of end after two leases', () => {
   const bench = new Bench([attemptOf('6.1', 'i1')]);
   bench.manager.tick(5_900);
@@ -174,10 +187,11 @@
   bench.fence('i1');
   bench.settled('7.1', {kind: 'succeeded', result: 1}, 100);
   bench.manager.tick(1_100);
-  bench.manager.tick(2_200);
+  bench.manager.tick(2_150);
   assert.deepEqual(bench.upstream.forgets, ['7.1', '7.1']);
   bench.manager.forgotten(targetOf('i1'), ['7.1']);
-  bench.manager.tick(3_300);
+  // Still within the lease, so that only the confirmation counts.
+  bench.manager.tick(3_200);
   assert.lengthOf(bench.upstream.forgets, 2);
 });
 
--- a/src/core/worker/worker_registry.ts
+++ b/src/core/worker/worker_registry.ts
@@ -9,6 +9,12 @@
 /** Covers the skew of two clocks' rates and the delay of an event loop. */
 const LEASE_MARGIN_MS = 250;
 
+/**
+ * A worker not heard of for this long gets no starts: it may have told another
+ * dispatcher that it leaves, which bounds such starts to 2 s. Three
+ * announcements are missing by then.
+ */
+const SILENCE_MS = 1_500;
 /**
  * The longest lease that a worker may hold without this node's knowledge: a
  * deposed dispatcher grants leases until it notices, which takes less than one
@@ -58,6 +64,7 @@
         return {accepted: false, replaced: undefined};
       }
       known.announcement = announcement;
+      known.announcedAt = now;
       known.leaseExpiresAt = Math.max(known.leaseExpiresAt, expiry);
       return {accepted: true, replaced: undefined};
     }
@@ -66,6 +73,7 @@
     }
     if (known) this.retire(known, now);
     const state = new WorkerState(announcement, expiry);
+    state.announcedAt = now;
     this.workers.set(announcement.worker, state);
     return {accepted: true, replaced: known};
   }
@@ -101,6 +109,7 @@
     return (
       !worker.announcement.leaving &&
       worker.fencedEpoch === epoch &&
+      now - worker.announcedAt <= SILENCE_MS &&
       worker.leaseExpiresAt - LEASE_MARGIN_MS > now
     );
   }
--- a/src/core/worker/worker_state.ts
+++ b/src/core/worker/worker_state.ts
@@ -13,6 +13,8 @@
   acceleratorsUsed = 0;
   /** Epoch in which the worker confirmed its fence; 0 before the first. */
   fencedEpoch = 0;
+  /** Epoch milliseconds of the last announcement that this node received. */
+  announcedAt = 0;
   /** Epoch milliseconds of the worker's last answer of any kind. */
   lastContact = 0;
   /** Epoch milliseconds of the last settle or fence sent. */
