--- a/src/core/worker/worker_registry.ts
+++ b/src/core/worker/worker_registry.ts
@@ -11,6 +11,12 @@
 /** Covers the skew of two clocks' rates and the delay of an event loop. */
 const LEASE_MARGIN_MS = 250;
 
+/**
+ * A worker not heard of for this long gets no starts: it may have told another
+ * dispatcher that it leaves, which bounds such starts to 2 s. Three
+ * announcements are missing by then.
+ */
+const SILENCE_MS = 1_500;
 /**
  * The longest lease that a worker may hold without this node's knowledge: a
  * deposed dispatcher grants leases until it notices, which takes less than one
@@ -76,6 +82,7 @@
       }
       const before = known.announcement;
       known.announcement = announcement;
+      known.announcedAt = now;
       known.leaseExpiresAt = Math.max(known.leaseExpiresAt, expiry);
       if (isCapacityChanged(before, announcement)) {
         this.states.eligibilityChanged();
@@ -89,6 +96,7 @@
     }
     if (known) this.retire(known, now);
     const state = new WorkerState(announcement, expiry, this.states);
+    state.announcedAt = now;
     this.workers.set(announcement.worker, state);
     this.states.eligibilityChanged();
     return {accepted: true, replaced: known};
@@ -126,6 +134,7 @@
     return (
       !worker.announcement.leaving &&
       worker.fencedEpoch === epoch &&
+      now - worker.announcedAt <= SILENCE_MS &&
       worker.leaseExpiresAt - LEASE_MARGIN_MS > now
     );
   }
--- a/src/core/worker/worker_state.ts
+++ b/src/core/worker/worker_state.ts
@@ -12,6 +12,8 @@
   readonly foreign = new Set<string>();
   memoryUsedMb = 0;
   acceleratorsUsed = 0;
+  /** Epoch milliseconds of the last announcement that this node received. */
+  announcedAt = 0;
   /** Epoch milliseconds of the worker's last answer of any kind. */
   lastContact = 0;
   /** Epoch milliseconds of the last settle or fence sent. */
