--- a/src/adapter/peer/silent_link.test.ts
+++ b/src/adapter/peer/silent_link.test.ts
@@ -8,6 +8,7 @@
 import {StaticConfigSource} from '../../core/config/static_config_source.js';
 import {FifoPolicy} from '../../core/dispatch/fifo_policy.js';
 import {SoloReplicator} from '../../core/group/solo_replicator.js';
+import {JobTable} from '../../core/job/job_table.js';
 import {JobKey} from '../../core/job/job_key.js';
 import {JobRouter} from '../../daemon/zone/job_router.js';
 import {ZoneDirectory} from '../../daemon/zone/zone_directory.js';
@@ -48,6 +49,10 @@
     clock,
     peers: b,
     replicator,
+    table: new JobTable(),
+    zone: 'arbat',
+    otherZones: [],
+    announceSpare: () => undefined,
     policy: new FifoPolicy(),
     config: new StaticConfigSource({
       version: 1,
