Give no new lease to workers that answer nothing

Cause: a worker whose announcements arrive but that answers no request held its attempts until the retention of their keys ended, 10 minutes, since each announcement renewed its lease.

Change: a worker with attempts that has left a settle or fence without an answer for 5 s gets no new lease. The attempts end with the lease, about 9 s after the last answer. Ruled out: ending the attempts without the lease, as they may still run.

--- a/src/core/dispatch/attempt_manager.ts
+++ b/src/core/dispatch/attempt_manager.ts
@@ -11,11 +11,14 @@
 import type {WorkerState} from '../worker/worker_state.js';
 import {ForgetList} from './forget_list.js';
 import {LostAttempts} from './lost_attempts.js';
+import {outcomeOf} from './outcome_of.js';
 
 /** Age from which the worker is asked about an attempt. Most tasks end sooner. */
 const ASK_AFTER_MS = 1_000;
 const ASK_INTERVAL_MS = 1_000;
 const FENCE_RETRY_MS = 250;
+/** A worker without answers for this long gets no new lease; its tasks end. */
+const UNANSWERED_MS = 5_000;
 
 type Settled = Extract<JobEvent, {kind: 'settled'}>;
 
@@ -65,6 +68,7 @@
   /** Takes a worker's announcement; false if a newer one overtook it. */
   announce(announcement: WorkerAnnouncement, now: number): boolean {
     const {registry} = this.opts;
+    if (this.isUnanswering(announcement, now)) return false;
     const {accepted, replaced} = registry.announce(announcement, now);
     if (!accepted || this.epoch === 0) return accepted;
     if (replaced) this.lose(replaced);
@@ -140,6 +144,7 @@
       this.reportedLate(from, reports);
       return;
     }
+    worker.unansweredSince = undefined;
     const stillRunning: string[] = [];
     for (const report of reports) {
       const attempt = worker.attempts.get(report.id);
@@ -162,6 +167,7 @@
   ): void {
     const worker = this.matching(from);
     if (!worker || epoch !== this.epoch) return;
+    worker.unansweredSince = undefined;
     if (worker.fencedEpoch === epoch) return;
     worker.fencedEpoch = epoch;
     const knownIds = new Set(known.map(report => report.id));
@@ -209,6 +215,7 @@
     for (const worker of this.opts.registry.list()) {
       for (const id of [...worker.attempts.keys()]) worker.release(id);
       worker.foreign.clear();
+      worker.unansweredSince = undefined;
     }
   }
 
@@ -272,6 +279,7 @@
 
   private fence(worker: WorkerState, now: number): void {
     worker.lastAsked = now;
+    worker.unansweredSince ??= now;
     this.opts.upstream.fence(target(worker), this.epoch);
   }
 
@@ -289,6 +297,7 @@
     const forget = this.forgettable.due(worker.id, now);
     if (overdue.length === 0 && forget.length === 0) return;
     worker.lastAsked = now;
+    worker.unansweredSince ??= now;
     this.opts.upstream.settle(target(worker), this.epoch, overdue, forget);
   }
 
@@ -314,6 +323,16 @@
     this.opts.onEnded(attempt, outcome);
   }
 
+  private isUnanswering(
+    {worker: id, incarnation}: WorkerAnnouncement,
+    now: number,
+  ): boolean {
+    const worker = this.opts.registry.get(id);
+    if (worker?.incarnation !== incarnation) return false;
+    const {unansweredSince = now, attempts} = worker;
+    return attempts.size > 0 && now - unansweredSince > UNANSWERED_MS;
+  }
+
   private matching(from: WorkerTarget): WorkerState | undefined {
     const worker = this.opts.registry.get(from.worker);
     return worker?.incarnation === from.incarnation ? worker : undefined;
@@ -328,18 +347,3 @@
 function unknown(reason: string): AttemptOutcome {
   return {kind: 'unknown', reason};
 }
-
-function outcomeOf(
-  report: Exclude<AttemptReport, {state: 'running'}>,
-): AttemptOutcome {
-  switch (report.state) {
-    case 'succeeded':
-      return {kind: 'succeeded', result: report.result};
-    case 'failed':
-      return {kind: 'failed', error: report.error};
-    case 'stopped':
-      return {kind: 'stopped'};
-    case 'never_started':
-      return {kind: 'never_started', reason: report.reason};
-  }
-}
--- a/src/core/dispatch/job_ends.test.ts
+++ b/src/core/dispatch/job_ends.test.ts
@@ -125,3 +125,19 @@
   assert.equal(bench.answer(second)?.status, 'complete');
   assert.equal(bench.registry.get('w1')?.memoryUsedMb, 0);
 });
+
+test('a worker that announces but answers nothing loses its lease', () => {
+  const bench = new DispatchBench();
+  const key = bench.submit([60_000]);
+  bench.clock.advance(100);
+  bench.worker('w1').isDeaf = true;
+  bench.clock.advance(15_000);
+  assert.propertyVal(bench.answer(key), 'outcome', 'outcome_unknown');
+});
+
+test('a long task on a worker that answers keeps its lease', () => {
+  const bench = new DispatchBench();
+  const key = bench.submit([60_000]);
+  bench.clock.advance(62_000);
+  assert.equal(bench.answer(key)?.status, 'complete');
+});
--- a/src/core/worker/worker_state.ts
+++ b/src/core/worker/worker_state.ts
@@ -19,6 +19,8 @@
   lastContact = 0;
   /** Epoch milliseconds of the last settle or fence sent. */
   lastAsked = 0;
+  /** Epoch milliseconds of the first settle or fence without an answer. */
+  unansweredSince: number | undefined;
 
   constructor(
     public announcement: WorkerAnnouncement,
