--- a/src/core/dispatch/attempt_manager.ts
+++ b/src/core/dispatch/attempt_manager.ts
@@ -18,6 +18,8 @@
 const ASK_AFTER_MS = 1_000;
 const ASK_INTERVAL_MS = 1_000;
 const FENCE_RETRY_MS = 250;
+/** A worker without answers for this long gets no new lease; its tasks end. */
+const UNANSWERED_MS = 5_000;
 
 type Settled = Extract<JobEvent, {kind: 'settled'}>;
 
@@ -67,6 +69,7 @@
   /** Takes a worker's announcement; false if a newer one overtook it. */
   announce(announcement: WorkerAnnouncement, now: number): boolean {
     const {registry} = this.opts;
+    if (this.isUnanswering(announcement, now)) return false;
     const {accepted, replaced} = registry.announce(announcement, now);
     if (!accepted || this.epoch === 0) return accepted;
     if (replaced) this.lose(replaced);
@@ -142,6 +145,7 @@
       this.reportedLate(from, reports);
       return;
     }
+    worker.unansweredSince = undefined;
     const stillRunning: string[] = [];
     for (const report of reports) {
       const attempt = worker.attempts.get(report.id);
@@ -164,6 +168,7 @@
   ): void {
     const worker = this.matching(from);
     if (!worker || epoch !== this.epoch) return;
+    worker.unansweredSince = undefined;
     if (worker.fencedEpoch === epoch) return;
     worker.fencedEpoch = epoch;
     const knownIds = new Set(known.map(report => report.id));
@@ -211,6 +216,7 @@
     for (const worker of this.opts.registry.list()) {
       for (const id of [...worker.attempts.keys()]) worker.release(id);
       worker.foreign.clear();
+      worker.unansweredSince = undefined;
     }
   }
 
@@ -276,6 +282,7 @@
 
   private fence(worker: WorkerState, now: number): void {
     worker.lastAsked = now;
+    worker.unansweredSince ??= now;
     const inherited = [...worker.attempts.keys()];
     this.opts.upstream.fence(target(worker), this.epoch, inherited);
   }
@@ -294,6 +301,7 @@
     const forget = this.forgettable.due(worker.id, now);
     if (overdue.length === 0 && forget.length === 0) return;
     worker.lastAsked = now;
+    worker.unansweredSince ??= now;
     this.opts.upstream.settle(target(worker), this.epoch, overdue, forget);
   }
 
@@ -319,6 +327,16 @@
     this.opts.onEnded(attempt, outcome);
   }
 
+  private isUnanswering(
+    {worker: id, incarnation}: WorkerAnnouncement,
+    now: number,
+  ): boolean {
+    const worker = this.opts.registry.get(id);
+    if (worker?.incarnation !== incarnation) return false;
+    const {unansweredSince = now, attempts} = worker;
+    return attempts.size > 0 && now - unansweredSince > UNANSWERED_MS;
+  }
+
   private matching(from: WorkerTarget): WorkerState | undefined {
     const worker = this.opts.registry.get(from.worker);
     return worker?.incarnation === from.incarnation ? worker : undefined;
--- a/src/core/worker/worker_state.ts
+++ b/src/core/worker/worker_state.ts
@@ -18,6 +18,8 @@
   lastContact = 0;
   /** Epoch milliseconds of the last settle or fence sent. */
   lastAsked = 0;
+  /** Epoch milliseconds of the first settle or fence without an answer. */
+  unansweredSince: number | undefined;
 
   private fence = 0;
   private leaseEnd: number;
--- a/src/daemon/zone/job_router.ts
+++ b/src/daemon/zone/job_router.ts
@@ -41,6 +41,7 @@
     const waitMs = 'waitMs' in req ? req.waitMs : 0;
     const started = this.clock.now();
     let lastDetail = 'no node answers';
+    let isLost = false;
     while (this.clock.now() - started < Math.max(SEEK_MS, waitMs)) {
       const left = Math.max(0, started + waitMs - this.clock.now());
       const node = this.directory.candidate(home);
@@ -51,8 +52,11 @@
         left + RESPONSE_MARGIN_MS,
       );
       const outcome = this.interpret(home, node, res.unwrapOr(undefined));
-      if (outcome) return outcome;
-      if (res.isErr) lastDetail = res.error.detail;
+      if (outcome) return isLost ? outcome.mapErr(withoutNotRun) : outcome;
+      if (res.isErr) {
+        lastDetail = res.error.detail;
+        isLost ||= res.error.kind === 'lost';
+      }
       await this.pause();
     }
     return Result.err({
@@ -91,3 +95,12 @@
     });
   }
 }
+
+/**
+ * An earlier copy of the request may still arrive and be accepted, so a later
+ * refusal cannot say that nothing will run.
+ */
+function withoutNotRun(refusal: Refusal): Refusal {
+  if (refusal.outcome !== RunOutcome.notRun) return refusal;
+  return {...refusal, outcome: RunOutcome.unknown};
+}
