Drop the tasks of ended jobs from the job table

Cause: ended jobs kept task payloads and one record per task for the whole retention of 10 minutes; at growth size that is the largest use of memory. Change: when a job has ended and none of its attempts is open, the table keeps its answer and drops its tasks.

--- a/src/core/job/job_record.ts
+++ b/src/core/job/job_record.ts
@@ -29,8 +29,14 @@
 
 /** Replicated state of one job; only `JobTable` changes it. */
 export interface JobRecord {
-  readonly spec: JobSpec;
-  readonly tasks: TaskRecord[];
+  /** Without its tasks once the job has ended. */
+  spec: JobSpec;
+  /** Empty once the job has ended and none of its attempts is open. */
+  tasks: TaskRecord[];
+  /** Results in the order of the tasks, once the job is complete. */
+  results: readonly unknown[];
+  /** Attempts in progress. */
+  openAttempts: number;
   status: JobStatus;
   reason: string;
   /** Set once with the final status, so that every fetch says the same. */
--- a/src/core/job/job_table.ts
+++ b/src/core/job/job_table.ts
@@ -60,6 +60,7 @@
         if (!job) return undefined;
         const wasRunning = isRunning(job);
         this.applyTo(job, event);
+        compact(job);
         return wasRunning && !isRunning(job) ? job : undefined;
       }
     }
@@ -77,10 +78,7 @@
       };
     }
     if (job.status === 'complete') {
-      const results = job.tasks.map(task =>
-        task.last?.kind === 'succeeded' ? task.last.result : undefined,
-      );
-      return {status: 'complete', key, results};
+      return {status: 'complete', key, results: job.results};
     }
     const {status, reason, final = outcomeOf(job)} = job;
     return {status, key, reason, ...final};
@@ -126,6 +124,8 @@
         last: undefined,
         final: false,
       })),
+      results: [],
+      openAttempts: 0,
       status: 'running',
       reason: '',
       final: undefined,
@@ -145,6 +145,7 @@
         // No start follows an intent that comes after the end of its job.
         if (!task || task.final || job.status !== 'running') return;
         const {attempt, worker, incarnation} = event;
+        if (!task.open) job.openAttempts += 1;
         task.open = {attempt, worker, incarnation};
         return;
       }
@@ -167,6 +168,7 @@
     const task = job.tasks[event.task];
     if (!task || task.open?.attempt !== event.attempt) return;
     task.open = undefined;
+    job.openAttempts -= 1;
     task.last = event.outcome;
     task.final = event.final;
     task.started ||= event.outcome.kind !== 'never_started';
@@ -192,6 +194,21 @@
   return Math.floor(timeMs / AGE_STEP_MS);
 }
 
+/**
+ * Drops what an ended job needs no more. Ended jobs are kept for the whole
+ * retention, so they make up nearly all of the table.
+ */
+function compact(job: JobRecord): void {
+  if (isRunning(job) || job.openAttempts > 0 || job.tasks.length === 0) return;
+  if (job.status === 'complete') {
+    job.results = job.tasks.map(({last}) =>
+      last?.kind === 'succeeded' ? last.result : undefined,
+    );
+  }
+  job.tasks = [];
+  job.spec = {...job.spec, tasks: []};
+}
+
 /** The first final state of a job stands; later events do not change it. */
 function finish(
   job: JobRecord,
