Check real daemons under faults as separate processes

Cause: the checks of jobs and of configuration run in one process on fake clocks. Nothing drove real daemons over TCP and HTTP through kills, stops, drains and silent links with callers that resubmit and cancel.

Faults come one at a time, every kind before any comes again, and the next one waits until all daemons serve again, so that no zone loses the memory of a majority. Histories are checked with checkHistory and ChangeHistory. Payloads carry the key and index of the task, because lent slots run it under another key. The stand-in reports ends besides starts.

Ruled out: reusing connections in the load, since a request on a connection that the server closes at that moment looks like one that a drain has cut.

--- /dev/null
+++ b/src/check/processes/config_client.ts
@@ -0,0 +1,150 @@
+import {LocalCluster} from '../../../test-support/cluster/local_cluster.js';
+import type {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
+import type {ClassConfig} from '../../core/config/class_config.js';
+import type {Config} from '../../core/config/config.js';
+import {ChangeHistory} from '../config/change_history.js';
+import type {HttpReply} from './http_reply.js';
+import type {OpenRequests} from './open_requests.js';
+
+const CHANGE_EVERY_MS = 400;
+const POLL_EVERY_MS = 100;
+/** A daemon that is stopped for a while must not hold up the others' polls. */
+const READ_LIMIT_MS = 1_000;
+
+interface ClientOptions {
+  readonly cluster: LocalCluster;
+  readonly random: SeededRandom;
+  readonly requests: OpenRequests;
+}
+
+/** Changes the configuration and reads what is in force at each daemon. */
+export class ConfigClient {
+  readonly history = new ChangeHistory();
+  accepted = 0;
+  private isStopped = false;
+  private changes = 0;
+
+  constructor(private readonly opts: ClientOptions) {}
+
+  async run(): Promise<void> {
+    const nodes = [...this.opts.cluster.nodes.keys()];
+    await Promise.all([
+      this.repeat(CHANGE_EVERY_MS, () => this.change()),
+      ...nodes.map(id => this.repeat(POLL_EVERY_MS, () => this.poll(id))),
+    ]);
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Adds or replaces a class; undefined when it was not surely accepted. */
+  async put(value: ClassConfig, node: string): Promise<number | undefined> {
+    const config = await this.poll(node);
+    if (!config) return undefined;
+    const {name} = value;
+    const {history} = this;
+    const record = history.sent(name, config.version, Date.now());
+    // A second sending after a lost answer must get the first one's outcome.
+    const reply =
+      (await this.sendChange(node, value, config.version)) ??
+      (await this.sendChange(node, value, config.version));
+    if (!reply) {
+      history.unavailable(record, true);
+    } else if (reply.status === 200) {
+      const version = Number(reply.body['version']);
+      history.accepted(record, version, Date.now());
+      this.accepted += 1;
+      return version;
+    } else if (reply.status === 412) {
+      history.refused(record, 'conflict', Date.now());
+    } else {
+      history.unavailable(record, true);
+    }
+    return undefined;
+  }
+
+  /** Whether each daemon has every accepted change in force. */
+  async isInForce(): Promise<boolean> {
+    for (const id of this.opts.cluster.nodes.keys()) {
+      const config = await this.poll(id);
+      if (!config || config.version < this.history.floor) return false;
+      for (const {key, accepted} of this.history.changes.values()) {
+        if (accepted === undefined || config.classes[key]) continue;
+        this.history.report(`${id}: lacks ${key}, accepted as ${accepted}`);
+      }
+    }
+    return true;
+  }
+
+  private async repeat(
+    everyMs: number,
+    body: () => Promise<unknown>,
+  ): Promise<void> {
+    while (!this.isStopped) {
+      await body();
+      await new Promise(resolve => setTimeout(resolve, everyMs));
+    }
+  }
+
+  private async change(): Promise<void> {
+    const {random, cluster} = this.opts;
+    const nodes = [...cluster.nodes.keys()];
+    this.changes += 1;
+    const value = {
+      name: `change-${this.changes}`,
+      target_ms: random.integer(100, 5_000),
+      percentile: 99,
+      repeatable: false,
+      memory_mb: 0,
+      accelerators: 0,
+    };
+    await this.put(value, nodes[random.below(nodes.length)]!);
+  }
+
+  private async poll(id: string): Promise<Config | undefined> {
+    const node = this.opts.cluster.node(id);
+    const child = node.process;
+    const reply = await this.opts.requests.send({
+      node: id,
+      method: 'GET',
+      url: `${node.admin}/v1/classes`,
+      headers: authorization(),
+      limitMs: READ_LIMIT_MS,
+    });
+    // The answer of a process that has been replaced says nothing of the new.
+    if (reply?.status !== 200 || node.process !== child) return undefined;
+    const classes = reply.body['classes'] as readonly ClassConfig[];
+    const config = {
+      version: Number(reply.body['version']),
+      classes: Object.fromEntries(classes.map(entry => [entry.name, entry])),
+      tenants: {},
+    };
+    // Before it has followed the log once, a daemon has no configuration.
+    if (config.version === 0) return undefined;
+    this.history.applied(id, config);
+    return config;
+  }
+
+  private sendChange(
+    id: string,
+    {name, ...value}: ClassConfig,
+    version: number,
+  ): Promise<HttpReply | undefined> {
+    return this.opts.requests.send({
+      node: id,
+      method: 'PUT',
+      url: `${this.opts.cluster.node(id).admin}/v1/classes/${name}`,
+      headers: {
+        ...authorization(),
+        'if-match': `"${version}"`,
+        'idempotency-key': name,
+      },
+      body: value,
+    });
+  }
+}
+
+function authorization(): Record<string, string> {
+  return {authorization: `Bearer ${LocalCluster.ADMIN_TOKEN}`};
+}
--- /dev/null
+++ b/src/check/processes/fault.ts
@@ -0,0 +1,11 @@
+/** Faults that the check of processes makes. */
+export const Fault = {
+  killDispatcher: 'kill_dispatcher',
+  killOther: 'kill_other',
+  stopDispatcher: 'stop_dispatcher',
+  drain: 'drain',
+  killUpstream: 'kill_upstream',
+  silentLink: 'silent_link',
+} as const;
+
+export type Fault = (typeof Fault)[keyof typeof Fault];
--- /dev/null
+++ b/src/check/processes/http_reply.ts
@@ -0,0 +1,5 @@
+/** An HTTP response, read whole. */
+export interface HttpReply {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+}
--- /dev/null
+++ b/src/check/processes/process_history.ts
@@ -0,0 +1,116 @@
+import type {ChildProcess} from 'node:child_process';
+import type {LocalCluster} from '../../../test-support/cluster/local_cluster.js';
+import type {UpstreamReport} from '../../../test-support/cluster/upstream_report.js';
+import type {JobAnswer} from '../../core/job/job_answer.js';
+import type {Refusal} from '../../core/job/refusal.js';
+import {checkHistory} from '../jobs/check_history.js';
+import type {HistoryEvent} from '../jobs/history_event.js';
+import type {TaskOrigin} from './task_origin.js';
+
+interface SubmitOptions {
+  readonly key: string;
+  readonly body: string;
+  readonly tasks: number;
+  readonly repeatable: boolean;
+}
+
+interface StartSeen {
+  readonly at: number;
+  /** The zone whose dispatcher sent the start. */
+  readonly zone: string;
+  readonly epoch: number;
+}
+
+type Submit = Extract<HistoryEvent, {kind: 'submit'}>;
+type Settled = {-readonly [K in keyof Submit]: Submit[K]};
+
+/** What callers and upstreams saw, as events for the checkers of jobs. */
+export class ProcessHistory {
+  readonly starts: StartSeen[] = [];
+  private readonly events: HistoryEvent[] = [];
+  private readonly running = new Map<ChildProcess, Set<string>>();
+  private readonly labels = new Map<string, string>();
+
+  /** Records the reports of every upstream of a cluster. */
+  watch(cluster: LocalCluster): void {
+    cluster.onReport = (child, report) => this.reported(child, report);
+  }
+
+  /** Returns what records the response; without one it may have been taken. */
+  submitted(opts: SubmitOptions): (refusal?: Refusal) => void {
+    const at = Date.now();
+    const event: Settled = {
+      ...{kind: 'submit', at, ...opts, byLeader: false, refusal: undefined},
+    };
+    this.events.push(event);
+    return refusal => {
+      event.refusal = refusal;
+      event.byLeader = true;
+      if (refusal) return;
+      const {key, body} = opts;
+      this.events.push({kind: 'committed', at: Date.now(), key, body});
+    };
+  }
+
+  cancelled(key: string): void {
+    this.events.push({kind: 'cancel', at: Date.now(), key, taken: true});
+  }
+
+  answered(key: string, answer: JobAnswer): void {
+    this.events.push({kind: 'answer', at: Date.now(), key, answer});
+  }
+
+  check(): string[] {
+    return checkHistory(this.events);
+  }
+
+  private reported(child: ChildProcess, report: UpstreamReport): void {
+    const at = Date.now();
+    const worker = `process ${child.pid}`;
+    if ('end' in report) {
+      const succeeded = report.state === 'succeeded';
+      this.ended(child, `${report.end}`, succeeded);
+      return;
+    }
+    const origin = report.origin as TaskOrigin | undefined;
+    if (!origin) return;
+    const zone = report.key.slice(0, report.key.indexOf('~'));
+    const epoch = Number(report.start.split('.')[0]);
+    this.starts.push({at, zone, epoch});
+    this.labels.set(`${worker} ${report.start}`, zone);
+    const running = this.running.get(child) ?? new Set();
+    if (!this.running.has(child)) {
+      this.running.set(child, running);
+      // What ran on a process that died has ended without success.
+      child.once('close', () => {
+        for (const id of [...running]) this.ended(child, id, false);
+      });
+    }
+    running.add(report.start);
+    this.events.push({
+      kind: 'start',
+      at,
+      ...origin,
+      attempt: `${zone} ${report.start}`,
+      worker,
+      incarnation: '',
+      memoryMb: 0,
+      sentAt: at,
+    });
+  }
+
+  private ended(child: ChildProcess, id: string, succeeded: boolean): void {
+    const worker = `process ${child.pid}`;
+    const zone = this.labels.get(`${worker} ${id}`);
+    if (zone === undefined) return;
+    this.running.get(child)?.delete(id);
+    this.events.push({
+      kind: 'end',
+      at: Date.now(),
+      attempt: `${zone} ${id}`,
+      worker,
+      incarnation: '',
+      succeeded,
+    });
+  }
+}
--- /dev/null
+++ b/src/check/processes/processes_command.ts
@@ -0,0 +1,81 @@
+import {Command, InvalidArgumentError} from 'commander';
+import {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
+import {Fault} from './fault.js';
+import {FaultDriver} from './fault_driver.js';
+import {ProcessBench} from './process_bench.js';
+
+const DEFAULT_ROUNDS = 12;
+const MAX_ROUNDS = 200;
+/** Goal for the time from a kill to the first start by the successor. */
+const TAKEOVER_GOAL_MS = 2_000;
+/** Bound for the answers of the jobs that are open when the faults end. */
+const ANSWERS_LIMIT_MS = 60_000;
+const MIN_GAP_MS = 300;
+const MAX_GAP_MS = 1_500;
+
+interface Options {
+  readonly seed: number;
+  readonly rounds: number;
+}
+
+/** `processes`: real daemons under faults. */
+export const processesCommand = new Command('processes')
+  .description('check the invariants on real daemons under faults')
+  .option('--seed <n>', 'seed of faults and load', toInteger, 1)
+  .option('--rounds <n>', 'number of faults', toInteger, DEFAULT_ROUNDS)
+  .action(async ({seed, rounds}: Options) => {
+    const startedAt = performance.now();
+    // Faults have their own generator: load takes draws as answers arrive.
+    const random = new SeededRandom(seed);
+    const bench = await ProcessBench.start(seed);
+    const driver = new FaultDriver(bench, random);
+    const violations: string[] = driver.violations;
+    try {
+      for (const fault of plan(random, Math.min(rounds, MAX_ROUNDS))) {
+        const gapMs = random.between(MIN_GAP_MS, MAX_GAP_MS);
+        await new Promise(resolve => setTimeout(resolve, gapMs));
+        await driver.make(fault);
+      }
+      const quiet = await bench.finish(ANSWERS_LIMIT_MS);
+      violations.push(...quiet.violations);
+      const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+      console.log(`seed ${seed}: ${rounds} rounds in ${seconds} s`);
+      console.log(
+        `jobs: ${quiet.jobs}, starts: ${bench.history.starts.length}`,
+      );
+      console.log(`accepted changes: ${bench.config.accepted}`);
+    } catch (err) {
+      violations.push((err as Error).message);
+    } finally {
+      await bench.stop();
+    }
+    const faults = [...driver.counts].map(([kind, n]) => `${kind} ${n}`);
+    console.log(`faults: ${faults.join(', ')}`);
+    console.log(`requests open at SIGTERM: ${bench.requests.drained}`);
+    for (const {fault, zone, ms} of driver.takeovers) {
+      console.log(`takeover after ${fault} in ${zone}: ${ms} ms`);
+      if (fault !== Fault.killDispatcher || ms <= TAKEOVER_GOAL_MS) continue;
+      violations.push(`${zone}: ${ms} ms to the first start by the successor`);
+    }
+    console.log(`violations: ${violations.length}`);
+    for (const violation of violations) console.log(violation);
+    if (violations.length > 0) process.exitCode = 1;
+  });
+
+/** Every kind of fault comes before any comes again. */
+function plan(random: SeededRandom, rounds: number): Fault[] {
+  const faults: Fault[] = [];
+  while (faults.length < rounds) {
+    const left = Object.values(Fault);
+    while (left.length > 0) {
+      faults.push(...left.splice(random.below(left.length), 1));
+    }
+  }
+  return faults.slice(0, rounds);
+}
+
+function toInteger(text: string): number {
+  const value = Number(text);
+  if (Number.isInteger(value) && value >= 0) return value;
+  throw new InvalidArgumentError('expected a whole number');
+}
--- a/test-support/cluster/local_cluster.ts
+++ b/test-support/cluster/local_cluster.ts
@@ -6,7 +6,9 @@
 import {fileURLToPath} from 'node:url';
 import {stringify} from 'smol-toml';
 import {request} from 'undici';
+import {TcpRelay} from '../relay/tcp_relay.js';
 import {freePorts} from './free_ports.js';
+import type {UpstreamReport} from './upstream_report.js';
 import {waitUntil} from './wait_until.js';
 
 const HOST = '127.0.0.1';
@@ -29,6 +31,11 @@
   readonly settings?: Readonly<Record<string, unknown>>;
 }
 
+interface ClusterOptions {
+  /** Puts a relay into each link between daemons. Default: none. */
+  readonly relayed?: boolean;
+}
+
 interface CliRun {
   readonly code: number | null;
   readonly out: string;
@@ -49,7 +56,11 @@
   readonly nodes = new Map<string, RunningNode>();
   /** Starts that the upstreams have reported, in order of arrival. */
   readonly starts: Array<{start: string; key: string; task: number}> = [];
+  /** Called with each report of an upstream, in order of arrival. */
+  onReport: (child: ChildProcess, report: UpstreamReport) => void = () =>
+    undefined;
   private readonly upstreams: ChildProcess[] = [];
+  private readonly relays = new Map<string, TcpRelay>();
 
   private constructor(
     private readonly dir: string,
@@ -57,7 +68,10 @@
   ) {}
 
   /** Writes the settings of every node; `startNode` starts them. */
-  static async create(plan: readonly NodePlan[]): Promise<LocalCluster> {
+  static async create(
+    plan: readonly NodePlan[],
+    {relayed = false}: ClusterOptions = {},
+  ): Promise<LocalCluster> {
     const dir = mkdtempSync(join(tmpdir(), 'pimento-'));
     const tokenFile = join(dir, 'admin-token');
     const cluster = new LocalCluster(dir, tokenFile);
@@ -78,12 +92,20 @@
         admin_token_file: tokenFile,
         drain_notice_ms: DRAIN_NOTICE_MS,
         ...(node.voter ? {data_dir: join(cluster.dir, `${node.id}-data`)} : {}),
-        nodes: nodes.map(({id, zone, peer, voter}) => ({
-          id,
-          zone,
-          peer: {host: HOST, port: peer},
-          voter: voter ?? false,
-        })),
+        nodes: await Promise.all(
+          nodes.map(async ({id, zone, peer, voter}) => ({
+            id,
+            zone,
+            peer: {
+              host: HOST,
+              port:
+                relayed && id !== node.id
+                  ? await cluster.relay(node.id, id, peer)
+                  : peer,
+            },
+            voter: voter ?? false,
+          })),
+        ),
         ...node.settings,
       };
       writeFileSync(settingsFile, stringify(settings));
@@ -105,6 +127,13 @@
     return node;
   }
 
+  /** The relay in the connection that one daemon opens to another. */
+  link(from: string, to: string): TcpRelay {
+    const relay = this.relays.get(`${from} ${to}`);
+    if (!relay) throw new Error(`no relay from ${from} to ${to}`);
+    return relay;
+  }
+
   startNode(id: string): void {
     const node = this.node(id);
     node.process = spawn(
@@ -149,7 +178,11 @@
     child.stdout.on('data', (chunk: Buffer) => {
       const lines = (rest + chunk.toString()).split('\n');
       rest = lines.pop() ?? '';
-      for (const line of lines) this.starts.push(JSON.parse(line));
+      for (const line of lines) {
+        const report = JSON.parse(line) as UpstreamReport;
+        if ('start' in report) this.starts.push(report);
+        this.onReport(child, report);
+      }
     });
     this.upstreams.push(child);
     return child;
@@ -191,8 +224,15 @@
   async stopAll(): Promise<void> {
     await Promise.all(this.upstreams.map(child => exitOf(child, 'SIGKILL')));
     await Promise.all([...this.nodes.keys()].map(id => this.stopNode(id)));
+    await Promise.all([...this.relays.values()].map(relay => relay.close()));
     rmSync(this.dir, {recursive: true, force: true});
   }
+
+  private async relay(from: string, to: string, port: number): Promise<number> {
+    const relay = await TcpRelay.listen(port);
+    this.relays.set(`${from} ${to}`, relay);
+    return relay.port;
+  }
 }
 
 async function exitOf(
--- a/test-support/upstream/main.ts
+++ b/test-support/upstream/main.ts
@@ -32,9 +32,11 @@
   slots: Number(opts.slots),
   connections: 64,
   entries: opts.entry,
-  onStart: ({id, key, task}) => {
-    process.stdout.write(`${JSON.stringify({start: id, key, task})}\n`);
+  onStart: ({id, key, task, payload}) => {
+    const {origin} = (payload ?? {}) as {origin?: unknown};
+    print({start: id, key, task, origin});
   },
+  onEnd: ({id, state}) => print({end: id, state}),
 });
 upstream.slowness = Number(opts.slowness);
 upstream.failing = opts.failing ?? false;
@@ -45,3 +47,7 @@
   upstream.leaving = true;
 });
 process.on('SIGTERM', () => void upstream.stop().then(() => process.exit(0)));
+
+function print(report: object): void {
+  process.stdout.write(`${JSON.stringify(report)}\n`);
+}
--- a/test-support/upstream/stand_in_upstream.ts
+++ b/test-support/upstream/stand_in_upstream.ts
@@ -24,6 +24,8 @@
   readonly announcedAddress?: string;
   /** Called at each start, before the task runs. */
   readonly onStart?: (start: AttemptStart) => void;
+  /** Called when a started task ends, before its report is sent. */
+  readonly onEnd?: (report: AttemptReport) => void;
 }
 
 interface Known {
@@ -296,6 +298,7 @@
     if (known?.report.state !== 'running') return;
     clearTimeout(known.timer);
     known.report = report;
+    this.opts.onEnd?.(report);
     known.done?.();
   }
 }
