Measure the starts per second of a replicated group

Cause: the throughput run started a deployment without a voter, which the settings refuse by now, and measured a daemon without replicas only. Change: the run also starts a group of three daemons of one zone and reports the processor time of each.

--- a/src/measure/throughput/throughput_measurement.ts
+++ b/src/measure/throughput/throughput_measurement.ts
@@ -18,14 +18,16 @@
 const TICKS_PER_SECOND = 100;
 const KB = 1_024;
 
+const REPLICATED_SIZES = [12, 100];
+
 const HOST = fileURLToPath(new URL('upstream_host.js', import.meta.url));
 const DRIVER = fileURLToPath(new URL('load_driver.js', import.meta.url));
 
 interface Reading {
   readonly atMs: number;
   readonly starts: number;
-  readonly cpuMs: number;
-  readonly rssMb: number;
+  /** Of each daemon. */
+  readonly usage: ReadonlyArray<ReturnType<typeof usageOf>>;
 }
 
 /** Starts per second through one real daemon on loopback. */
@@ -37,18 +39,28 @@
   override async run(): Promise<object> {
     const figures: Record<string, object> = {};
     for (const size of JOB_SIZES) {
-      figures[`jobs of ${size}`] = await runOnce(size);
+      figures[`jobs of ${size}`] = await runOnce(size, ['a1']);
+    }
+    for (const size of REPLICATED_SIZES) {
+      const name = `jobs of ${size}, group of three`;
+      figures[name] = await runOnce(size, ['a1', 'a2', 'a3']);
     }
     return {figures, task_ms: TASK_MS, baseline: 'not measured'};
   }
 }
 
-async function runOnce(jobSize: number): Promise<object> {
-  const cluster = await LocalCluster.create([{id: 'a1', zone: 'arbat'}]);
+async function runOnce(
+  jobSize: number,
+  nodes: readonly string[],
+): Promise<object> {
+  const cluster = await LocalCluster.create(
+    nodes.map(id => ({id, zone: 'arbat', voter: true})),
+  );
   const children: ChildProcess[] = [];
   try {
     await cluster.startAll();
-    const {caller, process: daemon} = cluster.node('a1');
+    const {caller} = cluster.node('a1');
+    const daemons = nodes.map(id => cluster.node(id).process!.pid!);
     const starts = Array.from({length: HOSTS}, () => 0);
     for (let host = 0; host < HOSTS; host += 1) {
       const first = host * UPSTREAMS_PER_HOST + 1;
@@ -61,7 +73,7 @@
     const read = (): Reading => ({
       atMs: Date.now(),
       starts: starts.reduce((sum, count) => sum + count, 0),
-      ...usageOf(daemon!.pid!),
+      usage: daemons.map(usageOf),
     });
     // Small jobs need more of them to fill the slots.
     const slots = HOSTS * UPSTREAMS_PER_HOST * SLOTS;
@@ -79,19 +91,22 @@
     const after = read();
     await waitUntil('the driver', () => output.endsWith('\n'));
     const count = after.starts - before.starts;
+    const elapsedMs = after.atMs - before.atMs;
+    const cpuMs = after.usage.map(
+      (usage, at) => usage.cpuMs - before.usage[at]!.cpuMs,
+    );
     return {
       starts_per_s: {
-        ours: Math.round((1_000 * count) / (after.atMs - before.atMs)),
+        ours: Math.round((1_000 * count) / elapsedMs),
         baseline: null,
         ratio: null,
       },
-      daemon_cpu_us_per_start: Math.round(
-        (1_000 * (after.cpuMs - before.cpuMs)) / Math.max(1, count),
-      ),
-      daemon_core_share: round(
-        (after.cpuMs - before.cpuMs) / (after.atMs - before.atMs),
+      // One of them leads the zone; the callers' daemon may be another.
+      daemon_cpu_us_per_start: cpuMs.map(ms =>
+        Math.round((1_000 * ms) / Math.max(1, count)),
       ),
-      daemon_rss_mb: after.rssMb,
+      daemon_core_share: cpuMs.map(ms => round(ms / elapsedMs)),
+      daemon_rss_mb: after.usage.map(({rssMb}) => rssMb),
       open_jobs: open,
       jobs: JSON.parse(output) as object,
     };
