Test a stopped dispatcher and silent links with real processes

Cause: a daemon did not start in one of six runs of the new check ("a3 ended with exit code 1").

A new fault kills two daemons of different zones at once. Answers by outcome and starts on lent slots are printed.

--- a/src/check/processes/fault_driver.ts
+++ b/src/check/processes/fault_driver.ts
@@ -8,6 +8,13 @@
 const MAX_DOWN_MS = 1_500;
 const TAKEOVER_LIMIT_MS = 15_000;
 
+/** The daemon of arbat that is a member of medeu's group as well. */
+const WITNESS = 'a1';
+const WITNESS_REJOIN_MS = 2_000;
+const DIRECTIONS = ['to_target', 'to_client', 'both'] as const;
+
+type Direction = (typeof DIRECTIONS)[number];
+
 interface Takeover {
   readonly fault: Fault;
   readonly zone: string;
@@ -37,8 +44,14 @@
       case Fault.killOther:
         await this.killOther();
         break;
+      case Fault.killTwo:
+        await this.killTwo();
+        break;
       case Fault.stopDispatcher:
-        await this.stopDispatcher(zone);
+        await this.stopDispatcher(
+          zone,
+          this.random.between(MIN_STOP_MS, MAX_STOP_MS),
+        );
         break;
       case Fault.drain:
         await this.drain();
@@ -47,7 +60,7 @@
         await this.killUpstream();
         break;
       case Fault.silentLink:
-        await this.silenceLink();
+        await this.silenceLink(...this.pickLink());
         break;
     }
     await this.bench.whenSettled();
@@ -61,25 +74,38 @@
     await this.restart(id);
   }
 
+  /** The group of medeu needs a1, its witness, when a member is down. */
+  private async killTwo(): Promise<void> {
+    const {id, epoch} = await this.bench.dispatcher('medeu');
+    const other = this.pick(['a2', 'a3']);
+    const at = Date.now();
+    await Promise.all(
+      [id, other].map(node => this.bench.cluster.stopNode(node, 'SIGKILL')),
+    );
+    await this.takenOver(Fault.killTwo, 'medeu', epoch, at);
+    await Promise.all([this.restart(id), this.restart(other)]);
+  }
+
   private async killOther(): Promise<void> {
     const id = this.pick([...this.bench.cluster.nodes.keys()]);
     await this.bench.cluster.stopNode(id, 'SIGKILL');
-    await this.pause(0, MAX_DOWN_MS);
+    await pause(this.random.below(MAX_DOWN_MS));
     await this.restart(id);
   }
 
-  private async stopDispatcher(zone: string): Promise<void> {
+  /** SIGSTOP for this time at least, until a successor has started a task. */
+  async stopDispatcher(zone: string, stopMs: number): Promise<void> {
     const {id, epoch} = await this.bench.dispatcher(zone);
     const child = this.bench.cluster.node(id).process!;
     const at = Date.now();
     child.kill('SIGSTOP');
-    const resumed = this.pause(MIN_STOP_MS, MAX_STOP_MS).then(() =>
-      child.kill('SIGCONT'),
-    );
     try {
-      await this.takenOver(Fault.stopDispatcher, zone, epoch, at);
+      await Promise.all([
+        this.takenOver(Fault.stopDispatcher, zone, epoch, at),
+        pause(stopMs),
+      ]);
     } finally {
-      await resumed;
+      child.kill('SIGCONT');
     }
   }
 
@@ -97,17 +123,20 @@
     const closed = new Promise(resolve => child.once('close', resolve));
     child.kill('SIGKILL');
     await closed;
-    await this.pause(0, MAX_DOWN_MS);
+    await pause(this.random.below(MAX_DOWN_MS));
     this.bench.startUpstream(worker);
   }
 
-  private async silenceLink(): Promise<void> {
-    const {cluster} = this.bench;
-    const from = this.pick([...cluster.nodes.keys()]);
-    const to = this.pick([...cluster.nodes.keys()].filter(id => id !== from));
-    const link = cluster.link(from, to);
+  /** The open connection goes silent; waits for the one that replaces it. */
+  async silenceLink(
+    from: string,
+    to: string,
+    direction: Direction,
+  ): Promise<void> {
+    const link = this.bench.cluster.link(from, to);
+    await waitUntil(`a link ${from}-${to}`, () => link.open > 0);
     const {opened} = link;
-    link.silence(this.pick(['to_target', 'to_client', 'both'] as const));
+    link.silence(direction);
     await waitUntil(`a new link ${from}-${to}`, () => link.opened > opened);
   }
 
@@ -131,14 +160,22 @@
   private async restart(id: string): Promise<void> {
     this.bench.cluster.startNode(id);
     await this.bench.cluster.whenReady(id);
+    // No API tells whether a witness has its copy of the other zone's state.
+    if (id === WITNESS) await pause(WITNESS_REJOIN_MS);
+  }
+
+  private pickLink(): [string, string, Direction] {
+    const nodes = [...this.bench.cluster.nodes.keys()];
+    const from = this.pick(nodes);
+    const to = this.pick(nodes.filter(id => id !== from));
+    return [from, to, this.pick(DIRECTIONS)];
   }
 
   private pick<T>(values: readonly T[]): T {
     return values[this.random.below(values.length)]!;
   }
+}
 
-  private async pause(minMs: number, maxMs: number): Promise<void> {
-    const ms = this.random.between(minMs, maxMs);
-    await new Promise(resolve => setTimeout(resolve, ms));
-  }
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
 }
--- /dev/null
+++ b/src/check/processes/process_history.test.ts
@@ -0,0 +1,87 @@
+import type {ChildProcess} from 'node:child_process';
+import {EventEmitter} from 'node:events';
+import {assert} from 'chai';
+import type {LocalCluster} from '../../../test-support/cluster/local_cluster.js';
+import type {UpstreamReport} from '../../../test-support/cluster/upstream_report.js';
+import {resultOf} from '../jobs/result_of.js';
+import {ProcessHistory} from './process_history.js';
+
+const KEY = 'arbat~1';
+
+type Reporter = Pick<LocalCluster, 'onReport'>;
+
+function setUp(): {history: ProcessHistory; upstreams: Reporter} {
+  const history = new ProcessHistory();
+  const upstreams: Reporter = {onReport: () => undefined};
+  history.watch(upstreams);
+  return {history, upstreams};
+}
+
+function child(pid: number): ChildProcess {
+  return Object.assign(new EventEmitter(), {pid}) as ChildProcess;
+}
+
+function submit(history: ProcessHistory, repeatable = false): void {
+  history.submitted({key: KEY, body: 'b', tasks: 1, repeatable})();
+}
+
+function answer(history: ProcessHistory): void {
+  history.answered(KEY, {
+    status: 'cancelled',
+    key: KEY,
+    reason: 'cancelled by the caller',
+    outcome: 'outcome_unknown',
+    started: 1,
+  });
+}
+
+function start(key: string, id: string): UpstreamReport {
+  const origin = {key: KEY, body: 'b', task: 0};
+  return {start: id, key, task: 0, origin};
+}
+
+// The check would be blind to a double start on the slots of another zone.
+test('a start on a lent slot counts for the job that borrows', () => {
+  const {history, upstreams} = setUp();
+  submit(history);
+  answer(history);
+  upstreams.onReport(child(1), start(KEY, '7.1'));
+  assert.deepEqual(history.check(), []);
+  upstreams.onReport(child(2), start('medeu~2', '7.1'));
+  assert.include(history.check(), `${KEY}: task 0 was started 2 times`);
+});
+
+// A killed upstream reports no end, and a retry would look concurrent.
+test('the end of a process ends what ran on it', () => {
+  const {history, upstreams} = setUp();
+  submit(history, true);
+  answer(history);
+  const killed = child(1);
+  upstreams.onReport(killed, start(KEY, '7.1'));
+  killed.emit('close');
+  upstreams.onReport(child(2), start(KEY, '7.2'));
+  assert.deepEqual(history.check(), []);
+  upstreams.onReport(child(3), start(KEY, '7.3'));
+  assert.lengthOf(history.check(), 1);
+});
+
+test('a changed answer and a false not_run are found', () => {
+  const {history, upstreams} = setUp();
+  submit(history);
+  const worker = child(1);
+  upstreams.onReport(worker, start(KEY, '7.1'));
+  upstreams.onReport(worker, {end: '7.1', state: 'succeeded'});
+  const results = [resultOf(KEY, 'b', 0)];
+  history.answered(KEY, {status: 'complete', key: KEY, results});
+  assert.deepEqual(history.check(), []);
+  history.answered(KEY, {
+    status: 'failed',
+    key: KEY,
+    reason: 'none',
+    outcome: 'not_run',
+    started: 0,
+  });
+  const violations = history.check().join('\n');
+  assert.include(violations, 'answers differ');
+  assert.include(violations, 'answered not_run, but it was started');
+});
--- a/src/check/processes/process_history.ts
+++ b/src/check/processes/process_history.ts
@@ -19,6 +19,8 @@
   /** The zone whose dispatcher sent the start. */
   readonly zone: string;
   readonly epoch: number;
+  /** Whether the slot was lent by another zone than the job's. */
+  readonly isLent: boolean;
 }
 
 type Submit = Extract<HistoryEvent, {kind: 'submit'}>;
@@ -32,7 +34,7 @@
   private readonly labels = new Map<string, string>();
 
   /** Records the reports of every upstream of a cluster. */
-  watch(cluster: LocalCluster): void {
+  watch(cluster: Pick<LocalCluster, 'onReport'>): void {
     cluster.onReport = (child, report) => this.reported(child, report);
   }
 
@@ -60,6 +62,23 @@
     this.events.push({kind: 'answer', at: Date.now(), key, answer});
   }
 
+  /** Number of jobs by their first final answer. */
+  countAnswers(): Map<string, number> {
+    const seen = new Set<string>();
+    const counts = new Map<string, number>();
+    for (const event of this.events) {
+      if (event.kind !== 'answer' || seen.has(event.key)) continue;
+      const {answer} = event;
+      if (answer.status === 'running') continue;
+      seen.add(event.key);
+      const outcome = 'outcome' in answer ? ` ${answer.outcome}` : '';
+      const name = `${answer.status}${outcome}`;
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /** Violations of the invariants on jobs. */
   check(): string[] {
     return checkHistory(this.events);
   }
@@ -76,7 +95,8 @@
     if (!origin) return;
     const zone = report.key.slice(0, report.key.indexOf('~'));
     const epoch = Number(report.start.split('.')[0]);
-    this.starts.push({at, zone, epoch});
+    const isLent = report.key !== origin.key;
+    this.starts.push({at, zone, epoch, isLent});
     this.labels.set(`${worker} ${report.start}`, zone);
     const running = this.running.get(child) ?? new Set();
     if (!this.running.has(child)) {
--- /dev/null
+++ b/src/check/processes/processes.test.ts
@@ -0,0 +1,41 @@
+import {assert} from 'chai';
+import {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
+import {FaultDriver} from './fault_driver.js';
+import {ProcessBench} from './process_bench.js';
+
+const SEED = 1;
+const ANSWERS_LIMIT_MS = 15_000;
+
+/** Makes a fault under load, ends the load and checks the histories. */
+async function check(
+  fault: (driver: FaultDriver, bench: ProcessBench) => Promise<void>,
+): Promise<void> {
+  const bench = await ProcessBench.start(SEED);
+  try {
+    const driver = new FaultDriver(bench, new SeededRandom(SEED));
+    await fault(driver, bench);
+    await bench.whenSettled();
+    const {violations} = await bench.finish(ANSWERS_LIMIT_MS);
+    assert.deepEqual([...driver.violations, ...violations], []);
+  } finally {
+    await bench.stop();
+  }
+}
+
+// Guards against starts by a dispatcher that wakes up after its successor.
+test('a dispatcher that was stopped doubles and loses nothing', () =>
+  check(async driver => {
+    await driver.stopDispatcher('arbat', 0);
+    assert.lengthOf(driver.takeovers, 1);
+  }));
+
+// Guards against jobs that wait for good on a connection that carries nothing.
+test('a silent link of the dispatcher loses and doubles nothing', () =>
+  check(async (driver, bench) => {
+    const {id} = await bench.dispatcher('medeu');
+    const other = id === 'm1' ? 'm2' : 'm1';
+    await Promise.all([
+      driver.silenceLink(id, other, 'both'),
+      driver.silenceLink('a2', id, 'to_target'),
+    ]);
+  }));
--- a/src/check/processes/processes_command.ts
+++ b/src/check/processes/processes_command.ts
@@ -40,21 +40,22 @@
       violations.push(...quiet.violations);
       const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
       console.log(`seed ${seed}: ${rounds} rounds in ${seconds} s`);
-      console.log(
-        `jobs: ${quiet.jobs}, starts: ${bench.history.starts.length}`,
-      );
+      const {starts} = bench.history;
+      const lent = starts.filter(start => start.isLent).length;
+      console.log(`jobs: ${quiet.jobs}`);
+      console.log(`starts: ${starts.length}, on lent slots ${lent}`);
+      console.log(`answers: ${format(bench.history.countAnswers())}`);
       console.log(`accepted changes: ${bench.config.accepted}`);
     } catch (err) {
       violations.push((err as Error).message);
     } finally {
       await bench.stop();
     }
-    const faults = [...driver.counts].map(([kind, n]) => `${kind} ${n}`);
-    console.log(`faults: ${faults.join(', ')}`);
+    console.log(`faults: ${format(driver.counts)}`);
     console.log(`requests open at SIGTERM: ${bench.requests.drained}`);
     for (const {fault, zone, ms} of driver.takeovers) {
       console.log(`takeover after ${fault} in ${zone}: ${ms} ms`);
-      if (fault !== Fault.killDispatcher || ms <= TAKEOVER_GOAL_MS) continue;
+      if (fault === Fault.stopDispatcher || ms <= TAKEOVER_GOAL_MS) continue;
       violations.push(`${zone}: ${ms} ms to the first start by the successor`);
     }
     console.log(`violations: ${violations.length}`);
@@ -62,6 +63,10 @@
     if (violations.length > 0) process.exitCode = 1;
   });
 
+function format(counts: ReadonlyMap<string, number>): string {
+  return [...counts].map(([name, count]) => `${name} ${count}`).join(', ');
+}
+
 /** Every kind of fault comes before any comes again. */
 function plan(random: SeededRandom, rounds: number): Fault[] {
   const faults: Fault[] = [];
--- a/test-support/cluster/free_ports.ts
+++ b/test-support/cluster/free_ports.ts
@@ -1,19 +1,35 @@
+import {randomInt} from 'node:crypto';
 import {createServer} from 'node:net';
-import type {AddressInfo, Server} from 'node:net';
+import type {Server} from 'node:net';
+
+/**
+ * Below the ports that the system gives to outgoing connections and to servers
+ * on port 0: those could take a port while its daemon is down.
+ */
+const MIN_PORT = 12_000;
+const MAX_PORT = 32_000;
 
 /** Ports of the loopback interface that were free a moment ago. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({length: count}, open));
-  const ports = servers.map(server => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map(close));
-  return ports;
+  const servers = new Map<number, Server>();
+  while (servers.size < count) {
+    const port = randomInt(MIN_PORT, MAX_PORT);
+    const server = await open(port);
+    if (server) servers.set(port, server);
+  }
+  await Promise.all([...servers.values()].map(close));
+  return [...servers.keys()];
 }
 
-function open(): Promise<Server> {
+/** Undefined when the port is in use. */
+function open(port: number): Promise<Server | undefined> {
   return new Promise((resolve, reject) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => resolve(server));
+    server.once('error', (err: NodeJS.ErrnoException) => {
+      if (err.code === 'EADDRINUSE') resolve(undefined);
+      else reject(err);
+    });
+    server.listen(port, '127.0.0.1', () => resolve(server));
   });
 }
 
