Offer lent slots with a connection for control messages

SlotLender announced as many connections as slots. An announcement needs at least two connections, since one is for control messages, so borrowers refused each offer of one slot or none ("worker.announce: Expected >=2 but received 1"). The offer with `leaving`, which ends the lending, was lost as well when nothing was lent, and the borrower could use one slot less than was offered.

Ruled out: the validator; the rule holds for every worker.

Change: an offer has one connection more than slots.

--- a/src/core/overflow/slot_lender.ts
+++ b/src/core/overflow/slot_lender.ts
@@ -53,7 +53,7 @@
     {slots, memoryMb, classes}: ReturnType<SpareSlots['find']>,
     lent: number,
   ): void {
-    const total = slots + lent;
+    const total = Math.max(1, slots + lent);
     this.opts.announce({
       worker: ZoneWorker.idOf(this.opts.zone),
       incarnation: `${Math.floor(this.opts.memoryStart())}`,
@@ -61,8 +61,9 @@
       zone,
       rack: this.opts.zone,
       address: ZoneWorker.addressOf(this.opts.zone),
-      slots: Math.max(1, total),
-      connections: Math.max(1, total),
+      slots: total,
+      // As for any worker, one connection is kept for control messages.
+      connections: total + 1,
       processors: 0,
       memory_mb: memoryMb,
       accelerators: 0,
