Wait for the open jobs of a zone that nobody can take over

Cause: a group of one (a deployment of one or two daemons) dropped its jobs at a planned stop, except those with a waiting caller; found by the group's author. Change: without a successor the daemon goes on until no job is open, for 60 s at most.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -70,6 +70,11 @@
     return countLent(this.active.values());
   }
 
+  /** Jobs that have not ended, or that have attempts to stop. */
+  get activeJobs(): number {
+    return this.active.size + this.proposed.size;
+  }
+
   /** Tasks that wait for a slot. */
   get queued(): number {
     return this.opts.policy.queued;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -29,6 +29,9 @@
 import {ZoneGroups} from './zone/zone_groups.js';
 import {ZoneService} from './zone/zone_service.js';
 
+/** Longest wait for the jobs of a zone that no other daemon can take over. */
+const IDLE_LIMIT_MS = 60_000;
+
 interface DaemonEvents {
   /** An operator asks for a graceful stop. */
   drain: undefined;
@@ -216,7 +219,8 @@
     const noticed = new Promise<void>(resolve => {
       this.clock.schedule(noticeMs, resolve);
     });
-    await Promise.all([this.groups.handOver(), noticed]);
+    const [isHandedOver] = await Promise.all([this.groups.handOver(), noticed]);
+    if (!isHandedOver) await this.zone.whenIdle(IDLE_LIMIT_MS);
     await this.supervisor.stop();
     this.log.info('stopped');
   }
--- a/src/daemon/zone/zone_groups.ts
+++ b/src/daemon/zone/zone_groups.ts
@@ -64,19 +64,23 @@
     return this.opts.clock.now() >= acceptsFrom;
   }
 
-  /** Passes the lead on, if there is a successor, and awaits its election. */
-  async handOver(): Promise<void> {
+  /**
+   * Passes the lead on and awaits the election of a successor. False if no
+   * other member can take over.
+   */
+  async handOver(): Promise<boolean> {
     const {clock} = this.opts;
     const started = clock.now();
-    if (!this.own.handOver(started)) return;
+    if (!this.own.handOver(started)) return false;
     while (clock.now() - started < HAND_OVER_LIMIT_MS) {
       const {leader} = this.own;
-      if (this.own instanceof AbsentReplicator) return;
-      if (leader !== undefined && leader !== this.opts.node) return;
+      if (this.own instanceof AbsentReplicator) return true;
+      if (leader !== undefined && leader !== this.opts.node) return true;
       await new Promise<void>(resolve => {
         clock.schedule(HAND_OVER_POLL_MS, resolve);
       });
     }
+    return false;
   }
 
   private join(zone: string, table: JobTable): GroupReplica | undefined {
--- a/src/daemon/zone/zone_service.ts
+++ b/src/daemon/zone/zone_service.ts
@@ -73,6 +73,22 @@
     this.scheduleTick();
   }
 
+  /**
+   * Waits until no job of the zone depends on this node, for `limitMs` at most.
+   * A group of one forgets its jobs with its process.
+   */
+  async whenIdle(limitMs: number): Promise<void> {
+    const {clock} = this.opts;
+    const deadline = clock.now() + limitMs;
+    const isBusy = () =>
+      this.dispatcher.isLeading && this.dispatcher.activeJobs > 0;
+    while (isBusy() && clock.now() < deadline) {
+      await new Promise<void>(resolve => {
+        clock.schedule(TICK_MS, resolve);
+      });
+    }
+  }
+
   stop(): void {
     this.isStopped = true;
   }
