--- a/src/check/jobs/run_steps.ts
+++ b/src/check/jobs/run_steps.ts
@@ -45,6 +45,7 @@
     private readonly kind: GroupKind,
   ) {
     this.zone = new ZoneRun(mutation, kind);
+    this.zone.onLeader = () => this.fetchAll();
   }
 
   act(action: Action): void {
@@ -72,7 +73,7 @@
       case 'take_over':
         this.takeOver(action);
         // Callers whose connection broke ask the successor.
-        for (const {key} of this.jobs) zone.fetch(key.text);
+        this.fetchAll();
         return;
       case 'stall_commits':
         zone.group.stall(action.ms);
@@ -113,6 +114,10 @@
     else zone.group.takeOver(`n${action.node + 1}`, action);
   }
 
+  private fetchAll(): void {
+    for (const {key} of this.jobs) this.zone.fetch(key.text);
+  }
+
   private submit(submission: Submission): void {
     this.jobs.push(submission);
     this.zone.submit(submission);
--- a/src/check/jobs/zone_run.ts
+++ b/src/check/jobs/zone_run.ts
@@ -58,6 +58,8 @@
   });
   /** The only member that a worker's announcements reach, by worker. */
   readonly routes = new Map<string, string>();
+  /** Callers whose requests a change of leader broke ask the new one. */
+  onLeader: () => void = () => undefined;
   group: TestGroup;
   members: ZoneMember[] = [];
   private readonly announcer: FakeFleet;
@@ -211,6 +213,7 @@
       clock,
       members: NODES,
       onCommitted,
+      onLeader: () => clock.defer(() => this.onLeader()),
       onMemoryLost: () => this.record({kind: 'memory_lost'}),
     });
   }
--- a/test-support/fakes/replica_group.ts
+++ b/test-support/fakes/replica_group.ts
@@ -15,6 +15,8 @@
   readonly members: readonly string[];
   /** Called once for each event that is committed. */
   readonly onCommitted: (event: JobEvent) => void;
+  /** Called when a member begins to lead. */
+  readonly onLeader: () => void;
   /** Called when a new group formed without the jobs of an earlier one. */
   readonly onMemoryLost: () => void;
 }
@@ -26,6 +28,7 @@
   private readonly replicas = new Map<string, GroupReplica>();
   private readonly accepted = new Set<string>();
   private memoryStart: number | undefined;
+  private highestEpoch = 0;
   private isStarted = false;
 
   constructor(private readonly opts: ReplicaGroupOptions) {
@@ -67,14 +70,11 @@
   }
 
   override get leaderNode(): string | undefined {
-    let leader: string | undefined;
-    let highest = 0;
-    for (const [node, {leading = 0}] of this.replicas) {
-      if (leading <= highest) continue;
-      highest = leading;
-      leader = node;
+    for (const [node, {leading}] of this.replicas) {
+      // A deposed leader that has not noticed yet is not the leader.
+      if (leading !== undefined && leading === this.highestEpoch) return node;
     }
-    return leader;
+    return undefined;
   }
 
   override takeOver(
@@ -103,12 +103,15 @@
     }
   }
 
-  private noteLeader({memoryStart}: Replicator): void {
+  private noteLeader({memoryStart, leading = 0}: Replicator): void {
+    this.highestEpoch = Math.max(this.highestEpoch, leading);
     const before = this.memoryStart;
     this.memoryStart = memoryStart;
-    if (before === undefined || before === memoryStart) return;
-    this.accepted.clear();
-    this.opts.onMemoryLost();
+    if (before !== undefined && before !== memoryStart) {
+      this.accepted.clear();
+      this.opts.onMemoryLost();
+    }
+    this.opts.onLeader();
   }
 }
 
