--- a/src/core/config/log/membership_manager.ts
+++ b/src/core/config/log/membership_manager.ts
@@ -9,6 +9,12 @@
 /** Undefined when done; else the reason, or that the outcome is unknown. */
 type Done = (refusal: ChangeRefusal | undefined) => void;
 
+interface Plan {
+  /** Undefined when the members are as asked for already. */
+  readonly next: Membership | undefined;
+  readonly isDone: (members: Membership) => boolean;
+}
+
 /**
  * Changes the members one at a time, and carries on a replacement that this or
  * an earlier leader has begun.
@@ -176,16 +182,8 @@
   private plan(
     req: MembershipRequest,
     find: (node: string) => LogNodeId | undefined,
-  ):
-    | {refusal: ChangeRefusal}
-    | {
-        next: Membership | undefined;
-        isDone: (members: Membership) => boolean;
-      } {
-    const {members} = this.member.store;
-    const {voters, learners} = members;
-    const isAt = (node: string) => (m: LogNodeId) => m.node === node;
-    const {replacing} = members;
+  ): Plan | {refusal: ChangeRefusal} {
+    const {replacing} = this.member.store.members;
     if (replacing && req.op === 'remove' && req.node === replacing.next.node) {
       return this.planCancel(replacing.next);
     }
@@ -193,53 +191,60 @@
       return {refusal: refuse('unavailable', 'a replacement is under way')};
     }
     switch (req.op) {
-      case 'add': {
-        const isMember = (m: Membership) =>
-          [...m.voters, ...m.learners].some(isAt(req.node));
-        if (isMember(members)) return {next: undefined, isDone: isMember};
-        const found = find(req.node);
-        if (!found) return {refusal: noFolder(req.node)};
-        const next = {voters, learners: [...learners, found]};
-        return {next, isDone: isMember};
-      }
-      case 'promote': {
-        const isVoter = (m: Membership) => m.voters.some(isAt(req.node));
-        if (isVoter(members)) return {next: undefined, isDone: isVoter};
-        const learner = learners.find(isAt(req.node));
-        if (!learner) {
-          const detail = `"${req.node}" is not a learner; add it first`;
-          return {refusal: refuse('invalid', detail)};
-        }
-        const match = this.leader.progressOf(learner)?.match ?? 0;
-        if (match < this.member.commitIndex) {
-          const detail = `"${req.node}" has not caught up yet`;
-          return {refusal: refuse('unavailable', detail)};
-        }
-        const next = {
-          voters: [...voters, learner],
-          learners: learners.filter(m => m !== learner),
-        };
-        return {next, isDone: isVoter};
-      }
-      case 'remove': {
-        const isGone = (m: Membership) =>
-          ![...m.voters, ...m.learners].some(isAt(req.node));
-        if (isGone(members)) return {next: undefined, isDone: isGone};
-        const next = {
-          voters: voters.filter(m => m.node !== req.node),
-          learners: learners.filter(m => m.node !== req.node),
-        };
-        if (next.voters.length === 0) {
-          const detail = `"${req.node}" is the last voter`;
-          return {refusal: refuse('invalid', detail)};
-        }
-        return {next, isDone: isGone};
-      }
+      case 'add':
+        return this.planAdd(req.node, find(req.node));
+      case 'promote':
+        return this.planPromote(req.node);
+      case 'remove':
+        return this.planRemove(req.node);
       case 'replace':
         return this.planReplace(req, find);
     }
   }
 
+  private planAdd(node: string, found: LogNodeId | undefined) {
+    const {members} = this.member.store;
+    const {voters, learners} = members;
+    const isDone = (m: Membership) =>
+      [...m.voters, ...m.learners].some(isAt(node));
+    if (isDone(members)) return {next: undefined, isDone};
+    if (!found) return {refusal: noFolder(node)};
+    return {next: {voters, learners: [...learners, found]}, isDone};
+  }
+
+  private planPromote(node: string) {
+    const {members} = this.member.store;
+    const {voters, learners} = members;
+    const isDone = (m: Membership) => m.voters.some(isAt(node));
+    if (isDone(members)) return {next: undefined, isDone};
+    const learner = learners.find(isAt(node));
+    if (!learner) {
+      const detail = `"${node}" is not a learner; add it first`;
+      return {refusal: refuse('invalid', detail)};
+    }
+    const match = this.leader.progressOf(learner)?.match ?? 0;
+    if (match < this.member.commitIndex) {
+      const detail = `"${node}" has not caught up yet`;
+      return {refusal: refuse('unavailable', detail)};
+    }
+    const rest = learners.filter(m => m !== learner);
+    return {next: {voters: [...voters, learner], learners: rest}, isDone};
+  }
+
+  private planRemove(node: string) {
+    const {members} = this.member.store;
+    const isDone = (m: Membership) =>
+      ![...m.voters, ...m.learners].some(isAt(node));
+    if (isDone(members)) return {next: undefined, isDone};
+    const voters = members.voters.filter(m => m.node !== node);
+    if (voters.length === 0) {
+      const detail = `"${node}" is the last voter`;
+      return {refusal: refuse('invalid', detail)};
+    }
+    const learners = members.learners.filter(m => m.node !== node);
+    return {next: {voters, learners}, isDone};
+  }
+
   /** Gives up a replacement whose new member does not vote yet. */
   private planCancel(added: LogNodeId) {
     const {voters, learners} = this.member.store.members;
@@ -300,3 +305,7 @@
     `"${node}" has not announced a data folder; is its daemon running?`,
   );
 }
+
+function isAt(node: string): (member: LogNodeId) => boolean {
+  return member => member.node === node;
+}
--- a/src/daemon/admin/status_report.ts
+++ b/src/daemon/admin/status_report.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '../../core/clock/clock.js';
 import type {Replicator} from '../../core/group/replicator.js';
 import type {JobTable} from '../../core/job/job_table.js';
+import {ZoneWorker} from '../../core/overflow/zone_worker.js';
 import type {ZoneService} from '../zone/zone_service.js';
 import type {ConfigAdmin} from './config_admin.js';
 import type {DaemonStatus} from './daemon_status.js';
@@ -28,7 +29,10 @@
   status(): DaemonStatus {
     const {node, clock, zone, replicator} = this.opts;
     const {config} = this.opts;
-    const workers = [...zone.registry.list()];
+    // Slots that other zones lend come and go with their load.
+    const workers = [...zone.registry.list()].filter(
+      ({id}) => !ZoneWorker.isZone(id),
+    );
     return {
       node: node.id,
       zone: node.zone,
--- /dev/null
+++ b/src/daemon/zone/zone_node.ts
@@ -0,0 +1,96 @@
+import {EventLoopLag} from '../../adapter/event_loop_lag.js';
+import {SystemRandom} from '../../adapter/system_random.js';
+import {HttpUpstreamClient} from '../../adapter/upstream/http_upstream_client.js';
+import type {Clock} from '../../core/clock/clock.js';
+import type {ConfigSource} from '../../core/config/config_source.js';
+import type {DispatchObserver} from '../../core/dispatch/dispatch_observer.js';
+import {TargetPolicy} from '../../core/dispatch/target/target_policy.js';
+import {ZoneUpstreamClient} from '../../core/overflow/zone_upstream_client.js';
+import {ZonedUpstreamClient} from '../../core/overflow/zoned_upstream_client.js';
+import type {PeerTransport} from '../../core/peer/peer_transport.js';
+import {Service} from '../supervisor/service.js';
+import {JobRouter} from './job_router.js';
+import {WorkerRouter} from './worker_router.js';
+import {ZoneDirectory} from './zone_directory.js';
+import {ZoneGroups} from './zone_groups.js';
+import {ZoneService} from './zone_service.js';
+
+/** Longest wait for the jobs of a zone that no other daemon can take over. */
+const IDLE_LIMIT_MS = 60_000;
+
+interface ZoneNodeOptions {
+  readonly node: string;
+  readonly zone: string;
+  /** Every daemon of the deployment. */
+  readonly nodes: ReadonlyArray<{readonly id: string; readonly zone: string}>;
+  readonly clock: Clock;
+  readonly peers: PeerTransport;
+  readonly config: ConfigSource;
+  readonly observer: DispatchObserver;
+  readonly onUpstreamError: (detail: string) => void;
+}
+
+/** This daemon's part in its zone, put together with the real adapters. */
+export class ZoneNode extends Service {
+  override readonly name = 'zone';
+  /** Brings requests about jobs to the dispatchers of their home zones. */
+  readonly jobs: JobRouter;
+  /** Brings announcements of workers to the daemons of their zones. */
+  readonly workers: WorkerRouter;
+  readonly groups: ZoneGroups;
+  readonly service: ZoneService;
+  private readonly upstream: HttpUpstreamClient;
+  private readonly lag: EventLoopLag;
+
+  constructor(opts: ZoneNodeOptions) {
+    super();
+    const {zone, clock, peers, config} = opts;
+    const random = new SystemRandom();
+    const directory = new ZoneDirectory(opts.nodes);
+    const policy = new TargetPolicy({config, random, zone});
+    this.lag = new EventLoopLag(clock, lagMs => policy.noteLag(lagMs));
+    this.upstream = new HttpUpstreamClient({onError: opts.onUpstreamError});
+    this.groups = new ZoneGroups({...opts, random});
+    this.jobs = new JobRouter(directory, peers, clock);
+    const borrowed = new ZoneUpstreamClient({
+      clock,
+      zone,
+      route: (key, req) => this.jobs.route(key, req),
+    });
+    this.service = new ZoneService({
+      ...opts,
+      otherZones: directory.zones.filter(other => other !== zone),
+      announceSpare: offer => void this.workers.offer(offer),
+      replicator: this.groups.own,
+      table: this.groups.table,
+      policy,
+      upstream: new ZonedUpstreamClient(this.upstream, borrowed),
+    });
+    this.workers = new WorkerRouter(
+      zone,
+      directory,
+      peers,
+      this.service,
+      () => this.groups.own.leading,
+      () => this.groups.own.leader,
+    );
+  }
+
+  override async start(): Promise<void> {
+    this.groups.start();
+    this.lag.start();
+  }
+
+  /** Passes the lead on; without a successor, waits for the open jobs. */
+  async handOver(): Promise<void> {
+    const isHandedOver = await this.groups.handOver();
+    if (!isHandedOver) await this.service.whenIdle(IDLE_LIMIT_MS);
+  }
+
+  override async stop(): Promise<void> {
+    await this.upstream.close();
+    this.lag.stop();
+    this.service.stop();
+    this.groups.stop();
+  }
+}
