--- a/src/adapter/peer/silent_link.test.ts
+++ b/src/adapter/peer/silent_link.test.ts
@@ -1,15 +1,15 @@
 import {assert} from 'chai';
-import {v7 as uuidv7} from 'uuid';
 import {freePorts} from '../../../test-support/cluster/free_ports.js';
 import {waitUntil} from '../../../test-support/cluster/wait_until.js';
 import {DispatchBench} from '../../../test-support/fakes/dispatch_bench.js';
+import {jobSpecOf} from '../../../test-support/fakes/job_spec_of.js';
+import {newJobKey} from '../../../test-support/fakes/new_job_key.js';
 import {FakeFleet} from '../../../test-support/fakes/fake_fleet.js';
 import {TcpRelay} from '../../../test-support/relay/tcp_relay.js';
 import {StaticConfigSource} from '../../core/config/static_config_source.js';
 import {FifoPolicy} from '../../core/dispatch/fifo_policy.js';
 import {SoloReplicator} from '../../core/group/solo_replicator.js';
 import {JobTable} from '../../core/job/job_table.js';
-import {JobKey} from '../../core/job/job_key.js';
 import {JobRouter} from '../../daemon/zone/job_router.js';
 import {ZoneDirectory} from '../../daemon/zone/zone_directory.js';
 import {ZoneService} from '../../daemon/zone/zone_service.js';
@@ -88,23 +88,12 @@
       {id: 'a', zone: 'arbat'},
       {id: 'b', zone: 'panfilov'},
     ]);
-    const key = JobKey.parse(`panfilov~${uuidv7()}`).unwrapOrElse(err => {
-      throw new Error(err);
-    });
+    const key = newJobKey('panfilov', clock.now());
     const answer = new JobRouter(directory, a, clock).route(key, {
       kind: 'submit',
       key: key.text,
       waitMs: WAIT_MS,
-      spec: {
-        key: key.text,
-        keyTimeMs: key.timeMs,
-        className: 'default',
-        tenant: 'default',
-        repeatable: true,
-        tasks: [{payload: {ms: TASK_MS, value: 7}}],
-        fingerprint: 'f',
-        submittedAt: clock.now(),
-      },
+      spec: jobSpecOf(key, [TASK_MS], clock.now()),
     });
     await waitUntil('the start', () => worker.running === 1);
     relay.silence(direction);
--- a/src/core/overflow/overflow.test.ts
+++ b/src/core/overflow/overflow.test.ts
@@ -1,20 +1,14 @@
 import {assert} from 'chai';
-import {v7 as uuidv7} from 'uuid';
+import {jobSpecOf} from '../../../test-support/fakes/job_spec_of.js';
+import {newJobKey} from '../../../test-support/fakes/new_job_key.js';
 import {ZonesBench} from '../../../test-support/fakes/zones_bench.js';
-import {JobKey} from '../job/job_key.js';
+import type {JobKey} from '../job/job_key.js';
 import type {JobRequest} from '../job/job_request.js';
 
 const WAIT_MS = 20_000;
 
-let keys = 0;
-
 function newKey(bench: ZonesBench, zone: string): JobKey {
-  keys += 1;
-  const random = new Uint8Array(16).fill(keys % 256);
-  const uuid = uuidv7({msecs: Math.floor(bench.clock.now()), random});
-  return JobKey.parse(`${zone}~${uuid}`).unwrapOrElse(err => {
-    throw new Error(err);
-  });
+  return newJobKey(zone, bench.clock.now());
 }
 
 function submission(
@@ -22,21 +16,8 @@
   key: JobKey,
   taskMs: readonly number[],
 ): JobRequest {
-  return {
-    kind: 'submit',
-    key: key.text,
-    waitMs: WAIT_MS,
-    spec: {
-      key: key.text,
-      keyTimeMs: key.timeMs,
-      className: 'default',
-      tenant: 'default',
-      repeatable: true,
-      tasks: taskMs.map((ms, value) => ({payload: {ms, value}})),
-      fingerprint: taskMs.join(),
-      submittedAt: bench.clock.now(),
-    },
-  };
+  const spec = jobSpecOf(key, taskMs, bench.clock.now());
+  return {kind: 'submit', key: key.text, waitMs: WAIT_MS, spec};
 }
 
 /** Submits a job, moves the clock until it has an answer, and returns that. */
--- a/src/daemon/zone/zone_service.test.ts
+++ b/src/daemon/zone/zone_service.test.ts
@@ -1,32 +1,17 @@
 import {assert} from 'chai';
-import {v7 as uuidv7} from 'uuid';
+import {jobSpecOf} from '../../../test-support/fakes/job_spec_of.js';
+import {newJobKey} from '../../../test-support/fakes/new_job_key.js';
 import {ZonesBench} from '../../../test-support/fakes/zones_bench.js';
-import {JobKey} from '../../core/job/job_key.js';
 
 const TASK_MS = 500;
 
 async function benchWithJob(): Promise<ZonesBench> {
   const bench = await ZonesBench.create({zones: {arbat: 1}});
   const now = bench.clock.now();
-  const text = `arbat~${uuidv7({msecs: Math.floor(now)})}`;
-  const key = JobKey.parse(text).unwrapOrElse(err => {
-    throw new Error(err);
-  });
+  const key = newJobKey('arbat', now);
+  const spec = jobSpecOf(key, [TASK_MS], now);
   const {dispatcher} = bench.zone('arbat').service;
-  const taken = dispatcher.submit(
-    key,
-    {
-      key: key.text,
-      keyTimeMs: key.timeMs,
-      className: 'default',
-      tenant: 'default',
-      repeatable: true,
-      tasks: [{payload: {ms: TASK_MS}}],
-      fingerprint: 'f',
-      submittedAt: now,
-    },
-    now,
-  );
+  const taken = dispatcher.submit(key, spec, now);
   assert.isTrue(taken.isOk);
   return bench;
 }
--- a/src/measure/overflow/zone_caller.ts
+++ b/src/measure/overflow/zone_caller.ts
@@ -1,6 +1,6 @@
-import {v7 as uuidv7} from 'uuid';
+import {jobSpecOf} from '../../../test-support/fakes/job_spec_of.js';
+import {newJobKey} from '../../../test-support/fakes/new_job_key.js';
 import type {ZonesBench} from '../../../test-support/fakes/zones_bench.js';
-import {JobKey} from '../../core/job/job_key.js';
 import type {TraceJob} from '../workload/trace_job.js';
 import type {FinishTimes} from './finish_times.js';
 
@@ -44,20 +44,12 @@
   private submit(job: TraceJob, attempt: number): void {
     const {clock} = this.bench;
     const now = clock.now();
-    const uuid = uuidv7({msecs: Math.floor(now)});
-    const key = JobKey.parse(`${this.zone}~${uuid}`).unwrapOrElse(err => {
-      throw new Error(err);
-    });
-    const spec = {
-      key: key.text,
-      keyTimeMs: key.timeMs,
+    const key = newJobKey(this.zone, now);
+    const spec = jobSpecOf(key, job.taskMs, now, {
       className: job.className,
       tenant: job.tenant,
-      repeatable: true,
-      tasks: job.taskMs.map(ms => ({payload: {ms}})),
       fingerprint: key.text,
-      submittedAt: now,
-    };
+    });
     const {dispatcher} = this.bench.zone(this.zone).service;
     const taken = dispatcher.submit(key, spec, now);
     if (taken.isOk) {
--- a/test-support/fakes/dispatch_bench.ts
+++ b/test-support/fakes/dispatch_bench.ts
@@ -17,6 +17,7 @@
 import {FakeClock} from './fake_clock.js';
 import {FakeFleet} from './fake_fleet.js';
 import type {FakeWorker} from './fake_worker.js';
+import {jobSpecOf} from './job_spec_of.js';
 
 const ANNOUNCE_MS = 500;
 const TICK_MS = 100;
@@ -142,17 +143,7 @@
     taskMs: readonly number[],
     over: Partial<JobSpec> = {},
   ): JobSpec {
-    return {
-      key: key.text,
-      keyTimeMs: key.timeMs,
-      className: 'default',
-      tenant: 'default',
-      repeatable: true,
-      tasks: taskMs.map((ms, value) => ({payload: {ms, value}})),
-      fingerprint: taskMs.join(),
-      submittedAt: this.clock.now(),
-      ...over,
-    };
+    return jobSpecOf(key, taskMs, this.clock.now(), over);
   }
 
   /** Submits a job under a new key; throws if it is refused. */
