Offer no slots while a zone would take new keys for forgotten ones

Cause, found by reading: a group that has just formed answers keys made before memoryStart + 2 s as 'outcome_unknown'. A task lent in that time is such a key, so it ended as unknown and failed its job, although it had not run. Change: a zone offers slots only 4 s after its memory began, twice the skew of clocks that is allowed for. Test: slot_lender.test.ts asks for no offer before that time; it fails without the change.

--- a/src/core/overflow/slot_lender.test.ts
+++ b/src/core/overflow/slot_lender.test.ts
@@ -4,6 +4,10 @@
 import {SlotLender} from './slot_lender.js';
 import type {SpareSlots} from './spare_slots.js';
 
+/** Twice the skew of clocks that the zone allows for. */
+const SETTLED_MS = 4_000;
+
+// Also guards against offers of a zone that would refuse new keys as forgotten.
 function offer(slots: number): WorkerAnnouncement {
   const offers: WorkerAnnouncement[] = [];
   const spare = {find: () => ({slots, memoryMb: 0, classes: []})};
@@ -15,7 +19,9 @@
     memoryStart: () => 0,
     announce: announcement => offers.push(announcement),
   });
-  lender.tick(1, 1_000);
+  lender.tick(1, SETTLED_MS - 1);
+  assert.lengthOf(offers, 0);
+  lender.tick(1, SETTLED_MS);
   assert.lengthOf(offers, 1);
   return offers[0]!;
 }
--- a/src/core/overflow/slot_lender.ts
+++ b/src/core/overflow/slot_lender.ts
@@ -1,3 +1,4 @@
+import {SubmissionGate} from '../dispatch/submission_gate.js';
 import type {WorkerAnnouncement} from '../worker/worker_announcement.js';
 import type {SpareSlots} from './spare_slots.js';
 import {ZoneWorker} from './zone_worker.js';
@@ -10,6 +11,8 @@
  */
 const RENEW_INTERVAL_MS = 1_400;
 
+const SETTLING_MS = 2 * SubmissionGate.MAX_CLOCK_SKEW_MS;
+
 interface SlotLenderOptions {
   readonly zone: string;
   /** The other zones. */
@@ -38,7 +41,7 @@
 
   /** Announces what is spare; called by the zone's dispatcher only. */
   tick(epoch: number, now: number): void {
-    if (now < this.nextOffer) return;
+    if (now < this.nextOffer || !this.isSettled(now)) return;
     this.nextOffer = now + OFFER_INTERVAL_MS;
     const spare = this.opts.spare.find(epoch, now);
     if (spare.slots === this.lastSlots && now < this.nextRenewal) return;
@@ -52,6 +55,14 @@
     }
   }
 
+  /**
+   * A group that has just formed takes keys made now for forgotten ones, so a
+   * lent task would end as unknown. The borrower's clock may be behind as well.
+   */
+  private isSettled(now: number): boolean {
+    return now >= this.opts.memoryStart() + SETTLING_MS;
+  }
+
   private offer(
     zone: string,
     {slots, memoryMb, classes}: ReturnType<SpareSlots['find']>,
--- a/test-support/fakes/zones_bench.ts
+++ b/test-support/fakes/zones_bench.ts
@@ -25,7 +25,8 @@
 
 const ANNOUNCE_MS = 500;
 const STEP_MS = 0.25;
-const WARM_UP_MS = 3_000;
+/** Longer than a zone without memory waits before it lends. */
+const WARM_UP_MS = 6_000;
 
 interface ZonesBenchOptions {
   /** Slots of each zone, by zone. */
