--- a/eslint.config.js
+++ b/eslint.config.js
@@ -31,7 +31,7 @@
 };
 
 export default tseslint.config(
-  {ignores: ['dist/**', 'node_modules/**']},
+  {ignores: ['dist/**', 'target/**', 'node_modules/**']},
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- a/src/adapter/disk/folder_disk.test.ts
+++ b/src/adapter/disk/folder_disk.test.ts
@@ -86,3 +86,13 @@
     writeFileSync(join(dir, 'lock'), `${process.pid} 1 boot`);
     await openDisk(dir).close();
   }));
+
+// After a kill, the next process may have the same id and start time.
+test('the lock of an earlier process with the same id is taken over', () =>
+  inFolder(async dir => {
+    const disk = openDisk(dir);
+    const lock = readFileSync(join(dir, 'lock'), 'utf8');
+    await disk.close();
+    writeFileSync(join(dir, 'lock'), lock);
+    await openDisk(dir).close();
+  }));
--- a/src/adapter/disk/folder_lock.ts
+++ b/src/adapter/disk/folder_lock.ts
@@ -3,6 +3,8 @@
 import {Result} from 'true-myth';
 
 const FILE = 'lock';
+/** Folders that this process has locked. */
+const held = new Set<string>();
 
 /**
  * A file that names the process which uses the folder. A process is told apart
@@ -12,13 +14,15 @@
 export class FolderLock {
   static readonly FILE = FILE;
 
-  private constructor(private readonly path: string) {}
+  private constructor(private readonly dir: string) {
+    held.add(dir);
+  }
 
   static take(dir: string): Result<FolderLock, string> {
     const path = join(dir, FILE);
     const holder = readHolder(path);
     if (holder !== undefined) {
-      if (isRunning(holder)) {
+      if (held.has(dir) || isRunning(holder)) {
         return Result.err(
           `data_dir: ${dir} is in use by process ${holder.split(' ')[0]}`,
         );
@@ -30,11 +34,12 @@
     } catch (err) {
       return Result.err(`data_dir: cannot lock ${dir}: ${String(err)}`);
     }
-    return Result.ok(new FolderLock(path));
+    return Result.ok(new FolderLock(dir));
   }
 
   release(): void {
-    unlinkSync(this.path);
+    held.delete(this.dir);
+    unlinkSync(join(this.dir, FILE));
   }
 }
 
@@ -49,6 +54,8 @@
 function isRunning(holder: string): boolean {
   const pid = Number(holder.split(' ')[0]);
   if (!Number.isInteger(pid) || pid <= 0) return false;
+  // A restarted process can get the id of the one that was killed.
+  if (pid === process.pid) return false;
   try {
     process.kill(pid, 0);
   } catch (err) {
--- a/src/adapter/peer/peer_link.ts
+++ b/src/adapter/peer/peer_link.ts
@@ -5,17 +5,10 @@
 import type {Clock} from '../../core/clock/clock.js';
 import type {PeerError} from '../../core/peer/peer_error.js';
 import {FrameCodec} from './frame_codec.js';
+import {LinkTiming} from './link_timing.js';
 import type {PeerAddress} from './peer_address.js';
 import type {PeerFrame} from './peer_frame.js';
 
-/** Interval of the pings while a request waits for its response. */
-const HEARTBEAT_MS = 500;
-/**
- * Interval of the pings on an idle link. With 500 ms the links of 8 idle
- * daemons took 1.3% of a core at each of them, above the goal of 1% for all
- * control.
- */
-const IDLE_HEARTBEAT_MS = 1_000;
 /**
  * A link is replaced when this many pings have had no answer, which is 1 s
  * after the first while a request waits. Within the takeover goal of 2 s it leaves time for a new
@@ -53,6 +46,7 @@
     private readonly node: string,
     private readonly address: PeerAddress,
     private readonly clock: Clock,
+    private readonly timing: LinkTiming = LinkTiming,
   ) {
     this.dial();
   }
@@ -132,7 +126,7 @@
 
   private scheduleHeartbeat(socket: Socket): void {
     const isIdle = this.pending.size === 0;
-    const delayMs = isIdle ? IDLE_HEARTBEAT_MS : HEARTBEAT_MS;
+    const delayMs = isIdle ? this.timing.idleMs : this.timing.busyMs;
     this.heartbeat = this.clock.schedule(delayMs, () => {
       if (this.socket !== socket) return;
       if (this.unanswered >= MAX_UNANSWERED) {
--- a/src/adapter/peer/peer_server.ts
+++ b/src/adapter/peer/peer_server.ts
@@ -7,8 +7,6 @@
 const IDLE_TIMEOUT_MS = 5_000;
 /** Time for the first frame, which names the node. */
 const HELLO_TIMEOUT_MS = 2_000;
-/** Connections beyond one for each node, while old ones are not closed yet. */
-const SPARE_CONNECTIONS = 32;
 /** A node that reads more slowly than it asks is cut off. */
 const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
 const MAX_DETAIL_LENGTH = 4_096;
@@ -17,8 +15,12 @@
 type RequestFrame = Extract<PeerFrame, {type: 'request'}>;
 
 interface PeerServerOptions {
-  /** Nodes that may connect. */
-  readonly nodes: ReadonlySet<string>;
+  /** Whether a node may connect. */
+  readonly admits: (node: string) => boolean;
+  /** Bounds the open connections. */
+  readonly maxConnections: number;
+  /** Called when a node has named itself on a new connection. */
+  readonly onHello?: (node: string) => void;
   readonly onMessage: (from: string, frame: MessageFrame) => void;
   /** Rejects when the request cannot be handled. */
   readonly onRequest: (from: string, frame: RequestFrame) => Promise<unknown>;
@@ -33,7 +35,7 @@
 
   constructor(private readonly opts: PeerServerOptions) {
     this.server = createServer({noDelay: true}, socket => this.serve(socket));
-    this.server.maxConnections = 2 * opts.nodes.size + SPARE_CONNECTIONS;
+    this.server.maxConnections = opts.maxConnections;
   }
 
   /** Connections that are open. */
@@ -86,7 +88,7 @@
 
   /** The node that the first frame names; drops the connection of others. */
   private greet(socket: Socket, frame: PeerFrame): string | undefined {
-    if (frame.type !== 'hello' || !this.opts.nodes.has(frame.node)) {
+    if (frame.type !== 'hello' || !this.opts.admits(frame.node)) {
       this.opts.onError('a connection names no known node');
       socket.destroy();
       return undefined;
@@ -95,6 +97,7 @@
     // The node has replaced its earlier connection.
     this.byNode.get(frame.node)?.destroy();
     this.byNode.set(frame.node, socket);
+    this.opts.onHello?.(frame.node);
     return frame.node;
   }
 
--- a/src/adapter/peer/tcp_peer_transport.ts
+++ b/src/adapter/peer/tcp_peer_transport.ts
@@ -3,14 +3,27 @@
 import type {PeerError} from '../../core/peer/peer_error.js';
 import {PeerTransport} from '../../core/peer/peer_transport.js';
 import type {PeerAddress} from './peer_address.js';
+import type {LinkTiming} from './link_timing.js';
 import {PeerLink} from './peer_link.js';
 import {PeerServer} from './peer_server.js';
 
+/** Connections beyond one for each node, while old ones are not closed yet. */
+const SPARE_CONNECTIONS = 32;
+/** Bound where the nodes are not known beforehand. */
+const MAX_CONNECTIONS = 1_024;
+
 interface TcpPeerTransportOptions {
   readonly node: string;
   readonly listen: {readonly host: string; readonly port: number};
   /** The other daemons. */
   readonly peers: readonly PeerAddress[];
+  /**
+   * Address of a node that the settings do not name. With it, any node may
+   * connect, and links to new nodes are made as they are needed.
+   */
+  readonly locate?: (node: string) => PeerAddress;
+  /** Pings of the links. Default `LinkTiming`. */
+  readonly linkTiming?: LinkTiming;
   readonly clock: Clock;
   readonly onError: (detail: string) => void;
 }
@@ -19,11 +32,17 @@
 export class TcpPeerTransport extends PeerTransport {
   private readonly links = new Map<string, PeerLink>();
   private readonly server: PeerServer;
+  private isStarted = false;
 
   constructor(private readonly opts: TcpPeerTransportOptions) {
     super();
+    const known = new Set(opts.peers.map(({node}) => node));
     this.server = new PeerServer({
-      nodes: new Set(opts.peers.map(({node}) => node)),
+      admits: node => opts.locate !== undefined || known.has(node),
+      maxConnections: opts.locate
+        ? MAX_CONNECTIONS
+        : 2 * opts.peers.length + SPARE_CONNECTIONS,
+      onHello: node => this.ensureLink(node),
       onMessage: (from, {kind, body}) => this.deliver(from, kind, body),
       onRequest: (from, {method, body}) => this.handle(from, method, body),
       onError: opts.onError,
@@ -32,14 +51,14 @@
 
   /** Starts to listen and to dial; rejects if the address is taken. */
   async start(): Promise<void> {
-    const {listen, peers, node, clock} = this.opts;
+    const {listen, peers} = this.opts;
     await this.server.listen(listen.port, listen.host);
-    for (const peer of peers) {
-      this.links.set(peer.node, new PeerLink(node, peer, clock));
-    }
+    this.isStarted = true;
+    for (const peer of peers) this.addLink(peer);
   }
 
   async stop(): Promise<void> {
+    this.isStarted = false;
     for (const link of this.links.values()) link.close();
     await this.server.close();
   }
@@ -56,7 +75,7 @@
       this.deliver(node, kind, body);
       return;
     }
-    this.links.get(node)?.send({type: 'message', kind, body});
+    this.ensureLink(node)?.send({type: 'message', kind, body});
   }
 
   override async request(
@@ -68,11 +87,25 @@
     if (node === this.opts.node) {
       return this.handleOwn(method, body);
     }
-    const link = this.links.get(node);
+    const link = this.ensureLink(node);
     if (link) return link.request(method, body, timeoutMs);
     return Result.err({kind: 'unsent', detail: `unknown node ${node}`});
   }
 
+  private addLink(peer: PeerAddress): PeerLink {
+    const {node, clock, linkTiming} = this.opts;
+    const link = new PeerLink(node, peer, clock, linkTiming);
+    this.links.set(peer.node, link);
+    return link;
+  }
+
+  private ensureLink(node: string): PeerLink | undefined {
+    const {locate} = this.opts;
+    const link = this.links.get(node);
+    if (link || !locate || !this.isStarted) return link;
+    return this.addLink(locate(node));
+  }
+
   private async handleOwn(
     method: string,
     body: unknown,
--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -9,6 +9,7 @@
 import {LogFormer} from './log/log_former.js';
 import {LogMember} from './log/log_member.js';
 import {LogMessage} from './log/log_message.js';
+import type {LogTiming} from './log/log_timing.js';
 import type {LogRequest} from './router/log_request.js';
 import type {LogResponse} from './router/log_response.js';
 import type {LogStatus} from './router/log_status.js';
@@ -23,10 +24,14 @@
 
 interface ConfigNodeOptions {
   readonly node: string;
-  /** Every daemon of the deployment. */
-  readonly nodes: readonly string[];
+  /** Every daemon that is known. */
+  readonly nodes: () => readonly string[];
   /** Nodes that vote in a new deployment. */
   readonly voters: readonly string[];
+  /** Whether this start may form a new log. Default true. */
+  readonly mayForm?: boolean;
+  /** Default `LogTiming`. */
+  readonly timing?: LogTiming;
   /** The data folder, on nodes that have one. */
   readonly disk?: Disk;
   /** Configuration of a new deployment. */
@@ -92,7 +97,7 @@
       this.reopenAt = now + REOPEN_MS;
       if (this.openLog(now).isOk) this.reopenAt = undefined;
     }
-    this.former.tick(now);
+    if (this.opts.mayForm ?? true) this.former.tick(now);
     this.member?.tick(now);
     this.exchange.tick(now, this.router.isSeeking);
     this.router.tick(now);
@@ -131,7 +136,7 @@
   }
 
   private openLog(now: number): Result<void, string> {
-    const {disk, node, peers, random, snapshotEntries} = this.opts;
+    const {disk, node, peers, random, snapshotEntries, timing} = this.opts;
     if (!disk) return Result.ok(undefined);
     const opened = LogStore.open(disk, LogFormer.newId(random), (error, at) =>
       this.onFailed(error, at),
@@ -144,6 +149,7 @@
           peers,
           random,
           snapshotEntries,
+          timing,
           onApplied: () => this.onApplied(),
         },
         now,
@@ -190,6 +196,15 @@
         });
         return;
       }
+      case 'publish':
+        leader.propose(request, now, decision => {
+          respond(
+            decision?.isOk
+              ? {kind: 'accepted', version: decision.value.version}
+              : {kind: 'unknown'},
+          );
+        });
+        return;
       case 'members':
         leader.members.request(
           request.request,
--- a/src/core/config/follower/applied_file.ts
+++ b/src/core/config/follower/applied_file.ts
@@ -5,6 +5,7 @@
 import type {Disk} from '../storage/disk.js';
 import type {DiskError} from '../storage/disk_error.js';
 import {FrameFile} from '../storage/frame_file.js';
+import {PublishedDocument} from '../published_document.js';
 import {TenantConfig} from '../tenant_config.js';
 
 const FILE = 'applied';
@@ -16,6 +17,7 @@
     version: v.number(),
     classes: v.record(v.string(), ClassConfig),
     tenants: v.record(v.string(), TenantConfig),
+    document: v.optional(PublishedDocument),
   }),
 });
 
--- a/src/core/config/follower/apply_update.ts
+++ b/src/core/config/follower/apply_update.ts
@@ -11,11 +11,14 @@
 ): Config | undefined {
   const {version} = update;
   if (update.kind === 'whole') {
-    return {version, classes: update.classes, tenants: update.tenants};
+    const {classes, tenants, document} = update;
+    return {version, classes, tenants, ...(document ? {document} : {})};
   }
   if (config.version < update.base) return undefined;
+  const document = update.document ?? config.document;
   return {
     version,
+    ...(document ? {document} : {}),
     classes: merge(config.classes, update.diff.classes),
     tenants: merge(config.tenants, update.diff.tenants),
   };
--- a/src/core/config/follower/config_exchange.ts
+++ b/src/core/config/follower/config_exchange.ts
@@ -33,8 +33,8 @@
 
 interface ConfigExchangeOptions {
   readonly node: string;
-  /** Every daemon of the deployment. */
-  readonly nodes: readonly string[];
+  /** Every daemon that is known. */
+  readonly nodes: () => readonly string[];
   readonly peers: PeerTransport;
   readonly random: RandomSource;
   readonly source: ReplicatedConfigSource;
@@ -101,7 +101,7 @@
     if (member()?.leader) return;
     this.unanswered += 1;
     if (this.unanswered > MAX_UNANSWERED) this.leaderHint = undefined;
-    const others = nodes.filter(id => id !== node);
+    const others = nodes().filter(id => id !== node);
     const any = others[Math.floor(random.next() * others.length)];
     const target = this.unanswered > MAX_UNANSWERED ? any : this.leader;
     this.poll(target ?? any);
@@ -119,7 +119,7 @@
     const update = this.updateFor(base);
     const {voters, learners} = member.store.members;
     const stores = new Set([...voters, ...learners].map(m => m.node));
-    for (const id of this.opts.nodes) {
+    for (const id of this.opts.nodes()) {
       if (id === this.opts.node || stores.has(id)) continue;
       this.opts.peers.send(id, 'config.push', update);
     }
@@ -188,8 +188,16 @@
     const isNewest = state && state.current.version >= config.version;
     const newest = isNewest ? state.current : config;
     const diff = isNewest && version > 0 ? state.diffSince(version) : undefined;
+    const document = isNewest ? state.documentSince(version) : undefined;
     return diff
-      ? {kind: 'diff', log, version: newest.version, base: version, diff}
+      ? {
+          kind: 'diff',
+          log,
+          version: newest.version,
+          base: version,
+          diff,
+          ...(document ? {document} : {}),
+        }
       : {kind: 'whole', log, ...newest};
   }
 }
--- a/src/core/config/follower/config_update.ts
+++ b/src/core/config/follower/config_update.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import {ClassConfig} from '../class_config.js';
 import {ConfigDiff} from '../state/config_diff.js';
+import {PublishedDocument} from '../published_document.js';
 import {TenantConfig} from '../tenant_config.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
@@ -13,6 +14,7 @@
     version: count,
     classes: v.record(v.string(), ClassConfig),
     tenants: v.record(v.string(), TenantConfig),
+    document: v.optional(PublishedDocument),
   }),
   v.object({
     kind: v.literal('diff'),
@@ -21,6 +23,8 @@
     /** The difference is complete for any version from this one on. */
     base: count,
     diff: ConfigDiff,
+    /** Absent if it has not changed since `base`. */
+    document: v.optional(PublishedDocument),
   }),
 ]);
 
--- a/src/core/config/log/log_applier.ts
+++ b/src/core/config/log/log_applier.ts
@@ -1,8 +1,9 @@
-import type {Result} from 'true-myth';
+import {Result} from 'true-myth';
 import type {ChangeOutcome} from '../state/change_outcome.js';
 import type {ChangeRefusal} from '../state/change_refusal.js';
 import {ConfigState} from '../state/config_state.js';
 import type {LogStore} from '../storage/log_store.js';
+import type {LogEntry} from './log_entry.js';
 
 const DEFAULT_SNAPSHOT_ENTRIES = 256;
 
@@ -50,11 +51,7 @@
     while (this.applied < this.commit) {
       this.applied += 1;
       const {body} = this.store.entry(this.applied)!;
-      const decision =
-        body.kind === 'change'
-          ? this.currentState!.apply(body.change)
-          : undefined;
-      onApplied(this.applied, decision);
+      onApplied(this.applied, this.decide(body));
     }
     return true;
   }
@@ -70,4 +67,15 @@
     });
     store.whenDurable(() => undefined);
   }
+
+  private decide(body: LogEntry['body']): Decision | undefined {
+    switch (body.kind) {
+      case 'change':
+        return this.currentState!.apply(body.change);
+      case 'publish':
+        return Result.ok(this.currentState!.publish(body.document));
+      default:
+        return undefined;
+    }
+  }
 }
--- a/src/core/config/log/log_entry.ts
+++ b/src/core/config/log/log_entry.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import {ConfigChange} from '../state/config_change.js';
+import {PublishedDocument} from '../published_document.js';
 import {Membership} from './membership.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
@@ -12,6 +13,7 @@
     /** First entry of each term; commits what earlier terms left. */
     v.object({kind: v.literal('term')}),
     v.object({kind: v.literal('change'), change: ConfigChange}),
+    v.object({kind: v.literal('publish'), document: PublishedDocument}),
     v.object({kind: v.literal('members'), members: Membership}),
   ]),
 });
--- a/src/core/config/log/log_leader.ts
+++ b/src/core/config/log/log_leader.ts
@@ -5,16 +5,10 @@
 import type {LogMember} from './log_member.js';
 import type {LogMessage} from './log_message.js';
 import type {LogNodeId} from './log_node_id.js';
-import {LogTiming} from './log_timing.js';
+import type {LogTiming} from './log_timing.js';
 import {MemberProgress} from './member_progress.js';
 import {MembershipManager} from './membership_manager.js';
 
-const {
-  HEARTBEAT_MS,
-  ELECTION_TIMEOUT_MS,
-  SNAPSHOT_RETRY_MS,
-  TRANSFER_TIMEOUT_MS,
-} = LogTiming;
 const MAX_ENTRIES_PER_MESSAGE = 64;
 /** More open proposals than this are refused as not made. */
 const MAX_PROPOSALS = 1_024;
@@ -37,6 +31,10 @@
   >();
   private reads: Read[] = [];
   private round = 0;
+  /** When each round that may still be confirmed was sent. */
+  private readonly sentRounds = new Map<number, number>();
+  private confirmed: number;
+  private readonly timing: LogTiming;
   private nextHeartbeat = 0;
   /** Index of this term's first entry. */
   private startIndex = 0;
@@ -48,6 +46,8 @@
     now: number,
   ) {
     this.members = new MembershipManager(this, member);
+    this.timing = member.timing;
+    this.confirmed = now;
     this.syncProgress(now);
   }
 
@@ -78,15 +78,23 @@
 
   /** Calls `done` once a majority has confirmed the lead after this call. */
   confirm(now: number, done: (isCurrent: boolean) => void): void {
-    this.round += 1;
-    this.reads.push({round: this.round, done});
     this.beat(now);
+    this.reads.push({round: this.round, done});
     this.settleReads();
   }
 
+  /**
+   * Latest time at which a round of heartbeats was sent that a majority has
+   * answered since. No other member can have won an election until the
+   * election timeout has passed after it.
+   */
+  confirmedAt(now: number): number {
+    return this.countVoters(() => false) ? now : this.confirmed;
+  }
+
   /** Hands the lead to the member that is furthest; does nothing without one. */
   transfer(now: number): void {
-    this.transferUntil = now + TRANSFER_TIMEOUT_MS;
+    this.transferUntil = now + this.timing.TRANSFER_TIMEOUT_MS;
     this.tryTransfer();
   }
 
@@ -115,6 +123,7 @@
     } else {
       progress.next = Math.max(progress.match, msg.last) + 1;
     }
+    this.noteConfirmed(now);
     this.settleReads();
     this.updateCommit(now);
     if (this.isEnded) return;
@@ -159,7 +168,9 @@
   }
 
   private beat(now: number): void {
-    this.nextHeartbeat = now + HEARTBEAT_MS;
+    this.nextHeartbeat = now + this.timing.HEARTBEAT_MS;
+    this.round += 1;
+    this.sentRounds.set(this.round, now);
     for (const progress of this.progress.values()) {
       this.replicate(progress, now);
     }
@@ -170,7 +181,10 @@
     const {round} = this;
     const isSnapshot = progress.next <= store.baseIndex;
     const waited = now - progress.sentAt;
-    if (isSnapshot && !(progress.isBusy && waited < SNAPSHOT_RETRY_MS)) {
+    if (
+      isSnapshot &&
+      !(progress.isBusy && waited < this.timing.SNAPSHOT_RETRY_MS)
+    ) {
       progress.isBusy = true;
       progress.sentAt = now;
       const snapshot = store.snapshot!;
@@ -181,7 +195,7 @@
       });
       return;
     }
-    const isRetry = !progress.isBusy || waited >= HEARTBEAT_MS;
+    const isRetry = !progress.isBusy || waited >= this.timing.HEARTBEAT_MS;
     const entries =
       isSnapshot || !isRetry
         ? []
@@ -232,12 +246,25 @@
     for (const {done} of ready) done(true);
   }
 
+  private noteConfirmed(now: number): void {
+    for (const [round, sentAt] of this.sentRounds) {
+      if (this.isConfirmed(round)) {
+        this.confirmed = Math.max(this.confirmed, sentAt);
+        this.sentRounds.delete(round);
+      } else if (now - sentAt > this.timing.ELECTION_TIMEOUT_MS) {
+        this.sentRounds.delete(round);
+      }
+    }
+  }
+
   private isConfirmed(round: number): boolean {
     return this.countVoters(p => p.round >= round);
   }
 
   private hasQuorum(now: number): boolean {
-    return this.countVoters(p => now - p.heardAt < ELECTION_TIMEOUT_MS);
+    return this.countVoters(
+      p => now - p.heardAt < this.timing.ELECTION_TIMEOUT_MS,
+    );
   }
 
   /** Whether a majority of the voters, this one included, passes the test. */
--- a/src/core/config/log/log_member.ts
+++ b/src/core/config/log/log_member.ts
@@ -12,8 +12,6 @@
 import {LogRole} from './log_role.js';
 import {LogTiming} from './log_timing.js';
 
-const {ELECTION_TIMEOUT_MS} = LogTiming;
-
 type Body<T extends LogMessage['type']> = Omit<
   Extract<LogMessage, {type: T}>,
   'log' | 'from' | 'to' | 'term'
@@ -26,6 +24,8 @@
   readonly random: RandomSource;
   /** Entries after which a snapshot replaces the log. Default 256. */
   readonly snapshotEntries?: number | undefined;
+  /** Default `LogTiming`. */
+  readonly timing?: LogTiming | undefined;
   /** Called after entries were applied. */
   readonly onApplied: (state: ConfigState, now: number) => void;
 }
@@ -37,6 +37,7 @@
 export class LogMember {
   readonly store: LogStore;
   readonly id: LogNodeId;
+  readonly timing: LogTiming;
   private readonly applier: LogApplier;
   private leaderNode: string | undefined;
   /** When a leader was last heard; votes are refused for a time after it. */
@@ -52,6 +53,7 @@
   ) {
     this.store = opts.store;
     this.id = {node: opts.node, storage: opts.store.storage};
+    this.timing = opts.timing ?? LogTiming;
     this.follower = new FollowerLog(this, opts.store);
     this.applier = new LogApplier(opts.store, opts.snapshotEntries);
     this.electionDeadline = this.nextDeadline(now);
@@ -254,7 +256,7 @@
     const to = {node, storage: msg.from};
     const isServed =
       this.leadership !== undefined ||
-      now - this.lastHeard < ELECTION_TIMEOUT_MS;
+      now - this.lastHeard < this.timing.ELECTION_TIMEOUT_MS;
     if (isServed && !msg.transfer) return;
     const isUpToDate = this.follower.isUpToDate(msg.last_index, msg.last_term);
     if (msg.pre) {
@@ -324,7 +326,7 @@
   }
 
   private nextDeadline(now: number): number {
-    const jitter = this.opts.random.next() * ELECTION_TIMEOUT_MS;
-    return now + ELECTION_TIMEOUT_MS + jitter;
+    const {ELECTION_TIMEOUT_MS: timeoutMs} = this.timing;
+    return now + timeoutMs + this.opts.random.next() * timeoutMs;
   }
 }
--- a/src/core/config/log/membership_manager.ts
+++ b/src/core/config/log/membership_manager.ts
@@ -2,7 +2,6 @@
 import type {LogLeader} from './log_leader.js';
 import type {LogMember} from './log_member.js';
 import type {LogNodeId} from './log_node_id.js';
-import {LogTiming} from './log_timing.js';
 import type {Membership} from './membership.js';
 import type {MembershipRequest} from './membership_request.js';
 
@@ -171,7 +170,7 @@
   private isAlive(id: LogNodeId, now: number): boolean {
     if (id.storage === this.member.id.storage) return true;
     const heardAt = this.leader.progressOf(id)?.heardAt ?? 0;
-    return now - heardAt < LogTiming.ELECTION_TIMEOUT_MS;
+    return now - heardAt < this.member.timing.ELECTION_TIMEOUT_MS;
   }
 
   private isCaughtUp(id: LogNodeId, now: number): boolean {
--- a/src/core/config/router/log_request.ts
+++ b/src/core/config/router/log_request.ts
@@ -1,10 +1,12 @@
 import * as v from 'valibot';
 import {MembershipRequest} from '../log/membership_request.js';
+import {PublishedDocument} from '../published_document.js';
 import {ConfigChange} from '../state/config_change.js';
 
 /** Validator of what only the log's leader can answer. */
 export const LogRequest = v.variant('kind', [
   v.object({kind: v.literal('change'), change: ConfigChange}),
+  v.object({kind: v.literal('publish'), document: PublishedDocument}),
   v.object({kind: v.literal('members'), request: MembershipRequest}),
   v.object({kind: v.literal('read')}),
   v.object({kind: v.literal('status')}),
--- a/src/core/config/router/log_response.ts
+++ b/src/core/config/router/log_response.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import {ClassConfig} from '../class_config.js';
 import {ConfigDiff} from '../state/config_diff.js';
+import {PublishedDocument} from '../published_document.js';
 import {TenantConfig} from '../tenant_config.js';
 import {LogStatus} from './log_status.js';
 
@@ -31,6 +32,7 @@
       version: count,
       classes: v.record(v.string(), ClassConfig),
       tenants: v.record(v.string(), TenantConfig),
+      document: v.optional(PublishedDocument),
     }),
   }),
   v.object({kind: v.literal('status'), status: LogStatus}),
--- a/src/core/config/state/config_snapshot.ts
+++ b/src/core/config/state/config_snapshot.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import {ClassConfig} from '../class_config.js';
+import {PublishedDocument} from '../published_document.js';
 import {TenantConfig} from '../tenant_config.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
@@ -9,9 +10,12 @@
   version: count,
   classes: v.record(v.string(), ClassConfig),
   tenants: v.record(v.string(), TenantConfig),
+  document: v.optional(PublishedDocument),
   /** Version that last changed or deleted each class. */
   class_versions: v.record(v.string(), count),
   tenant_versions: v.record(v.string(), count),
+  /** Version that last published a document. */
+  document_version: v.optional(count),
   /** Differences from versions below this one are no longer complete. */
   diff_floor: count,
   /** Outcomes of recent changes, oldest first. */
--- a/src/core/config/state/config_state.ts
+++ b/src/core/config/state/config_state.ts
@@ -2,6 +2,7 @@
 import {v5 as uuidv5} from 'uuid';
 import type {ClassConfig} from '../class_config.js';
 import type {Config} from '../config.js';
+import type {PublishedDocument} from '../published_document.js';
 import type {TenantConfig} from '../tenant_config.js';
 import type {ChangeOutcome} from './change_outcome.js';
 import type {ChangeRefusal} from './change_refusal.js';
@@ -27,16 +28,18 @@
     private readonly tenantVersions: Map<string, number>,
     private diffFloor: number,
     private readonly outcomes: Map<string, OutcomeRecord>,
+    private documentVersion = 0,
   ) {}
 
   static from(snapshot: ConfigSnapshot): ConfigState {
-    const {version, classes, tenants} = snapshot;
+    const {version, classes, tenants, document} = snapshot;
     return new ConfigState(
-      {version, classes, tenants},
+      {version, classes, tenants, ...(document ? {document} : {})},
       new Map(Object.entries(snapshot.class_versions)),
       new Map(Object.entries(snapshot.tenant_versions)),
       snapshot.diff_floor,
       new Map(snapshot.outcomes.map(o => [o.key, o])),
+      snapshot.document_version ?? 0,
     );
   }
 
@@ -63,6 +66,7 @@
       class_versions: Object.fromEntries(this.classVersions),
       tenant_versions: Object.fromEntries(this.tenantVersions),
       diff_floor: this.diffFloor,
+      document_version: this.documentVersion,
       outcomes: [...this.outcomes.values()],
     };
   }
@@ -108,6 +112,25 @@
     return this.toResult(record);
   }
 
+  /**
+   * Takes a document if its revision is the highest so far. A lower one
+   * changes nothing, so that a resent document gets the same outcome.
+   */
+  publish(document: PublishedDocument): ChangeOutcome {
+    const {config} = this;
+    if (document.revision > (config.document?.revision ?? -1)) {
+      const version = config.version + 1;
+      this.config = {...config, version, document};
+      this.documentVersion = version;
+    }
+    return {version: this.config.version};
+  }
+
+  /** The document if it was published after `version`. */
+  documentSince(version: number): PublishedDocument | undefined {
+    return this.documentVersion > version ? this.config.document : undefined;
+  }
+
   /**
    * What changed after `version`; undefined when deletions since then have been
    * forgotten and only the whole configuration tells.
@@ -178,7 +201,7 @@
       this.tenantVersions.delete(name);
       this.tenantVersions.set(name, version);
     }
-    this.config = {version, classes, tenants};
+    this.config = {...this.config, version, classes, tenants};
     this.forgetDeleted(this.classVersions, classes);
     this.forgetDeleted(this.tenantVersions, tenants);
   }
--- /dev/null
+++ b/src/core/pool/pool_dispatcher.ts
@@ -0,0 +1,354 @@
+import type {Clock} from '../clock/clock.js';
+import type {RoutingTable} from '../routing/routing_table.js';
+import type {LeasedWorker} from './leased_worker.js';
+import type {LeaseListener} from './lease_listener.js';
+import type {PoolAnswer} from './pool_answer.js';
+import {PoolEntry} from './pool_entry.js';
+import type {PoolObserver} from './pool_observer.js';
+import {PoolAdmission} from './pool_admission.js';
+import {PoolOrder} from './pool_order.js';
+import type {PoolSubmission} from './pool_submission.js';
+import type {PoolTask} from './pool_task.js';
+import {Run} from './run.js';
+import {RunEnd} from './run_end.js';
+import type {RunRefusal} from './run_refusal.js';
+import {RunTimes} from './run_times.js';
+import {StragglerWatch} from './straggler_watch.js';
+import {Takeover} from './takeover.js';
+import type {WorkerBook} from './worker_book.js';
+import {WorkerChooser} from './worker_chooser.js';
+import type {WorkerClient} from './worker_client.js';
+import {WorkerFleet} from './worker_fleet.js';
+import {WorkerTrust} from './worker_trust.js';
+
+interface PoolDispatcherOptions {
+  readonly clock: Clock;
+  readonly client: WorkerClient;
+  readonly book: WorkerBook;
+  /** Term of the lead; the fencing token of its orders. */
+  readonly term: number;
+  /** Longest lease that workers grant, in ms. */
+  readonly leaseMs: number;
+  /** Whether the book was kept up to date until the lead began. */
+  readonly isBookComplete: boolean;
+  readonly mayOrder: (now: number) => boolean;
+  /** The queues in force; undefined before the first configuration. */
+  readonly routing: () => RoutingTable | undefined;
+  readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
+  readonly observer: PoolObserver;
+}
+
+/**
+ * Owner of all jobs and workers during one lead: queues tasks, starts them on
+ * leased workers and answers each job when it has ended.
+ */
+export class PoolDispatcher implements LeaseListener {
+  private readonly jobs = new Map<string, PoolEntry>();
+  private readonly workers: WorkerFleet;
+  private readonly times = new RunTimes();
+  private readonly trust = new WorkerTrust();
+  private readonly chooser = new WorkerChooser(this.times, this.trust);
+  private readonly order = new PoolOrder(this.times);
+  private readonly admission = new PoolAdmission();
+  private readonly stragglers = new StragglerWatch(this.times);
+  private readonly takeover: Takeover;
+  private isPassDue = false;
+  private isClosed = false;
+
+  constructor(private readonly opts: PoolDispatcherOptions) {
+    const now = opts.clock.now();
+    this.takeover = new Takeover(now, opts.leaseMs, opts.isBookComplete);
+    const onGone = (id: string) => {
+      this.times.forget(id);
+      this.trust.forget(id);
+    };
+    this.workers = new WorkerFleet({...opts, token: opts.term, onGone}, this);
+    this.workers.tick(now);
+  }
+
+  get openJobs(): number {
+    return this.jobs.size;
+  }
+
+  /** Takes a job; one that is known already gets the new owner. */
+  submit(owner: string, submission: PoolSubmission): void {
+    const {clock, routing} = this.opts;
+    const now = clock.now();
+    const {job, host, path} = submission;
+    const known = this.jobs.get(job.id);
+    if (known) {
+      known.owner = owner;
+      known.isAbandoned = false;
+      this.schedulePass();
+      return;
+    }
+    const table = routing();
+    const queue = table?.find(host, path);
+    if (!table) return this.refuse(owner, job.id, 'no_configuration', 1_000);
+    if (!queue || queue.prefix + job.id !== path) {
+      this.opts.answer(owner, job.id, {kind: 'no_queue'});
+      return;
+    }
+    if (queue.needsAdvice) {
+      return this.refuse(owner, job.id, 'advice_not_supported', 5_000);
+    }
+    const {term} = this.opts;
+    const entry = new PoolEntry(submission, {owner, queue, term, now});
+    this.takeover.adopt(entry, this.workers.all, now);
+    const isPossible =
+      !this.takeover.hasSettled(now) ||
+      entry.tasks.every(t => this.chooser.isPossible(t, this.workers.all));
+    if (!isPossible && !entry.hasStarted) {
+      return this.refuse(owner, job.id, 'no_worker_fits', 2_000);
+    }
+    const refusal = entry.hasStarted
+      ? undefined
+      : this.admission.check(this.jobs.size, this.workers.size);
+    if (refusal) {
+      return this.refuse(owner, job.id, refusal.reason, refusal.retryAfterMs);
+    }
+    this.jobs.set(job.id, entry);
+    this.opts.observer.decided('job_accepted', job.id, {
+      queue: queue.name,
+      owner,
+      tasks: entry.tasks.length,
+      open: this.jobs.size,
+      revision: table.content.revision,
+    });
+    this.finishIfDone(entry, now);
+    this.schedulePass();
+  }
+
+  /** Gives a job up: nobody waits for its answer any more. */
+  drop(id: string, owner: string, reason: string): void {
+    const entry = this.jobs.get(id);
+    if (!entry || entry.owner !== owner || entry.isAbandoned) return;
+    this.opts.observer.decided('job_dropped', id, {owner, reason});
+    this.abandon(entry);
+  }
+
+  /** Cancels a job; false if it is not known. */
+  cancel(id: string): boolean {
+    const entry = this.jobs.get(id);
+    if (!entry || entry.isAbandoned) return false;
+    this.opts.observer.decided('job_cancelled', id, {owner: entry.owner});
+    this.opts.answer(entry.owner, id, {kind: 'cancelled'});
+    this.abandon(entry);
+    return true;
+  }
+
+  has(id: string): boolean {
+    const entry = this.jobs.get(id);
+    return entry !== undefined && !entry.isAbandoned;
+  }
+
+  /** Jobs of a queue of which no task has started. */
+  pendingOf(queue: string): number {
+    let pending = 0;
+    for (const {queue: q, hasStarted, isAbandoned} of this.jobs.values()) {
+      if (q.name === queue && !hasStarted && !isAbandoned) pending += 1;
+    }
+    return pending;
+  }
+
+  /** Drops the jobs of owners that are no longer heard of. */
+  dropOwners(isLost: (owner: string) => boolean): void {
+    for (const [id, {owner, isAbandoned}] of this.jobs) {
+      if (!isAbandoned && isLost(owner)) this.drop(id, owner, 'owner_silent');
+    }
+  }
+
+  tick(now: number): void {
+    if (this.isClosed) return;
+    this.workers.tick(now);
+    if (this.takeover.takeEnd(now)) {
+      for (const worker of this.workers.all) worker.stopForeign();
+    }
+    this.stragglers.stopLate(this.jobs.values(), now);
+    this.expire(now);
+    this.schedulePass();
+  }
+
+  /** Ends the lead: gives no more orders. */
+  close(): void {
+    this.isClosed = true;
+    this.jobs.clear();
+  }
+
+  ended(worker: LeasedWorker, run: Run, how: RunEnd): void {
+    const {clock, observer} = this.opts;
+    const now = clock.now();
+    const task = this.taskOf(run.task);
+    observer.counted(`run_${how}`);
+    if (!task || task.run !== run) return this.schedulePass();
+    task.run = undefined;
+    task.worker = undefined;
+    const step = task.job.job.steps[task.step]!;
+    const isWorkerFault = how === RunEnd.failed || how === RunEnd.lost;
+    if (how === RunEnd.done) {
+      const {queue} = task.job;
+      const ranMs = now - run.sentAt;
+      this.times.record(queue.name, worker.report.id, step.estimatedMs, ranMs);
+    }
+    if (how === RunEnd.done || isWorkerFault) {
+      this.trust.noteEnd(worker.report.id, isWorkerFault, now);
+    }
+    if (how !== RunEnd.done) {
+      observer.decided('run_ended', task.job.job.id, {
+        task: run.task,
+        run: run.number,
+        worker: worker.report.id,
+        how,
+        after_ms: Math.round(now - run.sentAt),
+      });
+    }
+    task.state = how === RunEnd.done ? 'done' : 'waiting';
+    if (how === RunEnd.failed) task.failures += 1;
+    task.job.unblock();
+    this.finishIfDone(task.job, now);
+    this.schedulePass();
+  }
+
+  refused(worker: LeasedWorker, run: Run, reason: RunRefusal): void {
+    const task = this.taskOf(run.task);
+    this.opts.observer.counted(`start_refused_${reason}`);
+    if (!task || task.run !== run) return;
+    task.run = undefined;
+    task.worker = undefined;
+    task.state = 'waiting';
+    this.opts.observer.decided('start_refused', task.job.job.id, {
+      task: run.task,
+      run: run.number,
+      worker: worker.report.id,
+      reason,
+    });
+    this.finishIfDone(task.job, this.opts.clock.now());
+    this.schedulePass();
+  }
+
+  foreignEnded(name: string, _run: number, how: RunEnd): void {
+    const task = this.taskOf(name);
+    if (!task) {
+      this.takeover.noteEnd(name, how);
+    } else if (how === RunEnd.done && !task.run && task.state === 'waiting') {
+      task.state = 'done';
+      task.job.unblock();
+      this.finishIfDone(task.job, this.opts.clock.now());
+    }
+  }
+
+  changed(worker: LeasedWorker): void {
+    this.opts.observer.believed('worker_changed', {
+      worker: worker.report.id,
+      fenced: worker.isFenced,
+      outranked: worker.isOutranked,
+      silent: worker.isSilent,
+    });
+    this.schedulePass();
+  }
+
+  private refuse(
+    owner: string,
+    id: string,
+    reason: string,
+    retryAfterMs: number,
+  ): void {
+    const {observer, answer} = this.opts;
+    observer.decided('job_refused', id, {owner, reason, open: this.jobs.size});
+    observer.counted(`refused_${reason}`);
+    answer(owner, id, {kind: 'refused', reason, retryAfterMs});
+  }
+
+  private taskOf(name: string): PoolTask | undefined {
+    const entry = this.jobs.get(name.slice(0, name.indexOf('.')));
+    return entry?.tasks.find(t => t.name === name);
+  }
+
+  private abandon(entry: PoolEntry): void {
+    entry.isAbandoned = true;
+    for (const {run, worker} of entry.tasks) {
+      if (run && worker) worker.stop(run);
+    }
+    this.forgetIfOver(entry);
+  }
+
+  private forgetIfOver(entry: PoolEntry): void {
+    if (!entry.isAbandoned || entry.hasRuns) return;
+    this.jobs.delete(entry.job.id);
+  }
+
+  private finishIfDone(entry: PoolEntry, now: number): void {
+    if (entry.isAbandoned) {
+      this.forgetIfOver(entry);
+      return;
+    }
+    const {isDone, isFailed} = entry;
+    if (isDone || isFailed) this.finish(entry, isDone, now);
+  }
+
+  private finish(entry: PoolEntry, isDone: boolean, now: number): void {
+    const {owner, job, queue, arrivedAt, objectiveAt} = entry;
+    const kind = isDone ? 'completed' : 'failed';
+    this.opts.observer.decided(`job_${kind}`, job.id, {
+      queue: queue.name,
+      took_ms: Math.round(now - arrivedAt),
+      late_ms: Math.max(0, Math.round(now - objectiveAt)),
+    });
+    this.opts.observer.answered(queue.name, kind, now - arrivedAt);
+    this.opts.answer(owner, job.id, {kind});
+    this.abandon(entry);
+  }
+
+  /** Ends what its caller no longer waits for. */
+  private expire(now: number): void {
+    for (const entry of [...this.jobs.values()]) {
+      if (entry.isAbandoned || now < entry.deadlineAt) continue;
+      const {owner, job} = entry;
+      if (entry.hasStarted) {
+        this.opts.observer.decided('job_expired', job.id, {owner});
+        const reason = 'deadline';
+        this.opts.answer(owner, job.id, {kind: 'given_up', reason});
+      } else this.refuse(owner, job.id, 'deadline', 1_000);
+      this.abandon(entry);
+    }
+  }
+
+  private schedulePass(): void {
+    if (this.isPassDue || this.isClosed) return;
+    this.isPassDue = true;
+    this.opts.clock.defer(() => {
+      this.isPassDue = false;
+      if (!this.isClosed) this.pass(this.opts.clock.now());
+    });
+  }
+
+  /** Starts what fits, in order. */
+  private pass(now: number): void {
+    if (!this.opts.mayOrder(now)) return;
+    if (!this.takeover.mayStart(this.workers.all, now)) return;
+    let leastCpu = Number.POSITIVE_INFINITY;
+    for (const entry of this.order.sort(this.jobs.values(), now)) {
+      for (const task of entry.tasks) {
+        if (task.state !== 'waiting') continue;
+        const {cpu} = entry.job.steps[task.step]!.demand;
+        if (cpu >= leastCpu) continue;
+        const worker = this.chooser.choose(task, this.workers.all, now);
+        if (worker) this.start(task, worker, now);
+        else leastCpu = Math.min(leastCpu, cpu);
+      }
+    }
+  }
+
+  private start(task: PoolTask, worker: LeasedWorker, now: number): void {
+    const {job} = task.job;
+    const {demand} = job.steps[task.step]!;
+    const run = new Run(task.name, task.nextRun, demand, now);
+    task.nextRun += 1;
+    task.run = run;
+    task.worker = worker;
+    task.state = 'running';
+    task.job.hasStarted = true;
+    this.opts.observer.counted('starts');
+    worker.start(run, job.payload);
+  }
+}
--- /dev/null
+++ b/src/core/pool/takeover.ts
@@ -0,0 +1,88 @@
+import type {LeasedWorker} from './leased_worker.js';
+import type {PoolEntry} from './pool_entry.js';
+import {Run} from './run.js';
+import {RunEnd} from './run_end.js';
+import type {PoolTask} from './pool_task.js';
+
+/** Covers slow workers' clocks and timers that fire late. */
+const LEASE_SLACK_MS = 150;
+/** Entry nodes hand in their open jobs again within this time. */
+const CLAIM_MS = 700;
+/** From then on the known workers are all that there are. */
+const SETTLED_MS = 4_000;
+
+/**
+ * The first seconds of a lead: what earlier leads left on the workers is
+ * claimed by its jobs or stopped, and nothing starts while a run of an earlier
+ * lead may be unknown.
+ */
+export class Takeover {
+  private readonly ends = new Map<string, RunEnd>();
+  private isOver = false;
+
+  constructor(
+    private readonly beganAt: number,
+    private readonly leaseMs: number,
+    private readonly isBookComplete: boolean,
+  ) {}
+
+  /** Whether every run of earlier leads is known or over. */
+  mayStart(workers: Iterable<LeasedWorker>, now: number): boolean {
+    if (this.isOver) return true;
+    if (now - this.beganAt > this.leaseMs + LEASE_SLACK_MS) return true;
+    if (!this.isBookComplete) return false;
+    return [...workers].every(w => w.isFenced);
+  }
+
+  /** Whether enough time has passed to have heard of all workers. */
+  hasSettled(now: number): boolean {
+    return now - this.beganAt > SETTLED_MS;
+  }
+
+  /** True once, when unclaimed runs are to be stopped. */
+  takeEnd(now: number): boolean {
+    const endsAt = this.beganAt + Math.max(CLAIM_MS, this.leaseMs);
+    if (this.isOver || now < endsAt + LEASE_SLACK_MS) return false;
+    this.isOver = true;
+    this.ends.clear();
+    return true;
+  }
+
+  /** Keeps the end of a run whose job has not been handed in again yet. */
+  noteEnd(task: string, how: RunEnd): void {
+    if (!this.isOver) this.ends.set(task, how);
+  }
+
+  /** Gives a job the runs and ends of its tasks under earlier leads. */
+  adopt(entry: PoolEntry, workers: Iterable<LeasedWorker>, now: number): void {
+    const all = [...workers];
+    for (const task of entry.tasks) {
+      if (this.ends.get(task.name) === RunEnd.done) {
+        task.state = 'done';
+        entry.hasStarted = true;
+        continue;
+      }
+      for (const worker of all) {
+        const number = worker.foreign.get(task.name);
+        if (number === undefined) continue;
+        entry.hasStarted = true;
+        task.nextRun = Math.max(task.nextRun, number + 1);
+        if (!task.run) adoptRun(task, worker, number, now);
+      }
+    }
+  }
+}
+
+function adoptRun(
+  task: PoolTask,
+  worker: LeasedWorker,
+  number: number,
+  now: number,
+): void {
+  const {demand} = task.job.job.steps[task.step]!;
+  const run = Run.listed(task.name, number, demand, now);
+  task.run = run;
+  task.worker = worker;
+  task.state = 'running';
+  worker.adopt(run);
+}
--- /dev/null
+++ b/src/core/pool/worker_fleet.ts
@@ -0,0 +1,65 @@
+import type {Clock} from '../clock/clock.js';
+import type {LeaseListener} from './lease_listener.js';
+import {LeasedWorker} from './leased_worker.js';
+import type {PoolObserver} from './pool_observer.js';
+import type {WorkerBook} from './worker_book.js';
+import type {WorkerClient} from './worker_client.js';
+
+interface WorkerFleetOptions {
+  readonly clock: Clock;
+  readonly client: WorkerClient;
+  readonly book: WorkerBook;
+  readonly token: number;
+  readonly leaseMs: number;
+  readonly mayOrder: (now: number) => boolean;
+  readonly observer: PoolObserver;
+  /** Called when a worker is forgotten. */
+  readonly onGone: (id: string) => void;
+}
+
+/** The workers of one lead, kept in step with the book of reports. */
+export class WorkerFleet {
+  private readonly byId = new Map<string, LeasedWorker>();
+
+  constructor(
+    private readonly opts: WorkerFleetOptions,
+    private readonly listener: LeaseListener,
+  ) {}
+
+  get size(): number {
+    return this.byId.size;
+  }
+
+  get all(): Iterable<LeasedWorker> {
+    return this.byId.values();
+  }
+
+  tick(now: number): void {
+    this.sync();
+    for (const worker of this.byId.values()) worker.tick(now);
+  }
+
+  private sync(): void {
+    const {book, client, observer, onGone} = this.opts;
+    for (const [id, {report, seenAt}] of book.entries) {
+      const known = this.byId.get(id);
+      if (known?.report.address === report.address) {
+        known.report = report;
+        known.seenAt = seenAt;
+        continue;
+      }
+      known?.close();
+      const opts = {...this.opts, listener: this.listener};
+      this.byId.set(id, new LeasedWorker(opts, report, seenAt));
+      const {zone, service} = report;
+      observer.believed('worker_joined', {worker: id, zone, service});
+    }
+    for (const [id, worker] of this.byId) {
+      if (book.entries.has(id) || !worker.isIdle) continue;
+      this.byId.delete(id);
+      onGone(id);
+      client.forget(worker.report.address);
+      observer.believed('worker_gone', {worker: id});
+    }
+  }
+}
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -6,6 +6,7 @@
 import type {Config} from '../../core/config/config.js';
 import {ConfigNode} from '../../core/config/config_node.js';
 import type {ConfigSource} from '../../core/config/config_source.js';
+import type {LogTiming} from '../../core/config/log/log_timing.js';
 import {MembershipRequest} from '../../core/config/log/membership_request.js';
 import type {LogRequest} from '../../core/config/router/log_request.js';
 import type {LogResponse} from '../../core/config/router/log_response.js';
@@ -13,6 +14,7 @@
 import type {ChangeOutcome} from '../../core/config/state/change_outcome.js';
 import type {ChangeRefusal} from '../../core/config/state/change_refusal.js';
 import {ConfigChange} from '../../core/config/state/config_change.js';
+import type {PublishedDocument} from '../../core/config/published_document.js';
 import {StaticConfigSource} from '../../core/config/static_config_source.js';
 import type {PeerTransport} from '../../core/peer/peer_transport.js';
 import type {RandomSource} from '../../core/random/random_source.js';
@@ -43,6 +45,14 @@
     readonly id: string;
     readonly voter: boolean;
   }>;
+  /** Further nodes, where the settings do not name all. */
+  readonly discovered?: () => readonly string[];
+  /** Whether this start may form a new log. Default true. */
+  readonly mayForm?: boolean;
+  /** Default `LogTiming`. */
+  readonly timing?: LogTiming;
+  /** Default 100 ms. */
+  readonly tickMs?: number;
   readonly dataDir: string | undefined;
   readonly clock: Clock;
   readonly peers: PeerTransport;
@@ -72,7 +82,7 @@
     if (dataDir !== undefined) this.disk = new FolderDisk(dataDir, clock);
     this.node = new ConfigNode({
       ...opts,
-      nodes: nodes.map(n => n.id),
+      nodes: () => [...nodes.map(n => n.id), ...(opts.discovered?.() ?? [])],
       voters,
       ...(this.disk ? {disk: this.disk} : {}),
       initial: INITIAL,
@@ -87,6 +97,26 @@
     return this.node?.leader;
   }
 
+  /** This node's lead of the log; undefined if it does not lead. */
+  lead(now: number):
+    | {
+        readonly term: number;
+        readonly confirmedAt: number;
+        readonly isSettled: boolean;
+      }
+    | undefined {
+    const log = this.node?.log;
+    const leader = log?.leader;
+    if (!log || !leader) return undefined;
+    const {isSettled} = leader;
+    return {term: log.term, confirmedAt: leader.confirmedAt(now), isSettled};
+  }
+
+  /** The newest state that this node knows to be committed. */
+  get committed(): Config | undefined {
+    return this.node?.log?.current?.current;
+  }
+
   /** Rejects if the data folder is missing, in use, damaged or too new. */
   override async start(): Promise<void> {
     const {node, nodes, dataDir, clock} = this.opts;
@@ -133,6 +163,17 @@
       : Result.err(refusalOf(res));
   }
 
+  /** Publishes an operator's document, from any daemon. */
+  async publish(
+    document: PublishedDocument,
+  ): Promise<Result<ChangeOutcome, ChangeRefusal>> {
+    const res = await this.ask({kind: 'publish', document});
+    if ('code' in res) return Result.err(res);
+    return res.kind === 'accepted'
+      ? Result.ok({version: res.version})
+      : Result.err(refusalOf(res));
+  }
+
   /**
    * The newest configuration. `isCurrent` is false when no leader confirmed it;
    * it is then the one in force at this daemon.
@@ -192,7 +233,8 @@
   private tick(): void {
     if (this.isStopped) return;
     this.node?.tick(this.opts.clock.now());
-    this.opts.clock.schedule(TICK_MS, () => this.tick());
+    const {clock, tickMs = TICK_MS} = this.opts;
+    clock.schedule(tickMs, () => this.tick());
   }
 }
 
--- /dev/null
+++ b/src/daemon/pool/pool_telemetry.ts
@@ -0,0 +1,90 @@
+import type {ConsolaInstance} from 'consola';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {Clock} from '../../core/clock/clock.js';
+import type {PoolAnswer} from '../../core/pool/pool_answer.js';
+import type {PoolObserver} from '../../core/pool/pool_observer.js';
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** Lines of one event in a second; more are counted in one line. */
+const MAX_LINES_PER_SECOND = 150;
+const WINDOW_MS = 1_000;
+/** Upper bounds of the response time buckets, in seconds. */
+const BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/** Log lines and metrics about the decisions on jobs and workers. */
+export class PoolTelemetry implements PoolObserver {
+  readonly registry = new Registry();
+  private readonly events: Counter;
+  private readonly responses: Histogram;
+  private readonly gauges = new Map<string, Gauge>();
+  private windowStart = 0;
+  private lines = new Map<string, number>();
+
+  constructor(
+    private readonly log: ConsolaInstance,
+    private readonly clock: Clock,
+  ) {
+    const registers = [this.registry];
+    this.events = new Counter({
+      name: 'pimentoyoke_events_total',
+      help: 'Decisions and observations by event',
+      labelNames: ['event'],
+      registers,
+    });
+    this.responses = new Histogram({
+      name: 'pimentoyoke_response_seconds',
+      help: 'Time from the arrival of a job to its answer',
+      labelNames: ['queue', 'kind'],
+      buckets: BUCKETS_S,
+      registers,
+    });
+  }
+
+  decided(event: string, job: string, fields: Fields): void {
+    this.counted(event);
+    this.write(event, {job, ...fields});
+  }
+
+  believed(event: string, fields: Fields): void {
+    this.counted(event);
+    this.write(event, fields);
+  }
+
+  answered(queue: string, kind: PoolAnswer['kind'], ms: number): void {
+    this.responses.observe({queue, kind}, ms / 1_000);
+  }
+
+  counted(event: string): void {
+    this.events.inc({event});
+  }
+
+  /** Reads a value whenever the metrics are fetched. */
+  watch(name: string, help: string, read: () => number): void {
+    const registers = [this.registry];
+    const gauge: Gauge = new Gauge({
+      name: `pimentoyoke_${name}`,
+      help,
+      registers,
+      collect: () => gauge.set(read()),
+    });
+    this.gauges.set(name, gauge);
+  }
+
+  private write(event: string, fields: Fields): void {
+    const now = this.clock.now();
+    if (now - this.windowStart >= WINDOW_MS) this.startWindow(now);
+    const count = (this.lines.get(event) ?? 0) + 1;
+    this.lines.set(event, count);
+    if (count <= MAX_LINES_PER_SECOND) this.log.info(event, fields);
+  }
+
+  private startWindow(now: number): void {
+    for (const [event, count] of this.lines) {
+      const suppressed = count - MAX_LINES_PER_SECOND;
+      if (suppressed > 0) this.log.warn('log_sampled', {event, suppressed});
+    }
+    this.lines.clear();
+    this.windowStart = now;
+  }
+}
--- /dev/null
+++ b/src/platform/caller_frontend.ts
@@ -0,0 +1,117 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {HttpServer} from '../adapter/http/http_server.js';
+import type {EntryGateway} from '../core/pool/entry_gateway.js';
+import type {PoolAnswer} from '../core/pool/pool_answer.js';
+import type {PoolObserver} from '../core/pool/pool_observer.js';
+import {decodeJob} from './decode_job.js';
+import {sendJson} from './send_json.js';
+import {splitPath} from './split_path.js';
+
+const MAX_BODY_BYTES = 256 * 1024;
+/** How long a caller waits that does not say so. */
+const DEFAULT_PATIENCE_MS = 30_000;
+const UNSUPPORTED_RETRY_S = 60;
+
+interface CallerFrontendOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly gateway: EntryGateway;
+  readonly observer: PoolObserver;
+  readonly onError: (detail: string) => void;
+}
+
+/** The callers' interface: translates requests for the gateway. */
+export class CallerFrontend {
+  readonly http: HttpServer;
+
+  constructor(private readonly opts: CallerFrontendOptions) {
+    this.http = new HttpServer(opts);
+    this.http.route('POST', '/*', (req, res) => this.submit(req, res), {
+      takesBody: true,
+    });
+    this.http.route('GET', '/*', (req, res) => this.get(req, res));
+    this.http.route('DELETE', '/*', (req, res) => this.cancel(req, res));
+  }
+
+  private async submit(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const {gateway, observer} = this.opts;
+    const body = await this.http.bodies.read(req, MAX_BODY_BYTES);
+    if (body.isErr) return sendJson(res, body.error.status, body.error);
+    const {path, id} = splitPath(req.url ?? '/');
+    if (id === undefined) return sendJson(res, 404, {detail: 'no such queue'});
+    const job = decodeJob(id, body.value);
+    if (job.isErr) {
+      const {kind, detail} = job.error;
+      observer.decided('job_refused', id, {reason: kind, detail});
+      if (kind === 'invalid') return sendJson(res, 400, {detail});
+      res.setHeader('retry-after', UNSUPPORTED_RETRY_S);
+      return sendJson(res, 503, {detail});
+    }
+    const patienceMs =
+      Number(req.headers['x-deadline-ms']) || DEFAULT_PATIENCE_MS;
+    const respond = (answer: PoolAnswer) => sendAnswer(res, answer);
+    res.once('close', () => {
+      if (!res.writableFinished) gateway.drop(id, respond);
+    });
+    const host = hostOf(req);
+    gateway.submit({host, path, job: job.value, patienceMs}, respond);
+  }
+
+  private async get(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const {path, id} = splitPath(req.url ?? '/');
+    const answer = await this.opts.gateway.ask(
+      id === undefined
+        ? {kind: 'pending', host: hostOf(req), path}
+        : {kind: 'state', id},
+    );
+    if (!answer) return sendUnavailable(res);
+    if (id !== undefined) {
+      if (answer.found) return sendJson(res, 200, {state: 'running'});
+      return sendJson(res, 410, {detail: 'no such job'});
+    }
+    if (!answer.found) return sendJson(res, 404, {detail: 'no such queue'});
+    return sendJson(res, 200, {pending: answer.pending ?? 0});
+  }
+
+  private async cancel(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const {path, id} = splitPath(req.url ?? '/');
+    if (id === undefined) return sendJson(res, 404, {detail: 'no such job'});
+    const answer = await this.opts.gateway.ask({kind: 'cancel', path, id});
+    if (!answer) return sendUnavailable(res);
+    if (answer.found) return sendJson(res, 200, {state: 'cancelled'});
+    return sendJson(res, 410, {detail: 'no such job'});
+  }
+}
+
+function hostOf(req: IncomingMessage): string {
+  return (req.headers.host ?? '').split(':')[0]!;
+}
+
+function sendAnswer(res: ServerResponse, answer: PoolAnswer): void {
+  switch (answer.kind) {
+    case 'completed':
+    case 'failed':
+    case 'cancelled':
+      return sendJson(res, 200, {state: answer.kind});
+    case 'no_queue':
+      return sendJson(res, 404, {detail: 'no such queue'});
+    case 'refused': {
+      const seconds = Math.max(1, Math.round(answer.retryAfterMs / 1_000));
+      res.setHeader('retry-after', seconds);
+      return sendJson(res, 503, {detail: answer.reason});
+    }
+    case 'given_up':
+      return sendJson(res, 504, {detail: answer.reason});
+  }
+}
+
+function sendUnavailable(res: ServerResponse): void {
+  res.setHeader('retry-after', 1);
+  sendJson(res, 503, {detail: 'no lead can be reached'});
+}
--- /dev/null
+++ b/src/platform/control_frontend.ts
@@ -0,0 +1,103 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {HttpServer} from '../adapter/http/http_server.js';
+import type {LeadService} from '../core/pool/lead_service.js';
+import type {PoolObserver} from '../core/pool/pool_observer.js';
+import type {ConfigService} from '../daemon/config/config_service.js';
+import {decodeConfig} from './decode_config.js';
+import {decodeReport} from './decode_report.js';
+import {sendJson} from './send_json.js';
+
+/** Large configurations have hundreds of routes. */
+const MAX_CONFIG_BYTES = 1024 * 1024;
+const MAX_REPORT_BYTES = 64 * 1024;
+
+interface ControlFrontendOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly config: ConfigService;
+  readonly lead: LeadService;
+  readonly observer: PoolObserver;
+  readonly onError: (detail: string) => void;
+}
+
+/** The interface for operators and workers: translates their calls. */
+export class ControlFrontend {
+  readonly http: HttpServer;
+
+  constructor(private readonly opts: ControlFrontendOptions) {
+    this.http = new HttpServer(opts);
+    const body = {takesBody: true};
+    this.http.route(
+      'POST',
+      '/Instances.Heartbeat/:id',
+      (req, res, {id}) => this.report(req, res, id!),
+      body,
+    );
+    this.http.route('POST', '/Instances.Leave/:id', (_req, res, {id}) =>
+      this.leave(res, id!),
+    );
+    this.http.route(
+      'POST',
+      '/Config.Put',
+      (req, res) => this.publish(req, res),
+      body,
+    );
+    this.http.route('GET', '/Config.Get', (_req, res) => this.read(res));
+  }
+
+  private async report(
+    req: IncomingMessage,
+    res: ServerResponse,
+    id: string,
+  ): Promise<void> {
+    const body = await this.http.bodies.read(req, MAX_REPORT_BYTES);
+    if (body.isErr) return sendJson(res, body.error.status, body.error);
+    const report = decodeReport(id, body.value);
+    if (!report) {
+      this.opts.observer.counted('report_unreadable');
+      return sendJson(res, 400, {detail: 'the report cannot be read'});
+    }
+    const address = await this.opts.lead.report(report);
+    if (address === undefined) return sendUnavailable(res);
+    sendJson(res, 200, {heartbeat_url: address});
+  }
+
+  private async leave(res: ServerResponse, id: string): Promise<void> {
+    if (await this.opts.lead.leave(id)) sendJson(res, 200, {});
+    else sendUnavailable(res);
+  }
+
+  private async publish(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const {config, observer} = this.opts;
+    const body = await this.http.bodies.read(req, MAX_CONFIG_BYTES);
+    if (body.isErr) return sendJson(res, body.error.status, body.error);
+    const table = decodeConfig(body.value);
+    if (table.isErr) {
+      observer.believed('config_refused', {detail: table.error});
+      return sendJson(res, 400, {detail: table.error});
+    }
+    const {revision} = table.value.content;
+    const content = JSON.stringify(body.value);
+    const outcome = await config.publish({revision, content});
+    observer.believed(outcome.isOk ? 'config_published' : 'config_unclear', {
+      revision,
+      ...(outcome.isOk ? outcome.value : {detail: outcome.error.detail}),
+    });
+    if (outcome.isErr) return sendUnavailable(res);
+    sendJson(res, 200, {version: revision});
+  }
+
+  private async read(res: ServerResponse): Promise<void> {
+    const {config, isCurrent} = await this.opts.config.read();
+    if (!isCurrent || !config.document) return sendUnavailable(res);
+    sendJson(res, 200, config.document.content);
+  }
+}
+
+function sendUnavailable(res: ServerResponse): void {
+  res.setHeader('retry-after', 1);
+  sendJson(res, 503, {detail: 'no lead can be reached'});
+}
--- /dev/null
+++ b/src/platform/entry_program.ts
@@ -0,0 +1,93 @@
+import {HttpServer} from '../adapter/http/http_server.js';
+import {EntryGateway} from '../core/pool/entry_gateway.js';
+import {CallerFrontend} from './caller_frontend.js';
+import type {PlatformNode} from './platform_node.js';
+import {Program} from './program.js';
+import {sendJson} from './send_json.js';
+import {splitAddress} from './split_address.js';
+
+const TICK_MS = 50;
+/** A node that has found no lead for this long is not ready. */
+const NO_LEAD_MS = 3_000;
+/** The platform takes a node out after two misses, a second apart. */
+const NOTICE_MS = 2_300;
+/** Left of the grace period for the last answers. */
+const STOP_MARGIN_MS = 400;
+
+/** The process on a machine that callers reach. */
+export class EntryProgram extends Program {
+  private readonly gateway: EntryGateway;
+  private readonly frontend: CallerFrontend;
+  private readonly readiness: HttpServer;
+  private isDraining = false;
+  private leadSeenAt = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly node: PlatformNode) {
+    super();
+    const {settings, clock, log} = node.opts;
+    const observer = node.telemetry;
+    this.gateway = new EntryGateway({
+      ...node,
+      clock,
+      node: settings.ip,
+      observer,
+    });
+    const onError = (detail: string) => log.error('request_failed', {detail});
+    this.frontend = new CallerFrontend({
+      ...splitAddress(settings.callers!),
+      gateway: this.gateway,
+      observer,
+      onError,
+    });
+    this.readiness = new HttpServer({
+      ...splitAddress(settings.readiness!),
+      onError,
+    });
+    this.readiness.route('GET', '/ready', (_req, res) =>
+      sendJson(res, this.isReady() ? 200 : 503, {}),
+    );
+    observer.watch('open_jobs', 'Jobs whose callers wait here', () => {
+      return this.gateway.openJobs;
+    });
+  }
+
+  override async start(): Promise<void> {
+    await this.node.start();
+    await this.readiness.start();
+    await this.frontend.http.start();
+    this.tick();
+  }
+
+  /** Serves until the balancer has noticed, then what is still open. */
+  override async stop(): Promise<void> {
+    const {clock, settings} = this.node.opts;
+    this.isDraining = true;
+    this.frontend.http.announceDrain();
+    const startedAt = clock.now();
+    await this.sleep(Math.min(NOTICE_MS, settings.graceMs / 2));
+    const restMs = settings.graceMs - (clock.now() - startedAt);
+    await Promise.race([
+      this.frontend.http.drain(),
+      this.sleep(restMs - STOP_MARGIN_MS),
+    ]);
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      this.node.opts.clock.schedule(Math.max(0, ms), resolve);
+    });
+  }
+
+  private isReady(): boolean {
+    const now = this.node.opts.clock.now();
+    return !this.isDraining && now - this.leadSeenAt < NO_LEAD_MS;
+  }
+
+  private tick(): void {
+    const {clock} = this.node.opts;
+    const now = clock.now();
+    if (this.gateway.hasLead) this.leadSeenAt = now;
+    this.gateway.tick(now);
+    clock.schedule(TICK_MS, () => this.tick());
+  }
+}
--- /dev/null
+++ b/src/platform/main.ts
@@ -0,0 +1,81 @@
+import {write} from 'node:fs';
+import {Command} from 'commander';
+import {SteadyClock} from '../adapter/steady_clock.js';
+import {BoundedWriter} from '../daemon/log/bounded_writer.js';
+import {createLog} from '../daemon/log/create_log.js';
+import {CoreProgram} from './core_program.js';
+import {EntryProgram} from './entry_program.js';
+import {PlatformNode} from './platform_node.js';
+import {readPlatformSettings} from './read_platform_settings.js';
+
+/** As in sysexits.h: EX_SOFTWARE and EX_CONFIG. */
+const EXIT_INTERNAL = 70;
+const EXIT_SETTINGS = 78;
+/** Time for the last log lines. */
+const FLUSH_MS = 50;
+const STDOUT = 1;
+
+const program = new Command('pimentoyoke-platform')
+  .description('Runs one process of pimentoyoke on the platform.')
+  .argument('<role>', 'entry or core')
+  .parse();
+const [role] = program.args;
+const path = process.env['PIMENTOYOKE_SETTINGS'] ?? '';
+
+const writer = new BoundedWriter((text, done) =>
+  write(STDOUT, text, () => done()),
+);
+const settings = readPlatformSettings(path);
+if (settings.isErr || (role !== 'entry' && role !== 'core')) {
+  const detail = settings.isErr ? settings.error : `unknown role "${role}"`;
+  process.stderr.write(`${detail}\n`);
+  process.exit(EXIT_SETTINGS);
+}
+
+const {node, zone, seeds, isFirstStart} = settings.value;
+const log = createLog({
+  node,
+  zone,
+  isTerminal: false,
+  write: line => writer.write(line),
+});
+const clock = new SteadyClock();
+const platformNode = new PlatformNode({settings: settings.value, clock, log});
+const running =
+  role === 'entry'
+    ? new EntryProgram(platformNode)
+    : new CoreProgram(platformNode);
+
+let isStopping = false;
+/** A second signal changes nothing: the first stop goes on. */
+async function stop(): Promise<void> {
+  if (isStopping) return;
+  isStopping = true;
+  log.info('stopping');
+  await running.stop();
+  log.info('stopped', {dropped_lines: writer.droppedLines});
+  clock.schedule(FLUSH_MS, () => process.exit(0));
+}
+
+process.on('SIGTERM', () => void stop());
+process.on('SIGINT', () => void stop());
+process.on('SIGHUP', () => {
+  const fresh = readPlatformSettings(path);
+  const fields = fresh.isOk
+    ? {seeds: fresh.value.seeds}
+    : {detail: fresh.error};
+  log.info('settings_changed', fields);
+});
+// A broken invariant: what this process does next cannot be trusted.
+process.on('uncaughtException', err => {
+  process.stderr.write(`${err.stack ?? String(err)}\n`);
+  process.exit(EXIT_INTERNAL);
+});
+
+try {
+  await running.start();
+  log.info('started', {role, seeds, is_first_start: isFirstStart});
+} catch (err) {
+  process.stderr.write(`cannot start: ${String(err)}\n`);
+  process.exit(1);
+}
--- /dev/null
+++ b/src/platform/platform_node.ts
@@ -0,0 +1,64 @@
+import type {ConsolaInstance} from 'consola';
+import {HttpServer} from '../adapter/http/http_server.js';
+import {TcpPeerTransport} from '../adapter/peer/tcp_peer_transport.js';
+import type {Clock} from '../core/clock/clock.js';
+import {NodeDirectory} from '../core/pool/node_directory.js';
+import {PoolTelemetry} from '../daemon/pool/pool_telemetry.js';
+import type {PlatformSettings} from './platform_settings.js';
+
+/** Named in the deploy file. */
+const METRICS_PORT = 9_464;
+/** A silent connection must be noticed well before a caller gives up. */
+const LINK_TIMING = {busyMs: 250, idleMs: 400};
+
+interface PlatformNodeOptions {
+  readonly settings: PlatformSettings;
+  readonly clock: Clock;
+  readonly log: ConsolaInstance;
+}
+
+/** What every process on the platform has. Nodes are named by their address. */
+export class PlatformNode {
+  readonly peers: TcpPeerTransport;
+  readonly directory: NodeDirectory;
+  readonly telemetry: PoolTelemetry;
+  private readonly metrics: HttpServer;
+
+  constructor(readonly opts: PlatformNodeOptions) {
+    const {settings, clock, log} = opts;
+    const {ip, peerPort, seeds} = settings;
+    const locate = (node: string) => ({node, host: node, port: peerPort});
+    this.telemetry = new PoolTelemetry(log, clock);
+    this.directory = new NodeDirectory(ip, seeds);
+    this.peers = new TcpPeerTransport({
+      node: ip,
+      listen: {host: ip, port: peerPort},
+      peers: seeds.filter(seed => seed !== ip).map(locate),
+      locate,
+      linkTiming: LINK_TIMING,
+      clock,
+      onError: detail => log.warn('peer_error', {detail}),
+    });
+    this.metrics = this.createMetrics();
+  }
+
+  async start(): Promise<void> {
+    await this.metrics.start();
+    await this.peers.start();
+  }
+
+  private createMetrics(): HttpServer {
+    const {settings, log} = this.opts;
+    const server = new HttpServer({
+      host: settings.ip,
+      port: METRICS_PORT,
+      onError: detail => log.warn('metrics_error', {detail}),
+    });
+    server.route('GET', '/metrics', async (_req, res) => {
+      const {registry} = this.telemetry;
+      res.setHeader('content-type', registry.contentType);
+      res.end(await registry.metrics());
+    });
+    return server;
+  }
+}
--- /dev/null
+++ b/src/platform/split_address.ts
@@ -0,0 +1,10 @@
+interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits an address of the form `HOST:PORT`. */
+export function splitAddress(address: string): Address {
+  const at = address.lastIndexOf(':');
+  return {host: address.slice(0, at), port: Number(address.slice(at + 1))};
+}
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -93,7 +93,7 @@
     disk?.boot();
     const node = new ConfigNode({
       node: id,
-      nodes: this.ids,
+      nodes: () => this.ids,
       voters: this.voters,
       ...(disk ? {disk} : {}),
       initial: {
