Open the data folder without a lock where the platform runs one process for it

Cause: on the platform a killed process's id still names a process, so its lock was never taken over and core nodes did not start again. Change: FolderDisk takes no lock if asked; the platform's core program asks.

--- a/src/adapter/disk/folder_disk.test.ts
+++ b/src/adapter/disk/folder_disk.test.ts
@@ -96,3 +96,13 @@
     writeFileSync(join(dir, 'lock'), lock);
     await openDisk(dir).close();
   }));
+
+test('a folder is opened without a lock where that is asked for', () =>
+  inFolder(async dir => {
+    const disk = openDisk(dir);
+    const opts = {takesLock: false};
+    const second = new FolderDisk(dir, new SystemClock(), opts);
+    assert.isTrue(second.open().isOk);
+    await second.close();
+    await disk.close();
+  }));
--- a/src/adapter/disk/folder_disk.ts
+++ b/src/adapter/disk/folder_disk.ts
@@ -13,6 +13,15 @@
 const FOLDER_MODE = 0o700;
 const FILE_MODE = 0o600;
 
+interface FolderDiskOptions {
+  /**
+   * Whether to lock the folder against a second process. Not possible where
+   * ids of dead processes go on to name running ones, and not needed where the
+   * platform runs one process for each folder. Default true.
+   */
+  readonly takesLock?: boolean;
+}
+
 /** The data folder on a real file system, locked against other processes. */
 export class FolderDisk extends Disk {
   private last: Promise<unknown> = Promise.resolve();
@@ -21,6 +30,7 @@
   constructor(
     private readonly dir: string,
     private readonly clock: Clock,
+    private readonly opts: FolderDiskOptions = {},
   ) {
     super();
   }
@@ -32,6 +42,7 @@
     } catch (err) {
       return Result.err(`data_dir: ${String(err)}`);
     }
+    if (!(this.opts.takesLock ?? true)) return Result.ok(undefined);
     return FolderLock.take(this.dir).map(lock => {
       this.lock = lock;
     });
--- a/src/core/pool/worker_fleet.ts
+++ b/src/core/pool/worker_fleet.ts
@@ -52,7 +52,11 @@
       const opts = {...this.opts, listener: this.listener};
       this.byId.set(id, new LeasedWorker(opts, report, seenAt));
       const {zone, service} = report;
-      observer.believed('worker_joined', {worker: id, zone, service});
+      observer.believed('worker_joined', {
+        worker: id,
+        worker_zone: zone,
+        service,
+      });
     }
     for (const [id, worker] of this.byId) {
       if (book.entries.has(id) || !worker.isIdle) continue;
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -54,6 +54,8 @@
   /** Default 100 ms. */
   readonly tickMs?: number;
   readonly dataDir: string | undefined;
+  /** Whether to lock the data folder. Default true. */
+  readonly locksDataDir?: boolean;
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly random: RandomSource;
@@ -79,7 +81,10 @@
       this.source = new StaticConfigSource(INITIAL);
       return;
     }
-    if (dataDir !== undefined) this.disk = new FolderDisk(dataDir, clock);
+    if (dataDir !== undefined) {
+      const takesLock = opts.locksDataDir ?? true;
+      this.disk = new FolderDisk(dataDir, clock, {takesLock});
+    }
     this.node = new ConfigNode({
       ...opts,
       nodes: () => [...nodes.map(n => n.id), ...(opts.discovered?.() ?? [])],
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -42,6 +42,8 @@
       timing: LOG_TIMING,
       tickMs: TICK_MS,
       dataDir: settings.dataDir,
+      // The platform runs one process for each folder.
+      locksDataDir: false,
       clock,
       peers,
       random: new SystemRandom(),
