Adopt runs of earlier leads whenever their worker tells of them

Ruled out: leases that outlive the lead; the run in question was renewed by the new lead itself. Change: adoption is tried before each pass, not only on submission.

--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -94,7 +94,7 @@
     }
     const {term} = this.opts;
     const entry = new PoolEntry(submission, {owner, queue, term, now});
-    this.takeover.adopt(entry, this.workers.all, now);
+    this.takeover.adopt([entry], this.workers.all, now);
     const isPossible =
       !this.takeover.hasSettled(now) ||
       entry.tasks.every(t => this.chooser.isPossible(t, this.workers.all));
@@ -325,6 +325,11 @@
   /** Starts what fits, in order. */
   private pass(now: number): void {
     if (!this.opts.mayOrder(now)) return;
+    const jobs = [...this.jobs.values()];
+    for (const entry of this.takeover.adopt(jobs, this.workers.all, now)) {
+      entry.unblock();
+      this.finishIfDone(entry, now);
+    }
     if (!this.takeover.mayStart(this.workers.all, now)) return;
     let leastCpu = Number.POSITIVE_INFINITY;
     for (const entry of this.order.sort(this.jobs.values(), now)) {
--- a/src/core/pool/takeover.ts
+++ b/src/core/pool/takeover.ts
@@ -53,22 +53,43 @@
     if (!this.isOver) this.ends.set(task, how);
   }
 
-  /** Gives a job the runs and ends of its tasks under earlier leads. */
-  adopt(entry: PoolEntry, workers: Iterable<LeasedWorker>, now: number): void {
-    const all = [...workers];
-    for (const task of entry.tasks) {
-      if (this.ends.get(task.name) === RunEnd.done) {
-        task.state = 'done';
-        entry.hasStarted = true;
-        continue;
-      }
-      for (const worker of all) {
-        const number = worker.foreign.get(task.name);
-        if (number === undefined) continue;
-        entry.hasStarted = true;
-        task.nextRun = Math.max(task.nextRun, number + 1);
-        if (!task.run) adoptRun(task, worker, number, now);
-      }
+  /**
+   * Gives jobs the runs and ends of their tasks under earlier leads. A job may
+   * be handed in before its worker has told what it runs, or after. Returns
+   * the jobs of which a task turned out to be done.
+   */
+  adopt(
+    entries: Iterable<PoolEntry>,
+    workers: Iterable<LeasedWorker>,
+    now: number,
+  ): PoolEntry[] {
+    const holders = [...workers].filter(w => w.foreign.size > 0);
+    if (holders.length === 0 && this.ends.size === 0) return [];
+    const advanced: PoolEntry[] = [];
+    for (const entry of entries) {
+      const waiting = entry.tasks.filter(t => t.state === 'waiting');
+      for (const task of waiting) this.adoptTask(task, holders, now);
+      if (waiting.some(t => t.state !== 'waiting')) advanced.push(entry);
+    }
+    return advanced;
+  }
+
+  private adoptTask(
+    task: PoolTask,
+    holders: readonly LeasedWorker[],
+    now: number,
+  ): void {
+    if (this.ends.get(task.name) === RunEnd.done) {
+      task.state = 'done';
+      task.job.hasStarted = true;
+      return;
+    }
+    for (const worker of holders) {
+      const number = worker.foreign.get(task.name);
+      if (number === undefined) continue;
+      task.job.hasStarted = true;
+      task.nextRun = Math.max(task.nextRun, number + 1);
+      if (!task.run) adoptRun(task, worker, number, now);
     }
   }
 }
