Let the leases of unreachable workers run out; test the pool without network

Cause: looks without an answer went on to ask for longer leases, so the runs of a worker behind a cut never counted as over and their jobs waited. Change: after a look without an answer, the next ones ask for no lease. A fake worker with leases, fencing and lost calls carries the tests; the test of a silent worker failed before.

--- /dev/null
+++ b/src/core/pool/leased_worker.test.ts
@@ -0,0 +1,113 @@
+import {assert} from 'chai';
+import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+import {RunEnd} from './run_end.js';
+
+test('a job runs on the workers and is answered once', async () => {
+  const bench = new PoolBench(3);
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  lead.submit('e', PoolBench.submission('j', {tasks: 5}));
+  await bench.run(400, lead);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  const runs = [...bench.workers.values()].flatMap(w => w.history);
+  assert.lengthOf(runs, 5);
+});
+
+test('a start whose answer is lost goes on where it runs', async () => {
+  const bench = new PoolBench(2);
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  bench.client.fate = call => (call === 'start' ? 'answer_lost' : 'ok');
+  lead.submit('e', PoolBench.submission('j', {estimatedMs: 100}));
+  await bench.run(60, lead);
+  bench.client.fate = () => 'ok';
+  await bench.run(600, lead);
+  const runs = [...bench.workers.values()].flatMap(w => w.history);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.lengthOf(runs, 1);
+});
+
+test('a start that is lost on its way is made elsewhere', async () => {
+  const bench = new PoolBench(2);
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  let isFirst = true;
+  bench.client.fate = call => {
+    if (call !== 'start' || !isFirst) return 'ok';
+    isFirst = false;
+    return 'order_lost';
+  };
+  lead.submit('e', PoolBench.submission('j'));
+  await bench.run(1_500, lead);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.deepEqual(bench.overlaps(), []);
+});
+
+test('tasks of a worker that falls silent run again after its lease', async () => {
+  const bench = new PoolBench(2);
+  for (const worker of bench.workers.values()) worker.runMs = () => 700;
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  lead.submit('e', PoolBench.submission('j', {tasks: 3, estimatedMs: 700}));
+  await bench.run(50, lead);
+  bench.client.fate = (_call, id) => (id === 'w0' ? 'order_lost' : 'ok');
+  await bench.run(4_000, lead);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.deepEqual(bench.overlaps(), []);
+});
+
+test('a lead that no majority confirms lets its leases run out', async () => {
+  const bench = new PoolBench(1);
+  const [worker] = bench.workers.values();
+  worker!.runMs = () => 5_000;
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  lead.submit('e', PoolBench.submission('j', {estimatedMs: 5_000}));
+  await bench.run(50, lead);
+  bench.isConfirmed = false;
+  await bench.run(1_600, lead);
+  worker!.settle();
+  assert.equal(worker!.running.size, 0);
+});
+
+test('a draining worker gets no starts', async () => {
+  const bench = new PoolBench(1);
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  bench.workers.set('w0', bench.workers.get('w0')!);
+  bench.report('w0', {isDraining: true});
+  lead.tick(bench.clock.now());
+  lead.submit('e', PoolBench.submission('j'));
+  bench.clock.advance(5);
+  const starts = bench.client.calls.filter(c => c.call === 'start');
+  assert.lengthOf(starts, 0);
+});
+
+test('a task that fails as often as its queue allows fails the job', async () => {
+  const bench = new PoolBench(4);
+  for (const worker of bench.workers.values()) {
+    worker.endOf = () => RunEnd.failed;
+    worker.runMs = () => 10;
+  }
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  lead.submit('e', PoolBench.submission('j'));
+  await bench.run(1_000, lead);
+  assert.equal(bench.answers.get('j')?.kind, 'failed');
+  const runs = [...bench.workers.values()].flatMap(w => w.history);
+  assert.lengthOf(runs, 3);
+});
+
+test('a dropped job frees its workers', async () => {
+  const bench = new PoolBench(1);
+  const [worker] = bench.workers.values();
+  worker!.runMs = () => 5_000;
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  lead.submit('e', PoolBench.submission('j', {estimatedMs: 5_000}));
+  await bench.run(50, lead);
+  lead.drop('j', 'e', 'caller_gone');
+  await bench.run(50, lead);
+  assert.equal(worker!.running.size, 0);
+  assert.equal(lead.openJobs, 0);
+});
--- a/src/core/pool/leased_worker.ts
+++ b/src/core/pool/leased_worker.ts
@@ -1,5 +1,4 @@
-import type {Clock} from '../clock/clock.js';
-import type {LeaseListener} from './lease_listener.js';
+import type {LeaseOptions} from './lease_options.js';
 import {LeaseTiming} from './lease_timing.js';
 import {Resources} from './resources.js';
 import type {Run} from './run.js';
@@ -21,18 +20,6 @@
 type LookReply = Awaited<ReturnType<WorkerClient['look']>>;
 type Look = Extract<LookReply, {kind: 'ok'}>['look'];
 
-interface LeasedWorkerOptions {
-  readonly client: WorkerClient;
-  readonly clock: Clock;
-  readonly listener: LeaseListener;
-  /** Fencing token of the lead. */
-  readonly token: number;
-  /** Longest lease that workers grant, in ms. */
-  readonly leaseMs: number;
-  /** Whether the lead is fresh enough for orders. */
-  readonly mayOrder: (now: number) => boolean;
-}
-
 /**
  * One worker under the lease of this lead: its runs from the start order until
  * it is certain that they are over, whatever answers are lost on the way.
@@ -52,7 +39,7 @@
   private noRoomUntil = 0;
 
   constructor(
-    private readonly opts: LeasedWorkerOptions,
+    private readonly opts: LeaseOptions,
     public report: WorkerReport,
     /** When the last report came. */
     public seenAt: number,
@@ -165,7 +152,10 @@
   private look(waitMs: number, now: number): void {
     const {client, token} = this.opts;
     const {acknowledged} = this;
-    const leaseEnd = this.lease.isKnown ? this.lease.extend(now) : undefined;
+    // A look that gets no answer may still have renewed the lease, which would
+    // keep the runs of an unreachable worker alive for good.
+    const mayExtend = this.lease.isKnown && this.misses === 0;
+    const leaseEnd = mayExtend ? this.lease.extend(now) : undefined;
     this.openLooks += 1;
     this.acknowledgedSent = acknowledged;
     void client
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -9,13 +9,14 @@
 import {PoolOrder} from './pool_order.js';
 import type {PoolSubmission} from './pool_submission.js';
 import type {PoolTask} from './pool_task.js';
-import {Run} from './run.js';
+import type {Run} from './run.js';
 import {RunEnd} from './run_end.js';
 import type {RunRefusal} from './run_refusal.js';
 import {RunTimes} from './run_times.js';
 import {StragglerWatch} from './straggler_watch.js';
 import {Takeover} from './takeover.js';
 import type {WorkerBook} from './worker_book.js';
+import {TaskStarter} from './task_starter.js';
 import {WorkerChooser} from './worker_chooser.js';
 import type {WorkerClient} from './worker_client.js';
 import {WorkerFleet} from './worker_fleet.js';
@@ -51,18 +52,21 @@
   private readonly order = new PoolOrder(this.times);
   private readonly admission = new PoolAdmission();
   private readonly stragglers = new StragglerWatch(this.times);
+  private readonly starter: TaskStarter;
   private readonly takeover: Takeover;
   private isPassDue = false;
   private isClosed = false;
 
   constructor(private readonly opts: PoolDispatcherOptions) {
     const now = opts.clock.now();
+    this.starter = new TaskStarter(this.chooser, opts.observer);
     this.takeover = new Takeover(now, opts.leaseMs, opts.isBookComplete);
     const onGone = (id: string) => {
       this.times.forget(id);
       this.trust.forget(id);
     };
-    this.workers = new WorkerFleet({...opts, token: opts.term, onGone}, this);
+    const lease = {...opts, token: opts.term, listener: this};
+    this.workers = new WorkerFleet({...lease, onGone});
     this.workers.tick(now);
   }
 
@@ -331,29 +335,6 @@
       this.finishIfDone(entry, now);
     }
     if (!this.takeover.mayStart(this.workers.all, now)) return;
-    let leastCpu = Number.POSITIVE_INFINITY;
-    for (const entry of this.order.sort(this.jobs.values(), now)) {
-      for (const task of entry.tasks) {
-        if (task.state !== 'waiting') continue;
-        const {cpu} = entry.job.steps[task.step]!.demand;
-        if (cpu >= leastCpu) continue;
-        const worker = this.chooser.choose(task, this.workers.all, now);
-        if (worker) this.start(task, worker, now);
-        else leastCpu = Math.min(leastCpu, cpu);
-      }
-    }
-  }
-
-  private start(task: PoolTask, worker: LeasedWorker, now: number): void {
-    const {job} = task.job;
-    const {demand} = job.steps[task.step]!;
-    const run = new Run(task.name, task.nextRun, demand, now);
-    task.nextRun += 1;
-    task.run = run;
-    task.worker = worker;
-    task.state = 'running';
-    task.job.hasStarted = true;
-    this.opts.observer.counted('starts');
-    worker.start(run, job.payload);
+    this.starter.startAll(this.order.sort(jobs, now), this.workers.all, now);
   }
 }
--- /dev/null
+++ b/src/core/pool/takeover.test.ts
@@ -0,0 +1,72 @@
+import {assert} from 'chai';
+import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+
+// A job can reach the new lead before its worker has answered the first look.
+test('a run of the earlier lead is adopted when its worker answers late', async () => {
+  const bench = new PoolBench(2);
+  for (const worker of bench.workers.values()) worker.runMs = () => 900;
+  const first = bench.lead({term: 1});
+  await bench.run(100, first);
+  first.submit('e', PoolBench.submission('j', {estimatedMs: 900}));
+  await bench.run(100, first);
+  first.close();
+  bench.client.fate = (call, id) =>
+    call === 'look' && id === 'w0' ? 'order_lost' : 'ok';
+  const second = bench.lead({term: 2});
+  second.submit('e', PoolBench.submission('j', {estimatedMs: 900}));
+  await bench.run(200, second);
+  bench.client.fate = () => 'ok';
+  await bench.run(2_500, second);
+  assert.deepEqual(bench.overlaps(), []);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+});
+
+test('the end of an earlier run counts when its job comes again', async () => {
+  const bench = new PoolBench(1);
+  const first = bench.lead({term: 1});
+  await bench.run(50, first);
+  first.submit('e', PoolBench.submission('j'));
+  await bench.run(20, first);
+  first.close();
+  // The task ends while nobody leads.
+  await bench.run(200);
+  const second = bench.lead({term: 2});
+  await bench.run(30, second);
+  second.submit('e', PoolBench.submission('j'));
+  await bench.run(1_500, second);
+  const [worker] = bench.workers.values();
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.lengthOf(worker!.history, 1);
+});
+
+test('runs of an earlier lead that no job claims are stopped', async () => {
+  const bench = new PoolBench(1);
+  const [worker] = bench.workers.values();
+  worker!.runMs = () => 60_000;
+  const first = bench.lead({term: 1});
+  await bench.run(50, first);
+  first.submit('e', PoolBench.submission('j', {estimatedMs: 60_000}));
+  await bench.run(50, first);
+  assert.equal(worker!.running.size, 1);
+  first.close();
+  const second = bench.lead({term: 2});
+  await bench.run(1_500, second);
+  assert.equal(worker!.running.size, 0);
+});
+
+// A worker behind a cut may go on until its lease ends.
+test('nothing starts while an unreachable worker may run it', async () => {
+  const bench = new PoolBench(2);
+  for (const worker of bench.workers.values()) worker.runMs = () => 800;
+  const first = bench.lead({term: 1});
+  await bench.run(50, first);
+  first.submit('e', PoolBench.submission('j', {tasks: 2, estimatedMs: 800}));
+  await bench.run(50, first);
+  first.close();
+  bench.client.fate = (_call, id) => (id === 'w0' ? 'order_lost' : 'ok');
+  const second = bench.lead({term: 2});
+  second.submit('e', PoolBench.submission('j', {tasks: 2, estimatedMs: 800}));
+  await bench.run(4_000, second);
+  assert.deepEqual(bench.overlaps(), []);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+});
--- a/src/core/pool/worker_fleet.ts
+++ b/src/core/pool/worker_fleet.ts
@@ -1,17 +1,10 @@
-import type {Clock} from '../clock/clock.js';
-import type {LeaseListener} from './lease_listener.js';
+import type {LeaseOptions} from './lease_options.js';
 import {LeasedWorker} from './leased_worker.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {WorkerBook} from './worker_book.js';
-import type {WorkerClient} from './worker_client.js';
 
-interface WorkerFleetOptions {
-  readonly clock: Clock;
-  readonly client: WorkerClient;
+interface WorkerFleetOptions extends LeaseOptions {
   readonly book: WorkerBook;
-  readonly token: number;
-  readonly leaseMs: number;
-  readonly mayOrder: (now: number) => boolean;
   readonly observer: PoolObserver;
   /** Called when a worker is forgotten. */
   readonly onGone: (id: string) => void;
@@ -21,10 +14,7 @@
 export class WorkerFleet {
   private readonly byId = new Map<string, LeasedWorker>();
 
-  constructor(
-    private readonly opts: WorkerFleetOptions,
-    private readonly listener: LeaseListener,
-  ) {}
+  constructor(private readonly opts: WorkerFleetOptions) {}
 
   get size(): number {
     return this.byId.size;
@@ -49,8 +39,7 @@
         continue;
       }
       known?.close();
-      const opts = {...this.opts, listener: this.listener};
-      this.byId.set(id, new LeasedWorker(opts, report, seenAt));
+      this.byId.set(id, new LeasedWorker(this.opts, report, seenAt));
       const {zone, service} = report;
       observer.believed('worker_joined', {
         worker: id,
--- /dev/null
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -0,0 +1,140 @@
+import {RunEnd} from '../../../src/core/pool/run_end.js';
+import {RunRefusal} from '../../../src/core/pool/run_refusal.js';
+import type {WorkerReport} from '../../../src/core/pool/worker_report.js';
+import type {FakeClock} from '../fake_clock.js';
+
+interface Running {
+  readonly run: number;
+  readonly endsAt: number;
+  readonly how: RunEnd;
+}
+
+interface End {
+  readonly number: number;
+  readonly task: string;
+  readonly run: number;
+  readonly how: RunEnd;
+}
+
+/** A worker of the pool: leases, fencing and ends, on a fake clock. */
+export class FakePoolWorker {
+  readonly running = new Map<string, Running>();
+  /** Every start, as task, run, begin and end. */
+  readonly history: Array<{
+    task: string;
+    run: number;
+    from: number;
+    to: number;
+  }> = [];
+  /** Run time of the tasks, by name. */
+  runMs: (task: string) => number = () => 100;
+  endOf: (task: string) => RunEnd = () => RunEnd.done;
+  private readonly ends: End[] = [];
+  private readonly highestRun = new Map<string, number>();
+  private token = 0;
+  private leaseEnd = 0;
+  private endCount = 0;
+  private readonly bootedAt: number;
+
+  constructor(
+    readonly report: WorkerReport,
+    private readonly clock: FakeClock,
+    private readonly leaseMs: number,
+  ) {
+    this.bootedAt = clock.now();
+  }
+
+  get clockMs(): number {
+    return Math.floor(this.clock.now() - this.bootedAt);
+  }
+
+  /** Brings everything up to the present. */
+  settle(): void {
+    const now = this.clockMs;
+    for (const [task, {run, endsAt, how}] of [...this.running]) {
+      const at = Math.min(endsAt, this.leaseEnd);
+      if (at > now) continue;
+      this.end(task, run, endsAt <= this.leaseEnd ? how : RunEnd.lapsed, at);
+    }
+  }
+
+  start(order: {
+    task: string;
+    run: number;
+    token: number;
+    leaseEnd: number;
+  }): RunRefusal | undefined {
+    this.settle();
+    if (order.token < this.token) return RunRefusal.fenced;
+    this.token = order.token;
+    if (order.leaseEnd <= this.clockMs) return RunRefusal.late;
+    this.extend(order.leaseEnd);
+    const {task, run} = order;
+    if (this.running.get(task)?.run === run) return undefined;
+    if (run <= (this.highestRun.get(task) ?? 0)) return RunRefusal.old;
+    const {cpu} = this.report.capacity;
+    if (this.running.size >= cpu / 1_000) return RunRefusal.noRoom;
+    const endsAt = this.clockMs + this.runMs(task);
+    this.running.set(task, {run, endsAt, how: this.endOf(task)});
+    return undefined;
+  }
+
+  stop(order: {
+    task: string;
+    run: number;
+    token: number;
+  }): RunRefusal | undefined {
+    this.settle();
+    if (order.token < this.token) return RunRefusal.fenced;
+    const {task, run} = order;
+    this.note(task, run);
+    if (this.running.get(task)?.run === run) {
+      this.end(task, run, RunEnd.stopped, this.clockMs);
+    }
+    return undefined;
+  }
+
+  look(order: {
+    token: number;
+    acknowledged: number;
+    leaseEnd?: number | undefined;
+  }):
+    | RunRefusal
+    | {running: Array<{task: string; run: number}>; ended: readonly End[]} {
+    this.settle();
+    if (order.token < this.token) return RunRefusal.fenced;
+    this.token = order.token;
+    if (order.leaseEnd !== undefined) this.extend(order.leaseEnd);
+    while (this.ends[0] && this.ends[0].number <= order.acknowledged) {
+      this.ends.shift();
+    }
+    const running = [...this.running].map(([task, {run}]) => ({task, run}));
+    return {running, ended: [...this.ends]};
+  }
+
+  /** Whether an end waits that was not acknowledged. */
+  hasEndAfter(number: number): boolean {
+    this.settle();
+    return this.ends.some(end => end.number > number);
+  }
+
+  private extend(leaseEnd: number): void {
+    const most = this.clockMs + this.leaseMs;
+    this.leaseEnd = Math.max(this.leaseEnd, Math.min(leaseEnd, most));
+  }
+
+  private note(task: string, run: number): void {
+    const highest = this.highestRun.get(task) ?? 0;
+    this.highestRun.set(task, Math.max(highest, run));
+  }
+
+  private end(task: string, run: number, how: RunEnd, at: number): void {
+    const {endsAt} = this.running.get(task)!;
+    this.running.delete(task);
+    this.note(task, run);
+    this.endCount += 1;
+    this.ends.push({number: this.endCount, task, run, how});
+    const from = this.bootedAt + endsAt - this.runMs(task);
+    this.history.push({task, run, from, to: this.bootedAt + at});
+  }
+}
--- /dev/null
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -0,0 +1,158 @@
+import type {PoolAnswer} from '../../../src/core/pool/pool_answer.js';
+import {PoolDispatcher} from '../../../src/core/pool/pool_dispatcher.js';
+import type {PoolSubmission} from '../../../src/core/pool/pool_submission.js';
+import {WorkerBook} from '../../../src/core/pool/worker_book.js';
+import {RoutingTable} from '../../../src/core/routing/routing_table.js';
+import {FakeClock} from '../fake_clock.js';
+import {FakePoolWorker} from './fake_pool_worker.js';
+import {FakeWorkerClient} from './fake_worker_client.js';
+
+const LEASE_MS = 1_000;
+const TICK_MS = 20;
+
+interface LeadOptions {
+  readonly term?: number;
+  readonly isBookComplete?: boolean;
+}
+
+/** Leads of a pool over fake workers, on a fake clock. */
+export class PoolBench {
+  readonly clock = new FakeClock();
+  readonly workers = new Map<string, FakePoolWorker>();
+  readonly client = new FakeWorkerClient(this.clock, this.workers);
+  readonly answers = new Map<string, PoolAnswer>();
+  readonly answeredAt = new Map<string, number>();
+  /** Whether the lead is confirmed by a majority. */
+  isConfirmed = true;
+  private readonly book = new WorkerBook();
+  private reports = 0;
+
+  /** `tasksEach` is the number of tasks that a worker has room for. */
+  constructor(workers: number, tasksEach = 2) {
+    for (let n = 0; n < workers; n += 1) this.addWorker(`w${n}`, tasksEach);
+  }
+
+  addWorker(id: string, tasksEach = 2, bornAt = 1): FakePoolWorker {
+    this.reports += 1;
+    const cpu = tasksEach * 1_000;
+    const report = {
+      id,
+      bornAt,
+      service: 'svc',
+      address: `${id}:1`,
+      zone: 'z',
+      isDraining: false,
+      capacity: {cpu, memoryMb: 1_000, accelerators: 0},
+      labels: [],
+      sequence: this.reports,
+    };
+    const worker = new FakePoolWorker(report, this.clock, LEASE_MS);
+    this.workers.set(id, worker);
+    this.book.note(report, this.clock.now());
+    return worker;
+  }
+
+  /** Lets a worker report again. */
+  report(id: string, change: {readonly isDraining?: boolean} = {}): void {
+    this.reports += 1;
+    const {report} = this.workers.get(id)!;
+    const next = {...report, ...change, sequence: this.reports};
+    this.book.note(next, this.clock.now());
+  }
+
+  lead(opts: LeadOptions = {}): PoolDispatcher {
+    const {term = 1, isBookComplete = true} = opts;
+    const {clock, client, book} = this;
+    const dispatcher = new PoolDispatcher({
+      clock,
+      client,
+      book,
+      term,
+      leaseMs: LEASE_MS,
+      isBookComplete,
+      mayOrder: () => this.isConfirmed,
+      routing: () => PoolBench.table(),
+      answer: (_owner, id, answer) => {
+        this.answers.set(id, answer);
+        this.answeredAt.set(id, clock.now());
+      },
+      observer: {
+        decided: () => undefined,
+        believed: () => undefined,
+        answered: () => undefined,
+        counted: () => undefined,
+      },
+    });
+    return dispatcher;
+  }
+
+  /** Lets time pass for a lead, with the promises that become due. */
+  async run(ms: number, ...leads: PoolDispatcher[]): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 1) {
+      this.clock.advance(1);
+      for (let turn = 0; turn < 8; turn += 1) await Promise.resolve();
+      if (passed % TICK_MS === 0) {
+        for (const id of this.workers.keys()) this.report(id);
+        for (const lead of leads) lead.tick(this.clock.now());
+      }
+    }
+  }
+
+  /** Tasks that ran twice at one time. */
+  overlaps(): string[] {
+    const all = [...this.workers.values()].flatMap(w => w.history);
+    return all
+      .filter(a =>
+        all.some(
+          b => a !== b && a.task === b.task && a.from < b.to && b.from < a.to,
+        ),
+      )
+      .map(a => a.task);
+  }
+
+  static submission(
+    id: string,
+    opts: {
+      readonly tasks?: number;
+      readonly estimatedMs?: number;
+      readonly queue?: string;
+      readonly patienceMs?: number;
+    } = {},
+  ): PoolSubmission {
+    const {tasks = 1, estimatedMs = 100, queue = 'a'} = opts;
+    const step = {
+      count: tasks,
+      demand: {cpu: 1_000, memoryMb: 1, accelerators: 0},
+      estimatedMs,
+      after: [],
+    };
+    return {
+      host: 'h',
+      path: `/${queue}/${id}`,
+      job: {id, payload: 'p', steps: [step]},
+      waitedMs: 0,
+      patienceMs: opts.patienceMs ?? 10_000,
+    };
+  }
+
+  static table(): RoutingTable {
+    const queue = {
+      host: 'h',
+      service: 'svc',
+      targetMs: 60,
+      stretch: 1.6,
+      priority: 0,
+      maxAttempts: 3,
+      needsAdvice: false,
+    };
+    return new RoutingTable({
+      revision: 1,
+      queues: ['a', 'b', 'c'].map(name => ({
+        ...queue,
+        name,
+        prefix: `/${name}/`,
+      })),
+      services: [{name: 'svc', guardsCapacity: true}],
+    });
+  }
+}
