Find nodes and leads at once after a restart; shorter leases and elections

Cause: after all processes were killed, entry nodes heard of a lead outside their seeds only after 3 s, since presence went out once a second and named core nodes only; a successor waited for a whole lease of 1 s for workers that it could not reach. Change: presence names entry nodes too, is sent often while no lead is known and at once when a node is new. Votes tell how long no leader was heard, which shortens the wait for earlier leases; leases last 600 ms; the first election after a start comes sooner. Jobs wait for a lead only while a start helps.

--- a/src/core/config/log/election.ts
+++ b/src/core/config/log/election.ts
@@ -11,13 +11,24 @@
 
 /** Votes that a member has got in one round. */
 export class Election {
-  private readonly votes = new Set<string>();
+  private readonly votes = new Map<string, number>();
 
   constructor(readonly opts: ElectionOptions) {}
 
-  /** Counts a vote by storage id; votes of others than voters do not count. */
-  add(storage: string): void {
-    this.votes.add(storage);
+  /**
+   * Counts a vote by storage id, with the time for which the voter has heard no
+   * leader; votes of others than voters do not count.
+   */
+  add(storage: string, silentMs: number): void {
+    this.votes.set(storage, silentMs);
+  }
+
+  /**
+   * For how long no earlier leader can have been confirmed by a majority: each
+   * majority has a voter in common with this one.
+   */
+  get silentMs(): number {
+    return Math.min(...this.votes.values());
   }
 
   get isWon(): boolean {
--- a/src/core/config/log/log_leader.ts
+++ b/src/core/config/log/log_leader.ts
@@ -44,6 +44,8 @@
   constructor(
     private readonly member: LogMember,
     now: number,
+    /** For how long before no other member can have led, in ms. */
+    readonly silentMs: number,
   ) {
     this.members = new MembershipManager(this, member);
     this.timing = member.timing;
--- a/src/core/config/log/log_member.ts
+++ b/src/core/config/log/log_member.ts
@@ -43,6 +43,7 @@
   /** When a leader was last heard; votes are refused for a time after it. */
   private lastHeard = Number.NEGATIVE_INFINITY;
   private electionDeadline: number;
+  private readonly openedAt: number;
   private election: Election | undefined;
   private leadership: LogLeader | undefined;
   private readonly follower: FollowerLog;
@@ -56,7 +57,9 @@
     this.timing = opts.timing ?? LogTiming;
     this.follower = new FollowerLog(this, opts.store);
     this.applier = new LogApplier(opts.store, opts.snapshotEntries);
-    this.electionDeadline = this.nextDeadline(now);
+    this.openedAt = now;
+    const {FIRST_ELECTION_MS: firstMs} = this.timing;
+    this.electionDeadline = now + firstMs * (1 + opts.random.next());
     // Promises read from the folder count only once they are written again.
     this.store.whenDurable(() => undefined);
   }
@@ -220,7 +223,7 @@
     }
     store.whenDurable(at => {
       if (this.election !== election) return;
-      election.add(this.id.storage);
+      election.add(this.id.storage, this.silentMs(at));
       for (const member of members.voters) {
         if (member.storage === this.id.storage) continue;
         this.send<'vote'>(member, {
@@ -244,7 +247,7 @@
     }
     this.election = undefined;
     this.leaderNode = this.id.node;
-    this.leadership = new LogLeader(this, now);
+    this.leadership = new LogLeader(this, now, election.silentMs);
     this.leadership.start(now);
   }
 
@@ -283,7 +286,13 @@
     const {term} = this;
     this.store.whenDurable(() => {
       if (this.term !== term) return;
-      this.send<'vote_reply'>(to, {type: 'vote_reply', pre: false, granted});
+      const silentMs = this.silentMs(now);
+      this.send<'vote_reply'>(to, {
+        type: 'vote_reply',
+        pre: false,
+        granted,
+        silent_ms: silentMs,
+      });
     });
   }
 
@@ -300,7 +309,7 @@
     if (msg.term !== election.opts.term || msg.pre !== election.opts.isPre) {
       return;
     }
-    election.add(msg.from);
+    election.add(msg.from, msg.silent_ms ?? 0);
     this.checkElection(election, now);
   }
 
@@ -325,6 +334,11 @@
     else this.follower.onSnapshot(to, msg, now);
   }
 
+  /** For how long no leader was heard. */
+  private silentMs(now: number): number {
+    return now - Math.max(this.lastHeard, this.openedAt);
+  }
+
   private nextDeadline(now: number): number {
     const {ELECTION_TIMEOUT_MS: timeoutMs} = this.timing;
     return now + timeoutMs + this.opts.random.next() * timeoutMs;
--- a/src/core/config/log/log_message.ts
+++ b/src/core/config/log/log_message.ts
@@ -29,6 +29,8 @@
     type: v.literal('vote_reply'),
     pre: v.boolean(),
     granted: v.boolean(),
+    /** For how long the voter has heard no leader, in ms. */
+    silent_ms: v.optional(v.number()),
   }),
   v.object({
     ...common,
--- a/src/core/config/log/log_timing.ts
+++ b/src/core/config/log/log_timing.ts
@@ -7,6 +7,11 @@
    * votes. A leader steps down after the same time without a majority.
    */
   readonly ELECTION_TIMEOUT_MS: number;
+  /**
+   * The same for the first election after a start, when the others may have
+   * started as well. A pre-vote keeps it from disturbing a leader.
+   */
+  readonly FIRST_ELECTION_MS: number;
   /** A snapshot that got no answer is sent again after this time. */
   readonly SNAPSHOT_RETRY_MS: number;
   /** A transfer of the lead that takes longer is given up. */
@@ -21,6 +26,7 @@
 export const LogTiming: LogTiming = {
   HEARTBEAT_MS: 750,
   ELECTION_TIMEOUT_MS: 2_000,
+  FIRST_ELECTION_MS: 2_000,
   SNAPSHOT_RETRY_MS: 2_000,
   TRANSFER_TIMEOUT_MS: 1_000,
 };
--- /dev/null
+++ b/src/core/pool/answer_cache.ts
@@ -0,0 +1,36 @@
+import type {PoolAnswer} from './pool_answer.js';
+
+/** Answers are kept for entry nodes that lost them. */
+const KEPT_MS = 4_000;
+
+/** The answers of the last seconds, by job. */
+export class AnswerCache {
+  private readonly answers = new Map<
+    string,
+    {readonly answer: PoolAnswer; readonly at: number}
+  >();
+
+  get(id: string): PoolAnswer | undefined {
+    return this.answers.get(id)?.answer;
+  }
+
+  set(id: string, answer: PoolAnswer, now: number): void {
+    this.answers.delete(id);
+    this.answers.set(id, {answer, at: now});
+  }
+
+  delete(id: string): void {
+    this.answers.delete(id);
+  }
+
+  clear(): void {
+    this.answers.clear();
+  }
+
+  expire(now: number): void {
+    for (const [id, {at}] of this.answers) {
+      if (now - at < KEPT_MS) return;
+      this.answers.delete(id);
+    }
+  }
+}
--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry_gateway.ts
@@ -3,17 +3,26 @@
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {NodeDirectory} from './node_directory.js';
 import type {PoolAnswer} from './pool_answer.js';
+import {longestChainMs} from './longest_chain_ms.js';
 import type {PoolJob} from './pool_job.js';
 import {PoolMessage} from './pool_message.js';
 import type {PoolObserver} from './pool_observer.js';
 
 const PRESENCE_MS = 1_000;
+/** Interval of a node that has found no lead. */
+const SEEKING_MS = 150;
 /** Interval at which the lead is asked about open jobs. */
 const POLL_MS = 300;
 /** A job that was handed in this recently may still be on its way. */
 const IN_FLIGHT_MS = 250;
-/** A job that no lead could be found for is refused after this time. */
-const NO_LEAD_MS = 1_000;
+/**
+ * A job that no lead is found for is refused once a start would come too late
+ * for its caller: after this share of its ideal run time, and this time more.
+ */
+const HOLD_SHARE = 0.9;
+const HOLD_MS = 100;
+/** No takeover is worth a longer wait. */
+const MAX_HOLD_MS = 1_200;
 /** The caller gets an answer this long before it stops waiting. */
 const ANSWER_MARGIN_MS = 20;
 const ASK_TIMEOUT_MS = 1_000;
@@ -30,6 +39,8 @@
   /** Term of the lead that has it; undefined if it was never handed in. */
   term: number | undefined;
   handedAt: number;
+  /** How long it waits for a lead. */
+  readonly holdMs: number;
   /** Whether more than one lead has been given it. */
   wasHandedOver: boolean;
 }
@@ -99,6 +110,10 @@
       term: undefined,
       handedAt: 0,
       wasHandedOver: false,
+      holdMs: Math.min(
+        MAX_HOLD_MS,
+        HOLD_MS + HOLD_SHARE * longestChainMs(job.job.steps),
+      ),
     };
     this.open.set(id, open);
     this.handIn(open, now);
@@ -151,11 +166,12 @@
     }
     for (const job of [...this.open.values()]) this.tend(job, term, now);
     if (now >= this.nextPresence) {
-      this.nextPresence = now + PRESENCE_MS;
-      const cores = directory.coreIds(now);
-      for (const id of cores) {
+      this.nextPresence = now + (lead ? PRESENCE_MS : SEEKING_MS);
+      const cores = directory.heardIds('core', now);
+      const body = {role: 'entry', cores};
+      for (const id of directory.coreIds(now)) {
         if (id === node) continue;
-        peers.send(id, 'pool.presence', {role: 'entry', cores});
+        peers.send(id, 'pool.presence', body);
       }
     }
     if (lead && now >= this.nextPoll) {
@@ -172,7 +188,7 @@
     } else if (
       term < 0 &&
       job.term === undefined &&
-      now - job.arrivedAt > NO_LEAD_MS
+      now - job.arrivedAt > job.holdMs
     ) {
       this.refuse(job, 'no_lead');
     }
@@ -251,7 +267,7 @@
     if (!v.is(PoolMessage.presence, body)) return;
     const {directory} = this.opts;
     directory.note(from, body.role, now);
-    for (const core of body.cores) directory.note(core, 'core', now);
+    directory.noteRumour(body.cores, 'core', now);
     const {term, reportAddress} = body;
     if (term === undefined) {
       directory.noteNoLead(from);
--- a/src/core/pool/lead_service.ts
+++ b/src/core/pool/lead_service.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../clock/clock.js';
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {RoutingTable} from '../routing/routing_table.js';
+import {AnswerCache} from './answer_cache.js';
 import type {NodeDirectory} from './node_directory.js';
 import type {PoolAnswer} from './pool_answer.js';
 import {PoolDispatcher} from './pool_dispatcher.js';
@@ -13,9 +14,11 @@
 import {WorkerReport} from './worker_report.js';
 
 /** A lead that no majority has confirmed for this long gives no orders. */
-const ORDER_FRESH_MS = 350;
+const ORDER_FRESH_MS = 250;
 const LEAD_PRESENCE_MS = 200;
 const PRESENCE_MS = 1_000;
+/** Interval of nodes that have found no lead. */
+const SEEKING_MS = 150;
 const BOOK_INTERVAL_MS = 2_000;
 /** A book that was whole this recently counts as complete. */
 const BOOK_AGE_MS = 5_000;
@@ -23,8 +26,6 @@
 const OWNER_SILENCE_MS = 1_200;
 /** A worker waits a second for the answer to its report. */
 const ASK_TIMEOUT_MS = 700;
-/** Answers are kept for entry nodes that lost them. */
-const ANSWER_KEPT_MS = 4_000;
 
 interface LeadState {
   readonly term: number;
@@ -32,6 +33,8 @@
   readonly confirmedAt: number;
   /** Whether what earlier terms left is committed. */
   readonly isSettled: boolean;
+  /** For how long before it no other node can have led, in ms. */
+  readonly silentMs: number;
 }
 
 interface LeadServiceOptions {
@@ -58,10 +61,7 @@
   private dispatcher: PoolDispatcher | undefined;
   private term = 0;
   private readonly ownersSeen = new Map<string, number>();
-  private readonly answers = new Map<
-    string,
-    {readonly answer: PoolAnswer; readonly at: number}
-  >();
+  private readonly answers = new AnswerCache();
   private nextPresence = 0;
   private nextBook = 0;
   private wholeBookAt = Number.NEGATIVE_INFINITY;
@@ -122,7 +122,7 @@
         return now - seenAt > OWNER_SILENCE_MS;
       });
       dispatcher.tick(now);
-      this.expireAnswers(now);
+      this.answers.expire(now);
     }
     if (now >= this.nextPresence) this.sendPresence(now);
     if (dispatcher && now >= this.nextBook) {
@@ -156,6 +156,7 @@
       workers: this.book.entries.size,
       is_book_complete: isBookComplete,
       confirmed_ms_ago: Math.round(now - state.confirmedAt),
+      silent_ms: Math.round(state.silentMs),
     });
     this.dispatcher = new PoolDispatcher({
       clock,
@@ -164,6 +165,9 @@
       term: state.term,
       leaseMs,
       isBookComplete,
+      // An earlier lead ordered until it was no longer fresh, and its last
+      // lease began then.
+      earlierLeasesMs: ORDER_FRESH_MS + leaseMs - state.silentMs,
       mayOrder: at => {
         const current = lead(at);
         return (
@@ -180,17 +184,10 @@
   }
 
   private answer(owner: string, id: string, answer: PoolAnswer): void {
-    this.answers.set(id, {answer, at: this.opts.clock.now()});
+    this.answers.set(id, answer, this.opts.clock.now());
     this.opts.peers.send(owner, 'pool.answer', {id, answer});
   }
 
-  private expireAnswers(now: number): void {
-    for (const [id, {at}] of this.answers) {
-      if (now - at < ANSWER_KEPT_MS) return;
-      this.answers.delete(id);
-    }
-  }
-
   private onSubmit(from: string, body: unknown, now: number): void {
     const {dispatcher} = this;
     if (!dispatcher || !v.is(PoolSubmission, body)) return;
@@ -208,7 +205,7 @@
     for (const id of body.ids) {
       const known = this.answers.get(id);
       if (known) {
-        this.opts.peers.send(from, 'pool.answer', {id, answer: known.answer});
+        this.opts.peers.send(from, 'pool.answer', {id, answer: known});
       } else if (!dispatcher.has(id)) unknown.push(id);
     }
     if (unknown.length === 0) return;
@@ -216,12 +213,22 @@
   }
 
   private onPresence(from: string, body: unknown, now: number): void {
-    if (!v.is(PoolMessage.presence, body)) return;
+    const parsed = v.safeParse(PoolMessage.presence, body);
+    if (!parsed.success) return;
+    this.notePresence(from, parsed.output, now);
+  }
+
+  private notePresence(
+    from: string,
+    body: v.InferOutput<typeof PoolMessage.presence>,
+    now: number,
+  ): void {
     const {directory} = this.opts;
-    directory.note(from, body.role, now);
-    for (const core of body.cores) {
-      if (core !== this.opts.node) directory.note(core, 'core', now);
-    }
+    const isNew = directory.note(from, body.role, now);
+    directory.noteRumour(body.cores, 'core', now);
+    directory.noteRumour(body.entries, 'entry', now);
+    // A new node, and those that have not heard of it, need not wait.
+    if (isNew) this.nextPresence = now;
     if (body.role !== 'core') return;
     const {term, reportAddress} = body;
     if (term === undefined) directory.noteNoLead(from);
@@ -231,11 +238,13 @@
   private sendPresence(now: number): void {
     const {directory, node, peers, reportAddress} = this.opts;
     const isLeading = this.dispatcher !== undefined;
-    this.nextPresence = now + (isLeading ? LEAD_PRESENCE_MS : PRESENCE_MS);
+    const otherMs = directory.lead(now) ? PRESENCE_MS : SEEKING_MS;
+    this.nextPresence = now + (isLeading ? LEAD_PRESENCE_MS : otherMs);
     const cores = directory.coreIds(now).filter(id => id !== node);
     const body = {
       role: 'core',
-      cores: [node, ...cores],
+      cores: directory.heardIds('core', now),
+      entries: directory.heardIds('entry', now),
       ...(isLeading ? {term: this.term, reportAddress} : {}),
     };
     if (isLeading) {
--- a/src/core/pool/leased_worker.ts
+++ b/src/core/pool/leased_worker.ts
@@ -14,6 +14,8 @@
   LOOK_GRACE_MS,
   ORDER_TIMEOUT_MS,
   PROBE_INTERVAL_MS,
+  QUICK_PROBES,
+  SLOW_PROBE_MS,
   IDLE_ACK_MS,
 } = LeaseTiming;
 
@@ -140,7 +142,9 @@
     const isBusy = !this.ledger.isEmpty;
     if (this.misses > 0 || !this.fenced) {
       if (now < this.nextProbe) return;
-      this.nextProbe = now + PROBE_INTERVAL_MS;
+      const isLongSilent = this.misses > QUICK_PROBES;
+      const pauseMs = isLongSilent ? SLOW_PROBE_MS : PROBE_INTERVAL_MS;
+      this.nextProbe = now + pauseMs;
       this.look(0, now);
     } else if (isBusy) {
       this.look(LOOK_WAIT_MS, now);
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -30,6 +30,8 @@
   readonly term: number;
   /** Longest lease that workers grant, in ms. */
   readonly leaseMs: number;
+  /** For how long leases of earlier leads may last, in ms. */
+  readonly earlierLeasesMs: number;
   /** Whether the book was kept up to date until the lead began. */
   readonly isBookComplete: boolean;
   readonly mayOrder: (now: number) => boolean;
@@ -60,7 +62,11 @@
   constructor(private readonly opts: PoolDispatcherOptions) {
     const now = opts.clock.now();
     this.starter = new TaskStarter(this.chooser, opts.observer);
-    this.takeover = new Takeover(now, opts.leaseMs, opts.isBookComplete);
+    this.takeover = new Takeover(
+      now,
+      opts.earlierLeasesMs,
+      opts.isBookComplete,
+    );
     const onGone = (id: string) => {
       this.times.forget(id);
       this.trust.forget(id);
--- a/src/core/pool/pool_entry.ts
+++ b/src/core/pool/pool_entry.ts
@@ -1,4 +1,5 @@
 import type {RoutingTable} from '../routing/routing_table.js';
+import {longestChainMs} from './longest_chain_ms.js';
 import type {PoolJob} from './pool_job.js';
 import type {PoolSubmission} from './pool_submission.js';
 import type {PoolTask} from './pool_task.js';
@@ -87,12 +88,3 @@
     }
   }
 }
-
-function longestChainMs(steps: PoolJob['steps']): number {
-  const ends: number[] = [];
-  for (const step of steps) {
-    const begin = Math.max(0, ...step.after.map(at => ends[at] ?? 0));
-    ends.push(begin + step.estimatedMs);
-  }
-  return Math.max(...ends);
-}
--- a/src/core/pool/pool_message.ts
+++ b/src/core/pool/pool_message.ts
@@ -7,10 +7,12 @@
 
 /** Validators of the messages between entry and core nodes, by kind. */
 export const PoolMessage = {
-  /** A node tells that it is there, and which core nodes it knows. */
+  /** A node tells that it is there, and which nodes it knows. */
   presence: v.object({
     role: v.picklist(['entry', 'core']),
     cores: ids,
+    /** Entry nodes that a core node knows. */
+    entries: v.optional(ids, []),
     /** Term of the lead, if the sender leads. */
     term: v.optional(count),
     /** Address for workers' reports, if the sender leads. */
--- a/src/core/pool/takeover.ts
+++ b/src/core/pool/takeover.ts
@@ -5,7 +5,7 @@
 import type {PoolTask} from './pool_task.js';
 
 /** Covers slow workers' clocks and timers that fire late. */
-const LEASE_SLACK_MS = 150;
+const LEASE_SLACK_MS = 100;
 /** Entry nodes hand in their open jobs again within this time. */
 const CLAIM_MS = 700;
 /** From then on the known workers are all that there are. */
@@ -22,14 +22,14 @@
 
   constructor(
     private readonly beganAt: number,
-    private readonly leaseMs: number,
+    private readonly leasesMs: number,
     private readonly isBookComplete: boolean,
   ) {}
 
   /** Whether every run of earlier leads is known or over. */
   mayStart(workers: Iterable<LeasedWorker>, now: number): boolean {
     if (this.isOver) return true;
-    if (now - this.beganAt > this.leaseMs + LEASE_SLACK_MS) return true;
+    if (now - this.beganAt > this.leasesMs + LEASE_SLACK_MS) return true;
     if (!this.isBookComplete) return false;
     return [...workers].every(w => w.isFenced);
   }
@@ -41,7 +41,7 @@
 
   /** True once, when unclaimed runs are to be stopped. */
   takeEnd(now: number): boolean {
-    const endsAt = this.beganAt + Math.max(CLAIM_MS, this.leaseMs);
+    const endsAt = this.beganAt + Math.max(CLAIM_MS, this.leasesMs);
     if (this.isOver || now < endsAt + LEASE_SLACK_MS) return false;
     this.isOver = true;
     this.ends.clear();
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -108,13 +108,15 @@
         readonly term: number;
         readonly confirmedAt: number;
         readonly isSettled: boolean;
+        readonly silentMs: number;
       }
     | undefined {
     const log = this.node?.log;
     const leader = log?.leader;
     if (!log || !leader) return undefined;
-    const {isSettled} = leader;
-    return {term: log.term, confirmedAt: leader.confirmedAt(now), isSettled};
+    const {isSettled, silentMs} = leader;
+    const confirmedAt = leader.confirmedAt(now);
+    return {term: log.term, confirmedAt, isSettled, silentMs};
   }
 
   /** The newest state that this node knows to be committed. */
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -15,12 +15,19 @@
  * wait for well under a second.
  */
 const LOG_TIMING = {
-  HEARTBEAT_MS: 120,
-  ELECTION_TIMEOUT_MS: 600,
+  HEARTBEAT_MS: 100,
+  ELECTION_TIMEOUT_MS: 400,
+  FIRST_ELECTION_MS: 150,
   SNAPSHOT_RETRY_MS: 1_000,
   TRANSFER_TIMEOUT_MS: 1_000,
 };
 
+/**
+ * Short leases bound the time for which a successor must wait for workers that
+ * it cannot reach; they cover two lost renewals.
+ */
+const LEASE_MS = 600;
+
 /** The process on a core machine: control, the log, and dispatch if it leads. */
 export class CoreProgram extends Program {
   private readonly config: ConfigService;
@@ -55,7 +62,7 @@
       peers,
       client: new HttpWorkerClient(),
       directory,
-      leaseMs: settings.leaseMs,
+      leaseMs: Math.min(LEASE_MS, settings.leaseMs),
       reportAddress: control!,
       lead: now => this.config.lead(now),
       routing: () => this.routing(),
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -13,6 +13,8 @@
 interface LeadOptions {
   readonly term?: number;
   readonly isBookComplete?: boolean;
+  /** Default: a whole lease. */
+  readonly earlierLeasesMs?: number;
 }
 
 /** Leads of a pool over fake workers, on a fake clock. */
@@ -62,6 +64,7 @@
 
   lead(opts: LeadOptions = {}): PoolDispatcher {
     const {term = 1, isBookComplete = true} = opts;
+    const {earlierLeasesMs = LEASE_MS} = opts;
     const {clock, client, book} = this;
     const dispatcher = new PoolDispatcher({
       clock,
@@ -70,6 +73,7 @@
       term,
       leaseMs: LEASE_MS,
       isBookComplete,
+      earlierLeasesMs,
       mayOrder: () => this.isConfirmed,
       routing: () => PoolBench.table(),
       answer: (_owner, id, answer) => {
