Use all free room in one pass; refuse what is too late; spare long tasks

Jobs that could no longer be answered in time were run before others. A task much longer than its estimate was stopped as a straggler without end. Ruled out for the late jobs: the length of looks and of leases (trials).

--- a/src/core/dispatch/target/quantile_sketch.ts
+++ b/src/core/dispatch/target/quantile_sketch.ts
@@ -30,6 +30,11 @@
     if (this.weight >= MAX_WEIGHT) this.fade();
   }
 
+  /** Values that count, older ones in part. */
+  get count(): number {
+    return this.weight;
+  }
+
   get isEmpty(): boolean {
     return this.weight === 0;
   }
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -2,6 +2,7 @@
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {LeasedWorker} from './leased_worker.js';
 import type {LeaseListener} from './lease_listener.js';
+import {HopelessJobs} from './hopeless_jobs.js';
 import type {PoolAnswer} from './pool_answer.js';
 import {PoolEntry} from './pool_entry.js';
 import type {PoolObserver} from './pool_observer.js';
@@ -22,6 +23,9 @@
 import {WorkerFleet} from './worker_fleet.js';
 import {WorkerTrust} from './worker_trust.js';
 
+/** A backlog that makes jobs too late is gone after this time. */
+const RETRY_LATE_MS = 2_000;
+
 interface PoolDispatcherOptions {
   readonly clock: Clock;
   readonly client: WorkerClient;
@@ -53,6 +57,7 @@
   private readonly chooser = new WorkerChooser(this.times, this.trust);
   private readonly order = new PoolOrder(this.times);
   private readonly admission = new PoolAdmission();
+  private readonly hopeless = new HopelessJobs(this.times);
   private readonly stragglers = new StragglerWatch(this.times);
   private readonly starter: TaskStarter;
   private readonly takeover: Takeover;
@@ -154,11 +159,8 @@
 
   /** Jobs of a queue of which no task has started. */
   pendingOf(queue: string): number {
-    let pending = 0;
-    for (const {queue: q, hasStarted, isAbandoned} of this.jobs.values()) {
-      if (q.name === queue && !hasStarted && !isAbandoned) pending += 1;
-    }
-    return pending;
+    const isPending = (j: PoolEntry) => j.queue.name === queue && j.isPending;
+    return [...this.jobs.values()].filter(isPending).length;
   }
 
   /** Drops the jobs of owners that are no longer heard of. */
@@ -248,12 +250,9 @@
   }
 
   changed(worker: LeasedWorker): void {
-    this.opts.observer.believed('worker_changed', {
-      worker: worker.report.id,
-      fenced: worker.isFenced,
-      outranked: worker.isOutranked,
-      silent: worker.isSilent,
-    });
+    const {report, isFenced, isOutranked, isSilent} = worker;
+    const fields = {worker: report.id, isFenced, isOutranked, isSilent};
+    this.opts.observer.believed('worker_changed', fields);
     this.schedulePass();
   }
 
@@ -270,8 +269,8 @@
   }
 
   private taskOf(name: string): PoolTask | undefined {
-    const entry = this.jobs.get(name.slice(0, name.indexOf('.')));
-    return entry?.tasks.find(t => t.name === name);
+    const id = name.slice(0, name.indexOf('.'));
+    return this.jobs.get(id)?.tasks.find(t => t.name === name);
   }
 
   private abandon(entry: PoolEntry): void {
@@ -311,6 +310,10 @@
 
   /** Ends what its caller no longer waits for. */
   private expire(now: number): void {
+    for (const entry of this.hopeless.find(this.jobs.values(), now)) {
+      this.refuse(entry.owner, entry.job.id, 'too_late', RETRY_LATE_MS);
+      this.abandon(entry);
+    }
     for (const entry of [...this.jobs.values()]) {
       if (entry.isAbandoned || now < entry.deadlineAt) continue;
       const {owner, job} = entry;
--- a/src/core/pool/pool_entry.ts
+++ b/src/core/pool/pool_entry.ts
@@ -9,6 +9,9 @@
 /** Run numbers of one lead; numbers rise over leads as terms do. */
 const RUNS_PER_TERM = 100;
 
+/** An answer later than this many times its objective is worth nothing. */
+const USEFUL_FACTOR = 3;
+
 interface PoolEntryOptions {
   /** Entry node that waits for the answer. */
   readonly owner: string;
@@ -28,6 +31,8 @@
   readonly idealMs: number;
   /** Until when an answer is on time. */
   readonly objectiveAt: number;
+  /** Until when an answer is of any use. */
+  readonly usefulUntil: number;
   /** Until when the caller waits. */
   readonly deadlineAt: number;
   readonly tasks: readonly PoolTask[];
@@ -47,6 +52,8 @@
     this.idealMs = longestChainMs(job.steps);
     this.objectiveAt =
       this.arrivedAt + queue.stretch * this.idealMs + queue.targetMs;
+    const objectiveMs = this.objectiveAt - this.arrivedAt;
+    this.usefulUntil = this.arrivedAt + USEFUL_FACTOR * objectiveMs;
     this.deadlineAt = now + patienceMs;
     this.tasks = job.steps.flatMap((step, at) =>
       Array.from({length: step.count}, (_, index) => ({
@@ -58,10 +65,16 @@
         worker: undefined,
         nextRun: term * RUNS_PER_TERM + 1,
         failures: 0,
+        stragglers: 0,
       })),
     );
   }
 
+  /** Whether it waits and no task has started. */
+  get isPending(): boolean {
+    return !this.hasStarted && !this.isAbandoned;
+  }
+
   get isDone(): boolean {
     return this.tasks.every(t => t.state === 'done');
   }
--- a/src/core/pool/pool_order.ts
+++ b/src/core/pool/pool_order.ts
@@ -18,14 +18,12 @@
   }
 
   private keyOf(entry: PoolEntry, now: number): number {
-    let restMs = 0;
+    const restMs = this.times.restMs(entry);
     let work = 0;
     for (const task of entry.tasks) {
       if (task.state === 'done') continue;
       const {estimatedMs} = entry.job.steps[task.step]!;
-      const ms = this.times.expectedMs(entry.queue.name, estimatedMs);
-      restMs = Math.max(restMs, ms);
-      work += ms;
+      work += this.times.expectedMs(entry.queue.name, estimatedMs);
     }
     const isLate = now + restMs > entry.objectiveAt;
     // Jobs that can still be on time come first, the smallest before others.
--- a/src/core/pool/pool_task.ts
+++ b/src/core/pool/pool_task.ts
@@ -14,4 +14,6 @@
   /** Number of the next start; numbers of one task only rise. */
   nextRun: number;
   failures: number;
+  /** How often a run was stopped because it took too long. */
+  stragglers: number;
 }
--- a/src/core/pool/run_times.ts
+++ b/src/core/pool/run_times.ts
@@ -1,9 +1,12 @@
+import type {PoolEntry} from './pool_entry.js';
 import {QuantileSketch} from '../dispatch/target/quantile_sketch.js';
 
 /** Assumed ratio of run time to estimate until ends are seen. */
 const ASSUMED_RATIO = 1;
 /** Scale of the ratios in the sketch, whose smallest value is 0.5. */
 const SCALE = 100;
+/** Ends of a queue before its long run times count as known. */
+const MIN_ENDS = 30;
 /** Weight of a new run time in a worker's average. */
 const WORKER_WEIGHT = 0.15;
 
@@ -36,8 +39,23 @@
     return (estimatedMs * this.sketch(queue).mean) / SCALE;
   }
 
-  /** Run time that only few tasks with this estimate exceed. */
+  /** Expected run time of the rest of a job with unlimited room. */
+  restMs(entry: PoolEntry): number {
+    let restMs = 0;
+    for (const {state, step} of entry.tasks) {
+      if (state === 'done') continue;
+      const {estimatedMs} = entry.job.steps[step]!;
+      restMs = Math.max(restMs, this.expectedMs(entry.queue.name, estimatedMs));
+    }
+    return restMs;
+  }
+
+  /**
+   * Run time that only few tasks with this estimate exceed; infinite until
+   * enough ends were seen.
+   */
   longMs(queue: string, estimatedMs: number): number {
+    if (this.sketch(queue).count < MIN_ENDS) return Number.POSITIVE_INFINITY;
     return (estimatedMs * this.sketch(queue).quantile(0.98)) / SCALE;
   }
 
--- a/src/core/pool/takeover.ts
+++ b/src/core/pool/takeover.ts
@@ -27,11 +27,11 @@
   ) {}
 
   /** Whether every run of earlier leads is known or over. */
-  mayStart(workers: Iterable<LeasedWorker>, now: number): boolean {
+  mayStart(workers: readonly LeasedWorker[], now: number): boolean {
     if (this.isOver) return true;
     if (now - this.beganAt > this.leasesMs + LEASE_SLACK_MS) return true;
     if (!this.isBookComplete) return false;
-    return [...workers].every(w => w.isFenced);
+    return workers.every(w => w.isFenced);
   }
 
   /** Whether enough time has passed to have heard of all workers. */
@@ -60,10 +60,10 @@
    */
   adopt(
     entries: Iterable<PoolEntry>,
-    workers: Iterable<LeasedWorker>,
+    workers: readonly LeasedWorker[],
     now: number,
   ): PoolEntry[] {
-    const holders = [...workers].filter(w => w.foreign.size > 0);
+    const holders = workers.filter(w => w.foreign.size > 0);
     if (holders.length === 0 && this.ends.size === 0) return [];
     const advanced: PoolEntry[] = [];
     for (const entry of entries) {
--- a/src/core/pool/task_starter.ts
+++ b/src/core/pool/task_starter.ts
@@ -15,7 +15,7 @@
   /** Starts what fits, the tasks of the first job before those of others. */
   startAll(
     jobs: readonly PoolEntry[],
-    workers: Iterable<LeasedWorker>,
+    workers: readonly LeasedWorker[],
     now: number,
   ): void {
     // Room that a small task did not find is not looked for again.
--- a/src/core/pool/worker_chooser.ts
+++ b/src/core/pool/worker_chooser.ts
@@ -17,7 +17,7 @@
   ) {}
 
   /** Whether any of the workers could ever run the task. */
-  isPossible(task: PoolTask, workers: Iterable<LeasedWorker>): boolean {
+  isPossible(task: PoolTask, workers: readonly LeasedWorker[]): boolean {
     for (const worker of workers) {
       if (this.isFit(task, worker, worker.report.capacity)) return true;
     }
@@ -27,7 +27,7 @@
   /** The best worker with room; undefined if there is none at present. */
   choose(
     task: PoolTask,
-    workers: Iterable<LeasedWorker>,
+    workers: readonly LeasedWorker[],
     now: number,
   ): LeasedWorker | undefined {
     let best: LeasedWorker | undefined;
--- a/src/core/pool/worker_fleet.ts
+++ b/src/core/pool/worker_fleet.ts
@@ -20,8 +20,8 @@
     return this.byId.size;
   }
 
-  get all(): Iterable<LeasedWorker> {
-    return this.byId.values();
+  get all(): readonly LeasedWorker[] {
+    return [...this.byId.values()];
   }
 
   tick(now: number): void {
