Ignore answers to an earlier life of a node; finish a voter's repair at once

Ruled out: the log; it kept every entry in the trace. Second cause: a voter whose folder was lost was promoted under its new folder before the old one was removed, because the old one had been heard a moment ago. Third: entry nodes kept jobs of a lost lead until their deadline. Change: ids begin at a random number; a folder that its own node has replaced is removed first; jobs of a lost lead are given up (504) after 1.5 s.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -64,6 +64,7 @@
     this.router = new RequestRouter({
       node,
       peers,
+      random: opts.random,
       getLeader: () => this.exchange.leader,
       noteLeader: id => this.exchange.noteLeader(id),
       serve: (req, now, respond) => this.serve(req, now, respond),
--- a/src/core/config/log/membership_manager.test.ts
+++ b/src/core/config/log/membership_manager.test.ts
@@ -130,6 +130,21 @@
   assert.equal(successor.current!.current.version, 3);
 });
 
+// Until the old folder's vote was removed, a lost leader left no majority.
+test('a repaired voter counts in full as soon as it votes', () => {
+  for (const seed of [1, 13, 17]) {
+    const bench = new ConfigBench({seed});
+    bench.startAll();
+    const leader = bench.untilLeader();
+    const lost = bench.voters.find(id => id !== leader)!;
+    bench.lose(lost);
+    bench.start(lost);
+    bench.until('the repair', () => bench.node(lost).log!.isVoter);
+    bench.crash(leader);
+    bench.untilLeader();
+  }
+});
+
 test('an existing log is not formed anew by emptied voters', () => {
   const bench = new ConfigBench();
   bench.startAll();
--- a/src/core/config/log/membership_manager.ts
+++ b/src/core/config/log/membership_manager.ts
@@ -152,7 +152,10 @@
     }
     if (!this.isCaughtUp(next, now)) return;
     const replacing = {old, next};
-    if (has(voters, old) && !this.isAlive(old, now) && voters.length > 1) {
+    // A node that has another folder now has lost the old one for good, however
+    // recently that was heard.
+    const isGone = old.node === next.node || !this.isAlive(old, now);
+    if (has(voters, old) && isGone && voters.length > 1) {
       // Without the dead voter, the majority of the rest is no larger.
       this.change({voters: without(voters, old), learners, replacing}, now);
       return;
--- a/src/core/config/router/request_router.ts
+++ b/src/core/config/router/request_router.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {RandomSource} from '../../random/random_source.js';
 import type {ChangeRefusal} from '../state/change_refusal.js';
 import type {LogRequest} from './log_request.js';
 import {LogRequest as LogRequestSchema} from './log_request.js';
@@ -13,6 +14,9 @@
 /** A leader that has not answered for this long is asked again. */
 const ATTEMPT_MS = 1_000;
 
+/** Ids of two lives of a node meet with a chance of about one in a billion. */
+const FIRST_IDS = 2 ** 48;
+
 const Request = v.object({id: v.number(), request: LogRequestSchema});
 const Response = v.object({id: v.number(), response: LogResponse});
 
@@ -30,6 +34,7 @@
 interface RequestRouterOptions {
   readonly node: string;
   readonly peers: PeerTransport;
+  readonly random: RandomSource;
   readonly getLeader: () => string | undefined;
   readonly noteLeader: (node: string | undefined) => void;
   /** Serves a request here; answers `not_leader` if this node does not lead. */
@@ -47,10 +52,12 @@
 export class RequestRouter {
   private readonly pending = new Set<Pending>();
   private readonly attempts = new Map<number, Pending>();
-  private nextId = 1;
+  /** Begins anywhere: the leader may still answer an earlier life's request. */
+  private nextId: number;
 
   constructor(private readonly opts: RequestRouterOptions) {
-    const {peers} = opts;
+    const {peers, random} = opts;
+    this.nextId = Math.floor(random.next() * FIRST_IDS);
     peers.onMessage('config.request', (from, body, now) =>
       this.onRequest(from, body, now),
     );
--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry_gateway.ts
@@ -25,6 +25,8 @@
 const MAX_HOLD_MS = 1_200;
 /** The caller gets an answer this long before it stops waiting. */
 const ANSWER_MARGIN_MS = 20;
+/** A takeover takes less; later, jobs of a lost lead are given up. */
+const ORPHAN_MS = 1_500;
 const ASK_TIMEOUT_MS = 1_000;
 const RETRY_AFTER_MS = 1_000;
 
@@ -69,6 +71,7 @@
   private nextPresence = 0;
   private nextPoll = 0;
   private leadTerm = -1;
+  private leadSeenAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
@@ -156,6 +159,7 @@
     const {directory, peers, node} = this.opts;
     const lead = directory.lead(now);
     const term = lead?.term ?? -1;
+    if (lead) this.leadSeenAt = now;
     if (term !== this.leadTerm) {
       this.opts.observer.believed(lead ? 'lead_found' : 'lead_silent', {
         term,
@@ -185,12 +189,12 @@
       this.giveUp(job);
     } else if (term >= 0 && job.term !== term) {
       this.handIn(job, now);
-    } else if (
-      term < 0 &&
-      job.term === undefined &&
-      now - job.arrivedAt > job.holdMs
-    ) {
-      this.refuse(job, 'no_lead');
+    } else if (term < 0 && now - job.arrivedAt > job.holdMs) {
+      if (job.term === undefined) this.refuse(job, 'no_lead');
+      else if (now - this.leadSeenAt > ORPHAN_MS) {
+        // A lead that is gone may have run it; the caller decides what next.
+        this.settle(job.id, {kind: 'given_up', reason: 'lead_lost'});
+      }
     }
   }
 
