--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -6,6 +6,7 @@
 import {classCommand} from './commands/class.js';
 import {configCommand} from './commands/config.js';
 import {drainCommand} from './commands/drain.js';
+import {explainCommand} from './commands/explain.js';
 import {fetchCommand} from './commands/fetch.js';
 import {histogramsCommand} from './commands/histograms.js';
 import {keyCommand} from './commands/key.js';
@@ -42,6 +43,7 @@
       drainCommand(ctx),
       votersCommand(ctx),
       configCommand(ctx),
+      explainCommand(ctx),
     ])
     .addHelpText('after', HELP);
   try {
--- /dev/null
+++ b/src/daemon/pool/pool_telemetry.test.ts
@@ -0,0 +1,21 @@
+import {readFileSync, readdirSync} from 'node:fs';
+import {assert} from 'chai';
+
+const ROOT = new URL('../../../../', import.meta.url);
+const CALL = /(?:decided|believed|counted|info|warn)\(\s*'([a-z_]+)'/g;
+
+test('every event of the pool is on the page for operators', () => {
+  const page = readFileSync(new URL('docs/OPERATIONS.md', ROOT), 'utf8');
+  const folders = ['src/core/pool/', 'src/platform/', 'src/daemon/pool/'];
+  const missing = new Set<string>();
+  for (const folder of folders) {
+    for (const file of readdirSync(new URL(folder, ROOT))) {
+      if (file.endsWith('.test.ts')) continue;
+      const text = readFileSync(new URL(folder + file, ROOT), 'utf8');
+      for (const [, event] of text.matchAll(CALL)) {
+        if (!page.includes(`\`${event!}\``)) missing.add(event!);
+      }
+    }
+  }
+  assert.deepEqual([...missing], []);
+});
--- /dev/null
+++ b/src/platform/decode.test.ts
@@ -0,0 +1,126 @@
+import {assert} from 'chai';
+import * as fc from 'fast-check';
+import {decodeConfig} from './decode_config.js';
+import {decodeJob} from './decode_job.js';
+import {decodeReport} from './decode_report.js';
+import {splitPath} from './split_path.js';
+
+const ID = '5c0e7a21d94b36f8';
+
+function configOf(change: object = {}, route: object = {}) {
+  const first = {
+    name: 'r1',
+    host: 'a.example',
+    path_prefix: '/p/',
+    type: 'unsafe',
+    timeout_ms: 1_500,
+    target_duration_ms: 60,
+    priority: 1,
+    backend: 's1',
+    max_attempts: 4,
+    stretch: 1.6,
+  };
+  return {
+    version: 7,
+    routes: [
+      {...first, ...route},
+      {...first, path_prefix: '/p/q/'},
+    ],
+    backends: [{name: 's1', enforces_capacity: true}],
+    ...change,
+  };
+}
+
+function jobOf(change: object = {}, step: object = {}) {
+  const steps = [{count: 4, cpu: 500, mem_mb: 64, estimated_ms: 90, ...step}];
+  return {spec: 'text', best_effort: true, steps, ...change};
+}
+
+const beat = {
+  backend: 's1',
+  address: '10.0.0.9:8080',
+  zone: 'z1',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  capacity: {cpu: 16_000, mem_mb: 32_768, gpu: 0},
+  labels: ['a', 'r1-3'],
+  clock_ms: 482_113,
+  seq: 4,
+  born: 1_700_000_000_000,
+};
+
+test('the longest prefix of a host selects the queue', () => {
+  const table = decodeConfig(configOf()).unwrapOrElse(detail => {
+    throw new Error(detail);
+  });
+  assert.equal(table.find('a.example', `/p/q/${ID}`)?.prefix, '/p/q/');
+  assert.equal(table.find('a.example', `/p/${ID}`)?.prefix, '/p/');
+  assert.isUndefined(table.find('b.example', `/p/${ID}`));
+});
+
+test('each kind of invalid configuration is refused', () => {
+  const invalid = [
+    configOf({}, {backend: 's2'}),
+    configOf({}, {path_prefix: '/p/q/'}),
+    configOf({}, {timeout_ms: 0}),
+    configOf({}, {backend: undefined}),
+    configOf({version: 'seven'}),
+    configOf({routes: undefined}),
+    null,
+    'text',
+  ];
+  for (const body of invalid) assert.isTrue(decodeConfig(body).isErr);
+});
+
+test('a job that is answered at its end is taken', () => {
+  const job = decodeJob(ID, jobOf());
+  assert.isTrue(job.isOk);
+  if (job.isOk) assert.equal(job.value.steps[0]!.demand.memoryMb, 64);
+});
+
+// What cannot be done must never be acknowledged.
+test('jobs that ask for more are refused as unsupported', () => {
+  const bodies = [
+    jobOf({best_effort: undefined}),
+    jobOf({repeat_count: 3}),
+    jobOf({}, {gang: true}),
+    jobOf({}, {long_running: true}),
+    jobOf({}, {fills: true}),
+  ];
+  for (const body of bodies) {
+    const job = decodeJob(ID, body);
+    assert.isTrue(job.isErr && job.error.kind === 'unsupported');
+  }
+});
+
+test('a step may not come after itself or a later one', () => {
+  assert.isTrue(decodeJob(ID, jobOf({}, {after: [0]})).isErr);
+});
+
+test('a heartbeat of another writer names no worker', () => {
+  assert.equal(decodeReport('i', beat)?.capacity.memoryMb, 32_768);
+  const others = [
+    {...beat, state: 'resting'},
+    {...beat, address: 'nowhere'},
+    {...beat, capacity: {cpu: '16'}},
+    {...beat, seq: undefined},
+    [],
+  ];
+  for (const body of others) assert.isUndefined(decodeReport('i', body));
+});
+
+test('the id of a job ends its path', () => {
+  assert.equal(splitPath(`/p/${ID}?x=1`).id, ID);
+  assert.isUndefined(splitPath('/p/').id);
+  assert.isUndefined(splitPath('/p/short').id);
+});
+
+test('no body makes a decoder throw', () => {
+  const assertion = fc.property(fc.jsonValue(), body => {
+    decodeConfig(body);
+    decodeJob(ID, body);
+    decodeReport('i', body);
+  });
+  fc.assert(assertion, {numRuns: 500, seed: 5});
+});
