Keep the configuration log at its number of voters

Cause: only the first seeds ever voted. With two disks to bear, two copies of an acknowledged document are too few, and a core VM that comes back at a new address never voted.

Change: VoterRoster, on the leader, takes in nodes with a data folder until the log has 2 x lost disks + 1 voters, replaces voters that are silent for 3 s, and spreads voters over zones. Documents wait until the log has grown once.

Ruled out: forming the log with more voters at once; which nodes exist is not known at the first start, only three seeds are.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -10,6 +10,7 @@
 import {LogMember} from './log/log_member.js';
 import {LogMessage} from './log/log_message.js';
 import type {LogTiming} from './log/log_timing.js';
+import {VoterRoster} from './log/voter_roster.js';
 import type {LogRequest} from './router/log_request.js';
 import type {LogResponse} from './router/log_response.js';
 import type {LogStatus} from './router/log_status.js';
@@ -38,6 +39,13 @@
   readonly initial: Config;
   readonly peers: PeerTransport;
   readonly random: RandomSource;
+  /**
+   * Number of voters to keep, out of all nodes with a data folder. Default: the
+   * operator changes the members.
+   */
+  readonly voterTarget?: number | undefined;
+  /** Availability zone of a node, to spread the voters. Default: unknown. */
+  readonly zoneOf?: ((node: string) => string | undefined) | undefined;
   /** Entries after which a snapshot replaces the log. Default 256. */
   readonly snapshotEntries?: number | undefined;
   readonly onDiskError: (error: DiskError) => void;
@@ -52,6 +60,7 @@
   private readonly exchange: ConfigExchange;
   private readonly router: RequestRouter;
   private readonly former: LogFormer;
+  private readonly roster: VoterRoster | undefined;
   private member: LogMember | undefined;
   private reopenAt: number | undefined;
 
@@ -61,6 +70,13 @@
     const member = () => this.member;
     this.exchange = new ConfigExchange({...opts, source: this.source, member});
     this.former = new LogFormer({...opts, member});
+    if (opts.voterTarget !== undefined) {
+      this.roster = new VoterRoster({
+        target: opts.voterTarget,
+        candidates: () => this.exchange.folders(),
+        zoneOf: opts.zoneOf ?? (() => undefined),
+      });
+    }
     this.router = new RequestRouter({
       node,
       peers,
@@ -100,6 +116,7 @@
     }
     if (this.opts.mayForm ?? true) this.former.tick(now);
     this.member?.tick(now);
+    if (this.member) this.roster?.tick(this.member, now);
     this.exchange.tick(now, this.router.isSeeking);
     this.router.tick(now);
   }
@@ -198,6 +215,10 @@
         return;
       }
       case 'publish':
+        if (this.roster?.isReady(member, now) === false) {
+          respond({kind: 'not_leader'});
+          return;
+        }
         leader.propose(request, now, decision => {
           respond(
             decision?.isOk
--- a/src/core/config/follower/config_exchange.ts
+++ b/src/core/config/follower/config_exchange.ts
@@ -83,6 +83,13 @@
     return storage === undefined ? undefined : {node, storage};
   }
 
+  /** Data folders of the other nodes, with the time of their last poll. */
+  folders(): Array<LogNodeId & {readonly at: number}> {
+    return [...this.reports].flatMap(([node, {storage, at}]) =>
+      storage === undefined ? [] : [{node, storage, at}],
+    );
+  }
+
   /** Notes what another node says; it may wrongly name this one. */
   noteLeader(node: string | undefined): void {
     this.leaderHint = node === this.opts.node ? undefined : node;
--- /dev/null
+++ b/src/core/config/log/voter_roster.test.ts
@@ -0,0 +1,116 @@
+import {assert} from 'chai';
+import {ConfigBench} from '../../../../test-support/fakes/config_bench.js';
+
+function votersOf(bench: ConfigBench): string[] {
+  const {members} = bench.node(bench.untilLeader()).log!.store;
+  return members.voters.map(m => m.node).sort();
+}
+
+const document = (revision: number) => ({
+  kind: 'publish' as const,
+  document: {revision, content: `content ${revision}`},
+});
+
+test('the log grows to its number of voters', () => {
+  const bench = new ConfigBench({spares: 3, voterTarget: 5});
+  bench.startAll();
+  bench.until('five voters', () => votersOf(bench).length === 5, 10_000);
+  bench.clock.advance(10_000);
+  assert.lengthOf(votersOf(bench), 5);
+});
+
+test('a document is acknowledged only on enough disks', () => {
+  const bench = new ConfigBench({spares: 2, voterTarget: 5, seed: 3});
+  bench.startAll();
+  assert.propertyVal(bench.ask('f1', document(7)), 'kind', 'accepted');
+  // The deployment bears the loss of any two disks at once.
+  const [first, second] = bench.voters;
+  bench.lose(first!);
+  bench.lose(second!);
+  bench.start(first!);
+  bench.start(second!);
+  bench.until('the document is read', () => {
+    const answer = bench.ask('f1', {kind: 'read'});
+    return 'config' in answer && answer.config.document?.revision === 7;
+  });
+});
+
+test('too few nodes do not keep documents out for good', () => {
+  const bench = new ConfigBench({voterTarget: 5});
+  bench.startAll();
+  bench.clock.advance(6_000);
+  assert.propertyVal(bench.ask('f1', document(1)), 'kind', 'accepted');
+});
+
+test('a voter that is gone for good is replaced in time', () => {
+  for (const victim of ['leader', 'other']) {
+    const bench = new ConfigBench({spares: 1, voterTarget: 3});
+    bench.startAll();
+    const leader = bench.untilLeader();
+    bench.clock.advance(3_000);
+    const gone =
+      victim === 'leader' ? leader : bench.voters.find(id => id !== leader)!;
+    bench.lose(gone);
+    const tookMs = bench.until(
+      'a new voter',
+      () => votersOf(bench).includes('s1') && !votersOf(bench).includes(gone),
+      15_000,
+    );
+    assert.isBelow(tookMs, 10_000);
+    assert.lengthOf(votersOf(bench), 3);
+  }
+});
+
+test('a voter that restarts stays', () => {
+  const bench = new ConfigBench({spares: 1, voterTarget: 3});
+  bench.startAll();
+  const leader = bench.untilLeader();
+  bench.clock.advance(3_000);
+  const other = bench.voters.find(id => id !== leader)!;
+  bench.kill(other);
+  bench.clock.advance(1_000);
+  bench.start(other);
+  bench.clock.advance(10_000);
+  assert.deepEqual(votersOf(bench), [...bench.voters].sort());
+});
+
+test('new voters come from zones with few of them', () => {
+  const zones: Record<string, string> = {
+    v1: 'a',
+    v2: 'a',
+    v3: 'b',
+    s1: 'a',
+    s2: 'b',
+    s3: 'c',
+  };
+  const bench = new ConfigBench({
+    spares: 3,
+    voterTarget: 5,
+    zoneOf: node => zones[node],
+  });
+  bench.startAll();
+  const isSpread = () => {
+    const voters = votersOf(bench);
+    return (
+      voters.length === 5 && voters.includes('s2') && voters.includes('s3')
+    );
+  };
+  bench.until('voters in all zones', isSpread, 20_000);
+  bench.clock.advance(5_000);
+  assert.isTrue(isSpread());
+});
+
+test('an empty node at a new address takes the place of a lost one', () => {
+  const bench = new ConfigBench({spares: 1, voterTarget: 3, seed: 5});
+  bench.startAll();
+  bench.clock.advance(3_000);
+  assert.propertyVal(bench.ask('f1', document(4)), 'kind', 'accepted');
+  bench.lose('v1');
+  bench.until('v1 is replaced', () => !votersOf(bench).includes('v1'), 15_000);
+  // Another disk is lost right after the repair.
+  bench.lose('v2');
+  bench.until('the document is read', () => {
+    const answer = bench.ask('f1', {kind: 'read'});
+    return 'config' in answer && answer.config.document?.revision === 4;
+  });
+});
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -49,6 +49,10 @@
   readonly discovered?: () => readonly string[];
   /** Whether this start may form a new log. Default true. */
   readonly mayForm?: boolean;
+  /** Number of voters to keep. Default: the operator changes the members. */
+  readonly voterTarget?: number;
+  /** Availability zone of a node, to spread the voters. Default: unknown. */
+  readonly zoneOf?: (node: string) => string | undefined;
   /** Default `LogTiming`. */
   readonly timing?: LogTiming;
   /** Default 100 ms. */
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -46,6 +46,7 @@
       nodes: seeds.map(id => ({id, voter: true})),
       discovered: () => directory.coreIds(clock.now()),
       mayForm: settings.isFirstStart,
+      voterTarget: 2 * settings.lostDisks + 1,
       timing: LOG_TIMING,
       tickMs: TICK_MS,
       dataDir: settings.dataDir,
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -14,6 +14,8 @@
   /** Whether the whole deployment starts for the first time. */
   readonly isFirstStart: boolean;
   readonly dataDir: string | undefined;
+  /** Number of disks that may be lost at one time. */
+  readonly lostDisks: number;
   /** Longest lease that workers grant, in ms. */
   readonly leaseMs: number;
   /** Time between SIGTERM and SIGKILL, in ms. */
--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -25,6 +25,8 @@
   seeds: v.optional(list, ''),
   bootstrap: v.optional(flag, 'false'),
   data_dir: v.optional(v.string()),
+  /** Machines that may be lost at one time, with their disks. */
+  'fault_tolerance.machines': v.optional(number, '1'),
   'bounds.max_hold_ms': v.optional(number, '1000'),
   'bounds.grace_s': v.optional(number, '6'),
 });
@@ -62,6 +64,7 @@
     seeds: file.seeds.map(address => address.split(':')[0]!),
     isFirstStart: file.bootstrap,
     dataDir: file.data_dir === '' ? undefined : file.data_dir,
+    lostDisks: file['fault_tolerance.machines'],
     leaseMs: file['bounds.max_hold_ms'],
     graceMs: file['bounds.grace_s'] * 1_000,
   });
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -24,6 +24,10 @@
   readonly seed?: number;
   /** Entries after which a snapshot replaces the log. Default 256. */
   readonly snapshotEntries?: number;
+  /** Number of voters to keep. Default: members change on request only. */
+  readonly voterTarget?: number;
+  /** Zone of a node. Default: unknown. */
+  readonly zoneOf?: (node: string) => string | undefined;
 }
 
 type Answer = LogResponse | ChangeRefusal;
@@ -104,6 +108,8 @@
       peers: this.peers.connect(id),
       random: this.random,
       snapshotEntries: this.opts.snapshotEntries,
+      voterTarget: this.opts.voterTarget,
+      zoneOf: this.opts.zoneOf,
       onDiskError: () => undefined,
     });
     const opened = node.open(this.clock.now());
