Let a zone without a lead serve itself

Change: an entry node dispatches for its zone (FallbackService) once no entry node of the zone has heard a lead for 2 s and nothing runs on the zone's workers any more. It knows the queues as a follower of the configuration log, and the zone's workers from the lead's book. Its fencing token is higher than the lead's; the lead takes the workers back under a higher one, and adopts or stops what runs there.

Ruled out: a dispatcher on the zone's core VM (none is up when all are off); dividing workers among entry nodes (small pools wait); handing over what the lead had begun (it may still run; such jobs are given up with 504 as before).

Before: fallback_service.test.ts fails without the service (jobs of a cut zone are refused). After: 8 tests pass.

--- a/src/core/pool/entry_gateway.test.ts
+++ b/src/core/pool/entry_gateway.test.ts
@@ -32,11 +32,11 @@
   const clock = new FakeClock();
   const peers = new RecordingPeers(clock);
   const nothing = () => undefined;
+  const directory = new NodeDirectory('e', ['c1', 'c2']);
   const gateway = new EntryGateway({
-    node: 'e',
     clock,
     peers,
-    directory: new NodeDirectory('e', ['c1', 'c2']),
+    directory,
     observer: {
       decided: nothing,
       believed: nothing,
@@ -54,8 +54,11 @@
       gateway.submit({host, path, job, patienceMs: 8_000}, answer => {
         answers.push(answer);
       }),
-    lead: (node: string, term: number) =>
-      peers.deliver(node, 'pool.presence', {role: 'core', cores: [], term}),
+    lead: (node: string, term: number) => {
+      const claim = {token: term * 1_000, isFallback: false, revision: 1};
+      directory.noteLead({...claim, node, term, heardAt: clock.now()});
+      gateway.tick(clock.now());
+    },
     run: (ms: number) => {
       for (let passed = 0; passed < ms; passed += 50) {
         clock.advance(50);
--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry_gateway.ts
@@ -5,12 +5,10 @@
 import type {PoolAnswer} from './pool_answer.js';
 import {longestChainMs} from './longest_chain_ms.js';
 import type {PoolJob} from './pool_job.js';
+import type {PoolLead} from './pool_lead.js';
 import {PoolMessage} from './pool_message.js';
 import type {PoolObserver} from './pool_observer.js';
 
-const PRESENCE_MS = 1_000;
-/** Interval of a node that has found no lead. */
-const SEEKING_MS = 150;
 /** Interval at which the lead is asked about open jobs. */
 const POLL_MS = 300;
 /** A job that was handed in this recently may still be on its way. */
@@ -27,6 +25,11 @@
 const ANSWER_MARGIN_MS = 20;
 /** A takeover takes less; later, jobs of a lost lead are given up. */
 const ORPHAN_MS = 1_500;
+/**
+ * What one dispatcher began may run on for this long after another has taken
+ * over its workers: a lease on a slow clock.
+ */
+const SETTLE_MS = 800;
 const ASK_TIMEOUT_MS = 1_000;
 const RETRY_AFTER_MS = 1_000;
 
@@ -38,9 +41,11 @@
   readonly arrivedAt: number;
   readonly deadlineAt: number;
   respond: (answer: PoolAnswer) => void;
-  /** Term of the lead that has it; undefined if it was never handed in. */
-  term: number | undefined;
+  /** The dispatcher that has it; undefined if it was never handed in. */
+  holder: PoolLead | undefined;
   handedAt: number;
+  /** Until when an earlier dispatcher may still run parts of it. */
+  settlesAt: number;
   /** How long it waits for a lead. */
   readonly holdMs: number;
   /** Whether more than one lead has been given it. */
@@ -48,7 +53,6 @@
 }
 
 interface EntryGatewayOptions {
-  readonly node: string;
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly directory: NodeDirectory;
@@ -68,16 +72,12 @@
  */
 export class EntryGateway {
   private readonly open = new Map<string, OpenJob>();
-  private nextPresence = 0;
   private nextPoll = 0;
-  private leadTerm = -1;
+  private lastLead: PoolLead | undefined;
   private leadSeenAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
-    peers.onMessage('pool.presence', (from, body, now) =>
-      this.onPresence(from, body, now),
-    );
     peers.onMessage('pool.answer', (_from, body) => {
       if (v.is(PoolMessage.answer, body)) this.settle(body.id, body.answer);
     });
@@ -110,8 +110,9 @@
       arrivedAt: now,
       deadlineAt: now + job.patienceMs,
       respond,
-      term: undefined,
+      holder: undefined,
       handedAt: 0,
+      settlesAt: 0,
       wasHandedOver: false,
       holdMs: Math.min(
         MAX_HOLD_MS,
@@ -156,50 +157,49 @@
   }
 
   tick(now: number): void {
-    const {directory, peers, node} = this.opts;
-    const lead = directory.lead(now);
-    const term = lead?.term ?? -1;
+    const lead = this.opts.directory.lead(now);
     if (lead) this.leadSeenAt = now;
-    if (term !== this.leadTerm) {
+    if (!isSame(lead, this.lastLead)) {
       this.opts.observer.believed(lead ? 'lead_found' : 'lead_silent', {
-        term,
+        term: lead?.term ?? this.lastLead?.term,
         lead: lead?.node,
+        is_fallback: lead?.isFallback,
         open: this.open.size,
       });
-      this.leadTerm = term;
-    }
-    for (const job of [...this.open.values()]) this.tend(job, term, now);
-    if (now >= this.nextPresence) {
-      this.nextPresence = now + (lead ? PRESENCE_MS : SEEKING_MS);
-      const cores = directory.heardIds('core', now);
-      const body = {role: 'entry', cores};
-      for (const id of directory.coreIds(now)) {
-        if (id === node) continue;
-        peers.send(id, 'pool.presence', body);
-      }
     }
+    this.lastLead = lead;
+    for (const job of [...this.open.values()]) this.tend(job, lead, now);
     if (lead && now >= this.nextPoll) {
       this.nextPoll = now + POLL_MS;
       this.poll(lead.node, now);
     }
   }
 
-  private tend(job: OpenJob, term: number, now: number): void {
+  private tend(job: OpenJob, lead: PoolLead | undefined, now: number): void {
+    const {holder} = job;
     if (now >= job.deadlineAt - ANSWER_MARGIN_MS) {
       this.giveUp(job);
-    } else if (term >= 0 && job.term !== term) {
-      this.handIn(job, now);
-    } else if (term < 0 && now - job.arrivedAt > job.holdMs) {
-      if (job.term === undefined) this.refuse(job, 'no_lead');
-      else if (now - this.leadSeenAt > ORPHAN_MS) {
-        // A lead that is gone may have run it; the caller decides what next.
-        this.settle(job.id, {kind: 'given_up', reason: 'lead_lost'});
-      }
+    } else if (lead && !isSame(lead, holder)) {
+      if (lead.isFallback && holder) this.orphan(job);
+      else this.handIn(job, now);
+    } else if (!lead && now - job.arrivedAt > job.holdMs) {
+      if (!holder) this.refuse(job, 'no_lead');
+      else if (now - this.leadSeenAt > ORPHAN_MS) this.orphan(job);
     }
   }
 
+  /** A lead that is gone may have run it; the caller decides what next. */
+  private orphan(job: OpenJob): void {
+    this.opts.observer.decided('job_given_up', job.id, {
+      reason: 'lead_lost',
+      lead: job.holder?.node,
+      lead_silent_ms: Math.round(this.opts.clock.now() - this.leadSeenAt),
+    });
+    this.settle(job.id, {kind: 'given_up', reason: 'lead_lost'});
+  }
+
   private giveUp(job: OpenJob): void {
-    if (job.term === undefined) {
+    if (!job.holder) {
       this.refuse(job, 'no_lead');
       return;
     }
@@ -233,15 +233,23 @@
     const {directory, peers} = this.opts;
     const lead = directory.lead(now);
     if (!lead) return;
-    job.wasHandedOver ||= job.term !== undefined;
-    job.term = lead.term;
+    const {holder} = job;
+    job.wasHandedOver ||= holder !== undefined;
+    job.holder = lead;
     job.handedAt = now;
+    // A successor looks at all workers before it starts anything; a lead that
+    // takes a zone back does not.
+    if (holder?.isFallback && !isSame(holder, lead)) {
+      job.settlesAt = now + SETTLE_MS;
+    }
     peers.send(lead.node, 'pool.submit', {
       host: job.host,
       path: job.path,
       job: job.job,
       waitedMs: now - job.arrivedAt,
       patienceMs: Math.max(0, job.deadlineAt - now),
+      settleMs: Math.max(0, job.settlesAt - now),
+      revision: lead.isFallback ? (directory.lastLead?.revision ?? 0) : 0,
     });
   }
 
@@ -266,20 +274,13 @@
       if (job && now - job.handedAt >= IN_FLIGHT_MS) this.handIn(job, now);
     }
   }
+}
 
-  private onPresence(from: string, body: unknown, now: number): void {
-    if (!v.is(PoolMessage.presence, body)) return;
-    const {directory} = this.opts;
-    directory.note(from, body.role, now);
-    directory.noteRumour(body.cores, 'core', now);
-    const {term, reportAddress} = body;
-    if (term === undefined) {
-      directory.noteNoLead(from);
-      return;
-    }
-    directory.noteLead({node: from, term, reportAddress, heardAt: now});
-    this.tick(now);
-  }
+/** Whether two claims are of one dispatcher, whose token may have risen. */
+function isSame(a: PoolLead | undefined, b: PoolLead | undefined): boolean {
+  if (!a || !b) return a === b;
+  if (a.isFallback !== b.isFallback || a.node !== b.node) return false;
+  return a.isFallback ? a.token === b.token : a.term === b.term;
 }
 
 const Reply = v.object({
--- a/src/core/pool/lease_options.ts
+++ b/src/core/pool/lease_options.ts
@@ -7,8 +7,8 @@
   readonly client: WorkerClient;
   readonly clock: Clock;
   readonly listener: LeaseListener;
-  /** Fencing token of the lead. */
-  readonly token: number;
+  /** Fencing token of the lead at present. */
+  readonly currentToken: () => number;
   /** Longest lease that workers grant, in ms. */
   readonly leaseMs: number;
   /** Whether the lead is fresh enough for orders. */
--- a/src/core/pool/leased_worker.ts
+++ b/src/core/pool/leased_worker.ts
@@ -39,6 +39,8 @@
   private misses = 0;
   private nextProbe = 0;
   private noRoomUntil = 0;
+  /** Since when runs of other leads have been listed. */
+  private foreignSince: number | undefined;
 
   constructor(
     private readonly opts: LeaseOptions,
@@ -103,7 +105,8 @@
 
   /** Gives a start order. */
   start(run: Run, payload: string): void {
-    const {client, clock, token} = this.opts;
+    const {client, clock} = this.opts;
+    const token = this.opts.currentToken();
     const now = clock.now();
     this.ledger.add(run);
     const leaseEnd = this.lease.extend(now);
@@ -132,6 +135,19 @@
     for (const run of this.ledger.takeForeign(now)) this.sendStop(run, now);
   }
 
+  /** The lead's token has been raised; the worker may obey it again. */
+  onTokenRaised(): void {
+    if (!this.outranked) return;
+    this.outranked = false;
+    this.fenced = false;
+    this.nextProbe = 0;
+  }
+
+  /** Whether runs of other leads have been listed since before `at`. */
+  hasForeignSince(at: number): boolean {
+    return this.foreignSince !== undefined && this.foreignSince < at;
+  }
+
   /** Ends all runs of a life that is known to be over. */
   close(): void {
     for (const run of [...this.runs.values()]) this.end(run, RunEnd.lost);
@@ -154,7 +170,8 @@
   }
 
   private look(waitMs: number, now: number): void {
-    const {client, token} = this.opts;
+    const {client} = this.opts;
+    const token = this.opts.currentToken();
     const {acknowledged} = this;
     // A look that gets no answer may still have renewed the lease, which would
     // keep the runs of an unreachable worker alive for good.
@@ -252,6 +269,8 @@
     }
     const listed = new Map(look.running.map(r => [r.task, r.run]));
     this.ledger.noteListed(listed);
+    this.foreignSince =
+      this.foreign.size > 0 ? (this.foreignSince ?? now) : undefined;
     if (look.isPartial) return;
     for (const run of [...this.runs.values()]) {
       if (listed.get(run.task) === run.number) run.confirmedAt ??= now;
@@ -295,7 +314,8 @@
   }
 
   private sendStop(run: Run, now: number): void {
-    const {client, token, clock} = this.opts;
+    const {client, clock} = this.opts;
+    const token = this.opts.currentToken();
     run.stopAskedAt = now;
     const order = {task: run.task, run: run.number, token};
     void client.stop(this.report, order, ORDER_TIMEOUT_MS).then(reply => {
--- a/src/core/pool/node_directory.test.ts
+++ b/src/core/pool/node_directory.test.ts
@@ -19,7 +19,7 @@
 
 test('the lead of an older term is ignored', () => {
   const directory = new NodeDirectory('e', []);
-  const lead = {reportAddress: undefined, heardAt: 0};
+  const lead = {token: 0, isFallback: false, revision: 1, heardAt: 0};
   directory.noteLead({...lead, node: 'c2', term: 5});
   directory.noteLead({...lead, node: 'c1', term: 4});
   assert.equal(directory.lead(100)?.node, 'c2');
--- a/src/core/pool/node_directory.ts
+++ b/src/core/pool/node_directory.ts
@@ -1,3 +1,5 @@
+import type {PoolLead} from './pool_lead.js';
+
 /** A node that was not heard of for this long is taken for gone. */
 const FORGET_MS = 10_000;
 /** A node that only others know is tried for this long. */
@@ -5,16 +7,9 @@
 /** A lead that was not heard of for this long is taken for lost. */
 const LEAD_SILENCE_MS = 600;
 
-interface Lead {
-  readonly node: string;
-  readonly term: number;
-  readonly reportAddress: string | undefined;
-  readonly heardAt: number;
-}
-
 type Role = 'entry' | 'core';
 
-/** Nodes that a node knows of, and which of them leads. */
+/** Nodes that a node knows of, and which of them dispatches. */
 export class NodeDirectory {
   private readonly heard = {
     core: new Map<string, number>(),
@@ -25,22 +20,36 @@
     core: new Map<string, number>(),
     entry: new Map<string, number>(),
   };
-  private last: Lead | undefined;
+  private readonly zones = new Map<string, string>();
+  private last: PoolLead | undefined;
+  private fallback: PoolLead | undefined;
+  private token = 0;
 
   /** `seeds` are core nodes that are always tried. */
   constructor(
     readonly node: string,
-    private readonly seeds: readonly string[],
+    private seeds: readonly string[],
   ) {}
 
+  /** Takes the seeds of newer settings. */
+  replaceSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
   /** Notes a node that was heard; returns whether it was not known. */
-  note(node: string, role: Role, now: number): boolean {
+  note(node: string, role: Role, now: number, zone?: string): boolean {
+    if (zone !== undefined) this.zones.set(node, zone);
     if (node === this.node) return false;
     const isNew = !this.heard[role].has(node);
     this.heard[role].set(node, now);
     return isNew;
   }
 
+  /** Availability zone of a node, as it has told. */
+  zoneOf(node: string): string | undefined {
+    return this.zones.get(node);
+  }
+
   /** Notes nodes that another one has heard. */
   noteRumour(nodes: readonly string[], role: Role, now: number): void {
     for (const node of nodes) {
@@ -48,21 +57,44 @@
     }
   }
 
-  /** Takes the claim of a node to lead; an older term is ignored. */
-  noteLead(lead: Lead): void {
-    if (this.last && lead.term < this.last.term) return;
-    this.last = lead;
+  /** Takes the claim of a node to dispatch; an older one is ignored. */
+  noteLead(lead: PoolLead): void {
+    this.noteToken(lead.token);
+    if (lead.isFallback) {
+      const known = this.fallback;
+      const isKnown = known && isHeard(known, lead.heardAt);
+      if (isKnown && lead.token < known.token) return;
+      this.fallback = lead;
+    } else if (!this.last || lead.term >= this.last.term) this.last = lead;
   }
 
-  /** Forgets the lead of a node that says that it does not lead. */
+  /** Forgets the claim of a node that says that it does not dispatch. */
   noteNoLead(node: string): void {
+    if (this.fallback?.node === node) this.fallback = undefined;
     if (this.last?.node !== node) return;
     this.last = {...this.last, heardAt: Number.NEGATIVE_INFINITY};
   }
 
-  lead(now: number): Lead | undefined {
-    const {last} = this;
-    return last && now - last.heardAt < LEAD_SILENCE_MS ? last : undefined;
+  /** Notes a fencing token that is in use somewhere. */
+  noteToken(token: number): void {
+    this.token = Math.max(this.token, token);
+  }
+
+  /** The highest fencing token that is known. */
+  get highestToken(): number {
+    return this.token;
+  }
+
+  /** The lead of the log, or else the fallback that serves this zone. */
+  lead(now: number): PoolLead | undefined {
+    const {last, fallback} = this;
+    if (last && isHeard(last, now)) return last;
+    return fallback && isHeard(fallback, now) ? fallback : undefined;
+  }
+
+  /** The last known lead of the log, however long ago it was heard. */
+  get lastLead(): PoolLead | undefined {
+    return this.last;
   }
 
   /** Nodes that were heard not long ago. */
@@ -70,6 +102,11 @@
     return alive(this.heard[role], now - FORGET_MS);
   }
 
+  /** When a node was last heard itself. */
+  heardAt(role: Role, node: string): number {
+    return this.heard[role].get(node) ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Core nodes to send to. */
   coreIds(now: number): string[] {
     return [...new Set([...this.seeds, ...this.reachable('core', now)])];
@@ -86,6 +123,10 @@
   }
 }
 
+function isHeard(lead: PoolLead, now: number): boolean {
+  return now - lead.heardAt < LEAD_SILENCE_MS;
+}
+
 function alive(nodes: Map<string, number>, since: number): string[] {
   for (const [node, at] of nodes) {
     if (at < since) nodes.delete(node);
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -23,6 +23,8 @@
 import {WorkerFleet} from './worker_fleet.js';
 import {WorkerTrust} from './worker_trust.js';
 
+/** Entry nodes hand the jobs of another dispatcher in within this time. */
+const CLAIM_MS = 1_000;
 /** A backlog that makes jobs too late is gone after this time. */
 const RETRY_LATE_MS = 2_000;
 
@@ -30,8 +32,8 @@
   readonly clock: Clock;
   readonly client: WorkerClient;
   readonly book: WorkerBook;
-  /** Term of the lead; the fencing token of its orders. */
-  readonly term: number;
+  /** Fencing token of its orders to begin with. */
+  readonly token: number;
   /** Longest lease that workers grant, in ms. */
   readonly leaseMs: number;
   /** For how long leases of earlier leads may last, in ms. */
@@ -61,6 +63,7 @@
   private readonly stragglers = new StragglerWatch(this.times);
   private readonly starter: TaskStarter;
   private readonly takeover: Takeover;
+  private tokenInUse: number;
   private isPassDue = false;
   private isClosed = false;
 
@@ -76,7 +79,9 @@
       this.times.forget(id);
       this.trust.forget(id);
     };
-    const lease = {...opts, token: opts.term, listener: this};
+    this.tokenInUse = opts.token;
+    const currentToken = () => this.tokenInUse;
+    const lease = {...opts, currentToken, listener: this};
     this.workers = new WorkerFleet({...lease, onGone});
     this.workers.tick(now);
   }
@@ -85,6 +90,22 @@
     return this.jobs.size;
   }
 
+  /** Fencing token of its orders at present. */
+  get token(): number {
+    return this.tokenInUse;
+  }
+
+  /** Whether a worker obeys a higher token than this dispatcher's. */
+  get isOutranked(): boolean {
+    return this.workers.all.some(w => w.isOutranked);
+  }
+
+  /** Goes on under a higher token, which others' workers obey again. */
+  raiseToken(token: number): void {
+    this.tokenInUse = token;
+    for (const worker of this.workers.all) worker.onTokenRaised();
+  }
+
   /** Takes a job; one that is known already gets the new owner. */
   submit(owner: string, submission: PoolSubmission): void {
     const {clock, routing} = this.opts;
@@ -99,7 +120,10 @@
     }
     const table = routing();
     const queue = table?.find(host, path);
-    if (!table) return this.refuse(owner, job.id, 'no_configuration', 1_000);
+    const revision = table?.content.revision ?? -1;
+    if (!table || revision < (submission.revision ?? 0)) {
+      return this.refuse(owner, job.id, 'no_configuration', 1_000);
+    }
     if (!queue || queue.prefix + job.id !== path) {
       this.opts.answer(owner, job.id, {kind: 'no_queue'});
       return;
@@ -107,8 +131,8 @@
     if (queue.needsAdvice) {
       return this.refuse(owner, job.id, 'advice_not_supported', 5_000);
     }
-    const {term} = this.opts;
-    const entry = new PoolEntry(submission, {owner, queue, term, now});
+    const {token} = this;
+    const entry = new PoolEntry(submission, {owner, queue, token, now});
     this.takeover.adopt([entry], this.workers.all, now);
     const isPossible =
       !this.takeover.hasSettled(now) ||
@@ -173,9 +197,7 @@
   tick(now: number): void {
     if (this.isClosed) return;
     this.workers.tick(now);
-    if (this.takeover.takeEnd(now)) {
-      for (const worker of this.workers.all) worker.stopForeign();
-    }
+    this.stopUnclaimed(now);
     this.stragglers.stopLate(this.jobs.values(), now);
     this.expire(now);
     this.schedulePass();
@@ -326,6 +348,17 @@
     }
   }
 
+  /** Stops what other dispatchers began and no job has claimed since. */
+  private stopUnclaimed(now: number): void {
+    const isTakeoverEnd = this.takeover.takeEnd(now);
+    for (const worker of this.workers.all) {
+      const isOld = worker.hasForeignSince(now - CLAIM_MS);
+      if (isTakeoverEnd || (this.takeover.isOver && isOld)) {
+        worker.stopForeign();
+      }
+    }
+  }
+
   private schedulePass(): void {
     if (this.isPassDue || this.isClosed) return;
     this.isPassDue = true;
--- a/src/core/pool/pool_entry.ts
+++ b/src/core/pool/pool_entry.ts
@@ -1,4 +1,5 @@
 import type {RoutingTable} from '../routing/routing_table.js';
+import {FencingToken} from './fencing_token.js';
 import {longestChainMs} from './longest_chain_ms.js';
 import type {PoolJob} from './pool_job.js';
 import type {PoolSubmission} from './pool_submission.js';
@@ -6,9 +7,6 @@
 
 type Queue = NonNullable<ReturnType<RoutingTable['find']>>;
 
-/** Run numbers of one lead; numbers rise over leads as terms do. */
-const RUNS_PER_TERM = 100;
-
 /** An answer later than this many times its objective is worth nothing. */
 const USEFUL_FACTOR = 3;
 
@@ -16,8 +14,8 @@
   /** Entry node that waits for the answer. */
   readonly owner: string;
   readonly queue: Queue;
-  /** Term of the lead. */
-  readonly term: number;
+  /** Fencing token of the dispatcher. */
+  readonly token: number;
   readonly now: number;
 }
 
@@ -35,15 +33,17 @@
   readonly usefulUntil: number;
   /** Until when the caller waits. */
   readonly deadlineAt: number;
+  /** Nothing of it starts before. */
+  readonly startsAt: number;
   readonly tasks: readonly PoolTask[];
   owner: string;
   /** Whether nobody waits any more; what runs is being stopped. */
   isAbandoned = false;
-  hasStarted = false;
+  hasStarted: boolean;
 
   constructor(
-    {job, waitedMs, patienceMs}: PoolSubmission,
-    {owner, queue, term, now}: PoolEntryOptions,
+    {job, waitedMs, patienceMs, settleMs = 0}: PoolSubmission,
+    {owner, queue, token, now}: PoolEntryOptions,
   ) {
     this.job = job;
     this.queue = queue;
@@ -55,6 +55,9 @@
     const objectiveMs = this.objectiveAt - this.arrivedAt;
     this.usefulUntil = this.arrivedAt + USEFUL_FACTOR * objectiveMs;
     this.deadlineAt = now + patienceMs;
+    this.startsAt = now + settleMs;
+    // What another dispatcher has begun is not known yet.
+    this.hasStarted = settleMs > 0;
     this.tasks = job.steps.flatMap((step, at) =>
       Array.from({length: step.count}, (_, index) => ({
         name: `${job.id}.0.${at}.${index}`,
@@ -63,7 +66,7 @@
         state: step.after.length > 0 ? 'blocked' : 'waiting',
         run: undefined,
         worker: undefined,
-        nextRun: term * RUNS_PER_TERM + 1,
+        nextRun: FencingToken.firstRun(token),
         failures: 0,
         stragglers: 0,
       })),
--- a/src/core/pool/pool_message.ts
+++ b/src/core/pool/pool_message.ts
@@ -10,13 +10,27 @@
   /** A node tells that it is there, and which nodes it knows. */
   presence: v.object({
     role: v.picklist(['entry', 'core']),
+    /** Availability zone of the sender. */
+    zone: v.optional(v.string()),
     cores: ids,
-    /** Entry nodes that a core node knows. */
+    /** Entry nodes that the sender knows. */
     entries: v.optional(ids, []),
-    /** Term of the lead, if the sender leads. */
-    term: v.optional(count),
-    /** Address for workers' reports, if the sender leads. */
-    reportAddress: v.optional(v.string()),
+    /** Highest fencing token that the sender knows. */
+    highestToken: v.optional(count, 0),
+    /** What the sender dispatches, if it does. */
+    lead: v.optional(
+      v.object({
+        term: count,
+        token: count,
+        isFallback: v.boolean(),
+        reportAddress: v.optional(v.string()),
+        revision: count,
+      }),
+    ),
+    /** Whether an entry node hears the lead of the log. */
+    hasLead: v.optional(v.boolean(), false),
+    /** Whether an entry node could dispatch for its zone. */
+    mayFallBack: v.optional(v.boolean(), false),
   }),
   /** An entry node names the jobs whose answers it waits for. */
   poll: v.object({ids}),
--- a/src/core/pool/pool_order.ts
+++ b/src/core/pool/pool_order.ts
@@ -9,7 +9,7 @@
   sort(jobs: Iterable<PoolEntry>, now: number): PoolEntry[] {
     const keyed: Array<{entry: PoolEntry; key: number}> = [];
     for (const entry of jobs) {
-      if (entry.isAbandoned) continue;
+      if (entry.isAbandoned || now < entry.startsAt) continue;
       if (!entry.tasks.some(t => t.state === 'waiting')) continue;
       keyed.push({entry, key: this.keyOf(entry, now)});
     }
--- a/src/core/pool/pool_submission.ts
+++ b/src/core/pool/pool_submission.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import {PoolJob} from './pool_job.js';
 
+const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const ms = v.pipe(v.number(), v.finite(), v.minValue(0));
 
 /** Validator of a job on its way from an entry node to the lead. */
@@ -12,7 +13,14 @@
   waitedMs: ms,
   /** How much longer its caller waits. */
   patienceMs: ms,
+  /**
+   * For how long another dispatcher may still run parts of it; its runs are
+   * adopted, and nothing of it starts before.
+   */
+  settleMs: v.optional(ms, 0),
+  /** Lowest revision of the queues that it may be matched with. */
+  revision: v.optional(count, 0),
 });
 
 /** A job on its way from an entry node to the lead. */
-export type PoolSubmission = Readonly<v.InferOutput<typeof PoolSubmission>>;
+export type PoolSubmission = Readonly<v.InferInput<typeof PoolSubmission>>;
--- a/src/core/pool/takeover.ts
+++ b/src/core/pool/takeover.ts
@@ -18,7 +18,7 @@
  */
 export class Takeover {
   private readonly ends = new Map<string, RunEnd>();
-  private isOver = false;
+  private over = false;
 
   constructor(
     private readonly beganAt: number,
@@ -26,9 +26,14 @@
     private readonly isBookComplete: boolean,
   ) {}
 
+  /** Whether what nobody claimed has been stopped. */
+  get isOver(): boolean {
+    return this.over;
+  }
+
   /** Whether every run of earlier leads is known or over. */
   mayStart(workers: readonly LeasedWorker[], now: number): boolean {
-    if (this.isOver) return true;
+    if (this.over) return true;
     if (now - this.beganAt > this.leasesMs + LEASE_SLACK_MS) return true;
     if (!this.isBookComplete) return false;
     return workers.every(w => w.isFenced);
@@ -42,15 +47,15 @@
   /** True once, when unclaimed runs are to be stopped. */
   takeEnd(now: number): boolean {
     const endsAt = this.beganAt + Math.max(CLAIM_MS, this.leasesMs);
-    if (this.isOver || now < endsAt + LEASE_SLACK_MS) return false;
-    this.isOver = true;
+    if (this.over || now < endsAt + LEASE_SLACK_MS) return false;
+    this.over = true;
     this.ends.clear();
     return true;
   }
 
   /** Keeps the end of a run whose job has not been handed in again yet. */
   noteEnd(task: string, how: RunEnd): void {
-    if (!this.isOver) this.ends.set(task, how);
+    if (!this.over) this.ends.set(task, how);
   }
 
   /**
--- a/src/core/pool/worker_book.ts
+++ b/src/core/pool/worker_book.ts
@@ -37,6 +37,13 @@
     this.expire(now);
   }
 
+  /** Forgets all others; a newer report brings them back. */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of [...this.byId.keys()]) {
+      if (!ids.has(id)) this.byId.delete(id);
+    }
+  }
+
   /** Forgets workers that no longer report; returns their ids. */
   expire(now: number): string[] {
     const gone: string[] = [];
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -1,9 +1,9 @@
 import {SystemRandom} from '../adapter/system_random.js';
 import {LeadService} from '../core/pool/lead_service.js';
-import type {RoutingTable} from '../core/routing/routing_table.js';
 import {ConfigService} from '../daemon/config/config_service.js';
 import {ControlFrontend} from './control_frontend.js';
-import {decodeConfig} from './decode_config.js';
+import {DecodedRouting} from './decoded_routing.js';
+import {leaseOf} from './lease_of.js';
 import {HttpWorkerClient} from './http_worker_client.js';
 import type {PlatformNode} from './platform_node.js';
 import {Program} from './program.js';
@@ -22,31 +22,29 @@
   TRANSFER_TIMEOUT_MS: 1_000,
 };
 
-/**
- * Short leases bound the time for which a successor must wait for workers that
- * it cannot reach; they cover two lost renewals.
- */
-const LEASE_MS = 600;
-
 /** The process on a core machine: control, the log, and dispatch if it leads. */
 export class CoreProgram extends Program {
   private readonly config: ConfigService;
   private readonly lead: LeadService;
   private readonly frontend: ControlFrontend;
-  private table: RoutingTable | undefined;
   private isStopping = false;
 
   constructor(private readonly node: PlatformNode) {
     super();
     const {settings, clock, log} = node.opts;
     const {peers, directory, telemetry: observer} = node;
-    const {ip, control, seeds} = settings;
+    const {ip, zone, control, seeds} = settings;
     this.config = new ConfigService({
       node: ip,
       nodes: seeds.map(id => ({id, voter: true})),
-      discovered: () => directory.coreIds(clock.now()),
+      // Entry nodes follow the configuration without a disk.
+      discovered: () => [
+        ...directory.coreIds(clock.now()),
+        ...directory.entryIds(clock.now()),
+      ],
       mayForm: settings.isFirstStart,
       voterTarget: 2 * settings.lostDisks + 1,
+      zoneOf: id => directory.zoneOf(id),
       timing: LOG_TIMING,
       tickMs: TICK_MS,
       dataDir: settings.dataDir,
@@ -57,16 +55,21 @@
       random: new SystemRandom(),
       log,
     });
+    const routing = new DecodedRouting(
+      () => this.config.committed?.document,
+      (revision, detail) => log.error('config_unreadable', {revision, detail}),
+    );
     this.lead = new LeadService({
       node: ip,
+      zone,
       clock,
       peers,
       client: new HttpWorkerClient(),
       directory,
-      leaseMs: Math.min(LEASE_MS, settings.leaseMs),
+      leaseMs: leaseOf(settings),
       reportAddress: control!,
       lead: now => this.config.lead(now),
-      routing: () => this.routing(),
+      routing: () => routing.get(),
       observer,
     });
     this.frontend = new ControlFrontend({
@@ -99,18 +102,6 @@
     await this.frontend.http.drain();
   }
 
-  /** The queues of the newest document, decoded once. */
-  private routing(): RoutingTable | undefined {
-    const document = this.config.committed?.document;
-    if (!document) return undefined;
-    if (this.table?.content.revision !== document.revision) {
-      const decoded = decodeConfig(JSON.parse(document.content));
-      if (decoded.isOk) this.table = decoded.value;
-      else this.node.opts.log.error('config_unreadable', {...decoded});
-    }
-    return this.table;
-  }
-
   private tick(): void {
     if (this.isStopping) return;
     const {clock} = this.node.opts;
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -1,12 +1,22 @@
 import {HttpServer} from '../adapter/http/http_server.js';
+import {SystemRandom} from '../adapter/system_random.js';
 import {EntryGateway} from '../core/pool/entry_gateway.js';
+import {EntryPresence} from '../core/pool/entry_presence.js';
+import {FallbackService} from '../core/pool/fallback_service.js';
+import {ZoneMates} from '../core/pool/zone_mates.js';
+import {ConfigService} from '../daemon/config/config_service.js';
 import {CallerFrontend} from './caller_frontend.js';
+import {DecodedRouting} from './decoded_routing.js';
+import {HttpWorkerClient} from './http_worker_client.js';
+import {leaseOf} from './lease_of.js';
 import type {PlatformNode} from './platform_node.js';
 import {Program} from './program.js';
 import {sendJson} from './send_json.js';
 import {splitAddress} from './split_address.js';
 
 const TICK_MS = 50;
+/** Interval while this node dispatches for its zone. */
+const DISPATCH_TICK_MS = 20;
 /** A node that has found no lead for this long is not ready. */
 const NO_LEAD_MS = 3_000;
 /** The platform takes a node out after two misses, a second apart. */
@@ -16,6 +26,9 @@
 
 /** The process on a machine that callers reach. */
 export class EntryProgram extends Program {
+  private readonly config: ConfigService;
+  private readonly fallback: FallbackService;
+  private readonly presence: EntryPresence;
   private readonly gateway: EntryGateway;
   private readonly frontend: CallerFrontend;
   private readonly readiness: HttpServer;
@@ -25,11 +38,49 @@
   constructor(private readonly node: PlatformNode) {
     super();
     const {settings, clock, log} = node.opts;
-    const observer = node.telemetry;
+    const {peers, directory, telemetry: observer} = node;
+    const {ip, zone, seeds} = settings;
+    this.config = new ConfigService({
+      node: ip,
+      nodes: seeds.map(id => ({id, voter: true})),
+      discovered: () => directory.coreIds(clock.now()),
+      mayForm: false,
+      dataDir: undefined,
+      clock,
+      peers,
+      random: new SystemRandom(),
+      log,
+    });
+    const routing = new DecodedRouting(
+      () => this.config.source.current().document,
+      (revision, detail) => log.error('config_unreadable', {revision, detail}),
+    );
+    const mates = new ZoneMates();
+    this.fallback = new FallbackService({
+      node: ip,
+      zone,
+      clock,
+      peers,
+      client: new HttpWorkerClient(),
+      directory,
+      mates,
+      leaseMs: leaseOf(settings),
+      routing: () => routing.get(),
+      observer,
+    });
+    this.presence = new EntryPresence({
+      node: ip,
+      zone,
+      peers,
+      directory,
+      mates,
+      fallback: this.fallback,
+      onLead: now => this.gateway.tick(now),
+    });
     this.gateway = new EntryGateway({
-      ...node,
       clock,
-      node: settings.ip,
+      peers,
+      directory,
       observer,
     });
     const onError = (detail: string) => log.error('request_failed', {detail});
@@ -53,6 +104,7 @@
 
   override async start(): Promise<void> {
     await this.node.start();
+    await this.config.start();
     await this.readiness.start();
     await this.frontend.http.start();
     this.tick();
@@ -70,6 +122,7 @@
       this.frontend.http.drain(),
       this.sleep(restMs - STOP_MARGIN_MS),
     ]);
+    await this.config.stop();
   }
 
   private sleep(ms: number): Promise<void> {
@@ -87,7 +140,11 @@
     const {clock} = this.node.opts;
     const now = clock.now();
     if (this.gateway.hasLead) this.leadSeenAt = now;
+    this.fallback.tick(now);
+    this.presence.tick(now);
     this.gateway.tick(now);
-    clock.schedule(TICK_MS, () => this.tick());
+    const {isDispatching} = this.fallback;
+    const delayMs = isDispatching ? DISPATCH_TICK_MS : TICK_MS;
+    clock.schedule(delayMs, () => this.tick());
   }
 }
--- a/test-support/fakes/lossy_peers.ts
+++ b/test-support/fakes/lossy_peers.ts
@@ -96,7 +96,16 @@
     this.network.transmit(this, node, kind, body);
   }
 
-  override async request(): Promise<Result<unknown, PeerError>> {
+  /** A node can ask itself only. */
+  override async request(
+    node: string,
+    method: string,
+    body: unknown,
+  ): Promise<Result<unknown, PeerError>> {
+    const handler = this.requestHandlers.get(method);
+    if (node === this.node && handler) {
+      return Result.ok(await handler(node, body));
+    }
     return Result.err({kind: 'unsent', detail: 'one-way messages only'});
   }
 
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -1,4 +1,5 @@
 import type {PoolAnswer} from '../../../src/core/pool/pool_answer.js';
+import {FencingToken} from '../../../src/core/pool/fencing_token.js';
 import {PoolDispatcher} from '../../../src/core/pool/pool_dispatcher.js';
 import type {PoolSubmission} from '../../../src/core/pool/pool_submission.js';
 import {WorkerBook} from '../../../src/core/pool/worker_book.js';
@@ -70,7 +71,7 @@
       clock,
       client,
       book,
-      term,
+      token: FencingToken.ofTerm(term),
       leaseMs: LEASE_MS,
       isBookComplete,
       earlierLeasesMs,
@@ -139,7 +140,7 @@
     };
   }
 
-  static table(): RoutingTable {
+  static table(revision = 1): RoutingTable {
     const queue = {
       host: 'h',
       service: 'svc',
@@ -150,7 +151,7 @@
       needsAdvice: false,
     };
     return new RoutingTable({
-      revision: 1,
+      revision,
       queues: ['a', 'b', 'c'].map(name => ({
         ...queue,
         name,
--- /dev/null
+++ b/test-support/fakes/pool/zone_pool_bench.ts
@@ -0,0 +1,196 @@
+import {EntryGateway} from '../../../src/core/pool/entry_gateway.js';
+import {EntryPresence} from '../../../src/core/pool/entry_presence.js';
+import {FallbackService} from '../../../src/core/pool/fallback_service.js';
+import {LeadService} from '../../../src/core/pool/lead_service.js';
+import {NodeDirectory} from '../../../src/core/pool/node_directory.js';
+import type {PoolAnswer} from '../../../src/core/pool/pool_answer.js';
+import {ZoneMates} from '../../../src/core/pool/zone_mates.js';
+import {FakeClock} from '../fake_clock.js';
+import {LossyPeers} from '../lossy_peers.js';
+import {SeededRandom} from '../seeded_random.js';
+import {FakePoolWorker} from './fake_pool_worker.js';
+import {FakeWorkerClient} from './fake_worker_client.js';
+import {PoolBench} from './pool_bench.js';
+
+const LEASE_MS = 600;
+const TICK_MS = 20;
+const CORE = 'c1';
+const REPORT_MS = 1_500;
+
+interface EntryNode {
+  readonly fallback: FallbackService;
+  readonly gateway: EntryGateway;
+  readonly presence: EntryPresence;
+}
+
+/** A core node, entry nodes and workers in zones `y` and `z`. */
+export class ZonePoolBench {
+  readonly clock = new FakeClock();
+  readonly peers = new LossyPeers(this.clock, new SeededRandom(1));
+  readonly workers = new Map<string, FakePoolWorker>();
+  readonly entries = new Map<string, EntryNode>();
+  readonly core: LeadService;
+  readonly events: Array<{readonly node: string; readonly event: string}> = [];
+  /** Answers of each job, as its entry node gave them. */
+  readonly answers = new Map<string, PoolAnswer[]>();
+  /** Term of the core node's lead; undefined while it is off. */
+  term: number | undefined = 1;
+  /** Revision of the queues at each node. */
+  readonly revisions = new Map<string, number>();
+  private readonly zones = new Map<string, string>([[CORE, 'y']]);
+  private readonly cutZones = new Set<string>();
+  private sequence = 0;
+
+  constructor() {
+    for (const zone of ['y', 'z']) {
+      for (const n of [1, 2]) this.addWorker(`${zone}w${n}`, zone);
+    }
+    this.core = this.createCore();
+    for (const id of ['ye1', 'ze1', 'ze2']) this.addEntry(id, id[0]!);
+  }
+
+  /** Cuts a zone off from the other one. */
+  cut(zone: string): void {
+    this.cutZones.add(zone);
+    const inside = [...this.zones].filter(([, z]) => z === zone);
+    const outside = [...this.zones].filter(([, z]) => z !== zone);
+    this.peers.isolate(
+      inside.map(([id]) => id),
+      outside.map(([id]) => id),
+    );
+  }
+
+  heal(): void {
+    this.cutZones.clear();
+    this.peers.heal();
+  }
+
+  submit(entry: string, id: string, opts = {}): void {
+    const {host, path, job, patienceMs} = PoolBench.submission(id, opts);
+    const answers = this.answers.get(id) ?? [];
+    this.answers.set(id, answers);
+    this.entries
+      .get(entry)!
+      .gateway.submit({host, path, job, patienceMs}, a => answers.push(a));
+  }
+
+  async run(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 1) {
+      this.clock.advance(1);
+      for (let turn = 0; turn < 8; turn += 1) await Promise.resolve();
+      if (this.clock.now() % TICK_MS === 0) await this.tick();
+    }
+  }
+
+  /** Last answer to a job. */
+  answerOf(id: string): PoolAnswer['kind'] | undefined {
+    return this.answers.get(id)?.at(-1)?.kind;
+  }
+
+  /** Entry nodes that dispatch at present. */
+  dispatching(): string[] {
+    return [...this.entries]
+      .filter(([, {fallback}]) => fallback.isDispatching)
+      .map(([id]) => id);
+  }
+
+  /** Tasks that ran twice at one time. */
+  overlaps(): string[] {
+    const all = [...this.workers.values()].flatMap(w => w.history);
+    return all
+      .filter(a =>
+        all.some(
+          b => a !== b && a.task === b.task && a.from < b.to && b.from < a.to,
+        ),
+      )
+      .map(a => a.task);
+  }
+
+  private async tick(): Promise<void> {
+    const now = this.clock.now();
+    if (now % REPORT_MS < TICK_MS) await this.report();
+    if (this.term !== undefined) this.core.tick(now);
+    for (const {fallback, presence, gateway} of this.entries.values()) {
+      fallback.tick(now);
+      presence.tick(now);
+      gateway.tick(now);
+    }
+  }
+
+  private async report(): Promise<void> {
+    if (this.term === undefined) return;
+    for (const {report} of this.workers.values()) {
+      if (this.cutZones.has(report.zone)) continue;
+      this.sequence += 1;
+      await this.core.report({...report, sequence: this.sequence});
+    }
+  }
+
+  private addWorker(id: string, zone: string): void {
+    const report = {
+      id,
+      bornAt: 1,
+      service: 'svc',
+      address: `${id}:1`,
+      zone,
+      isDraining: false,
+      capacity: {cpu: 2_000, memoryMb: 1_000, accelerators: 0},
+      labels: [],
+      sequence: 0,
+    };
+    this.workers.set(id, new FakePoolWorker(report, this.clock, LEASE_MS));
+  }
+
+  private createCore(): LeadService {
+    return new LeadService({
+      ...this.common(CORE, 'y'),
+      reportAddress: 'c1:1',
+      lead: now =>
+        this.term === undefined
+          ? undefined
+          : {
+              term: this.term,
+              confirmedAt: now,
+              isSettled: true,
+              silentMs: 0,
+            },
+    });
+  }
+
+  private addEntry(id: string, zone: string): void {
+    this.zones.set(id, zone);
+    const options = {...this.common(id, zone), mates: new ZoneMates()};
+    const fallback = new FallbackService(options);
+    const gateway = new EntryGateway(options);
+    const onLead = (now: number) => gateway.tick(now);
+    const presence = new EntryPresence({...options, fallback, onLead});
+    this.entries.set(id, {fallback, gateway, presence});
+  }
+
+  private common(id: string, zone: string) {
+    const client = new FakeWorkerClient(this.clock, this.workers);
+    client.fate = (_call, worker) => {
+      const isCut = (z: string) => this.cutZones.has(z);
+      const at = this.workers.get(worker)!.report.zone;
+      const isApart = at !== zone && (isCut(at) || isCut(zone));
+      return isApart ? 'order_lost' : 'ok';
+    };
+    const log = (event: string) => this.events.push({node: id, event});
+    return {
+      node: id,
+      zone,
+      clock: this.clock,
+      peers: this.peers.connect(id),
+      client,
+      directory: new NodeDirectory(id, [CORE]),
+      leaseMs: LEASE_MS,
+      routing: () => PoolBench.table(this.revisions.get(id)),
+      observer: {
+        decided: log,
+        believed: log,
+        answered: () => undefined,
+        counted: () => undefined,
+      },
+    };
+  }
+}
