Split the pool's dispatcher and leased worker

PoolJobs keeps the jobs until they are answered; WorkerFence and ProbePace keep what a worker's answers say of its obedience and silence. A refusal of an order that was sent under a lower token no longer counts against a raised one (it would have kept the worker out until the next raise).

--- a/src/core/pool/leased_worker.ts
+++ b/src/core/pool/leased_worker.ts
@@ -1,11 +1,14 @@
+import {endOfAbsent} from './end_of_absent.js';
 import type {LeaseOptions} from './lease_options.js';
 import {LeaseTiming} from './lease_timing.js';
+import {ProbePace} from './probe_pace.js';
 import {Resources} from './resources.js';
 import type {Run} from './run.js';
 import {RunLedger} from './run_ledger.js';
 import {RunEnd} from './run_end.js';
 import {RunRefusal} from './run_refusal.js';
 import type {WorkerClient} from './worker_client.js';
+import {WorkerFence} from './worker_fence.js';
 import {WorkerLease} from './worker_lease.js';
 import type {WorkerReport} from './worker_report.js';
 
@@ -14,8 +17,6 @@
   LOOK_GRACE_MS,
   ORDER_TIMEOUT_MS,
   PROBE_INTERVAL_MS,
-  QUICK_PROBES,
-  SLOW_PROBE_MS,
   IDLE_ACK_MS,
 } = LeaseTiming;
 
@@ -30,17 +31,13 @@
   private readonly ledger = new RunLedger();
   private readonly lease: WorkerLease;
   private bornAt: number | undefined;
-  private fenced = false;
-  private outranked = false;
+  private readonly fence: WorkerFence;
   private acknowledged = 0;
   private acknowledgedSent = 0;
   private endedAt = 0;
   private openLooks = 0;
-  private misses = 0;
-  private nextProbe = 0;
+  private readonly probes = new ProbePace();
   private noRoomUntil = 0;
-  /** Since when runs of other leads have been listed. */
-  private foreignSince: number | undefined;
 
   constructor(
     private readonly opts: LeaseOptions,
@@ -49,6 +46,7 @@
     public seenAt: number,
   ) {
     this.lease = new WorkerLease(opts.leaseMs);
+    this.fence = new WorkerFence(opts.currentToken);
   }
 
   /** Runs that may hold room, by task. */
@@ -63,16 +61,16 @@
 
   /** Whether it has answered under this lead's token. */
   get isFenced(): boolean {
-    return this.fenced;
+    return this.fence.isObeyed;
   }
 
   /** Whether it obeys a higher token. */
   get isOutranked(): boolean {
-    return this.outranked;
+    return this.fence.isOutranked;
   }
 
   get isSilent(): boolean {
-    return this.misses > 0;
+    return this.probes.isSilent;
   }
 
   get isIdle(): boolean {
@@ -86,9 +84,9 @@
   /** Whether it may be given a start. */
   isUsable(now: number): boolean {
     return (
-      this.fenced &&
-      !this.outranked &&
-      this.misses === 0 &&
+      this.isFenced &&
+      !this.isOutranked &&
+      !this.isSilent &&
       !this.report.isDraining &&
       this.foreign.size === 0 &&
       now >= this.noRoomUntil
@@ -98,7 +96,7 @@
   /** Does what is due; called often. */
   tick(now: number): void {
     this.dropLapsed(now);
-    if (this.outranked || !this.opts.mayOrder(now)) return;
+    if (this.isOutranked || !this.opts.mayOrder(now)) return;
     this.retryStops(now);
     if (this.openLooks === 0) this.lookIfDue(now);
   }
@@ -106,7 +104,7 @@
   /** Gives a start order. */
   start(run: Run, payload: string): void {
     const {client, clock} = this.opts;
-    const token = this.opts.currentToken();
+    const {token} = this;
     const now = clock.now();
     this.ledger.add(run);
     const leaseEnd = this.lease.extend(now);
@@ -114,7 +112,7 @@
     const order = {task: run.task, run: run.number, token, payload, leaseEnd};
     void client
       .start(this.report, order, ORDER_TIMEOUT_MS)
-      .then(reply => this.onStartReply(run, reply, now));
+      .then(reply => this.onStartReply(run, reply, now, token));
     this.tick(now);
   }
 
@@ -137,15 +135,12 @@
 
   /** The lead's token has been raised; the worker may obey it again. */
   onTokenRaised(): void {
-    if (!this.outranked) return;
-    this.outranked = false;
-    this.fenced = false;
-    this.nextProbe = 0;
+    if (this.fence.raise()) this.probes.hurry();
   }
 
   /** Whether runs of other leads have been listed since before `at`. */
   hasForeignSince(at: number): boolean {
-    return this.foreignSince !== undefined && this.foreignSince < at;
+    return this.ledger.foreignSince < at;
   }
 
   /** Ends all runs of a life that is known to be over. */
@@ -154,15 +149,14 @@
     this.ledger.foreign.clear();
   }
 
+  private get token(): number {
+    return this.opts.currentToken();
+  }
+
   private lookIfDue(now: number): void {
-    const isBusy = !this.ledger.isEmpty;
-    if (this.misses > 0 || !this.fenced) {
-      if (now < this.nextProbe) return;
-      const isLongSilent = this.misses > QUICK_PROBES;
-      const pauseMs = isLongSilent ? SLOW_PROBE_MS : PROBE_INTERVAL_MS;
-      this.nextProbe = now + pauseMs;
-      this.look(0, now);
-    } else if (isBusy) {
+    if (this.isSilent || !this.isFenced) {
+      if (this.probes.takeDue(now)) this.look(0, now);
+    } else if (!this.isIdle) {
       this.look(LOOK_WAIT_MS, now);
     } else if (this.acknowledged > this.acknowledgedSent) {
       if (now - this.endedAt >= IDLE_ACK_MS) this.look(0, now);
@@ -171,11 +165,10 @@
 
   private look(waitMs: number, now: number): void {
     const {client} = this.opts;
-    const token = this.opts.currentToken();
-    const {acknowledged} = this;
+    const {acknowledged, token} = this;
     // A look that gets no answer may still have renewed the lease, which would
     // keep the runs of an unreachable worker alive for good.
-    const mayExtend = this.lease.isKnown && this.misses === 0;
+    const mayExtend = this.lease.isKnown && !this.isSilent;
     const leaseEnd = mayExtend ? this.lease.extend(now) : undefined;
     this.openLooks += 1;
     this.acknowledgedSent = acknowledged;
@@ -187,7 +180,7 @@
       )
       .then(reply => {
         this.openLooks -= 1;
-        this.onLookReply(reply, now);
+        this.onLookReply(reply, now, token);
       });
   }
 
@@ -195,6 +188,7 @@
     run: Run,
     reply: Awaited<ReturnType<WorkerClient['start']>>,
     sentAt: number,
+    token: number,
   ): void {
     if (this.runs.get(run.task) !== run) return;
     const now = this.opts.clock.now();
@@ -205,7 +199,7 @@
         return;
       case 'refused':
         if (run.confirmedAt !== undefined) return;
-        this.onRefused(run, reply.reason, now);
+        this.onRefused(run, reply.reason, now, token);
         return;
       case 'lost':
         if (run.confirmedAt !== undefined) return;
@@ -217,42 +211,47 @@
     }
   }
 
-  private onRefused(run: Run, reason: RunRefusal, now: number): void {
-    if (reason === RunRefusal.fenced) this.outranked = true;
+  private onRefused(
+    run: Run,
+    reason: RunRefusal,
+    now: number,
+    token: number,
+  ): void {
     if (reason === RunRefusal.noRoom) this.noRoomUntil = now + 100;
     if (reason === RunRefusal.unhealthy || reason === RunRefusal.invalid) {
       this.noRoomUntil = now + 500;
     }
     this.ledger.remove(run);
     this.opts.listener.refused(this, run, reason);
+    this.noteRefusal(reason, token);
+  }
+
+  /** What a refusal of any order says of the worker. */
+  private noteRefusal(reason: RunRefusal, token: number): void {
+    if (reason === RunRefusal.fenced) this.fence.refused(token);
     if (reason === RunRefusal.otherLife) this.onOtherLife();
   }
 
   /** The process that held the runs is gone, and they with it. */
   private onOtherLife(): void {
-    this.fenced = false;
-    this.misses += 1;
+    this.fence.forget();
+    this.probes.missed();
     this.close();
   }
 
-  private onLookReply(reply: LookReply, sentAt: number): void {
+  private onLookReply(reply: LookReply, sentAt: number, token: number): void {
     const now = this.opts.clock.now();
     if (reply.kind === 'ok') {
       const wasUsable = this.isUsable(now);
-      this.misses = 0;
+      this.probes.answered();
       this.onLook(reply.look, sentAt, now);
       if (!wasUsable && this.isUsable(now)) this.opts.listener.changed(this);
     } else if (reply.kind === 'lost') {
-      this.misses += 1;
-      // The lease runs out soon; the next look must not wait.
-      if (this.misses === 1) this.nextProbe = now;
-    } else if (reply.reason === RunRefusal.fenced) {
-      this.outranked = true;
-      this.opts.listener.changed(this);
-    } else if (reply.reason === RunRefusal.otherLife) {
-      this.onOtherLife();
+      this.probes.missed();
     } else {
-      this.misses += 1;
+      this.noteRefusal(reply.reason, token);
+      if (this.isOutranked) this.opts.listener.changed(this);
+      else if (reply.reason !== RunRefusal.otherLife) this.probes.missed();
     }
     this.tick(now);
   }
@@ -260,7 +259,7 @@
   private onLook(look: Look, sentAt: number, now: number): void {
     if (look.bornAt !== undefined) this.noteLife(look.bornAt);
     this.lease.note(look.clockMs, sentAt, now);
-    this.fenced = true;
+    this.fence.obeyed();
     for (const {number, task, run, how} of look.ended) {
       if (number <= this.acknowledged) continue;
       this.acknowledged = number;
@@ -268,9 +267,7 @@
       this.noteEnd(task, run, how);
     }
     const listed = new Map(look.running.map(r => [r.task, r.run]));
-    this.ledger.noteListed(listed);
-    this.foreignSince =
-      this.foreign.size > 0 ? (this.foreignSince ?? now) : undefined;
+    this.ledger.noteListed(listed, now);
     if (look.isPartial) return;
     for (const run of [...this.runs.values()]) {
       if (listed.get(run.task) === run.number) run.confirmedAt ??= now;
@@ -300,37 +297,27 @@
 
   /** A run that is neither running nor among the ends that are listed. */
   private noteAbsent(run: Run, look: Look, sentAt: number, now: number): void {
-    const {confirmedAt, stoppedAt} = run;
-    if (confirmedAt !== undefined && confirmedAt < sentAt) {
-      this.end(run, RunEnd.lost);
-    } else if (stoppedAt !== undefined && stoppedAt < sentAt) {
-      // The worker refuses the order if it still comes.
-      this.refuse(run, RunRefusal.old);
-    } else if (run.sentAt < sentAt && look.clockMs > run.startLeaseEnd) {
-      this.refuse(run, RunRefusal.late);
-    } else if (run.isDoubtful && run.stopAskedAt === undefined) {
+    const over = endOfAbsent(run, look.clockMs, sentAt);
+    if (over === RunEnd.lost) this.end(run, over);
+    else if (over) this.refuse(run, over);
+    else if (run.isDoubtful && run.stopAskedAt === undefined) {
       this.sendStop(run, now);
     }
   }
 
   private sendStop(run: Run, now: number): void {
     const {client, clock} = this.opts;
-    const token = this.opts.currentToken();
+    const {token} = this;
     run.stopAskedAt = now;
     const order = {task: run.task, run: run.number, token};
     void client.stop(this.report, order, ORDER_TIMEOUT_MS).then(reply => {
       if (reply.kind === 'ok') run.stoppedAt ??= clock.now();
-      else if (reply.kind === 'refused') this.onStopRefused(reply.reason);
+      else if (reply.kind === 'refused') this.noteRefusal(reply.reason, token);
       if (this.openLooks === 0) this.tick(clock.now());
       else this.look(0, clock.now());
     });
   }
 
-  private onStopRefused(reason: RunRefusal): void {
-    if (reason === RunRefusal.fenced) this.outranked = true;
-    if (reason === RunRefusal.otherLife) this.onOtherLife();
-  }
-
   private retryStops(now: number): void {
     for (const run of this.runs.values()) {
       if (run.stopAskedAt === undefined || run.stoppedAt !== undefined) {
@@ -346,8 +333,8 @@
   /** Without a renewal the worker itself has ended everything. */
   private dropLapsed(now: number): void {
     if (this.runs.size === 0 || !this.lease.isOver(now)) return;
-    this.fenced = false;
-    this.misses = Math.max(1, this.misses);
+    this.fence.forget();
+    if (!this.isSilent) this.probes.missed();
     this.close();
   }
 
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -5,11 +5,11 @@
 import {HopelessJobs} from './hopeless_jobs.js';
 import type {PoolAnswer} from './pool_answer.js';
 import {PoolEntry} from './pool_entry.js';
+import {PoolJobs} from './pool_jobs.js';
 import type {PoolObserver} from './pool_observer.js';
 import {PoolAdmission} from './pool_admission.js';
 import {PoolOrder} from './pool_order.js';
 import type {PoolSubmission} from './pool_submission.js';
-import type {PoolTask} from './pool_task.js';
 import type {Run} from './run.js';
 import {RunEnd} from './run_end.js';
 import type {RunRefusal} from './run_refusal.js';
@@ -25,9 +25,6 @@
 
 /** Entry nodes hand the jobs of another dispatcher in within this time. */
 const CLAIM_MS = 1_000;
-/** A backlog that makes jobs too late is gone after this time. */
-const RETRY_LATE_MS = 2_000;
-
 interface PoolDispatcherOptions {
   readonly clock: Clock;
   readonly client: WorkerClient;
@@ -52,14 +49,13 @@
  * leased workers and answers each job when it has ended.
  */
 export class PoolDispatcher implements LeaseListener {
-  private readonly jobs = new Map<string, PoolEntry>();
+  private readonly jobs: PoolJobs;
   private readonly workers: WorkerFleet;
   private readonly times = new RunTimes();
   private readonly trust = new WorkerTrust();
   private readonly chooser = new WorkerChooser(this.times, this.trust);
   private readonly order = new PoolOrder(this.times);
   private readonly admission = new PoolAdmission();
-  private readonly hopeless = new HopelessJobs(this.times);
   private readonly stragglers = new StragglerWatch(this.times);
   private readonly starter: TaskStarter;
   private readonly takeover: Takeover;
@@ -69,6 +65,7 @@
 
   constructor(private readonly opts: PoolDispatcherOptions) {
     const now = opts.clock.now();
+    this.jobs = new PoolJobs({...opts, hopeless: new HopelessJobs(this.times)});
     this.starter = new TaskStarter(this.chooser, opts.observer);
     this.takeover = new Takeover(
       now,
@@ -122,14 +119,14 @@
     const queue = table?.find(host, path);
     const revision = table?.content.revision ?? -1;
     if (!table || revision < (submission.revision ?? 0)) {
-      return this.refuse(owner, job.id, 'no_configuration', 1_000);
+      return this.jobs.refuse(owner, job.id, 'no_configuration', 1_000);
     }
     if (!queue || queue.prefix + job.id !== path) {
       this.opts.answer(owner, job.id, {kind: 'no_queue'});
       return;
     }
     if (queue.needsAdvice) {
-      return this.refuse(owner, job.id, 'advice_not_supported', 5_000);
+      return this.jobs.refuse(owner, job.id, 'advice_not_supported', 5_000);
     }
     const {token} = this;
     const entry = new PoolEntry(submission, {owner, queue, token, now});
@@ -138,15 +135,20 @@
       !this.takeover.hasSettled(now) ||
       entry.tasks.every(t => this.chooser.isPossible(t, this.workers.all));
     if (!isPossible && !entry.hasStarted) {
-      return this.refuse(owner, job.id, 'no_worker_fits', 2_000);
+      return this.jobs.refuse(owner, job.id, 'no_worker_fits', 2_000);
     }
     const refusal = entry.hasStarted
       ? undefined
       : this.admission.check(this.jobs.size, this.workers.size);
     if (refusal) {
-      return this.refuse(owner, job.id, refusal.reason, refusal.retryAfterMs);
+      return this.jobs.refuse(
+        owner,
+        job.id,
+        refusal.reason,
+        refusal.retryAfterMs,
+      );
     }
-    this.jobs.set(job.id, entry);
+    this.jobs.add(entry);
     this.opts.observer.decided('job_accepted', job.id, {
       queue: queue.name,
       owner,
@@ -154,7 +156,7 @@
       open: this.jobs.size,
       revision: table.content.revision,
     });
-    this.finishIfDone(entry, now);
+    this.jobs.finishIfDone(entry, now);
     this.schedulePass();
   }
 
@@ -163,7 +165,7 @@
     const entry = this.jobs.get(id);
     if (!entry || entry.owner !== owner || entry.isAbandoned) return;
     this.opts.observer.decided('job_dropped', id, {owner, reason});
-    this.abandon(entry);
+    this.jobs.abandon(entry);
   }
 
   /** Cancels a job; false if it is not known. */
@@ -172,7 +174,7 @@
     if (!entry || entry.isAbandoned) return false;
     this.opts.observer.decided('job_cancelled', id, {owner: entry.owner});
     this.opts.answer(entry.owner, id, {kind: 'cancelled'});
-    this.abandon(entry);
+    this.jobs.abandon(entry);
     return true;
   }
 
@@ -184,13 +186,14 @@
   /** Jobs of a queue of which no task has started. */
   pendingOf(queue: string): number {
     const isPending = (j: PoolEntry) => j.queue.name === queue && j.isPending;
-    return [...this.jobs.values()].filter(isPending).length;
+    return [...this.jobs.all].filter(isPending).length;
   }
 
   /** Drops the jobs of owners that are no longer heard of. */
   dropOwners(isLost: (owner: string) => boolean): void {
-    for (const [id, {owner, isAbandoned}] of this.jobs) {
-      if (!isAbandoned && isLost(owner)) this.drop(id, owner, 'owner_silent');
+    for (const {job, owner, isAbandoned} of [...this.jobs.all]) {
+      if (isAbandoned || !isLost(owner)) continue;
+      this.drop(job.id, owner, 'owner_silent');
     }
   }
 
@@ -198,8 +201,8 @@
     if (this.isClosed) return;
     this.workers.tick(now);
     this.stopUnclaimed(now);
-    this.stragglers.stopLate(this.jobs.values(), now);
-    this.expire(now);
+    this.stragglers.stopLate(this.jobs.all, now);
+    this.jobs.expire(now);
     this.schedulePass();
   }
 
@@ -212,7 +215,7 @@
   ended(worker: LeasedWorker, run: Run, how: RunEnd): void {
     const {clock, observer} = this.opts;
     const now = clock.now();
-    const task = this.taskOf(run.task);
+    const task = this.jobs.taskOf(run.task);
     observer.counted(`run_${how}`);
     if (!task || task.run !== run) return this.schedulePass();
     task.run = undefined;
@@ -239,12 +242,12 @@
     task.state = how === RunEnd.done ? 'done' : 'waiting';
     if (how === RunEnd.failed) task.failures += 1;
     task.job.unblock();
-    this.finishIfDone(task.job, now);
+    this.jobs.finishIfDone(task.job, now);
     this.schedulePass();
   }
 
   refused(worker: LeasedWorker, run: Run, reason: RunRefusal): void {
-    const task = this.taskOf(run.task);
+    const task = this.jobs.taskOf(run.task);
     this.opts.observer.counted(`start_refused_${reason}`);
     if (!task || task.run !== run) return;
     task.run = undefined;
@@ -256,18 +259,18 @@
       worker: worker.report.id,
       reason,
     });
-    this.finishIfDone(task.job, this.opts.clock.now());
+    this.jobs.finishIfDone(task.job, this.opts.clock.now());
     this.schedulePass();
   }
 
   foreignEnded(name: string, _run: number, how: RunEnd): void {
-    const task = this.taskOf(name);
+    const task = this.jobs.taskOf(name);
     if (!task) {
       this.takeover.noteEnd(name, how);
     } else if (how === RunEnd.done && !task.run && task.state === 'waiting') {
       task.state = 'done';
       task.job.unblock();
-      this.finishIfDone(task.job, this.opts.clock.now());
+      this.jobs.finishIfDone(task.job, this.opts.clock.now());
     }
   }
 
@@ -278,76 +281,6 @@
     this.schedulePass();
   }
 
-  private refuse(
-    owner: string,
-    id: string,
-    reason: string,
-    retryAfterMs: number,
-  ): void {
-    const {observer, answer} = this.opts;
-    observer.decided('job_refused', id, {owner, reason, open: this.jobs.size});
-    observer.counted(`refused_${reason}`);
-    answer(owner, id, {kind: 'refused', reason, retryAfterMs});
-  }
-
-  private taskOf(name: string): PoolTask | undefined {
-    const id = name.slice(0, name.indexOf('.'));
-    return this.jobs.get(id)?.tasks.find(t => t.name === name);
-  }
-
-  private abandon(entry: PoolEntry): void {
-    entry.isAbandoned = true;
-    for (const {run, worker} of entry.tasks) {
-      if (run && worker) worker.stop(run);
-    }
-    this.forgetIfOver(entry);
-  }
-
-  private forgetIfOver(entry: PoolEntry): void {
-    if (!entry.isAbandoned || entry.hasRuns) return;
-    this.jobs.delete(entry.job.id);
-  }
-
-  private finishIfDone(entry: PoolEntry, now: number): void {
-    if (entry.isAbandoned) {
-      this.forgetIfOver(entry);
-      return;
-    }
-    const {isDone, isFailed} = entry;
-    if (isDone || isFailed) this.finish(entry, isDone, now);
-  }
-
-  private finish(entry: PoolEntry, isDone: boolean, now: number): void {
-    const {owner, job, queue, arrivedAt, objectiveAt} = entry;
-    const kind = isDone ? 'completed' : 'failed';
-    this.opts.observer.decided(`job_${kind}`, job.id, {
-      queue: queue.name,
-      took_ms: Math.round(now - arrivedAt),
-      late_ms: Math.max(0, Math.round(now - objectiveAt)),
-    });
-    this.opts.observer.answered(queue.name, kind, now - arrivedAt);
-    this.opts.answer(owner, job.id, {kind});
-    this.abandon(entry);
-  }
-
-  /** Ends what its caller no longer waits for. */
-  private expire(now: number): void {
-    for (const entry of this.hopeless.find(this.jobs.values(), now)) {
-      this.refuse(entry.owner, entry.job.id, 'too_late', RETRY_LATE_MS);
-      this.abandon(entry);
-    }
-    for (const entry of [...this.jobs.values()]) {
-      if (entry.isAbandoned || now < entry.deadlineAt) continue;
-      const {owner, job} = entry;
-      if (entry.hasStarted) {
-        this.opts.observer.decided('job_expired', job.id, {owner});
-        const reason = 'deadline';
-        this.opts.answer(owner, job.id, {kind: 'given_up', reason});
-      } else this.refuse(owner, job.id, 'deadline', 1_000);
-      this.abandon(entry);
-    }
-  }
-
   /** Stops what other dispatchers began and no job has claimed since. */
   private stopUnclaimed(now: number): void {
     const isTakeoverEnd = this.takeover.takeEnd(now);
@@ -371,10 +304,10 @@
   /** Starts what fits, in order. */
   private pass(now: number): void {
     if (!this.opts.mayOrder(now)) return;
-    const jobs = [...this.jobs.values()];
+    const jobs = [...this.jobs.all];
     for (const entry of this.takeover.adopt(jobs, this.workers.all, now)) {
       entry.unblock();
-      this.finishIfDone(entry, now);
+      this.jobs.finishIfDone(entry, now);
     }
     if (!this.takeover.mayStart(this.workers.all, now)) return;
     this.starter.startAll(this.order.sort(jobs, now), this.workers.all, now);
--- a/src/core/pool/run_ledger.ts
+++ b/src/core/pool/run_ledger.ts
@@ -10,12 +10,18 @@
   /** Runs that an earlier lead began, by task; the values are run numbers. */
   readonly foreign = new Map<string, number>();
   private sum = NOTHING;
+  private listedSince = Number.POSITIVE_INFINITY;
 
   /** Resources of all runs. */
   get used(): Resources {
     return this.sum;
   }
 
+  /** Since when foreign runs have been listed without a break. */
+  get foreignSince(): number {
+    return this.foreign.size > 0 ? this.listedSince : Number.POSITIVE_INFINITY;
+  }
+
   get isEmpty(): boolean {
     return this.runs.size === 0 && this.foreign.size === 0;
   }
@@ -33,12 +39,14 @@
   }
 
   /** Takes the worker's list of what it runs, as task and run number. */
-  noteListed(listed: ReadonlyMap<string, number>): void {
+  noteListed(listed: ReadonlyMap<string, number>, now: number): void {
+    const before = this.foreignSince;
     this.foreign.clear();
     for (const [task, number] of listed) {
       const known = this.runs.get(task);
       if (!known || known.number < number) this.foreign.set(task, number);
     }
+    this.listedSince = Math.min(before, now);
   }
 
   /** Makes runs of all foreign ones; their room is not known. */
