Serve a zone without a lead sooner, and what the lead had begun for it

The zones served themselves from 5.0 s, 59 jobs of the lost lead were given up with 504 although nothing of them ran any more, and the new lead, whose book was empty, learnt of the workers only over the next 2 s.

A new lead is told of the zone's workers by the zone's entry nodes.

--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry_gateway.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import type {Clock} from '../clock/clock.js';
 import type {PeerTransport} from '../peer/peer_transport.js';
+import {LeadTiming} from './lead_timing.js';
 import type {NodeDirectory} from './node_directory.js';
 import type {PoolAnswer} from './pool_answer.js';
 import {longestChainMs} from './longest_chain_ms.js';
@@ -23,8 +24,11 @@
 const MAX_HOLD_MS = 1_200;
 /** The caller gets an answer this long before it stops waiting. */
 const ANSWER_MARGIN_MS = 20;
-/** A takeover takes less; later, jobs of a lost lead are given up. */
-const ORPHAN_MS = 1_500;
+/**
+ * A new lead or a fallback has begun before; later, jobs of a lost lead are
+ * given up.
+ */
+const ORPHAN_MS = 2_300;
 /**
  * What one dispatcher began may run on for this long after another has taken
  * over its workers: a lease on a slow clock.
@@ -75,6 +79,8 @@
   private nextPoll = 0;
   private lastLead: PoolLead | undefined;
   private leadSeenAt = Number.NEGATIVE_INFINITY;
+  /** When the lead of the log was last heard. */
+  private logLeadSeenAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
@@ -159,6 +165,7 @@
   tick(now: number): void {
     const lead = this.opts.directory.lead(now);
     if (lead) this.leadSeenAt = now;
+    if (lead && !lead.isFallback) this.logLeadSeenAt = lead.heardAt;
     if (!isSame(lead, this.lastLead)) {
       this.opts.observer.believed(lead ? 'lead_found' : 'lead_silent', {
         term: lead?.term ?? this.lastLead?.term,
@@ -169,7 +176,8 @@
     }
     this.lastLead = lead;
     for (const job of [...this.open.values()]) this.tend(job, lead, now);
-    if (lead && now >= this.nextPoll) {
+    const isHeard = lead && now - lead.heardAt < LeadTiming.QUIET_MS;
+    if (isHeard && now >= this.nextPoll) {
       this.nextPoll = now + POLL_MS;
       this.poll(lead.node, now);
     }
@@ -180,14 +188,20 @@
     if (now >= job.deadlineAt - ANSWER_MARGIN_MS) {
       this.giveUp(job);
     } else if (lead && !isSame(lead, holder)) {
-      if (lead.isFallback && holder) this.orphan(job);
-      else this.handIn(job, now);
+      if (this.isOverWith(holder, now)) this.handIn(job, now);
     } else if (!lead && now - job.arrivedAt > job.holdMs) {
       if (!holder) this.refuse(job, 'no_lead');
       else if (now - this.leadSeenAt > ORPHAN_MS) this.orphan(job);
     }
   }
 
+  /** Whether a job may be handed to another dispatcher than the one it has. */
+  private isOverWith(holder: PoolLead | undefined, now: number): boolean {
+    if (!holder || holder.isFallback || !this.lastLead?.isFallback) return true;
+    // A fallback does not look at the workers of other zones.
+    return now - this.logLeadSeenAt >= LeadTiming.OVER_MS;
+  }
+
   /** A lead that is gone may have run it; the caller decides what next. */
   private orphan(job: OpenJob): void {
     this.opts.observer.decided('job_given_up', job.id, {
--- a/src/core/pool/fallback_service.ts
+++ b/src/core/pool/fallback_service.ts
@@ -3,6 +3,7 @@
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {JobDesk} from './job_desk.js';
+import {LeadTiming} from './lead_timing.js';
 import type {NodeDirectory} from './node_directory.js';
 import {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from './pool_message.js';
@@ -12,12 +13,6 @@
 import type {WorkerClient} from './worker_client.js';
 import type {ZoneMates} from './zone_mates.js';
 
-/**
- * A zone goes without a lead for this long before it serves itself: the lead
- * drops the jobs of silent entry nodes after 1.2 s, and the leases of workers
- * that it cannot reach end 0.7 s later at most.
- */
-const BEGIN_MS = 2_000;
 /** Pause after an attempt that found the zone's workers in use. */
 const RETRY_MS = 500;
 const PROBE_TIMEOUT_MS = 300;
@@ -50,6 +45,8 @@
   private leadSeenAt = Number.NEGATIVE_INFINITY;
   private isProbing = false;
   private nextProbe = 0;
+  /** Term of the last lead that was told of the zone's workers. */
+  private introducedTerm = -1;
 
   constructor(private readonly opts: FallbackServiceOptions) {
     const {peers} = opts;
@@ -87,7 +84,9 @@
   tick(now: number): void {
     const lead = this.opts.directory.lead(now);
     if (lead && !lead.isFallback) {
-      this.leadSeenAt = now;
+      // Counts from when it was heard, not from when it was found silent.
+      this.leadSeenAt = lead.heardAt;
+      this.introduce(lead);
       this.book.expire(now);
       this.end('lead_found');
     } else if (this.desk.dispatcher) {
@@ -96,6 +95,15 @@
     this.desk.tick(now);
   }
 
+  /** A new lead may know nothing of the zone's workers. */
+  private introduce({node, term}: PoolLead): void {
+    if (term === this.introducedTerm) return;
+    this.introducedTerm = term;
+    const reports = [...this.book.entries.values()].map(e => e.report);
+    if (reports.length === 0) return;
+    this.opts.peers.send(node, 'pool.book', {reports, isWhole: false});
+  }
+
   private get revision(): number {
     return this.opts.routing()?.content.revision ?? -1;
   }
@@ -125,7 +133,7 @@
     return (
       !this.isProbing &&
       now >= this.nextProbe &&
-      now - this.leadSeenAt >= BEGIN_MS &&
+      now - this.leadSeenAt >= LeadTiming.OVER_MS &&
       directory.lead(now) === undefined &&
       this.isAble &&
       !mates.haveLead(now) &&
--- a/src/core/pool/job_desk.ts
+++ b/src/core/pool/job_desk.ts
@@ -3,14 +3,12 @@
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {AnswerCache} from './answer_cache.js';
+import {LeadTiming} from './lead_timing.js';
 import type {PoolAnswer} from './pool_answer.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from './pool_message.js';
 import {PoolSubmission} from './pool_submission.js';
 
-/** Jobs of an entry node that was silent for this long are dropped. */
-const OWNER_SILENCE_MS = 1_200;
-
 interface JobDeskOptions {
   readonly clock: Clock;
   readonly peers: PeerTransport;
@@ -64,7 +62,7 @@
     if (!current) return;
     current.dropOwners(owner => {
       const seenAt = this.ownersSeen.get(owner) ?? 0;
-      return now - seenAt > OWNER_SILENCE_MS;
+      return now - seenAt > LeadTiming.OWNER_SILENCE_MS;
     });
     current.tick(now);
     this.answers.expire(now);
--- a/src/core/pool/lead_service.ts
+++ b/src/core/pool/lead_service.ts
@@ -229,9 +229,9 @@
   }
 
   private onBook(body: unknown, now: number): void {
-    if (this.isLeading || !v.is(PoolMessage.book, body)) return;
+    if (!v.is(PoolMessage.book, body)) return;
     for (const report of body.reports) this.book.note(report, now);
-    if (body.isWhole) this.wholeBookAt = now;
+    if (body.isWhole && !this.isLeading) this.wholeBookAt = now;
   }
 
   private async askLead(method: string, body: unknown): Promise<unknown> {
--- a/src/core/pool/node_directory.ts
+++ b/src/core/pool/node_directory.ts
@@ -1,11 +1,10 @@
+import {LeadTiming} from './lead_timing.js';
 import type {PoolLead} from './pool_lead.js';
 
 /** A node that was not heard of for this long is taken for gone. */
 const FORGET_MS = 10_000;
 /** A node that only others know is tried for this long. */
 const RUMOUR_MS = 3_000;
-/** A lead that was not heard of for this long is taken for lost. */
-const LEAD_SILENCE_MS = 600;
 
 type Role = 'entry' | 'core';
 
@@ -124,7 +123,7 @@
 }
 
 function isHeard(lead: PoolLead, now: number): boolean {
-  return now - lead.heardAt < LEAD_SILENCE_MS;
+  return now - lead.heardAt < LeadTiming.SILENCE_MS;
 }
 
 function alive(nodes: Map<string, number>, since: number): string[] {
