Ready the code of a core node before it leads

Each takeover meets the same cold code, with all open jobs waiting.

Change: DispatchWarmUp puts made-up jobs through a dispatcher of its own, and the worker client calls its own node, in slices between the ticks, until there is work.

--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -1,5 +1,6 @@
 import {SystemRandom} from '../adapter/system_random.js';
 import {LeadService} from '../core/pool/lead_service.js';
+import {DispatchWarmUp} from '../core/pool/warm_up/dispatch_warm_up.js';
 import {ConfigService} from '../daemon/config/config_service.js';
 import {ControlFrontend} from './control_frontend.js';
 import {DecodedRouting} from './decoded_routing.js';
@@ -10,6 +11,9 @@
 import {splitAddress} from './split_address.js';
 
 const TICK_MS = 20;
+/** Calls to itself in one slice of the warm-up. */
+const CALLS_PER_SLICE = 4;
+const WARM_UP_TIMEOUT_MS = 500;
 /**
  * Faster than the default: without a leader nothing is dispatched, and callers
  * wait for well under a second.
@@ -25,6 +29,7 @@
 /** The process on a core machine: control, the log, and dispatch if it leads. */
 export class CoreProgram extends Program {
   private readonly config: ConfigService;
+  private readonly client: HttpWorkerClient;
   private readonly lead: LeadService;
   private readonly frontend: ControlFrontend;
   private isStopping = false;
@@ -59,12 +64,13 @@
       () => this.config.committed?.document,
       (revision, detail) => log.error('config_unreadable', {revision, detail}),
     );
+    this.client = new HttpWorkerClient(clock);
     this.lead = new LeadService({
       node: ip,
       zone,
       clock,
       peers,
-      client: new HttpWorkerClient(clock),
+      client: this.client,
       directory,
       leaseMs: leaseOf(settings),
       reportAddress: control!,
@@ -92,6 +98,7 @@
     await this.config.start();
     await this.frontend.http.start();
     this.tick();
+    void this.warmUp();
   }
 
   /** Hands the lead over; the successor takes the runs over as they are. */
@@ -102,6 +109,32 @@
     await this.frontend.http.drain();
   }
 
+  /** Until there is work, made-up work readies the code for it. */
+  private async warmUp(): Promise<void> {
+    const {clock, log, settings} = this.node.opts;
+    const startedAt = clock.now();
+    const dispatch = new DispatchWarmUp();
+    const self = {id: settings.ip, address: settings.control!};
+    while (!dispatch.isOver && !this.isStopping && this.lead.openJobs === 0) {
+      await dispatch.step();
+      const look = {token: 0, acknowledged: 0, waitMs: 0};
+      // This node refuses them; what counts is the way there and back.
+      await Promise.all(
+        Array.from({length: CALLS_PER_SLICE}, () =>
+          this.client.look(self, look, WARM_UP_TIMEOUT_MS),
+        ),
+      );
+      await new Promise<void>(resolve => {
+        clock.schedule(TICK_MS, resolve);
+      });
+    }
+    log.info('warmed_up', {
+      jobs: dispatch.completed,
+      is_whole: dispatch.isOver,
+      took_ms: Math.round(clock.now() - startedAt),
+    });
+  }
+
   private tick(): void {
     if (this.isStopping) return;
     const {clock} = this.node.opts;
