Foresee the backlog: refuse at once what would wait in vain

Cause: a job that could no longer be on time waited until three times its objective before it was refused, and every refused caller was told to come back after the same one or two seconds.

Change: BacklogForecast adds up the work that is served before each waiting job and refuses those of which nothing has started and that cannot end while the answer is of use. Retry-After tells when the backlog is expected to be gone, spread by the job's id.

Ruled out: refusing by queue length (a burst of small jobs is no reason to refuse); refusing what would only be late (it is still of use).

--- /dev/null
+++ b/src/core/pool/backlog_forecast.test.ts
@@ -0,0 +1,74 @@
+import {assert} from 'chai';
+import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+
+async function leadOf(bench: PoolBench) {
+  const lead = bench.lead();
+  await bench.run(50, lead);
+  return lead;
+}
+
+test('in a flood, what cannot be served in time is refused at once', async () => {
+  const bench = new PoolBench(2, 2);
+  const lead = await leadOf(bench);
+  const begunAt = bench.clock.now();
+  // Room for 40 tasks a second; three seconds' work comes at once, and an
+  // answer is of use for 660 ms.
+  for (let n = 0; n < 120; n += 1) {
+    lead.submit('e', PoolBench.submission(`j${n}`));
+  }
+  await bench.run(100, lead);
+  const refused = [...bench.answers.values()].filter(a => a.kind === 'refused');
+  assert.isAbove(refused.length, 80);
+  await bench.run(3_000, lead);
+  const completed = [...bench.answers]
+    .filter(([, a]) => a.kind === 'completed')
+    .map(([id]) => bench.answeredAt.get(id)! - begunAt);
+  assert.isAbove(completed.length, 15);
+  assert.isAtMost(Math.max(...completed), 700);
+  // Nobody is kept waiting for a refusal.
+  for (const [id, {kind}] of bench.answers) {
+    if (kind !== 'refused') continue;
+    assert.isAtMost(bench.answeredAt.get(id)! - begunAt, 300);
+  }
+});
+
+test('a backlog that can be served in time is not refused', async () => {
+  const bench = new PoolBench(4, 2);
+  const lead = await leadOf(bench);
+  // 80 tasks a second; 40 take half a second.
+  for (let n = 0; n < 40; n += 1) {
+    lead.submit('e', PoolBench.submission(`j${n}`));
+  }
+  await bench.run(1_500, lead);
+  const kinds = new Set([...bench.answers.values()].map(a => a.kind));
+  assert.deepEqual([...kinds], ['completed']);
+});
+
+test('a flood of small jobs does not refuse large ones that have time', async () => {
+  const bench = new PoolBench(2, 2);
+  for (const worker of bench.workers.values()) {
+    worker.runMs = task => (task.startsWith('large') ? 900 : 50);
+  }
+  const lead = await leadOf(bench);
+  lead.submit('e', PoolBench.submission('large', {estimatedMs: 900}));
+  for (let n = 0; n < 60; n += 1) {
+    const opts = {estimatedMs: 50, queue: 'b'};
+    lead.submit('e', PoolBench.submission(`small${n}`, opts));
+  }
+  await bench.run(6_000, lead);
+  assert.equal(bench.answers.get('large')?.kind, 'completed');
+});
+
+test('what has begun counts as work ahead', async () => {
+  const bench = new PoolBench(1, 1);
+  const [worker] = bench.workers.values();
+  worker!.runMs = () => 5_000;
+  const lead = await leadOf(bench);
+  lead.submit('e', PoolBench.submission('long', {estimatedMs: 5_000}));
+  await bench.run(10, lead);
+  const submittedAt = bench.clock.now();
+  lead.submit('e', PoolBench.submission('j'));
+  await bench.run(200, lead);
+  assert.equal(bench.answers.get('j')?.kind, 'refused');
+  assert.isAtMost(bench.answeredAt.get('j')! - submittedAt, 100);
+});
--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry_gateway.ts
@@ -9,6 +9,7 @@
 import type {PoolLead} from './pool_lead.js';
 import {PoolMessage} from './pool_message.js';
 import type {PoolObserver} from './pool_observer.js';
+import {retryAfterMs} from './retry_after.js';
 
 /** Interval at which the lead is asked about open jobs. */
 const POLL_MS = 300;
@@ -228,8 +229,8 @@
       reason,
       waited_ms: Math.round(now - job.arrivedAt),
     });
-    const retryAfterMs = RETRY_AFTER_MS;
-    this.settle(job.id, {kind: 'refused', reason, retryAfterMs});
+    const retryMs = retryAfterMs(job.id, RETRY_AFTER_MS);
+    this.settle(job.id, {kind: 'refused', reason, retryAfterMs: retryMs});
   }
 
   private settle(id: string, answer: PoolAnswer): void {
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -2,6 +2,7 @@
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {LeasedWorker} from './leased_worker.js';
 import type {LeaseListener} from './lease_listener.js';
+import {BacklogForecast} from './backlog_forecast.js';
 import {HopelessJobs} from './hopeless_jobs.js';
 import type {PoolAnswer} from './pool_answer.js';
 import {PoolEntry} from './pool_entry.js';
@@ -28,6 +29,8 @@
  * waiting jobs; it is short against the shortest tasks.
  */
 const PASS_INTERVAL_MS = 2;
+/** Interval of looking ahead over the backlog. */
+const FORECAST_INTERVAL_MS = 60;
 /** Interval of looking for stragglers. */
 const STRAGGLER_INTERVAL_MS = 60;
 /** Entry nodes hand the jobs of another dispatcher in within this time. */
@@ -63,6 +66,7 @@
   private readonly chooser = new WorkerChooser(this.times, this.trust);
   private readonly order = new PoolOrder(this.times);
   private readonly admission = new PoolAdmission();
+  private readonly forecast = new BacklogForecast(this.times);
   private readonly stragglers = new StragglerWatch(this.times);
   private readonly starter: TaskStarter;
   private readonly takeover: Takeover;
@@ -70,12 +74,13 @@
   private isPassDue = false;
   private lastPassAt = Number.NEGATIVE_INFINITY;
   private nextStragglers = 0;
+  private nextForecast = 0;
   private isClosed = false;
 
   constructor(private readonly opts: PoolDispatcherOptions) {
     const now = opts.clock.now();
     this.jobs = new PoolJobs({...opts, hopeless: new HopelessJobs(this.times)});
-    this.starter = new TaskStarter(this.chooser, opts.observer);
+    this.starter = new TaskStarter(this.chooser, this.times, opts.observer);
     this.takeover = new Takeover(
       now,
       opts.earlierLeasesMs,
@@ -215,9 +220,23 @@
       this.stragglers.stopLate(this.jobs.all, now);
     }
     this.jobs.expire(now);
+    this.refuseHopeless(now);
     this.schedulePass();
   }
 
+  /** Refuses what would wait in vain behind the work that comes before it. */
+  private refuseHopeless(now: number): void {
+    if (now < this.nextForecast) return;
+    this.nextForecast = now + FORECAST_INTERVAL_MS;
+    const waiting = this.order.sort(this.jobs.all, now);
+    if (waiting.length === 0) return;
+    const {all} = this.workers;
+    const found = this.forecast.findHopeless(waiting, all, now);
+    for (const {entry, clearInMs} of found) {
+      this.jobs.refuseLate(entry, clearInMs);
+    }
+  }
+
   /** Ends the lead: gives no more orders. */
   close(): void {
     this.isClosed = true;
--- a/src/core/pool/pool_jobs.ts
+++ b/src/core/pool/pool_jobs.ts
@@ -3,6 +3,7 @@
 import type {PoolEntry} from './pool_entry.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {PoolTask} from './pool_task.js';
+import {retryAfterMs} from './retry_after.js';
 
 /** A backlog that makes jobs too late is gone after this time. */
 const RETRY_LATE_MS = 2_000;
@@ -45,17 +46,28 @@
     return this.byId.get(id)?.tasks.find(t => t.name === name);
   }
 
-  /** Answers that nothing of a job has run or will run. */
-  refuse(
-    owner: string,
-    id: string,
-    reason: string,
-    retryAfterMs: number,
-  ): void {
+  /**
+   * Answers that nothing of a job has run or will run. `clearInMs` tells when
+   * the reason is expected to be over.
+   */
+  refuse(owner: string, id: string, reason: string, clearInMs: number): void {
     const {observer, answer} = this.opts;
-    observer.decided('job_refused', id, {owner, reason, open: this.size});
+    const retryMs = retryAfterMs(id, clearInMs);
+    observer.decided('job_refused', id, {
+      owner,
+      reason,
+      open: this.size,
+      clear_in_ms: Math.round(clearInMs),
+      retry_after_ms: retryMs,
+    });
     observer.counted(`refused_${reason}`);
-    answer(owner, id, {kind: 'refused', reason, retryAfterMs});
+    answer(owner, id, {kind: 'refused', reason, retryAfterMs: retryMs});
+  }
+
+  /** Refuses a job of which nothing has started and that would be too late. */
+  refuseLate(entry: PoolEntry, clearInMs: number): void {
+    this.refuse(entry.owner, entry.job.id, 'too_late', clearInMs);
+    this.abandon(entry);
   }
 
   /** Stops what runs of a job that nobody waits for any more. */
@@ -80,8 +92,7 @@
   /** Ends what its caller no longer waits for. */
   expire(now: number): void {
     for (const entry of this.opts.hopeless.find(this.all, now)) {
-      this.refuse(entry.owner, entry.job.id, 'too_late', RETRY_LATE_MS);
-      this.abandon(entry);
+      this.refuseLate(entry, RETRY_LATE_MS);
     }
     for (const entry of [...this.all]) {
       if (entry.isAbandoned || now < entry.deadlineAt) continue;
--- a/src/core/pool/pool_order.ts
+++ b/src/core/pool/pool_order.ts
@@ -19,12 +19,7 @@
 
   private keyOf(entry: PoolEntry, now: number): number {
     const restMs = this.times.restMs(entry);
-    let work = 0;
-    for (const task of entry.tasks) {
-      if (task.state === 'done') continue;
-      const {estimatedMs} = entry.job.steps[task.step]!;
-      work += this.times.expectedMs(entry.queue.name, estimatedMs);
-    }
+    const work = this.times.workMs(entry);
     const isLate = now + restMs > entry.objectiveAt;
     // Jobs that can still be on time come first, the smallest before others.
     return work + (isLate ? LATE_PENALTY_MS : 0);
--- a/src/core/pool/run.ts
+++ b/src/core/pool/run.ts
@@ -4,6 +4,8 @@
 export class Run {
   /** End of the lease that the start carried, on the worker's clock. */
   startLeaseEnd = 0;
+  /** How long it is expected to take; 0 if that is not known. */
+  expectedMs = 0;
   /** When the worker confirmed the start; undefined while that is open. */
   confirmedAt: number | undefined;
   /** Whether the answer to the start order was lost. */
--- a/src/core/pool/run_times.ts
+++ b/src/core/pool/run_times.ts
@@ -50,6 +50,17 @@
     return restMs;
   }
 
+  /** Expected sum of the run times of what is left of a job. */
+  workMs(entry: PoolEntry): number {
+    let workMs = 0;
+    for (const {state, step} of entry.tasks) {
+      if (state === 'done') continue;
+      const {estimatedMs} = entry.job.steps[step]!;
+      workMs += this.expectedMs(entry.queue.name, estimatedMs);
+    }
+    return workMs;
+  }
+
   /**
    * Ratio of run time to estimate that only few tasks exceed; infinite until
    * enough ends were seen.
--- a/src/core/pool/task_starter.ts
+++ b/src/core/pool/task_starter.ts
@@ -3,12 +3,14 @@
 import type {PoolObserver} from './pool_observer.js';
 import type {PoolTask} from './pool_task.js';
 import {Run} from './run.js';
+import type {RunTimes} from './run_times.js';
 import type {WorkerChooser} from './worker_chooser.js';
 
 /** Starts waiting tasks where there is room. */
 export class TaskStarter {
   constructor(
     private readonly chooser: WorkerChooser,
+    private readonly times: RunTimes,
     private readonly observer: PoolObserver,
   ) {}
 
@@ -39,6 +41,10 @@
     const {job} = task.job;
     const {demand} = job.steps[task.step]!;
     const run = new Run(task.name, task.nextRun, demand, now);
+    run.expectedMs = this.times.expectedMs(
+      task.job.queue.name,
+      job.steps[task.step]!.estimatedMs,
+    );
     task.nextRun += 1;
     task.run = run;
     task.worker = worker;
--- a/src/platform/caller_frontend.ts
+++ b/src/platform/caller_frontend.ts
@@ -102,7 +102,7 @@
     case 'no_queue':
       return sendJson(res, 404, {detail: 'no such queue'});
     case 'refused': {
-      const seconds = Math.max(1, Math.round(answer.retryAfterMs / 1_000));
+      const seconds = Math.max(1, Math.ceil(answer.retryAfterMs / 1_000));
       res.setHeader('retry-after', seconds);
       return sendJson(res, 503, {detail: answer.reason});
     }
