Take new seeds while running

Cause: a signal or a changed settings file was logged and had no effect; after a turnover of the seeds only hearsay led to the new nodes.

Change: SettingsWatch reads the file on SIGHUP and when its modification time changes; new seeds are used at once.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -7,6 +7,7 @@
 import {EntryProgram} from './entry_program.js';
 import {PlatformNode} from './platform_node.js';
 import {readPlatformSettings} from './read_platform_settings.js';
+import {SettingsWatch} from './settings_watch.js';
 
 /** As in sysexits.h: EX_SOFTWARE and EX_CONFIG. */
 const EXIT_INTERNAL = 70;
@@ -46,6 +47,14 @@
     ? new EntryProgram(platformNode)
     : new CoreProgram(platformNode);
 
+const watch = new SettingsWatch({
+  path,
+  clock,
+  log,
+  // Addresses and bounds are fixed for the life of a process.
+  onChange: fresh => platformNode.directory.replaceSeeds(fresh.seeds),
+});
+
 let isStopping = false;
 /** A second signal changes nothing: the first stop goes on. */
 async function stop(): Promise<void> {
@@ -59,13 +68,7 @@
 
 process.on('SIGTERM', () => void stop());
 process.on('SIGINT', () => void stop());
-process.on('SIGHUP', () => {
-  const fresh = readPlatformSettings(path);
-  const fields = fresh.isOk
-    ? {seeds: fresh.value.seeds}
-    : {detail: fresh.error};
-  log.info('settings_changed', fields);
-});
+process.on('SIGHUP', () => watch.reload('signal'));
 // A broken invariant: what this process does next cannot be trusted.
 process.on('uncaughtException', err => {
   process.stderr.write(`${err.stack ?? String(err)}\n`);
@@ -74,6 +77,7 @@
 
 try {
   await running.start();
+  watch.start();
   log.info('started', {role, seeds, is_first_start: isFirstStart});
 } catch (err) {
   process.stderr.write(`cannot start: ${String(err)}\n`);
