Write the frames of one turn together; reset links that went silent

Cause: each frame between nodes was a system call of its own. A link that went silent was closed, so what it had buffered could still arrive when the path was back, seconds late.

Change: FrameWriter corks a socket until the end of the turn of the event loop; PeerLink resets a connection that it gives up as silent.

--- a/src/adapter/peer/peer_link.ts
+++ b/src/adapter/peer/peer_link.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '../../core/clock/clock.js';
 import type {PeerError} from '../../core/peer/peer_error.js';
 import {FrameCodec} from './frame_codec.js';
+import {FrameWriter} from './frame_writer.js';
 import {LinkTiming} from './link_timing.js';
 import type {PeerAddress} from './peer_address.js';
 import type {PeerFrame} from './peer_frame.js';
@@ -34,6 +35,7 @@
  */
 export class PeerLink {
   private socket: Socket | undefined;
+  private writer: FrameWriter | undefined;
   private isReady = false;
   private isClosed = false;
   private unanswered = 0;
@@ -56,10 +58,10 @@
   }
 
   send(frame: PeerFrame): boolean {
-    const {socket} = this;
-    if (!socket || !this.isReady) return false;
+    const {socket, writer} = this;
+    if (!socket || !writer || !this.isReady) return false;
     if (socket.writableLength > MAX_UNSENT_BYTES) return false;
-    socket.write(FrameCodec.encode(frame));
+    writer.write(frame);
     return true;
   }
 
@@ -96,6 +98,7 @@
     const socket = connect({host, port, noDelay: true});
     const codec = new FrameCodec();
     this.socket = socket;
+    this.writer = new FrameWriter(socket);
     this.unanswered = 0;
     this.scheduleHeartbeat(socket);
     socket.on('connect', () => {
@@ -130,6 +133,8 @@
     this.heartbeat = this.clock.schedule(delayMs, () => {
       if (this.socket !== socket) return;
       if (this.unanswered >= MAX_UNANSWERED) {
+        // What was sent meanwhile must not arrive when the path is back.
+        socket.resetAndDestroy();
         this.drop('the connection went silent');
         return;
       }
--- a/src/adapter/peer/peer_server.ts
+++ b/src/adapter/peer/peer_server.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:net';
 import type {Server, Socket} from 'node:net';
 import {FrameCodec} from './frame_codec.js';
+import {FrameWriter} from './frame_writer.js';
 import type {PeerFrame} from './peer_frame.js';
 
 /** The dialling side pings twice a second; a silent connection is dropped. */
@@ -32,6 +33,7 @@
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private readonly byNode = new Map<string, Socket>();
+  private readonly writers = new WeakMap<Socket, FrameWriter>();
 
   constructor(private readonly opts: PeerServerOptions) {
     this.server = createServer({noDelay: true}, socket => this.serve(socket));
@@ -62,6 +64,7 @@
     const codec = new FrameCodec();
     let from: string | undefined;
     this.sockets.add(socket);
+    this.writers.set(socket, new FrameWriter(socket));
     socket.setTimeout(HELLO_TIMEOUT_MS, () => socket.destroy());
     socket.on('close', () => {
       this.sockets.delete(socket);
@@ -140,6 +143,6 @@
       socket.destroy();
       return;
     }
-    socket.write(FrameCodec.encode(frame));
+    this.writers.get(socket)?.write(frame);
   }
 }
