Order large fleets through the entry nodes of their zones

Cause: on the grown sites the lead's processor binds. Every start and every look is an HTTP call of the lead; entry nodes use a tenth of theirs.

Change: from 64 workers on, RelayedWorkerClient sends orders as frames to an entry node of the worker's zone, chosen by highest hash, which makes the call (WorkerRelay). The lead's logic is the same: an order without a reply is a lost order; the node is not used for 3 s, and without any relay the lead calls the workers itself. A node that stops says so and gets no more orders.

Ruled out: several dispatchers (jobs would need a second owner); fewer looks (one look an end is what tells of free room at once).

Tests: relay/relay.test.ts: a relay that dies costs no run.

--- a/src/core/pool/entry_presence.ts
+++ b/src/core/pool/entry_presence.ts
@@ -28,6 +28,7 @@
   private nextMates = 0;
   private hadLead = false;
   private hadClaim = false;
+  private isDraining = false;
 
   constructor(private readonly opts: EntryPresenceOptions) {
     opts.peers.onMessage('pool.presence', (from, body, now) =>
@@ -55,6 +56,12 @@
     }
   }
 
+  /** This node ends soon: the lead must find other ways to the workers. */
+  announceDrain(): void {
+    this.isDraining = true;
+    this.nextCores = 0;
+  }
+
   private hasLead(now: number): boolean {
     const lead = this.opts.directory.lead(now);
     return lead !== undefined && !lead.isFallback;
@@ -79,6 +86,7 @@
       entries: this.mateIds(now),
       highestToken: directory.highestToken,
       hasLead: this.hasLead(now),
+      relays: !this.isDraining,
       mayFallBack: fallback.isAble,
       ...(claim ? {lead: claim} : {}),
     };
--- a/src/core/pool/fallback_service.ts
+++ b/src/core/pool/fallback_service.ts
@@ -99,7 +99,7 @@
   private introduce({node, term}: PoolLead): void {
     if (term === this.introducedTerm) return;
     this.introducedTerm = term;
-    const reports = [...this.book.entries.values()].map(e => e.report);
+    const {reports} = this.book;
     if (reports.length === 0) return;
     this.opts.peers.send(node, 'pool.book', {reports, isWhole: false});
   }
@@ -165,7 +165,7 @@
    */
   private async probe(): Promise<'unused' | 'in_use' | 'unreachable'> {
     const {client, directory} = this.opts;
-    const workers = [...this.book.entries.values()].map(e => e.report);
+    const workers = this.book.reports;
     const order = {
       token: directory.highestToken,
       acknowledged: 0,
--- a/src/core/pool/lead_service.ts
+++ b/src/core/pool/lead_service.ts
@@ -10,6 +10,8 @@
 import type {PoolObserver} from './pool_observer.js';
 import {WorkerBook} from './worker_book.js';
 import {WorkerBookSender} from './worker_book_sender.js';
+import {RelayChooser} from './relay/relay_chooser.js';
+import {RelayedWorkerClient} from './relay/relayed_worker_client.js';
 import type {WorkerClient} from './worker_client.js';
 import {WorkerReport} from './worker_report.js';
 
@@ -63,6 +65,8 @@
   private readonly book = new WorkerBook();
   private readonly bookSender: WorkerBookSender;
   private readonly desk: JobDesk;
+  private readonly relays: RelayChooser;
+  private readonly client: WorkerClient;
   private term = 0;
   private nextPresence = 0;
   private wholeBookAt = Number.NEGATIVE_INFINITY;
@@ -70,6 +74,13 @@
   constructor(private readonly opts: LeadServiceOptions) {
     const {peers} = opts;
     this.desk = new JobDesk(opts);
+    const {clock, directory, client: direct} = opts;
+    this.relays = new RelayChooser(directory, clock);
+    this.client = new RelayedWorkerClient({
+      peers,
+      direct,
+      chooser: this.relays,
+    });
     this.bookSender = new WorkerBookSender({...opts, book: this.book});
     peers.onMessage('pool.presence', (from, body, now) =>
       this.onPresence(from, body, now),
@@ -108,6 +119,7 @@
     this.followLead(now);
     this.book.expire(now);
     this.raiseToken();
+    if (this.isLeading) this.relays.setWorkers(this.book.reports);
     this.desk.tick(now);
     if (now >= this.nextPresence) this.sendPresence(now);
     if (this.isLeading) this.bookSender.tick(now);
@@ -150,6 +162,7 @@
     const vouchedMs = silentMs < NO_FALLBACK_MS ? silentMs : 0;
     return new PoolDispatcher({
       ...this.opts,
+      client: this.client,
       book: this.book,
       token: FencingToken.ofTerm(term),
       isBookComplete,
@@ -189,6 +202,7 @@
     directory.noteRumour(cores, 'core', now);
     directory.noteRumour(entries, 'entry', now);
     directory.noteToken(highestToken);
+    if (role === 'entry') directory.noteRelay(from, parsed.output.relays);
     // A new node, and those that have not heard of it, need not wait.
     if (isNew) this.nextPresence = now;
     if (role !== 'core') return;
--- a/src/core/pool/node_directory.ts
+++ b/src/core/pool/node_directory.ts
@@ -19,6 +19,7 @@
     core: new Map<string, number>(),
     entry: new Map<string, number>(),
   };
+  private readonly relays = new Set<string>();
   private readonly zones = new Map<string, string>();
   private last: PoolLead | undefined;
   private fallback: PoolLead | undefined;
@@ -44,6 +45,17 @@
     return isNew;
   }
 
+  /** Notes whether an entry node carries out orders to workers. */
+  noteRelay(node: string, relays: boolean): void {
+    if (relays) this.relays.add(node);
+    else this.relays.delete(node);
+  }
+
+  /** Entry nodes that carry out orders and were heard since then. */
+  relayIds(since: number): string[] {
+    return [...this.relays].filter(id => this.heardAt('entry', id) >= since);
+  }
+
   /** Availability zone of a node, as it has told. */
   zoneOf(node: string): string | undefined {
     return this.zones.get(node);
--- a/src/core/pool/pool_message.ts
+++ b/src/core/pool/pool_message.ts
@@ -29,6 +29,8 @@
     ),
     /** Whether an entry node hears the lead of the log. */
     hasLead: v.optional(v.boolean(), false),
+    /** Whether an entry node carries out orders to workers. */
+    relays: v.optional(v.boolean(), false),
     /** Whether an entry node could dispatch for its zone. */
     mayFallBack: v.optional(v.boolean(), false),
   }),
--- /dev/null
+++ b/src/core/pool/relay/relay.test.ts
@@ -0,0 +1,140 @@
+import {assert} from 'chai';
+import {InMemoryPeers} from '../../../../test-support/fakes/in_memory_peers.js';
+import {LossyPeers} from '../../../../test-support/fakes/lossy_peers.js';
+import {FakeWorkerClient} from '../../../../test-support/fakes/pool/fake_worker_client.js';
+import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
+import {SeededRandom} from '../../../../test-support/fakes/seeded_random.js';
+import {NodeDirectory} from '../node_directory.js';
+import {RelayChooser} from './relay_chooser.js';
+import {RelayedWorkerClient} from './relayed_worker_client.js';
+import {WorkerRelay} from './worker_relay.js';
+
+const NODES = ['e1', 'e2', 'e3'];
+
+/** Fewest workers that are ordered through relays. */
+const LARGE = 64;
+
+/** A lead `c` that orders 64 workers through the entry nodes of their zone. */
+function benchOf() {
+  const bench = new PoolBench(LARGE, 1);
+  const {clock, workers} = bench;
+  const peers = new InMemoryPeers(clock);
+  const directory = new NodeDirectory('c', []);
+  const relayed = new FakeWorkerClient(clock, workers);
+  for (const id of NODES) new WorkerRelay(peers.node(id), relayed);
+  const hear = () => {
+    for (const id of NODES.filter(n => !peers.cut.has(n))) {
+      directory.note(id, 'entry', clock.now(), 'z');
+      directory.noteRelay(id, true);
+    }
+  };
+  hear();
+  const chooser = new RelayChooser(directory, clock);
+  chooser.setWorkers([...workers.values()].map(w => w.report));
+  const direct = bench.client;
+  const lead = bench.lead({
+    client: new RelayedWorkerClient({peers: peers.node('c'), direct, chooser}),
+  });
+  const run = async (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 500) {
+      hear();
+      await bench.run(Math.min(500, ms - passed), lead);
+    }
+  };
+  return {bench, peers, directory, chooser, relayed, direct, lead, run};
+}
+
+test('orders of a large fleet go through entry nodes', async () => {
+  const {bench, lead, relayed, direct, run} = benchOf();
+  await run(100);
+  lead.submit('e1', PoolBench.submission('j', {tasks: 20}));
+  await run(400);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.isEmpty(direct.calls);
+  assert.isAbove(relayed.calls.length, 20);
+});
+
+// The lease of a worker is renewed in time although its relay is gone.
+test('a relay that stops answering costs no run', async () => {
+  const {bench, lead, peers, direct, run} = benchOf();
+  for (const worker of bench.workers.values()) worker.runMs = () => 3_000;
+  await run(100);
+  const opts = {tasks: LARGE, estimatedMs: 3_000};
+  lead.submit('e1', PoolBench.submission('j', opts));
+  await run(500);
+  peers.cut.add('e2');
+  await run(4_000);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  const runs = [...bench.workers.values()].flatMap(w => w.history);
+  assert.lengthOf(runs, LARGE);
+  assert.isEmpty(direct.calls);
+});
+
+test('without any relay the workers are ordered directly', async () => {
+  const {bench, lead, peers, direct, run} = benchOf();
+  for (const id of NODES) peers.cut.add(id);
+  await run(2_500);
+  lead.submit('e1', PoolBench.submission('j', {tasks: 20}));
+  await run(1_000);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.isAbove(direct.calls.length, 20);
+});
+
+test('a start through a relay that came too late is refused', async () => {
+  const {bench, lead, peers, run} = benchOf();
+  await run(100);
+  for (const id of NODES) peers.cut.add(id);
+  lead.submit('e1', PoolBench.submission('j', {tasks: 20}));
+  await run(3_000);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.isEmpty(bench.overlaps());
+});
+
+test('a small fleet is ordered directly', () => {
+  const {chooser, bench} = benchOf();
+  const reports = [...bench.workers.values()].map(w => w.report);
+  assert.isDefined(chooser.choose('w0'));
+  chooser.setWorkers(reports.slice(0, LARGE - 1));
+  assert.isUndefined(chooser.choose('w0'));
+});
+
+test('a node that ends or pauses relays nothing, the rest stays', () => {
+  const {chooser, directory, bench} = benchOf();
+  const ids = [...bench.workers.keys()];
+  const before = new Map(ids.map(id => [id, chooser.choose(id)]));
+  for (const node of NODES) assert.include([...before.values()], node);
+  chooser.pause('e1');
+  directory.noteRelay('e2', false);
+  bench.clock.advance(300);
+  for (const id of ids) assert.equal(chooser.choose(id), 'e3');
+  directory.noteRelay('e2', true);
+  bench.clock.advance(300);
+  for (const [id, node] of before) {
+    if (node !== 'e1') assert.equal(chooser.choose(id), node);
+  }
+});
+
+test('a worker of another zone is not ordered through this one', () => {
+  const {chooser, bench} = benchOf();
+  const reports = [...bench.workers.values()].map(w => w.report);
+  const moved = reports.map(r => (r.id === 'w5' ? {...r, zone: 'y'} : r));
+  chooser.setWorkers(moved);
+  bench.clock.advance(300);
+  assert.isUndefined(chooser.choose('w5'));
+  assert.isDefined(chooser.choose('w6'));
+});
+
+test('a relay refuses an order that it cannot read', async () => {
+  const {bench, relayed} = benchOf();
+  const peers = new LossyPeers(bench.clock, new SeededRandom(1));
+  const node = peers.connect('e');
+  new WorkerRelay(node, relayed);
+  for (const body of [undefined, {kind: 'start'}, {kind: 'look', order: {}}]) {
+    const outcome = await node.request('e', 'pool.order', body, 10).then(
+      () => 'carried out',
+      (err: unknown) => String(err),
+    );
+    assert.include(outcome, 'cannot be read');
+  }
+  assert.isEmpty(relayed.calls);
+});
--- /dev/null
+++ b/src/core/pool/relay/worker_relay.ts
@@ -0,0 +1,27 @@
+import * as v from 'valibot';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {WorkerClient} from '../worker_client.js';
+import {RelayOrder} from './relay_order.js';
+
+/** Carries out the orders of the lead to workers, on an entry node. */
+export class WorkerRelay {
+  constructor(
+    peers: PeerTransport,
+    private readonly client: WorkerClient,
+  ) {
+    peers.onRequest('pool.order', (_from, body) => this.carryOut(body));
+  }
+
+  private carryOut(body: unknown): Promise<unknown> {
+    if (!v.is(RelayOrder, body)) throw new Error('an order cannot be read');
+    const {target, timeoutMs} = body;
+    switch (body.kind) {
+      case 'start':
+        return this.client.start(target, body.order, timeoutMs);
+      case 'stop':
+        return this.client.stop(target, body.order, timeoutMs);
+      case 'look':
+        return this.client.look(target, body.order, timeoutMs);
+    }
+  }
+}
--- a/src/core/pool/worker_book.ts
+++ b/src/core/pool/worker_book.ts
@@ -18,6 +18,10 @@
     return this.byId;
   }
 
+  get reports(): WorkerReport[] {
+    return [...this.byId.values()].map(({report}) => report);
+  }
+
   /**
    * Takes a report unless a newer one is known. Returns whether it was taken.
    */
--- a/src/core/pool/worker_book_sender.ts
+++ b/src/core/pool/worker_book_sender.ts
@@ -34,13 +34,13 @@
     const {book} = this.opts;
     if (now >= this.nextCores) {
       this.nextCores = now + CORE_INTERVAL_MS;
-      const reports = [...book.entries.values()].map(e => e.report);
+      const reports = book.reports;
       this.send(this.cores(now), reports, true);
     }
     if (now < this.nextEntries) return;
     this.nextEntries = now + ENTRY_INTERVAL_MS;
     const byZone = new Map<string, WorkerReport[]>();
-    for (const {report} of book.entries.values()) {
+    for (const report of book.reports) {
       const reports = byZone.get(report.zone) ?? [];
       reports.push(report);
       byZone.set(report.zone, reports);
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -3,6 +3,7 @@
 import {EntryGateway} from '../core/pool/entry_gateway.js';
 import {EntryPresence} from '../core/pool/entry_presence.js';
 import {FallbackService} from '../core/pool/fallback_service.js';
+import {WorkerRelay} from '../core/pool/relay/worker_relay.js';
 import {ZoneMates} from '../core/pool/zone_mates.js';
 import {ConfigService} from '../daemon/config/config_service.js';
 import {CallerFrontend} from './caller_frontend.js';
@@ -56,12 +57,14 @@
       (revision, detail) => log.error('config_unreadable', {revision, detail}),
     );
     const mates = new ZoneMates();
+    const client = new HttpWorkerClient(clock);
+    new WorkerRelay(peers, client);
     this.fallback = new FallbackService({
       node: ip,
       zone,
       clock,
       peers,
-      client: new HttpWorkerClient(clock),
+      client,
       directory,
       mates,
       leaseMs: leaseOf(settings),
@@ -114,6 +117,7 @@
   override async stop(): Promise<void> {
     const {clock, settings} = this.node.opts;
     this.isDraining = true;
+    this.presence.announceDrain();
     this.frontend.http.announceDrain();
     const startedAt = clock.now();
     await this.sleep(Math.min(NOTICE_MS, settings.graceMs / 2));
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -3,6 +3,7 @@
 import {PoolDispatcher} from '../../../src/core/pool/pool_dispatcher.js';
 import type {PoolSubmission} from '../../../src/core/pool/pool_submission.js';
 import {WorkerBook} from '../../../src/core/pool/worker_book.js';
+import type {WorkerClient} from '../../../src/core/pool/worker_client.js';
 import {RoutingTable} from '../../../src/core/routing/routing_table.js';
 import {FakeClock} from '../fake_clock.js';
 import {FakePoolWorker} from './fake_pool_worker.js';
@@ -16,6 +17,8 @@
   readonly isBookComplete?: boolean;
   /** Default: a whole lease. */
   readonly earlierLeasesMs?: number;
+  /** Default: calls to the fake workers. */
+  readonly client?: WorkerClient;
 }
 
 /** Leads of a pool over fake workers, on a fake clock. */
@@ -66,7 +69,8 @@
   lead(opts: LeadOptions = {}): PoolDispatcher {
     const {term = 1, isBookComplete = true} = opts;
     const {earlierLeasesMs = LEASE_MS} = opts;
-    const {clock, client, book} = this;
+    const {clock, book} = this;
+    const {client = this.client} = opts;
     const dispatcher = new PoolDispatcher({
       clock,
       client,
