--- a/src/daemon/pool/pool_telemetry.test.ts
+++ b/src/daemon/pool/pool_telemetry.test.ts
@@ -9,8 +9,12 @@
   const folders = ['src/core/pool/', 'src/platform/', 'src/daemon/pool/'];
   const missing = new Set<string>();
   for (const folder of folders) {
-    for (const file of readdirSync(new URL(folder, ROOT))) {
-      if (file.endsWith('.test.ts')) continue;
+    const names = readdirSync(new URL(folder, ROOT), {
+      encoding: 'utf8',
+      recursive: true,
+    });
+    for (const file of names) {
+      if (!file.endsWith('.ts') || file.endsWith('.test.ts')) continue;
       const text = readFileSync(new URL(folder + file, ROOT), 'utf8');
       for (const [, event] of text.matchAll(CALL)) {
         if (!page.includes(`\`${event!}\``)) missing.add(event!);
