--- a/src/core/pool/relay/relayed_worker_client.ts
+++ b/src/core/pool/relay/relayed_worker_client.ts
@@ -63,8 +63,10 @@
     const timeoutMs = order.timeoutMs + HOP_MS;
     const res = await peers.request(node, 'pool.order', order, timeoutMs);
     if (res.isOk) return res.value;
-    chooser.pause(node);
-    return res.error.kind === 'unsent' ? 'unsent' : undefined;
+    const isUnsent = res.error.kind === 'unsent';
+    // A slow start is settled by the next look; without looks leases run out.
+    if (isUnsent || order.kind === 'look') chooser.pause(node);
+    return isUnsent ? 'unsent' : undefined;
   }
 }
 
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -2,6 +2,7 @@
 import {LeadService} from '../core/pool/lead_service.js';
 import {DispatchWarmUp} from '../core/pool/warm_up/dispatch_warm_up.js';
 import {ConfigService} from '../daemon/config/config_service.js';
+import {ClientWarmUp} from './client_warm_up.js';
 import {ControlFrontend} from './control_frontend.js';
 import {DecodedRouting} from './decoded_routing.js';
 import {leaseOf} from './lease_of.js';
@@ -11,9 +12,6 @@
 import {splitAddress} from './split_address.js';
 
 const TICK_MS = 20;
-/** Calls to itself in one slice of the warm-up. */
-const CALLS_PER_SLICE = 4;
-const WARM_UP_TIMEOUT_MS = 500;
 /**
  * Faster than the default: without a leader nothing is dispatched, and callers
  * wait for well under a second.
@@ -114,16 +112,10 @@
     const {clock, log, settings} = this.node.opts;
     const startedAt = clock.now();
     const dispatch = new DispatchWarmUp();
-    const self = {id: settings.ip, address: settings.control!};
+    const calls = new ClientWarmUp(this.client, settings.control!);
     while (!dispatch.isOver && !this.isStopping && this.lead.openJobs === 0) {
       await dispatch.step();
-      const look = {token: 0, acknowledged: 0, waitMs: 0};
-      // This node refuses them; what counts is the way there and back.
-      await Promise.all(
-        Array.from({length: CALLS_PER_SLICE}, () =>
-          this.client.look(self, look, WARM_UP_TIMEOUT_MS),
-        ),
-      );
+      await calls.step();
       await new Promise<void>(resolve => {
         clock.schedule(TICK_MS, resolve);
       });
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -7,6 +7,7 @@
 import {ZoneMates} from '../core/pool/zone_mates.js';
 import {ConfigService} from '../daemon/config/config_service.js';
 import {CallerFrontend} from './caller_frontend.js';
+import {ClientWarmUp} from './client_warm_up.js';
 import {DecodedRouting} from './decoded_routing.js';
 import {HttpWorkerClient} from './http_worker_client.js';
 import {leaseOf} from './lease_of.js';
@@ -28,6 +29,7 @@
 /** The process on a machine that callers reach. */
 export class EntryProgram extends Program {
   private readonly config: ConfigService;
+  private readonly client: HttpWorkerClient;
   private readonly fallback: FallbackService;
   private readonly presence: EntryPresence;
   private readonly gateway: EntryGateway;
@@ -58,6 +60,7 @@
     );
     const mates = new ZoneMates();
     const client = new HttpWorkerClient(clock);
+    this.client = client;
     new WorkerRelay(peers, client);
     this.fallback = new FallbackService({
       node: ip,
@@ -111,6 +114,7 @@
     await this.readiness.start();
     await this.frontend.http.start();
     this.tick();
+    void this.warmUp();
   }
 
   /** Serves until the balancer has noticed, then what is still open. */
@@ -129,6 +133,17 @@
     await this.config.stop();
   }
 
+  /** This node may order workers, for the lead or for its zone. */
+  private async warmUp(): Promise<void> {
+    const {log, settings} = this.node.opts;
+    const calls = new ClientWarmUp(this.client, settings.readiness!);
+    while (!calls.isOver && !this.isDraining && this.gateway.openJobs === 0) {
+      await calls.step();
+      await this.sleep(DISPATCH_TICK_MS);
+    }
+    log.info('warmed_up', {is_whole: calls.isOver});
+  }
+
   private sleep(ms: number): Promise<void> {
     return new Promise(resolve => {
       this.node.opts.clock.schedule(Math.max(0, ms), resolve);
