--- a/src/core/pool/relay/relay.test.ts
+++ b/src/core/pool/relay/relay.test.ts
@@ -21,7 +21,7 @@
   const peers = new InMemoryPeers(clock);
   const directory = new NodeDirectory('c', []);
   const relayed = new FakeWorkerClient(clock, workers);
-  for (const id of NODES) new WorkerRelay(peers.node(id), relayed, clock);
+  for (const id of NODES) new WorkerRelay(peers.node(id), relayed);
   const hear = () => {
     for (const id of NODES.filter(n => !peers.cut.has(n))) {
       directory.note(id, 'entry', clock.now(), 'z');
@@ -128,7 +128,7 @@
   const {bench, relayed} = benchOf();
   const peers = new LossyPeers(bench.clock, new SeededRandom(1));
   const node = peers.connect('e');
-  new WorkerRelay(node, relayed, bench.clock);
+  new WorkerRelay(node, relayed);
   for (const body of [undefined, {kind: 'start'}, {kind: 'look', order: {}}]) {
     const outcome = await node.request('e', 'pool.order', body, 10).then(
       () => 'carried out',
--- a/src/core/pool/relay/relay_chooser.ts
+++ b/src/core/pool/relay/relay_chooser.ts
@@ -4,11 +4,6 @@
 
 /** Smaller fleets are ordered directly; a relay only adds a hop there. */
 const MIN_WORKERS = 64;
-/**
- * Nodes of each zone that carry orders out: few, so that many orders travel
- * together, and more than one, so that none carries too much.
- */
-const RELAYS_PER_ZONE = 3;
 /** A node that has not been heard for this long carries nothing out. */
 const HEARD_MS = 1_800;
 /** After an order without a reply a node gets no others for this long. */
@@ -55,15 +50,6 @@
     this.chosen.clear();
   }
 
-  private relaysOf(zone: string, now: number): string[] {
-    return this.directory
-      .relayIds(now - HEARD_MS)
-      .filter(node => this.directory.zoneOf(node) === zone)
-      .filter(node => now >= (this.pausedUntil.get(node) ?? 0))
-      .sort()
-      .slice(0, RELAYS_PER_ZONE);
-  }
-
   /**
    * The highest hash of worker and node wins, so that few workers change their
    * node, and with it their connections, when nodes come and go.
@@ -71,7 +57,9 @@
   private find(worker: string, zone: string, now: number): string | undefined {
     let best: string | undefined;
     let bestScore = Number.NEGATIVE_INFINITY;
-    for (const node of this.relaysOf(zone, now)) {
+    for (const node of this.directory.relayIds(now - HEARD_MS)) {
+      if (this.directory.zoneOf(node) !== zone) continue;
+      if (now < (this.pausedUntil.get(node) ?? 0)) continue;
       const score = CRC32.str(`${worker} ${node}`);
       if (score <= bestScore) continue;
       best = node;
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -61,7 +61,7 @@
     const mates = new ZoneMates();
     const client = new HttpWorkerClient(clock);
     this.client = client;
-    new WorkerRelay(peers, client, clock);
+    new WorkerRelay(peers, client);
     this.fallback = new FallbackService({
       node: ip,
       zone,
