--- a/src/core/pool/lead_service.ts
+++ b/src/core/pool/lead_service.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '../clock/clock.js';
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {RoutingTable} from '../routing/routing_table.js';
-import {FencingToken} from './fencing_token.js';
+import {LeadToken} from './lead_token.js';
 import {JobDesk} from './job_desk.js';
 import type {NodeDirectory} from './node_directory.js';
 import {PoolDispatcher} from './pool_dispatcher.js';
@@ -164,7 +164,7 @@
       ...this.opts,
       client: this.client,
       book: this.book,
-      token: FencingToken.ofTerm(term),
+      token: LeadToken.ofTerm(term),
       isBookComplete,
       // An earlier lead ordered until it was no longer fresh, and its last
       // lease began then.
--- a/src/core/pool/fencing_token.ts
+++ b/src/core/pool/lead_token.ts
@@ -8,7 +8,7 @@
  * within a term with each fallback that serves a zone and each return of the
  * lead to that zone's workers.
  */
-export const FencingToken = {
+export const LeadToken = {
   /** Token with which the lead of a term begins. */
   ofTerm: (term: number): number => term * TOKENS_PER_TERM,
 
--- a/src/core/pool/pool_entry.ts
+++ b/src/core/pool/pool_entry.ts
@@ -1,5 +1,5 @@
 import type {RoutingTable} from '../routing/routing_table.js';
-import {FencingToken} from './fencing_token.js';
+import {LeadToken} from './lead_token.js';
 import {longestChainMs} from './longest_chain_ms.js';
 import type {PoolJob} from './pool_job.js';
 import type {PoolSubmission} from './pool_submission.js';
@@ -66,7 +66,7 @@
         state: step.after.length > 0 ? 'blocked' : 'waiting',
         run: undefined,
         worker: undefined,
-        nextRun: FencingToken.firstRun(token),
+        nextRun: LeadToken.firstRun(token),
         failures: 0,
         stragglers: 0,
       })),
--- a/src/core/pool/relay/relayed_worker_client.ts
+++ b/src/core/pool/relay/relayed_worker_client.ts
@@ -28,24 +28,24 @@
 
   override start: WorkerClient['start'] = async (target, order, timeoutMs) => {
     const {direct} = this.opts;
-    const body = {kind: 'start', target: addressOf(target), order, timeoutMs};
-    const res = await this.relay(body as RelayOrder);
+    const to = addressOf(target);
+    const res = await this.relay({kind: 'start', target: to, order, timeoutMs});
     if (res === 'unsent') return direct.start(target, order, timeoutMs);
     return v.is(RelayReply.order, res) ? res : NO_REPLY;
   };
 
   override stop: WorkerClient['stop'] = async (target, order, timeoutMs) => {
     const {direct} = this.opts;
-    const body = {kind: 'stop', target: addressOf(target), order, timeoutMs};
-    const res = await this.relay(body as RelayOrder);
+    const to = addressOf(target);
+    const res = await this.relay({kind: 'stop', target: to, order, timeoutMs});
     if (res === 'unsent') return direct.stop(target, order, timeoutMs);
     return v.is(RelayReply.order, res) ? res : NO_REPLY;
   };
 
   override look: WorkerClient['look'] = async (target, order, timeoutMs) => {
     const {direct} = this.opts;
-    const body = {kind: 'look', target: addressOf(target), order, timeoutMs};
-    const res = await this.relay(body as RelayOrder);
+    const to = addressOf(target);
+    const res = await this.relay({kind: 'look', target: to, order, timeoutMs});
     if (res === 'unsent') return direct.look(target, order, timeoutMs);
     if (!v.is(RelayReply.look, res)) return NO_REPLY;
     if (res.kind !== 'ok') return res;
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -1,5 +1,5 @@
 import type {PoolAnswer} from '../../../src/core/pool/pool_answer.js';
-import {FencingToken} from '../../../src/core/pool/fencing_token.js';
+import {LeadToken} from '../../../src/core/pool/lead_token.js';
 import {PoolDispatcher} from '../../../src/core/pool/pool_dispatcher.js';
 import type {PoolSubmission} from '../../../src/core/pool/pool_submission.js';
 import {WorkerBook} from '../../../src/core/pool/worker_book.js';
@@ -75,7 +75,7 @@
       clock,
       client,
       book,
-      token: FencingToken.ofTerm(term),
+      token: LeadToken.ofTerm(term),
       leaseMs: LEASE_MS,
       isBookComplete,
       earlierLeasesMs,
