--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -12,6 +12,7 @@
 import {PoolOrder} from './pool_order.js';
 import type {PoolSubmission} from './pool_submission.js';
 import type {Run} from './run.js';
+import type {PoolTask} from './pool_task.js';
 import {RunEnd} from './run_end.js';
 import type {RunRefusal} from './run_refusal.js';
 import {RunTimes} from './run_times.js';
@@ -145,22 +146,10 @@
     const {token} = this;
     const entry = new PoolEntry(submission, {owner, queue, token, now});
     this.takeover.adopt([entry], this.workers.all, now);
-    const isPossible =
-      !this.takeover.hasSettled(now) ||
-      entry.tasks.every(t => this.chooser.isPossible(t, this.workers.all));
-    if (!isPossible && !entry.hasStarted) {
-      return this.jobs.refuse(owner, job.id, 'no_worker_fits', 2_000);
-    }
-    const refusal = entry.hasStarted
-      ? undefined
-      : this.admission.check(this.jobs.size, this.workers.size);
+    const refusal = entry.hasStarted ? undefined : this.check(entry, now);
     if (refusal) {
-      return this.jobs.refuse(
-        owner,
-        job.id,
-        refusal.reason,
-        refusal.retryAfterMs,
-      );
+      const {reason, retryAfterMs} = refusal;
+      return this.jobs.refuse(owner, job.id, reason, retryAfterMs);
     }
     this.jobs.add(entry);
     this.opts.observer.decided('job_accepted', job.id, {
@@ -224,6 +213,18 @@
     this.schedulePass();
   }
 
+  /** Why a job is not taken; undefined if it is. */
+  private check(entry: PoolEntry, now: number) {
+    const {all, size} = this.workers;
+    // Workers that there are may not have reported to a new lead yet.
+    const mayWorkersCome = !this.takeover.hasSettled(now);
+    const isPossible = (task: PoolTask) => this.chooser.isPossible(task, all);
+    if (!mayWorkersCome && !entry.tasks.every(isPossible)) {
+      return {reason: 'no_worker_fits', retryAfterMs: 2_000};
+    }
+    return this.admission.check(this.jobs.size, size, mayWorkersCome);
+  }
+
   /** Refuses what would wait in vain behind the work that comes before it. */
   private refuseHopeless(now: number): void {
     if (now < this.nextForecast) return;
--- a/src/core/pool/takeover.test.ts
+++ b/src/core/pool/takeover.test.ts
@@ -70,3 +70,25 @@
   assert.deepEqual(bench.overlaps(), []);
   assert.equal(bench.answers.get('j')?.kind, 'completed');
 });
+
+// After a stop of everything the workers report again within a second or two.
+test('a lead without workers holds jobs until workers have had time', async () => {
+  const bench = new PoolBench(0);
+  const lead = bench.lead({isBookComplete: false, earlierLeasesMs: 0});
+  await bench.run(50, lead);
+  const opts = {estimatedMs: 500};
+  lead.submit('e', PoolBench.submission('early', opts));
+  await bench.run(300, lead);
+  assert.isUndefined(bench.answers.get('early'));
+  bench.addWorker('w0').runMs = () => 500;
+  await bench.run(1_000, lead);
+  assert.equal(bench.answers.get('early')?.kind, 'completed');
+});
+
+test('a lead that never had workers refuses at once', async () => {
+  const bench = new PoolBench(0);
+  const lead = bench.lead({isBookComplete: false, earlierLeasesMs: 0});
+  await bench.run(5_000, lead);
+  lead.submit('e', PoolBench.submission('j'));
+  assert.equal(bench.answers.get('j')?.kind, 'refused');
+});
