Confirm a refusal as not run against copies accepted meanwhile

Cause: a refusal that says "not run" waits for the commit of a barrier. While it waits, a later copy of the same submission can be accepted (its key is no longer ahead of the clock, or the workers that it did not fit are forgotten). The first copy was then answered "not run" although the job was known and started. Change: confirmRefusal looks the key up again once the barrier is committed; a known key makes the submission join the job. The zone service and the check use the same call.

Also: npm run measure -- cost, real processes of both roles with emulated workers on loopback, and their processor time by role.

--- a/src/check/jobs/run_steps.test.ts
+++ b/src/check/jobs/run_steps.test.ts
@@ -66,3 +66,26 @@
     {waitMs: 10, action: {kind: 'fetch', job: 0}},
   ]);
 });
+
+// Guards against a refusal as not run that waits for its commit while a later
+// copy of the same submission is accepted: the key of the first copy was ahead
+// of the leader's clock, that of the second one no longer is.
+test('a refusal that waits for its commit joins a copy accepted meanwhile', () => {
+  assertNoViolations([
+    {waitMs: 3, action: {kind: 'stall_commits', ms: 1_000}},
+    {waitMs: 0, action: {kind: 'submit_aged', offsetMs: 2_500}},
+    {waitMs: 600, action: {kind: 'resubmit', job: 0}},
+  ]);
+});
+
+// As above, with a task that fits no worker until all workers are forgotten.
+test('a refusal as unplaceable joins a copy accepted meanwhile', () => {
+  const tasks = [{ms: 1, mb: 9_000, fail: false}, TASK];
+  assertNoViolations([
+    {waitMs: 3, action: {kind: 'all_die'}},
+    {waitMs: 0, action: {kind: 'stall_commits', ms: 12_000}},
+    {waitMs: 0, action: {...SUBMIT_STRICT, tasks}},
+    {waitMs: 8_000, action: {kind: 'resubmit', job: 0}},
+    {waitMs: 0, action: {kind: 'restart', worker: 0}},
+  ]);
+});
--- a/src/check/jobs/zone_run.ts
+++ b/src/check/jobs/zone_run.ts
@@ -8,7 +8,6 @@
 import {ZoneMember} from '../../../test-support/fakes/zone_member.js';
 import type {ClassConfig} from '../../core/config/class_config.js';
 import {StaticConfigSource} from '../../core/config/static_config_source.js';
-import {NOT_LEADER} from '../../core/dispatch/not_leader.js';
 import type {JobEvent} from '../../core/job/job_event.js';
 import {JobKey} from '../../core/job/job_key.js';
 import type {Refusal} from '../../core/job/refusal.js';
@@ -135,8 +134,8 @@
     if (result.isOk) return recordSubmit(undefined);
     const refusal = result.error;
     if (refusal.outcome !== RunOutcome.notRun) return recordSubmit(refusal);
-    member.dispatcher.confirmLeadership(isConfirmed =>
-      recordSubmit(isConfirmed ? refusal : NOT_LEADER),
+    member.dispatcher.confirmRefusal(spec, refusal, confirmed =>
+      recordSubmit(confirmed.isErr ? confirmed.error : undefined),
     );
   }
 
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -93,8 +93,7 @@
     this.now = now;
     const epoch = this.opts.replicator.leadingEpoch;
     if (epoch === undefined) return Result.err(NOT_LEADER);
-    const known =
-      this.proposed.get(spec.key) ?? this.opts.table.get(spec.key)?.spec;
+    const known = this.knownSpec(spec.key);
     if (known) return this.gate.join(known, spec);
     const decision = this.gate.admit(
       key,
@@ -144,11 +143,21 @@
   }
 
   /**
-   * Confirms that this node still led when it refused a submission. A deposed
-   * leader does not know the jobs of the new one, so its refusals are invalid.
+   * Confirms a refusal that says "not run" before it is sent. A deposed leader
+   * does not know the jobs of the new one, so its refusals are invalid; and a
+   * copy of the submission that was accepted during the confirmation makes this
+   * one join the job.
    */
-  confirmLeadership(done: (isConfirmed: boolean) => void): void {
-    const event = this.barrier.add(done);
+  confirmRefusal(
+    spec: JobSpec,
+    refusal: Refusal,
+    done: (confirmed: Result<void, Refusal>) => void,
+  ): void {
+    const event = this.barrier.add(isConfirmed => {
+      if (!isConfirmed) return done(Result.err(NOT_LEADER));
+      const known = this.knownSpec(spec.key);
+      done(known ? this.gate.join(known, spec) : Result.err(refusal));
+    });
     if (event) this.outbox.push(event);
     if (this.isLeading) this.opts.requestFlush();
     else this.barrier.fail();
@@ -190,6 +199,10 @@
     this.flush(now);
   }
 
+  private knownSpec(key: string): JobSpec | undefined {
+    return this.proposed.get(key) ?? this.opts.table.get(key)?.spec;
+  }
+
   /**
    * Keeps the job in `proposed` until the commit: a job cancelled before that
    * may already be idle, but a resubmission must still find its key.
--- a/src/daemon/zone/zone_jobs.ts
+++ b/src/daemon/zone/zone_jobs.ts
@@ -34,10 +34,12 @@
     if (accepted.isOk) return this.wait(key.text, waitMs);
     const refusal = accepted.error;
     if (refusal.outcome !== RunOutcome.notRun) return Result.err(refusal);
-    const isConfirmed = await new Promise<boolean>(resolve =>
-      this.dispatcher.confirmLeadership(resolve),
+    const confirmed = await new Promise<Result<void, Refusal>>(resolve =>
+      this.dispatcher.confirmRefusal(spec, refusal, resolve),
     );
-    return Result.err(isConfirmed ? refusal : NOT_LEADER);
+    return confirmed.isOk
+      ? this.wait(key.text, waitMs)
+      : Result.err(confirmed.error);
   }
 
   async fetch(
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -3,6 +3,7 @@
 import {BadWorkerMeasurement} from './badworker/bad_worker_measurement.js';
 import {CancelMeasurement} from './cancel/cancel_measurement.js';
 import {controlCommand} from './control/control_command.js';
+import {costCommand} from '../platform/emulator/cost_command.js';
 import {FloodMeasurement} from './flood/flood_measurement.js';
 import type {Measurement} from './measurement.js';
 import {OverflowMeasurement} from './overflow/overflow_measurement.js';
@@ -66,5 +67,6 @@
 for (const measurement of MEASUREMENTS) {
   program.addCommand(commandOf(measurement));
 }
+program.addCommand(costCommand());
 await program.addCommand(controlCommand()).parseAsync();
 process.exit(0);
