Forecast placements instead of mean work, and finish late jobs that have started

Cause: the forecast spread the remaining work of all runs over a number of slots computed from the mean demand of what waits. And a started job that was past its objective was sorted behind every fresh job, so that the work done for it was lost. Ruled out: no refusals of pending jobs at all (wide jobs then hold places for answers that nobody waits for); a fractional number of slots (the same error with another sign). Change: PlacementForecast replays the ends of the runs and places the waiting tasks in their order, by the CPU that is free. A job that has started and can still be answered usefully is sorted by its remaining work.

--- a/src/core/pool/backlog_forecast.ts
+++ b/src/core/pool/backlog_forecast.ts
@@ -1,5 +1,6 @@
 import type {LeasedWorker} from './leased_worker.js';
 import type {ActiveJob} from './active_job.js';
+import {PlacementForecast} from './placement_forecast.js';
 import type {RunTimes} from './run_times.js';
 
 interface InfeasibleJob {
@@ -9,9 +10,8 @@
 }
 
 /**
- * Predicts completion times under overload. The work ahead of a waiting job
- * determines when it can end; a job that would be answered too late is refused
- * early, while its caller can still use another service.
+ * Predicts completion times under overload. A job that would be answered too
+ * late is refused early, while its caller can still use another service.
  */
 export class BacklogForecast {
   constructor(private readonly times: RunTimes) {}
@@ -41,55 +41,41 @@
     workers: readonly LeasedWorker[],
     now: number,
   ): InfeasibleJob[] {
-    const slots = countTaskSlots(waiting, workers);
-    if (slots === 0) return [];
-    const infeasible: ActiveJob[] = [];
-    let aheadMs = this.remainingRunMs(workers, now);
-    for (const job of waiting) {
-      const endsAt = now + aheadMs / slots + this.times.remainingMs(job);
-      if (job.isPending && endsAt > job.usefulUntil) infeasible.push(job);
-      else aheadMs += this.times.remainingWorkMs(job);
-    }
-    const clearInMs = aheadMs / slots;
-    return infeasible.map(job => ({job, clearInMs}));
+    if (workers.length === 0) return [];
+    const forecast = this.createForecast(workers, now);
+    const tasks = waiting.flatMap(job => this.waitingTasks(job));
+    const missed = forecast.findMissed(tasks);
+    const {clearInMs} = forecast;
+    return [...missed].map(job => ({job, clearInMs}));
   }
 
-  /** Expected remaining time of all active runs, summed, in ms. */
-  private remainingRunMs(
+  private createForecast(
     workers: readonly LeasedWorker[],
     now: number,
-  ): number {
-    let sum = 0;
+  ): PlacementForecast<ActiveJob> {
+    const forecast = new PlacementForecast<ActiveJob>(now);
     for (const worker of workers) {
-      for (const {sentAt, expectedMs} of worker.runs.values()) {
-        sum += Math.max(0, sentAt + expectedMs - now);
+      const number = forecast.addWorker(worker.freeCapacity.cpu);
+      for (const {sentAt, expectedMs, demand} of worker.runs.values()) {
+        forecast.addRun(number, demand.cpu, sentAt + expectedMs);
       }
     }
-    return sum;
+    return forecast;
+  }
+
+  /** A job that has started is finished, however late. */
+  private waitingTasks(job: ActiveJob) {
+    const endsBy = job.isPending ? job.usefulUntil : Number.POSITIVE_INFINITY;
+    return job.tasks
+      .filter(task => task.state === 'waiting')
+      .map(({step}) => {
+        const {demand, estimatedMs} = job.spec.steps[step]!;
+        const runMs = this.times.expectedMs(job.queue.name, estimatedMs);
+        return {job, cpu: demand.cpu, runMs, endsBy};
+      });
   }
 }
 
 function canServe({report, isSilent}: LeasedWorker, service: string): boolean {
   return report.service === service && !report.isDraining && !isSilent;
 }
-
-/** Number of tasks of mean CPU demand that the workers can run at once. */
-function countTaskSlots(
-  waiting: readonly ActiveJob[],
-  workers: readonly LeasedWorker[],
-): number {
-  let cpu = 0;
-  let tasks = 0;
-  for (const {spec} of waiting) {
-    for (const {count, demand} of spec.steps) {
-      cpu += count * demand.cpu;
-      tasks += count;
-    }
-  }
-  if (cpu === 0) return 0;
-  const mean = cpu / tasks;
-  return workers.reduce(
-    (sum, {report}) => sum + Math.floor(report.capacity.cpu / mean),
-    0,
-  );
-}
--- a/src/core/pool/job_prioritizer.ts
+++ b/src/core/pool/job_prioritizer.ts
@@ -18,10 +18,12 @@
   }
 
   private priorityKey(job: ActiveJob, now: number): number {
-    const remainingMs = this.times.remainingMs(job);
+    const endsAt = now + this.times.remainingMs(job);
     const workMs = this.times.remainingWorkMs(job);
-    const isLate = now + remainingMs > job.objectiveAt;
-    return workMs + (isLate ? LATE_PENALTY_MS : 0);
+    if (endsAt <= job.objectiveAt) return workMs;
+    // What a late job has had done is lost unless the rest follows soon.
+    const isWorthFinishing = job.hasStarted && endsAt <= job.usefulUntil;
+    return workMs + (isWorthFinishing ? 0 : LATE_PENALTY_MS);
   }
 }
 
--- a/src/core/pool/task_starter.test.ts
+++ b/src/core/pool/task_starter.test.ts
@@ -24,3 +24,21 @@
   const small = bench.answeredAt.get('small')!;
   assert.isBelow(small, bench.answeredAt.get('large')!);
 });
+
+// A job that has lost some time in a burst must not lose the work that it has
+// had done, while fresh small jobs go first until it is useless.
+test('a started job that is late is finished before fresh jobs', async () => {
+  const bench = new PoolBench(1, 1);
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  for (const worker of bench.workers.values()) worker.runMs = () => 120;
+  const submittedAt = bench.clock.now();
+  dispatcher.submit('e', PoolBench.submission('wide', {tasks: 3}));
+  await bench.run(200, dispatcher);
+  for (let n = 0; n < 4; n += 1) {
+    const opts = {queue: 'b', estimatedMs: 150};
+    dispatcher.submit('e', PoolBench.submission(`fresh${n}`, opts));
+  }
+  await bench.run(1_000, dispatcher);
+  assert.isBelow(bench.answeredAt.get('wide')! - submittedAt, 450);
+});
