Take answers from the dispatcher in charge only, and remember what has run

Now only the dispatcher that has the job can turn it away; a completion counts from anywhere. - 404 from a second dispatcher said that nothing had run; it is 504 now, as a refusal is. - A job whose answer was lost with its connection, sent again and refused, was answered "not run" although it had run. The leader passes on the start time of the instance that leaves. - A deadline header of Infinity or below 0 made a submission that the dispatcher discards, and the caller waited for good. Ruled out: a check of the sender for completions too (the earlier leader has seen the work done, so it is true). Not covered: a caller that comes again at another node after a change of dispatcher.

--- a/src/core/pool/entry_gateway.test.ts
+++ b/src/core/pool/entry_gateway.test.ts
@@ -119,3 +119,37 @@
   const submits = bench.peers.sent.filter(s => s.kind === 'pool.submit');
   assert.lengthOf(submits, 2);
 });
+
+// A leader that was suspended wakes with the jobs and the configuration of
+// before, while another leader runs the job.
+test('only the dispatcher that has a job can turn it away', () => {
+  const bench = createBench();
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  bench.announceLeader('c2', 2);
+  const stale = [
+    {kind: 'refused', reason: 'too_late', retryAfterMs: 1},
+    {kind: 'given_up', reason: 'deadline'},
+    {kind: 'no_queue'},
+    {kind: 'failed'},
+  ];
+  for (const answer of stale) {
+    bench.peers.deliver('c1', 'pool.answer', {id: 'j', answer});
+  }
+  assert.isEmpty(bench.answers);
+  const answer = {kind: 'completed'};
+  bench.peers.deliver('c1', 'pool.answer', {id: 'j', answer});
+  assert.deepEqual(bench.answers, [{kind: 'completed'}]);
+});
+
+// 404 says that nothing has run; the first leader may have run the job before
+// the queue was removed.
+test('a job of a removed queue is given up if another leader had it', () => {
+  const bench = createBench();
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  bench.announceLeader('c2', 2);
+  const answer = {kind: 'no_queue'};
+  bench.peers.deliver('c2', 'pool.answer', {id: 'j', answer});
+  assert.equal(bench.answers[0]?.kind, 'given_up');
+});
--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry_gateway.ts
@@ -85,8 +85,9 @@
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
-    peers.onMessage('pool.answer', (_from, body) => {
-      if (v.is(PoolMessage.answer, body)) this.respondTo(body.id, body.answer);
+    peers.onMessage('pool.answer', (from, body) => {
+      if (!v.is(PoolMessage.answer, body)) return;
+      this.onAnswer(from, body.id, body.answer);
     });
     peers.onMessage('pool.unknown', (_from, body, now) =>
       this.onUnknown(body, now),
@@ -240,11 +241,31 @@
     this.respondTo(job.id, {kind: 'refused', reason, retryAfterMs: retryMs});
   }
 
+  /**
+   * Only the dispatcher that has the job knows that it will not complete. An
+   * earlier one may have been suspended and answer from what it knew before.
+   */
+  private onAnswer(from: string, id: string, answer: PoolAnswer): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    if (answer.kind === 'completed' || job.assignedTo?.node === from) {
+      this.respondTo(id, answer);
+      return;
+    }
+    this.opts.observer.recordJobEvent('answer_ignored', id, {
+      from,
+      kind: answer.kind,
+      lead: job.assignedTo?.node,
+    });
+  }
+
   private respondTo(id: string, answer: PoolAnswer): void {
     const job = this.jobs.get(id);
     if (!job) return;
-    // An earlier dispatcher may have started a job that this one refuses.
-    const isConsistent = answer.kind !== 'refused' || !job.wasResubmitted;
+    // An earlier dispatcher may have started a job that this one turns away.
+    const isTurnedAway =
+      answer.kind === 'refused' || answer.kind === 'no_queue';
+    const isConsistent = !isTurnedAway || !job.wasResubmitted;
     this.jobs.delete(id);
     job.respond(
       isConsistent
--- a/src/core/pool/leader_service.ts
+++ b/src/core/pool/leader_service.ts
@@ -99,7 +99,8 @@
       this.onRegistryUpdate(body, now),
     );
     peers.onMessage('pool.left', (_from, body, now) => {
-      if (v.is(PoolMessage.left, body)) this.registry.remove(body.id, now);
+      if (!v.is(PoolMessage.left, body)) return;
+      this.registry.remove(body.id, now, body.bornAt);
     });
     peers.onRequest('pool.report', (_from, body) => this.onReport(body));
     peers.onRequest('pool.leave', (_from, body) => this.onLeave(body));
@@ -265,7 +266,7 @@
     const isGossipDue = now >= this.nextEntryGossip || !isLeaderKnown;
     if (isGossipDue) this.nextEntryGossip = now + ENTRY_GOSSIP_MS;
     else if (!claim) return;
-    const byZone = isGossipDue ? this.groupByZone(entries) : undefined;
+    const byZone = isGossipDue ? directory.groupByZone(entries) : undefined;
     for (const id of directory.entryIds(now)) {
       // An entry node needs only the entry nodes of its own zone.
       const zonePeers = byZone?.get(directory.zoneOf(id));
@@ -277,17 +278,6 @@
     }
   }
 
-  private groupByZone(nodes: string[]): Map<string | undefined, string[]> {
-    const byZone = new Map<string | undefined, string[]>();
-    for (const id of nodes) {
-      const zone = this.opts.directory.zoneOf(id);
-      const known = byZone.get(zone);
-      if (known) known.push(id);
-      else byZone.set(zone, [id]);
-    }
-    return byZone;
-  }
-
   private onRegistryUpdate(body: unknown, now: number): void {
     if (!v.is(PoolMessage.book, body)) return;
     for (const report of body.reports) this.registry.update(report, now);
@@ -339,9 +329,12 @@
     }
     const {clock, directory, node, peers} = this.opts;
     const now = clock.now();
-    this.registry.remove(body.id, now);
+    const {entries} = this.registry;
+    const bornAt = body.bornAt ?? entries.get(body.id)?.report.bornAt;
+    this.registry.remove(body.id, now, bornAt);
+    const left = {...body, ...(bornAt === undefined ? {} : {bornAt})};
     for (const id of directory.coreIds(now)) {
-      if (id !== node) peers.send(id, 'pool.left', body);
+      if (id !== node) peers.send(id, 'pool.left', left);
     }
     return Promise.resolve(true);
   }
--- a/src/core/pool/node_directory.ts
+++ b/src/core/pool/node_directory.ts
@@ -65,6 +65,17 @@
     return this.zones.get(node);
   }
 
+  /** Groups nodes by their zones. */
+  groupByZone(nodes: readonly string[]): Map<string | undefined, string[]> {
+    const byZone = new Map<string | undefined, string[]>();
+    for (const node of nodes) {
+      const known = byZone.get(this.zoneOf(node));
+      if (known) known.push(node);
+      else byZone.set(this.zoneOf(node), [node]);
+    }
+    return byZone;
+  }
+
   /** Records nodes that another node has seen. */
   recordGossip(nodes: readonly string[], role: Role, now: number): void {
     for (const node of nodes) {
--- a/src/core/pool/pool_jobs.ts
+++ b/src/core/pool/pool_jobs.ts
@@ -1,8 +1,10 @@
+import type {Clock} from '../clock/clock.js';
 import type {InfeasibleJobs} from './infeasible_jobs.js';
 import type {PoolAnswer} from './pool_answer.js';
 import type {ActiveJob} from './active_job.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {PoolTask} from './pool_task.js';
+import {RecentStarts} from './recent_starts.js';
 import {retryAfterMs} from './retry_after.js';
 
 /** Time after which a backlog that makes jobs late is usually processed. */
@@ -10,6 +12,7 @@
 const DEADLINE_RETRY_MS = 1_000;
 
 interface PoolJobsOptions {
+  readonly clock: Clock;
   readonly infeasible: InfeasibleJobs;
   readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
   readonly observer: PoolObserver;
@@ -18,6 +21,7 @@
 /** Jobs of one dispatcher, kept until answered and without active runs. */
 export class PoolJobs {
   private readonly byId = new Map<string, ActiveJob>();
+  private readonly recentStarts = new RecentStarts();
 
   constructor(private readonly opts: PoolJobsOptions) {}
 
@@ -52,6 +56,12 @@
    */
   refuse(owner: string, id: string, reason: string, clearInMs: number): void {
     const {observer, answer} = this.opts;
+    if (this.recentStarts.has(id)) {
+      // The caller has sent the job before and not received the answer.
+      observer.recordJobEvent('job_given_up', id, {owner, reason});
+      answer(owner, id, {kind: 'given_up', reason: 'may have run before'});
+      return;
+    }
     const retryMs = retryAfterMs(id, clearInMs);
     observer.recordJobEvent('job_refused', id, {
       owner,
@@ -91,6 +101,7 @@
 
   /** Refuses infeasible jobs and ends jobs whose deadline has passed. */
   expire(now: number): void {
+    this.recentStarts.expire(now);
     for (const job of this.opts.infeasible.find(this.all, now)) {
       this.refuseLate(job, LATE_RETRY_MS);
     }
@@ -108,6 +119,9 @@
 
   private removeIfFinished(job: ActiveJob): void {
     if (!job.isAbandoned || job.hasRuns) return;
+    if (job.hasStarted) {
+      this.recentStarts.record(job.spec.id, this.opts.clock.now());
+    }
     this.byId.delete(job.spec.id);
   }
 
--- a/src/core/pool/pool_message.ts
+++ b/src/core/pool/pool_message.ts
@@ -42,7 +42,11 @@
   answer: v.object({id: v.string(), answer: PoolAnswer}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
   book: v.object({reports: v.array(WorkerReport), isWhole: v.boolean()}),
-  left: v.object({id: v.string()}),
+  left: v.object({
+    id: v.string(),
+    /** Start time of the process instance that leaves, if known. */
+    bornAt: v.optional(v.pipe(v.number(), v.safeInteger())),
+  }),
   ask: v.variant('kind', [
     v.object({kind: v.literal('cancel'), path: v.string(), id: v.string()}),
     v.object({kind: v.literal('state'), id: v.string()}),
--- a/src/core/pool/worker_registry.ts
+++ b/src/core/pool/worker_registry.ts
@@ -2,6 +2,8 @@
 
 /** A worker that has not reported for this long is removed. */
 const RETENTION_MS = 8_000;
+/** Limit of remembered departures, far more than reports can be late by. */
+const MAX_DEPARTED = 1_000;
 
 interface Entry {
   readonly report: WorkerReport;
@@ -27,18 +29,31 @@
 
   /** Stores a report unless a newer one is known; returns whether it did. */
   update(report: WorkerReport, now: number): boolean {
-    if (this.departed.get(report.id) === report.bornAt) return false;
+    const departedBornAt = this.departed.get(report.id);
+    if (departedBornAt !== undefined && report.bornAt <= departedBornAt) {
+      return false;
+    }
     const known = this.byId.get(report.id)?.report;
     if (known && isNewer(known, report)) return false;
     this.byId.set(report.id, {report, seenAt: now});
     return true;
   }
 
-  /** Removes a worker that has left. */
-  remove(id: string, now: number): void {
-    const known = this.byId.get(id);
-    if (known) this.departed.set(id, known.report.bornAt);
-    this.byId.delete(id);
+  /**
+   * Removes a worker that has left. `bornAt` is the start time of the process
+   * instance that leaves, if it is known: a node that has just started does not
+   * know the worker, and other nodes may still send it older reports.
+   */
+  remove(id: string, now: number, bornAt?: number): void {
+    const known = this.byId.get(id)?.report.bornAt;
+    const departedBornAt = bornAt ?? known;
+    if (departedBornAt !== undefined) {
+      const before = this.departed.get(id) ?? departedBornAt;
+      this.departed.set(id, Math.max(before, departedBornAt));
+    }
+    if (known !== undefined && known <= (departedBornAt ?? known)) {
+      this.byId.delete(id);
+    }
     this.expire(now);
   }
 
@@ -57,9 +72,9 @@
       this.byId.delete(id);
       gone.push(id);
     }
-    if (this.departed.size > 1_000) {
-      const [oldest] = this.departed.keys();
-      this.departed.delete(oldest!);
+    for (const id of this.departed.keys()) {
+      if (this.departed.size <= MAX_DEPARTED) break;
+      this.departed.delete(id);
     }
     return gone;
   }
--- a/src/platform/caller_frontend.ts
+++ b/src/platform/caller_frontend.ts
@@ -10,6 +10,8 @@
 const MAX_BODY_BYTES = 256 * 1024;
 /** Time that a caller waits if it sends no `x-deadline-ms` header. */
 const DEFAULT_DEADLINE_MS = 30_000;
+/** Longer deadlines are shortened to this. */
+const MAX_DEADLINE_MS = 3_600_000;
 const UNSUPPORTED_RETRY_AFTER_S = 60;
 
 interface CallerFrontendOptions {
@@ -54,8 +56,7 @@
       res.setHeader('retry-after', UNSUPPORTED_RETRY_AFTER_S);
       return sendJson(res, 503, {detail});
     }
-    const patienceMs =
-      Number(req.headers['x-deadline-ms']) || DEFAULT_DEADLINE_MS;
+    const patienceMs = getDeadlineMs(req);
     const respond = (answer: PoolAnswer) => sendJobAnswer(res, answer);
     res.once('close', () => {
       // The caller disconnected before its job was answered.
@@ -94,6 +95,13 @@
   }
 }
 
+/** How long the caller waits; the default if it sends no positive number. */
+function getDeadlineMs({headers}: IncomingMessage): number {
+  const deadlineMs = Number(headers['x-deadline-ms']);
+  if (!(deadlineMs > 0)) return DEFAULT_DEADLINE_MS;
+  return Math.min(deadlineMs, MAX_DEADLINE_MS);
+}
+
 function getHost(req: IncomingMessage): string {
   return (req.headers.host ?? '').split(':')[0]!;
 }
