Spread the workers' reports over the core nodes, and count events in a map

Cause: all workers were sent to the leader with their reports, 250 HTTP requests a second at 380 workers; each event was counted by a labelled counter, several for each task. Change: every core node takes reports. One with news (new, draining, another instance or address) goes to the leader before the worker gets its reply; the others are passed on together every 500 ms. Events are counted in a map that is emptied when metrics are read, and the fields of a suppressed line are not built. Tests: worker_report_service.test.ts.

--- a/src/core/pool/leader_service.ts
+++ b/src/core/pool/leader_service.ts
@@ -14,7 +14,7 @@
 import {RelayedWorkerClient} from './relay/relayed_worker_client.js';
 import {WorkerRelay} from './relay/worker_relay.js';
 import type {WorkerClient} from './worker_client.js';
-import {WorkerReport} from './worker_report.js';
+import {WorkerReportService} from './worker_report_service.js';
 
 /** A leader that no majority has confirmed for this long sends no orders. */
 const CONFIRMATION_MAX_AGE_MS = 250;
@@ -35,8 +35,6 @@
  * of the log know nothing.
  */
 const FALLBACK_EARLIEST_MS = 1_500;
-/** Must be below one second, after which a worker's report times out. */
-const LEADER_REQUEST_TIMEOUT_MS = 700;
 
 interface Leadership {
   readonly term: number;
@@ -71,6 +69,8 @@
 export class LeaderService {
   private readonly registry = new WorkerRegistry();
   private readonly registrySender: WorkerRegistrySender;
+  /** Reports of workers, which any core node takes. */
+  readonly reports: WorkerReportService;
   private readonly endpoint: DispatcherEndpoint;
   private readonly relayChooser: RelayChooser;
   private readonly client: WorkerClient;
@@ -101,12 +101,12 @@
     peers.onMessage('pool.book', (_from, body, now) =>
       this.onRegistryUpdate(body, now),
     );
-    peers.onMessage('pool.left', (_from, body, now) => {
-      if (!v.is(PoolMessage.left, body)) return;
-      this.registry.remove(body.id, now, body.bornAt);
+    this.reports = new WorkerReportService({
+      ...opts,
+      registry: this.registry,
+      registrySender: this.registrySender,
+      dispatcher: () => this.endpoint.dispatcher,
     });
-    peers.onRequest('pool.report', (_from, body) => this.onReport(body));
-    peers.onRequest('pool.leave', (_from, body) => this.onLeave(body));
   }
 
   get isLeading(): boolean {
@@ -117,20 +117,6 @@
     return this.endpoint.dispatcher?.openJobs ?? 0;
   }
 
-  /**
-   * Forwards a worker's report to the leader. Returns the address for later
-   * reports, or undefined if no leader has accepted it.
-   */
-  async report(report: WorkerReport): Promise<string | undefined> {
-    const res = await this.requestLeader('pool.report', report);
-    return typeof res === 'string' ? res : undefined;
-  }
-
-  /** Notifies the leader that a worker leaves; false if none was reached. */
-  async leave(id: string): Promise<boolean> {
-    return (await this.requestLeader('pool.leave', {id})) === true;
-  }
-
   tick(now: number): void {
     this.updateLeadership(now);
     this.registry.expire(now);
@@ -138,6 +124,7 @@
     if (this.isLeading) this.relayChooser.setWorkers(this.registry.reports);
     this.endpoint.tick(now);
     if (now >= this.nextPresence) this.sendPresence(now);
+    this.reports.tick(now);
     if (this.isLeading) this.registrySender.tick(now);
   }
 
@@ -289,59 +276,4 @@
     for (const report of body.reports) this.registry.update(report, now);
     if (body.isWhole && !this.isLeading) this.fullSnapshotAt = now;
   }
-
-  private async requestLeader(method: string, body: unknown): Promise<unknown> {
-    const {directory, clock, peers} = this.opts;
-    const leader = directory.dispatcher(clock.now());
-    if (!leader) return undefined;
-    const res = await peers.request(
-      leader.node,
-      method,
-      body,
-      LEADER_REQUEST_TIMEOUT_MS,
-    );
-    return res.isOk ? res.value : undefined;
-  }
-
-  private onReport(body: unknown): Promise<unknown> {
-    const {clock, reportAddress} = this.opts;
-    const {dispatcher} = this.endpoint;
-    if (!dispatcher || !v.is(WorkerReport, body)) {
-      return Promise.resolve(undefined);
-    }
-    const now = clock.now();
-    const known = this.registry.entries.get(body.id)?.report;
-    this.registry.update(body, now);
-    const isChanged =
-      !known ||
-      known.isDraining !== body.isDraining ||
-      known.address !== body.address ||
-      known.bornAt !== body.bornAt;
-    if (isChanged) {
-      this.registrySender.sendUpdate(body, now);
-      this.opts.observer.recordStateChange('worker_report', {
-        worker: body.id,
-        draining: body.isDraining,
-        sequence: body.sequence,
-      });
-      dispatcher.tick(now);
-    }
-    return Promise.resolve(reportAddress);
-  }
-
-  private onLeave(body: unknown): Promise<unknown> {
-    if (!this.isLeading || !v.is(PoolMessage.left, body)) {
-      return Promise.resolve(undefined);
-    }
-    const {clock, directory, node, peers} = this.opts;
-    const now = clock.now();
-    const {entries} = this.registry;
-    const bornAt = body.bornAt ?? entries.get(body.id)?.report.bornAt;
-    this.registry.remove(body.id, now, bornAt);
-    const left = {...body, ...(bornAt === undefined ? {} : {bornAt})};
-    for (const id of directory.coreIds(now)) {
-      if (id !== node) peers.send(id, 'pool.left', left);
-    }
-    return Promise.resolve(true);
-  }
 }
--- a/src/core/pool/pool_message.ts
+++ b/src/core/pool/pool_message.ts
@@ -42,6 +42,8 @@
   answer: v.object({id: v.string(), answer: PoolAnswer}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
   book: v.object({reports: v.array(WorkerReport), isWhole: v.boolean()}),
+  /** Reports without news that another core node has taken. */
+  reports: v.object({reports: v.array(WorkerReport)}),
   left: v.object({
     id: v.string(),
     /** Start time of the process instance that leaves, if known. */
--- /dev/null
+++ b/src/core/pool/worker_report_service.test.ts
@@ -0,0 +1,110 @@
+import {assert} from 'chai';
+import {FakeClock} from '../../../test-support/fakes/fake_clock.js';
+import {InMemoryPeers} from '../../../test-support/fakes/in_memory_peers.js';
+import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+import {NodeDirectory} from './node_directory.js';
+import type {PoolDispatcher} from './pool_dispatcher.js';
+import {WorkerRegistry} from './worker_registry.js';
+import {WorkerRegistrySender} from './worker_registry_sender.js';
+import {WorkerReportService} from './worker_report_service.js';
+
+const REPORT = {
+  id: 'w',
+  bornAt: 5,
+  service: 's',
+  address: 'w:1',
+  zone: 'z',
+  isDraining: false,
+  capacity: {cpu: 1, memoryMb: 1, accelerators: 0},
+  labels: [],
+  sequence: 1,
+};
+
+/** Two core nodes; `c1` leads unless it is cut off. */
+function createBench() {
+  const clock = new FakeClock();
+  const peers = new InMemoryPeers(clock);
+  const createNode = (node: string, dispatcher?: PoolDispatcher) => {
+    const directory = new NodeDirectory(node, ['c1', 'c2']);
+    const transport = peers.node(node);
+    const registry = new WorkerRegistry();
+    const opts = {node, clock, peers: transport, directory, registry};
+    const noop = () => undefined;
+    const service = new WorkerReportService({
+      ...opts,
+      registrySender: new WorkerRegistrySender(opts),
+      reportAddress: `${node}:1`,
+      dispatcher: () => dispatcher,
+      observer: {
+        recordJobEvent: noop,
+        recordStateChange: noop,
+        recordResponseTime: noop,
+        incrementCounter: noop,
+      },
+    });
+    transport.onMessage('pool.book', (_from, body, now) => {
+      const {reports} = body as {reports: Array<typeof REPORT>};
+      for (const report of reports) registry.update(report, now);
+    });
+    return {directory, registry, service};
+  };
+  const leader = createNode('c1', new PoolBench(1).createDispatcher());
+  const follower = createNode('c2');
+  const claim = () => {
+    const fields = {term: 1, token: 1_000, isFallback: false, revision: 1};
+    const heardAt = clock.now();
+    follower.directory.recordClaim({...fields, node: 'c1', heardAt});
+  };
+  const settle = async <T>(result: Promise<T>): Promise<T> => {
+    for (let ms = 0; ms < 10; ms += 1) {
+      clock.advance(1);
+      for (let turn = 0; turn < 4; turn += 1) await Promise.resolve();
+    }
+    return result;
+  };
+  claim();
+  return {clock, peers, leader, follower, claim, settle};
+}
+
+test('a new worker is known to the leader before it gets its reply', async () => {
+  const {leader, follower, settle} = createBench();
+  assert.equal(await settle(follower.service.report(REPORT)), 'c2:1');
+  assert.isTrue(leader.registry.entries.has('w'));
+  assert.isTrue(follower.registry.entries.has('w'));
+});
+
+test('reports without news reach the leader together', async () => {
+  const {clock, leader, follower, claim, settle} = createBench();
+  await settle(follower.service.report(REPORT));
+  clock.advance(1_500);
+  claim();
+  const next = {...REPORT, sequence: 2};
+  assert.equal(await settle(follower.service.report(next)), 'c2:1');
+  assert.equal(leader.registry.entries.get('w')?.report.sequence, 1);
+  follower.service.tick(clock.now());
+  clock.advance(5);
+  assert.equal(leader.registry.entries.get('w')?.report.sequence, 2);
+});
+
+// A worker that is told that it may leave must not be given new work.
+test('a worker that drains gets its reply from the leader only', async () => {
+  const {peers, clock, leader, follower, claim, settle} = createBench();
+  await settle(follower.service.report(REPORT));
+  const draining = {...REPORT, sequence: 2, isDraining: true};
+  assert.equal(await settle(follower.service.report(draining)), 'c2:1');
+  assert.isTrue(leader.registry.entries.get('w')?.report.isDraining);
+  peers.cut.add('c1');
+  claim();
+  const back = {...REPORT, sequence: 3};
+  const reply = follower.service.report(back);
+  clock.advance(800);
+  assert.isUndefined(await settle(reply));
+});
+
+test('no report is accepted while no leader is known', async () => {
+  const {clock, follower, settle} = createBench();
+  await settle(follower.service.report(REPORT));
+  clock.advance(60_000);
+  const next = {...REPORT, sequence: 2};
+  assert.isUndefined(await settle(follower.service.report(next)));
+});
--- a/src/daemon/pool/pool_telemetry.ts
+++ b/src/daemon/pool/pool_telemetry.ts
@@ -18,7 +18,8 @@
 /** Writes log lines and metrics about events of jobs and workers. */
 export class PoolTelemetry implements PoolObserver {
   readonly registry = new Registry();
-  private readonly events: Counter;
+  /** Events since the last collection; there are several for each task. */
+  private readonly newEvents = new Map<string, number>();
   private readonly responses: Histogram;
   private readonly gauges = new Map<string, Gauge>();
   private windowStart = 0;
@@ -30,11 +31,15 @@
     private readonly clock: Clock,
   ) {
     const registers = [this.registry];
-    this.events = new Counter({
+    const events: Counter = new Counter({
       name: 'pimentoyoke_events_total',
       help: 'Decisions and observations by event',
       labelNames: ['event'],
       registers,
+      collect: () => {
+        for (const [event, count] of this.newEvents) events.inc({event}, count);
+        this.newEvents.clear();
+      },
     });
     this.responses = new Histogram({
       name: 'pimentoyoke_response_seconds',
@@ -47,12 +52,12 @@
 
   recordJobEvent(event: string, job: string, fields: Fields): void {
     this.incrementCounter(event);
-    this.logLimited(event, {job, ...fields});
+    if (this.mayLog(event)) this.log.info(event, {job, ...fields});
   }
 
   recordStateChange(event: string, fields: Fields): void {
     this.incrementCounter(event);
-    this.logLimited(event, fields);
+    if (this.mayLog(event)) this.log.info(event, fields);
   }
 
   recordResponseTime(
@@ -64,7 +69,7 @@
   }
 
   incrementCounter(event: string): void {
-    this.events.inc({event});
+    this.newEvents.set(event, (this.newEvents.get(event) ?? 0) + 1);
   }
 
   /** Adds a gauge whose value is read whenever the metrics are fetched. */
@@ -79,12 +84,12 @@
     this.gauges.set(name, gauge);
   }
 
-  private logLimited(event: string, fields: Fields): void {
+  private mayLog(event: string): boolean {
     const now = this.clock.now();
     if (now - this.windowStart >= WINDOW_MS) this.startWindow(now);
     const count = (this.lineCounts.get(event) ?? 0) + 1;
     this.lineCounts.set(event, count);
-    if (count <= MAX_LINES_PER_SECOND) this.log.info(event, fields);
+    return count <= MAX_LINES_PER_SECOND;
   }
 
   private startWindow(now: number): void {
--- a/src/platform/control_frontend.ts
+++ b/src/platform/control_frontend.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {HttpServer} from '../adapter/http/http_server.js';
-import type {LeaderService} from '../core/pool/leader_service.js';
+import type {WorkerReportService} from '../core/pool/worker_report_service.js';
 import type {PoolObserver} from '../core/pool/pool_observer.js';
 import type {ConfigService} from '../daemon/config/config_service.js';
 import {decodeConfig} from './decode_config.js';
@@ -15,7 +15,7 @@
   readonly host: string;
   readonly port: number;
   readonly config: ConfigService;
-  readonly leaderService: LeaderService;
+  readonly reports: WorkerReportService;
   readonly observer: PoolObserver;
   readonly onError: (detail: string) => void;
 }
@@ -60,13 +60,13 @@
       this.opts.observer.incrementCounter('report_unreadable');
       return sendJson(res, 400, {detail: 'the heartbeat is malformed'});
     }
-    const address = await this.opts.leaderService.report(heartbeat);
+    const address = await this.opts.reports.report(heartbeat);
     if (address === undefined) return sendUnavailable(res);
     sendJson(res, 200, {heartbeat_url: address});
   }
 
   private async leave(res: ServerResponse, id: string): Promise<void> {
-    if (await this.opts.leaderService.leave(id)) sendJson(res, 200, {});
+    if (await this.opts.reports.leave(id)) sendJson(res, 200, {});
     else sendUnavailable(res);
   }
 
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -86,7 +86,7 @@
     this.frontend = new ControlFrontend({
       ...parseAddress(control!),
       config: this.config,
-      leaderService: this.leaderService,
+      reports: this.leaderService.reports,
       observer,
       onError: detail => log.error('request_failed', {detail}),
     });
--- a/test-support/fakes/pool/zone_pool_bench.ts
+++ b/test-support/fakes/pool/zone_pool_bench.ts
@@ -130,7 +130,7 @@
     for (const {report} of this.workers.values()) {
       if (this.isolatedZones.has(report.zone)) continue;
       this.sequence += 1;
-      await this.core.report({...report, sequence: this.sequence});
+      await this.core.reports.report({...report, sequence: this.sequence});
     }
   }
 
