--- a/src/core/dispatch/active_job.ts
+++ b/src/core/dispatch/active_job.ts
@@ -60,6 +60,11 @@
     return queued;
   }
 
+  /** Forgets the refusals of a task after an attempt that a worker took. */
+  resetRefusals(index: number): void {
+    this.refusals.delete(index);
+  }
+
   /** Increments and returns the number of refusals of a task. */
   countRefusal(index: number): number {
     const count = (this.refusals.get(index) ?? 0) + 1;
--- a/src/core/dispatch/task_retrier.ts
+++ b/src/core/dispatch/task_retrier.ts
@@ -53,6 +53,7 @@
     {kind}: AttemptOutcome,
     now: number,
   ): void {
+    if (kind !== 'never_started') job.resetRefusals(task);
     const refusals = kind === 'never_started' ? job.countRefusal(task) : 0;
     if (refusals <= 1) {
       this.opts.enqueue(job, task, worker);
--- a/src/core/pool/run_times.ts
+++ b/src/core/pool/run_times.ts
@@ -1,3 +1,4 @@
+import {criticalPathMs} from './critical_path_ms.js';
 import type {ActiveJob} from './active_job.js';
 import {QuantileSketch} from '../dispatch/target/quantile_sketch.js';
 
@@ -39,18 +40,18 @@
     return (estimatedMs * this.sketch(queue).mean) / SCALE;
   }
 
-  /** Longest expected run time of a task that is not done, in ms. */
-  remainingMs(job: ActiveJob): number {
-    let remainingMs = 0;
-    for (const {state, step} of job.tasks) {
-      if (state === 'done') continue;
-      const {estimatedMs} = job.spec.steps[step]!;
-      remainingMs = Math.max(
-        remainingMs,
-        this.expectedMs(job.queue.name, estimatedMs),
-      );
+  /** Expected run time of what is not done, with unlimited capacity, in ms. */
+  remainingMs({tasks, spec, queue}: ActiveJob): number {
+    if (spec.steps.length === 1) {
+      return this.expectedMs(queue.name, spec.steps[0]!.estimatedMs);
     }
-    return remainingMs;
+    const isOpen = spec.steps.map(() => false);
+    for (const {state, step} of tasks) isOpen[step] ||= state !== 'done';
+    const steps = spec.steps.map(({estimatedMs, after}, at) => ({
+      estimatedMs: isOpen[at] ? this.expectedMs(queue.name, estimatedMs) : 0,
+      after,
+    }));
+    return criticalPathMs(steps);
   }
 
   /** Expected sum of the run times of the tasks that are not done, in ms. */
--- a/src/daemon/log/bounded_writer.test.ts
+++ b/src/daemon/log/bounded_writer.test.ts
@@ -36,3 +36,10 @@
   pending.shift()!();
   assert.equal(batches.join(''), 'a\nb\nc\nd\n');
 });
+
+test('the queue is limited in bytes, not in characters', () => {
+  const writer = new BoundedWriter(() => undefined, 100);
+  for (let n = 0; n < 11; n += 1) writer.write('ажжжжжжжж\n');
+  // One line is being written; of the others, 19 bytes each, five fit.
+  assert.equal(writer.droppedLines, 5);
+});
--- a/src/daemon/log/bounded_writer.ts
+++ b/src/daemon/log/bounded_writer.ts
@@ -26,13 +26,14 @@
   }
 
   write(line: string): void {
-    if (this.queuedBytes + line.length > this.maxBytes) {
+    const bytes = Buffer.byteLength(line);
+    if (this.queuedBytes + bytes > this.maxBytes) {
       this.dropped += 1;
       this.totalDropped += 1;
       return;
     }
     this.queue.push(line);
-    this.queuedBytes += line.length;
+    this.queuedBytes += bytes;
     if (!this.isWriting) this.flush();
   }
 
--- a/src/daemon/pool/pool_telemetry.test.ts
+++ b/src/daemon/pool/pool_telemetry.test.ts
@@ -1,5 +1,8 @@
 import {readFileSync, readdirSync} from 'node:fs';
 import {assert} from 'chai';
+import {FakeClock} from '../../../test-support/fakes/fake_clock.js';
+import {createLog} from '../log/create_log.js';
+import {PoolTelemetry} from './pool_telemetry.js';
 
 const ROOT = new URL('../../../../', import.meta.url);
 const CALL =
@@ -25,3 +28,27 @@
   }
   assert.deepEqual([...missing], []);
 });
+
+test('the number of suppressed lines is logged although no event follows', async () => {
+  const lines: string[] = [];
+  const clock = new FakeClock();
+  const log = createLog({
+    node: 'n',
+    zone: 'z',
+    isTerminal: false,
+    write: line => lines.push(line),
+  });
+  const telemetry = new PoolTelemetry(log, clock);
+  for (let n = 0; n < 200; n += 1) {
+    telemetry.recordJobEvent('job_accepted', `j${n}`, {});
+  }
+  clock.advance(1_000);
+  const [last] = lines.slice(-1);
+  assert.deepInclude(JSON.parse(last!) as object, {
+    message: 'log_sampled',
+    event: 'job_accepted',
+    suppressed: 50,
+  });
+  const text = await telemetry.registry.metrics();
+  assert.include(text, 'pimentoyoke_events_total{event="job_accepted"} 200');
+});
--- a/src/daemon/pool/pool_telemetry.ts
+++ b/src/daemon/pool/pool_telemetry.ts
@@ -23,6 +23,7 @@
   private readonly responses: Histogram;
   private readonly gauges = new Map<string, Gauge>();
   private windowStart = 0;
+  private isWindowScheduled = false;
   /** Number of lines of each event in the current window. */
   private lineCounts = new Map<string, number>();
 
@@ -89,9 +90,20 @@
     if (now - this.windowStart >= WINDOW_MS) this.startWindow(now);
     const count = (this.lineCounts.get(event) ?? 0) + 1;
     this.lineCounts.set(event, count);
+    if (count === MAX_LINES_PER_SECOND + 1) this.scheduleWindow();
     return count <= MAX_LINES_PER_SECOND;
   }
 
+  /** Logs the number of dropped lines although no further event may follow. */
+  private scheduleWindow(): void {
+    if (this.isWindowScheduled) return;
+    this.isWindowScheduled = true;
+    this.clock.schedule(WINDOW_MS, () => {
+      this.isWindowScheduled = false;
+      this.startWindow(this.clock.now());
+    });
+  }
+
   private startWindow(now: number): void {
     for (const [event, count] of this.lineCounts) {
       const suppressed = count - MAX_LINES_PER_SECOND;
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -63,6 +63,8 @@
   if (isStopping) return;
   isStopping = true;
   log.info('stopping');
+  // A signal can arrive while the servers are being opened.
+  await started;
   await platformProcess.stop();
   log.info('stopped', {dropped_lines: writer.droppedLines});
   clock.schedule(FLUSH_MS, () => process.exit(0));
@@ -89,4 +91,4 @@
   }
 }
 
-void start();
+const started = start();
