--- a/src/core/pool/leased_worker.test.ts
+++ b/src/core/pool/leased_worker.test.ts
@@ -114,3 +114,26 @@
   assert.equal(worker!.running.size, 0);
   assert.equal(dispatcher.openJobs, 0);
 });
+
+// The steady clock does not count the time for which a machine is suspended, so
+// the dispatcher's own checks pass when it wakes. Another dispatcher may have
+// taken over meanwhile.
+test('the orders of a dispatcher that was suspended start nothing', async () => {
+  const bench = new PoolBench(1, 1);
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  const [worker] = bench.workers.values();
+  worker!.aheadMs += 5_000;
+  const ordersOf = (call: string) =>
+    bench.client.calls.filter(c => c.call === call).length;
+  const polls = ordersOf('look');
+  dispatcher.submit('e', PoolBench.submission('j'));
+  while (ordersOf('look') === polls) {
+    await bench.run(1, dispatcher);
+    assert.equal(worker!.running.size, 0);
+  }
+  assert.isAbove(ordersOf('start'), 0);
+  await bench.run(1_500, dispatcher);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.lengthOf(worker!.history, 1);
+});
--- a/test-support/fakes/pool/fake_pool_worker.ts
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -29,6 +29,8 @@
   /** Run time of a task, in ms, by task name. */
   runMs: (task: string) => number = () => 100;
   endOf: (task: string) => RunEnd = () => RunEnd.done;
+  /** Time that has passed here while the machine of the dispatcher was suspended. */
+  aheadMs = 0;
   private readonly ends: End[] = [];
   private readonly highestRun = new Map<string, number>();
   private token = 0;
@@ -45,7 +47,7 @@
   }
 
   get clockMs(): number {
-    return Math.floor(this.clock.now() - this.bootedAt);
+    return Math.floor(this.clock.now() - this.bootedAt + this.aheadMs);
   }
 
   /** Ends the runs whose run time or lease has expired by now. */
