Give work again to workers that were late to announce themselves

A scan of the fleet view leaves out workers whose announcement is older than 1.5 s. The next announcement changed no capacity, so the view was not told, and with no worker in it it was valid for good. Ruled out: ejection by health (the check's policy has none), retired incarnations, missing fences (printed from the run: none). Change: an announcement after more than that age makes the view stale. Tests: fleet.test.ts and the counterexample, shortened, in run_steps.test.ts; both fail without the change.

--- a/src/check/jobs/run_steps.test.ts
+++ b/src/check/jobs/run_steps.test.ts
@@ -89,3 +89,31 @@
     {waitMs: 0, action: {kind: 'restart', worker: 0}},
   ]);
 });
+
+// Guards against a fleet that is given no more work after late announcements:
+// two workers announce themselves to another member only, the third is cut off.
+test('queued jobs are started when silent workers announce themselves again', () => {
+  const takeOver = (node: number) => ({
+    kind: 'take_over' as const,
+    node,
+    noticedAfterMs: 0,
+    keepsProposals: false,
+  });
+  const failing = (ms: number) => ({
+    ...SUBMIT_STRICT,
+    tasks: [{ms, mb: 0, fail: true}],
+  });
+  assertNoViolations([
+    {waitMs: 478, action: {kind: 'announce_to_one', worker: 0, node: 0}},
+    {waitMs: 569, action: failing(1)},
+    {waitMs: 254, action: takeOver(0)},
+    {waitMs: 120, action: {kind: 'cut', worker: 2}},
+    {waitMs: 477, action: takeOver(1)},
+    {waitMs: 2, action: {kind: 'announce_to_one', worker: 1, node: 0}},
+    {waitMs: 0.5, action: failing(1)},
+    {waitMs: 565, action: failing(400)},
+    {waitMs: 176, action: failing(400)},
+    {waitMs: 184, action: failing(1)},
+    {waitMs: 175, action: failing(1)},
+  ]);
+});
--- a/src/core/dispatch/fleet.test.ts
+++ b/src/core/dispatch/fleet.test.ts
@@ -57,6 +57,20 @@
   assert.lengthOf(fleet.refresh(EPOCH, end).startable, 0);
 });
 
+// The view left out workers whose announcements were late at a scan. Nothing
+// told it of the next ones, so an idle fleet was given no more work for good.
+test('a worker that was silent for a while is startable again', () => {
+  const {bench, fleet} = benchFleet(1);
+  const worker = bench.registry.get('w1')!;
+  const {announcement} = worker;
+  const late = worker.announcedAt + 1_600;
+  fleet.eligibilityChanged();
+  assert.isEmpty(fleet.refresh(EPOCH, late).startable);
+  const next = {...announcement, sequence: announcement.sequence + 1};
+  bench.registry.announce(next, late + 1);
+  assert.lengthOf(fleet.refresh(EPOCH, late + 2).startable, 1);
+});
+
 let attempts = 0;
 
 function attemptOn(worker: string) {
--- a/src/core/worker/worker_registry.ts
+++ b/src/core/worker/worker_registry.ts
@@ -84,10 +84,11 @@
         return {accepted: false, replaced: undefined};
       }
       const before = known.announcement;
+      const wasSilent = now - known.announcedAt > MAX_ANNOUNCEMENT_AGE_MS;
       known.announcement = announcement;
       known.announcedAt = now;
       known.leaseExpiresAt = Math.max(known.leaseExpiresAt, expiry);
-      if (isCapacityChanged(before, announcement)) {
+      if (wasSilent || isCapacityChanged(before, announcement)) {
         this.states.eligibilityChanged();
       } else {
         this.states.usageChanged(known);
