Relay through core nodes of other zones before calling workers directly

Ruled out: a longer margin for relays (a lost poll would cost the lease). Change: if a zone has no relay, the core node of another zone is one. Test: relay.test.ts.

--- a/src/core/pool/relay/relay.test.ts
+++ b/src/core/pool/relay/relay.test.ts
@@ -173,6 +173,18 @@
   assert.deepEqual([...relaysOf()], ['k']);
 });
 
+// If all relays of a zone are slow for a moment, the leader must not make the
+// calls of the whole zone itself: it would be slow for all zones.
+test('core nodes of other zones relay before the leader calls workers itself', () => {
+  const {chooser, directory, bench} = createBench();
+  directory.recordSeen('far', 'core', bench.clock.now(), 'y');
+  directory.setRelay('far', true);
+  for (const id of NODES) chooser.pause(id);
+  for (const id of bench.workers.keys()) {
+    assert.equal(chooser.choose(id), 'far');
+  }
+});
+
 // One core node relays for a whole zone, so its loss must not let the leases of
 // that many workers expire.
 test('no run is lost when the core node that relays stops responding', async () => {
--- a/src/core/pool/relay/relay_chooser.ts
+++ b/src/core/pool/relay/relay_chooser.ts
@@ -58,7 +58,9 @@
   private find(worker: string, zone: string, now: number): string | undefined {
     return (
       this.findAmong('core', worker, zone, now) ??
-      this.findAmong('entry', worker, zone, now)
+      this.findAmong('entry', worker, zone, now) ??
+      // The calls of a whole zone would overload the leader.
+      this.findAmong('core', worker, undefined, now)
     );
   }
 
@@ -69,13 +71,14 @@
   private findAmong(
     role: 'core' | 'entry',
     worker: string,
-    zone: string,
+    /** Undefined stands for all zones. */
+    zone: string | undefined,
     now: number,
   ): string | undefined {
     let best: string | undefined;
     let bestScore = Number.NEGATIVE_INFINITY;
     for (const node of this.directory.relayIds(role, now - RELAY_TIMEOUT_MS)) {
-      if (this.directory.zoneOf(node) !== zone) continue;
+      if (zone !== undefined && this.directory.zoneOf(node) !== zone) continue;
       if (now < (this.pausedUntil.get(node) ?? 0)) continue;
       const score = CRC32.str(`${worker} ${node}`);
       if (score <= bestScore) continue;
