--- a/src/core/pool/worker_registry.test.ts
+++ b/src/core/pool/worker_registry.test.ts
@@ -1,25 +1,14 @@
 import {assert} from 'chai';
+import {POOL_WORKER_REPORT} from '../../../test-support/fakes/pool/pool_worker_report.js';
 import {WorkerRegistry} from './worker_registry.js';
 
-const REPORT = {
-  id: 'w',
-  bornAt: 5,
-  service: 's',
-  address: 'w:1',
-  zone: 'z',
-  isDraining: false,
-  capacity: {cpu: 1, memoryMb: 1, accelerators: 0},
-  labels: [],
-  sequence: 1,
-};
-
 test('a late report of a worker that has left is ignored', () => {
   const registry = new WorkerRegistry();
-  registry.update(REPORT, 0);
+  registry.update(POOL_WORKER_REPORT, 0);
   registry.remove('w', 1);
-  assert.isFalse(registry.update({...REPORT, sequence: 9}, 2));
-  assert.isFalse(registry.update({...REPORT, bornAt: 4}, 2));
-  assert.isTrue(registry.update({...REPORT, bornAt: 6}, 2));
+  assert.isFalse(registry.update({...POOL_WORKER_REPORT, sequence: 9}, 2));
+  assert.isFalse(registry.update({...POOL_WORKER_REPORT, bornAt: 4}, 2));
+  assert.isTrue(registry.update({...POOL_WORKER_REPORT, bornAt: 6}, 2));
 });
 
 // A node that has just started gets the departure of a worker before the older
@@ -27,14 +16,14 @@
 test('a departure counts although the worker was not known', () => {
   const registry = new WorkerRegistry();
   registry.remove('w', 0, 5);
-  assert.isFalse(registry.update(REPORT, 1));
+  assert.isFalse(registry.update(POOL_WORKER_REPORT, 1));
   assert.isEmpty(registry.reports);
-  assert.isTrue(registry.update({...REPORT, bornAt: 6}, 2));
+  assert.isTrue(registry.update({...POOL_WORKER_REPORT, bornAt: 6}, 2));
 });
 
 test('a late departure does not remove the next instance', () => {
   const registry = new WorkerRegistry();
-  registry.update({...REPORT, bornAt: 6}, 0);
+  registry.update({...POOL_WORKER_REPORT, bornAt: 6}, 0);
   registry.remove('w', 1, 5);
   assert.lengthOf(registry.reports, 1);
 });
@@ -42,6 +31,10 @@
 test('departures beyond the limit are forgotten, the oldest first', () => {
   const registry = new WorkerRegistry();
   for (let n = 0; n < 3_000; n += 1) registry.remove(`w${n}`, 0, 1);
-  assert.isTrue(registry.update({...REPORT, id: 'w0', bornAt: 1}, 1));
-  assert.isFalse(registry.update({...REPORT, id: 'w2999', bornAt: 1}, 1));
+  assert.isTrue(
+    registry.update({...POOL_WORKER_REPORT, id: 'w0', bornAt: 1}, 1),
+  );
+  assert.isFalse(
+    registry.update({...POOL_WORKER_REPORT, id: 'w2999', bornAt: 1}, 1),
+  );
 });
--- a/src/core/pool/worker_report_service.test.ts
+++ b/src/core/pool/worker_report_service.test.ts
@@ -1,4 +1,5 @@
 import {assert} from 'chai';
+import {POOL_WORKER_REPORT} from '../../../test-support/fakes/pool/pool_worker_report.js';
 import {FakeClock} from '../../../test-support/fakes/fake_clock.js';
 import {InMemoryPeers} from '../../../test-support/fakes/in_memory_peers.js';
 import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
@@ -8,18 +9,6 @@
 import {WorkerRegistrySender} from './worker_registry_sender.js';
 import {WorkerReportService} from './worker_report_service.js';
 
-const REPORT = {
-  id: 'w',
-  bornAt: 5,
-  service: 's',
-  address: 'w:1',
-  zone: 'z',
-  isDraining: false,
-  capacity: {cpu: 1, memoryMb: 1, accelerators: 0},
-  labels: [],
-  sequence: 1,
-};
-
 /** Two core nodes; `c1` leads unless it is cut off. */
 function createBench() {
   const clock = new FakeClock();
@@ -43,7 +32,7 @@
       },
     });
     transport.onMessage('pool.book', (_from, body, now) => {
-      const {reports} = body as {reports: Array<typeof REPORT>};
+      const {reports} = body as {reports: Array<typeof POOL_WORKER_REPORT>};
       for (const report of reports) registry.update(report, now);
     });
     return {directory, registry, service};
@@ -68,17 +57,20 @@
 
 test('a new worker is known to the leader before it gets its reply', async () => {
   const {leader, follower, settle} = createBench();
-  assert.equal(await settle(follower.service.report(REPORT)), 'c2:1');
+  assert.equal(
+    await settle(follower.service.report(POOL_WORKER_REPORT)),
+    'c2:1',
+  );
   assert.isTrue(leader.registry.entries.has('w'));
   assert.isTrue(follower.registry.entries.has('w'));
 });
 
 test('reports without news reach the leader together', async () => {
   const {clock, leader, follower, claim, settle} = createBench();
-  await settle(follower.service.report(REPORT));
+  await settle(follower.service.report(POOL_WORKER_REPORT));
   clock.advance(1_500);
   claim();
-  const next = {...REPORT, sequence: 2};
+  const next = {...POOL_WORKER_REPORT, sequence: 2};
   assert.equal(await settle(follower.service.report(next)), 'c2:1');
   assert.equal(leader.registry.entries.get('w')?.report.sequence, 1);
   follower.service.tick(clock.now());
@@ -89,13 +81,13 @@
 // A worker that is told that it may leave must not be given new work.
 test('a worker that drains gets its reply from the leader only', async () => {
   const {peers, clock, leader, follower, claim, settle} = createBench();
-  await settle(follower.service.report(REPORT));
-  const draining = {...REPORT, sequence: 2, isDraining: true};
+  await settle(follower.service.report(POOL_WORKER_REPORT));
+  const draining = {...POOL_WORKER_REPORT, sequence: 2, isDraining: true};
   assert.equal(await settle(follower.service.report(draining)), 'c2:1');
   assert.isTrue(leader.registry.entries.get('w')?.report.isDraining);
   peers.cut.add('c1');
   claim();
-  const back = {...REPORT, sequence: 3};
+  const back = {...POOL_WORKER_REPORT, sequence: 3};
   const reply = follower.service.report(back);
   clock.advance(800);
   assert.isUndefined(await settle(reply));
@@ -103,8 +95,8 @@
 
 test('no report is accepted while no leader is known', async () => {
   const {clock, follower, settle} = createBench();
-  await settle(follower.service.report(REPORT));
+  await settle(follower.service.report(POOL_WORKER_REPORT));
   clock.advance(60_000);
-  const next = {...REPORT, sequence: 2};
+  const next = {...POOL_WORKER_REPORT, sequence: 2};
   assert.isUndefined(await settle(follower.service.report(next)));
 });
