Log how a run was lost and which worker replaces which

Cause: the logs could not distinguish a worker that crashed under a task from one that was silent or cut off, nor show that a new worker is the successor of a crashed one.

Change: run_ended with how=lost gives its cause, and whether connections were refused since the start; worker_joined gives address, start time and the id of the worker that it replaces. A reply that says that no process listens at the worker's address is passed on by clients and relays. The records of run ends moved from PoolDispatcher to RunRecorder.

No decision uses the new fields.

--- a/src/adapter/http/send_request.test.ts
+++ b/src/adapter/http/send_request.test.ts
@@ -62,7 +62,8 @@
     },
     async pool => {
       const first = await post(pool, 50);
-      assert.include(first.isErr ? first.error : '', 'no response');
+      assert.include(first.isErr ? first.error.detail : '', 'no response');
+      assert.isFalse(first.isErr && first.error.isRefused);
       const second = await post(pool, 5_000);
       assert.equal(second.isOk && second.value.text, 'late but fine');
     },
@@ -92,6 +93,6 @@
 test('a refused connection is an error', async () => {
   const pool = new Pool('http://127.0.0.1:1');
   const res = await post(pool, 5_000);
-  assert.isTrue(res.isErr);
+  assert.isTrue(res.isErr && res.error.isRefused);
   await pool.destroy();
 });
--- a/src/adapter/http/send_request.ts
+++ b/src/adapter/http/send_request.ts
@@ -14,26 +14,33 @@
   readonly text: string;
 }
 
+interface RequestError {
+  readonly detail: string;
+  /** Whether no process listened at the address. */
+  readonly isRefused: boolean;
+}
+
 /**
- * Sends an HTTP request and resolves with its complete response or an error
- * message. It uses the dispatch API of undici: without body streams and abort
+ * Sends an HTTP request and resolves with its complete response or an error.
+ * It uses the dispatch API of undici: without body streams and abort
  * signals a call takes a third of the CPU time.
  */
 export function sendRequest(
   dispatcher: Dispatcher,
   request: Request,
   {timeoutMs, clock}: {readonly timeoutMs: number; readonly clock: Clock},
-): Promise<Result<Response, string>> {
+): Promise<Result<Response, RequestError>> {
   return new Promise(resolve => {
     let controller: Dispatcher.DispatchController | undefined;
     let isFinished = false;
     let status = 0;
     const chunks: Buffer[] = [];
     const timer = clock.schedule(timeoutMs, () => {
-      finish(Result.err(`no response in ${timeoutMs} ms`));
+      const detail = `no response in ${timeoutMs} ms`;
+      finish(Result.err({detail, isRefused: false}));
       controller?.abort(new Error('timeout'));
     });
-    const finish = (result: Result<Response, string>) => {
+    const finish = (result: Result<Response, RequestError>) => {
       timer.cancel();
       resolve(result);
       isFinished = true;
@@ -54,7 +61,11 @@
         const text = Buffer.concat(chunks).toString('utf8');
         finish(Result.ok({status, text}));
       },
-      onResponseError: (_controller, err) => finish(Result.err(err.message)),
+      onResponseError: (_controller, err) => {
+        const isRefused =
+          (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+        finish(Result.err({detail: err.message, isRefused}));
+      },
     });
   });
 }
--- a/src/core/pool/lease_listener.ts
+++ b/src/core/pool/lease_listener.ts
@@ -1,12 +1,21 @@
 import type {LeasedWorker} from './leased_worker.js';
 import type {Run} from './run.js';
 import type {RunEnd} from './run_end.js';
+import type {RunLoss} from './run_loss.js';
 import type {RunRefusal} from './run_refusal.js';
 
 /** Receives events of the runs on a worker. */
 export interface LeaseListener {
-  /** Called when a run has ended and its capacity is free. */
-  onRunEnded(worker: LeasedWorker, run: Run, how: RunEnd): void;
+  /**
+   * Called when a run has ended and its capacity is free; `loss` is given if its
+   * end was not reported.
+   */
+  onRunEnded(
+    worker: LeasedWorker,
+    run: Run,
+    how: RunEnd,
+    loss: RunLoss | undefined,
+  ): void;
   /** Called when a run has not started and never will. */
   onRunRefused(worker: LeasedWorker, run: Run, reason: RunRefusal): void;
   /** Called when a run that another dispatcher started has ended. */
--- a/src/core/pool/leased_worker.ts
+++ b/src/core/pool/leased_worker.ts
@@ -1,25 +1,19 @@
 import {resolveMissingRun} from './resolve_missing_run.js';
 import type {LeaseOptions} from './lease_options.js';
 import {LeaseTiming} from './lease_timing.js';
+import {LossCause} from './loss_cause.js';
 import {ProbeBackoff} from './probe_backoff.js';
 import {Resources} from './resources.js';
 import type {Run} from './run.js';
 import {RunLedger} from './run_ledger.js';
 import {RunEnd} from './run_end.js';
+import type {RunLoss} from './run_loss.js';
 import {RunRefusal} from './run_refusal.js';
 import type {WorkerClient} from './worker_client.js';
 import {WorkerFence} from './worker_fence.js';
 import {WorkerLease} from './worker_lease.js';
 import type {WorkerReport} from './worker_report.js';
 
-const {
-  POLL_WAIT_MS,
-  POLL_GRACE_MS,
-  ORDER_TIMEOUT_MS,
-  PROBE_INTERVAL_MS,
-  IDLE_ACK_MS,
-} = LeaseTiming;
-
 type PollReply = Awaited<ReturnType<WorkerClient['poll']>>;
 type Status = Extract<PollReply, {kind: 'ok'}>['look'];
 
@@ -109,7 +103,7 @@
     run.startLeaseEnd = leaseEnd;
     const order = {task: run.task, run: run.number, token, payload, leaseEnd};
     void client
-      .start(this.report, order, ORDER_TIMEOUT_MS)
+      .start(this.report, order, LeaseTiming.ORDER_TIMEOUT_MS)
       .then(reply => this.onStartReply(run, reply, now, token));
     this.tick(now);
   }
@@ -141,9 +135,9 @@
     return this.ledger.inheritedSince < at;
   }
 
-  /** Ends all runs, after the process instance is known to have ended. */
-  close(): void {
-    for (const run of [...this.runs.values()]) this.endRun(run, RunEnd.lost);
+  /** Ends all runs, which are known to be over for this reason. */
+  close(cause: LossCause): void {
+    for (const run of [...this.runs.values()]) this.loseRun(run, cause);
     this.ledger.inherited.clear();
   }
 
@@ -155,9 +149,9 @@
     if (this.isSilent || !this.isFenced) {
       if (this.probes.takeIfDue(now)) this.poll(0, now);
     } else if (!this.isIdle) {
-      this.poll(POLL_WAIT_MS, now);
+      this.poll(LeaseTiming.POLL_WAIT_MS, now);
     } else if (this.acknowledged > this.acknowledgedSent) {
-      if (now - this.endedAt >= IDLE_ACK_MS) this.poll(0, now);
+      if (now - this.endedAt >= LeaseTiming.IDLE_ACK_MS) this.poll(0, now);
     }
   }
 
@@ -174,7 +168,7 @@
       .poll(
         this.report,
         {token, acknowledged, waitMs, leaseEnd},
-        waitMs + POLL_GRACE_MS,
+        waitMs + LeaseTiming.POLL_GRACE_MS,
       )
       .then(reply => {
         this.pendingPolls -= 1;
@@ -203,6 +197,7 @@
         if (run.confirmedAt !== undefined) return;
         // The worker may have received the order. A poll shows whether the task
         // runs; if not, a stop prevents a late order from starting it.
+        if (reply.isRefused) this.probes.refusedAt = now;
         run.isStartReplyLost = true;
         this.poll(0, now);
         return;
@@ -234,7 +229,7 @@
   private onWorkerRestarted(): void {
     this.fence.reset();
     this.probes.onTimeout();
-    this.close();
+    this.close(LossCause.restarted);
   }
 
   private onPollReply(reply: PollReply, sentAt: number, token: number): void {
@@ -245,7 +240,7 @@
       this.onStatus(reply.look, sentAt, now);
       if (!wasUsable && this.isUsable(now)) this.opts.listener.onChange(this);
     } else if (reply.kind === 'lost') {
-      this.probes.onTimeout();
+      this.probes.onTimeout(reply.isRefused ? now : undefined);
     } else {
       this.onRefusal(reply.reason, token);
       if (this.isOutranked) this.opts.listener.onChange(this);
@@ -296,7 +291,7 @@
   /** Handles a run that the worker lists neither as active nor as ended. */
   private onAbsent(run: Run, reply: Status, sentAt: number, now: number): void {
     const outcome = resolveMissingRun(run, reply.clockMs, sentAt);
-    if (outcome === RunEnd.lost) this.endRun(run, outcome);
+    if (outcome === RunEnd.lost) this.loseRun(run, LossCause.notListed);
     else if (outcome) this.rejectRun(run, outcome);
     else if (run.isStartReplyLost && run.stopRequestedAt === undefined) {
       this.sendStop(run, now);
@@ -308,23 +303,21 @@
     const {token} = this;
     run.stopRequestedAt = now;
     const order = {task: run.task, run: run.number, token};
-    void client.stop(this.report, order, ORDER_TIMEOUT_MS).then(reply => {
-      if (reply.kind === 'ok') run.stoppedAt ??= clock.now();
-      else if (reply.kind === 'refused') this.onRefusal(reply.reason, token);
-      if (this.pendingPolls === 0) this.tick(clock.now());
-      else this.poll(0, clock.now());
-    });
+    void client
+      .stop(this.report, order, LeaseTiming.ORDER_TIMEOUT_MS)
+      .then(reply => {
+        if (reply.kind === 'ok') run.stoppedAt ??= clock.now();
+        else if (reply.kind === 'refused') this.onRefusal(reply.reason, token);
+        if (this.pendingPolls === 0) this.tick(clock.now());
+        else this.poll(0, clock.now());
+      });
   }
 
   private retryStops(now: number): void {
+    const sentBefore =
+      now - LeaseTiming.ORDER_TIMEOUT_MS - LeaseTiming.PROBE_INTERVAL_MS;
     for (const run of this.runs.values()) {
-      if (run.stopRequestedAt === undefined || run.stoppedAt !== undefined) {
-        continue;
-      }
-      const waited = now - run.stopRequestedAt;
-      if (waited > ORDER_TIMEOUT_MS + PROBE_INTERVAL_MS) {
-        this.sendStop(run, now);
-      }
+      if (run.isStopUnconfirmedSince(sentBefore)) this.sendStop(run, now);
     }
   }
 
@@ -333,12 +326,17 @@
     if (this.runs.size === 0 || !this.lease.isExpired(now)) return;
     this.fence.reset();
     if (!this.isSilent) this.probes.onTimeout();
-    this.close();
+    this.close(LossCause.leaseExpired);
   }
 
-  private endRun(run: Run, how: RunEnd): void {
+  private endRun(run: Run, how: RunEnd, loss?: RunLoss): void {
     this.ledger.remove(run);
-    this.opts.listener.onRunEnded(this, run, how);
+    this.opts.listener.onRunEnded(this, run, how, loss);
+  }
+
+  private loseRun(run: Run, cause: LossCause): void {
+    const isRefused = this.probes.refusedAt >= run.sentAt;
+    this.endRun(run, RunEnd.lost, {cause, isRefused});
   }
 
   private rejectRun(run: Run, reason: RunRefusal): void {
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -15,6 +15,8 @@
 import type {Run} from './run.js';
 import type {PoolTask} from './pool_task.js';
 import {RunEnd} from './run_end.js';
+import type {RunLoss} from './run_loss.js';
+import {RunRecorder} from './run_recorder.js';
 import type {RunRefusal} from './run_refusal.js';
 import {RunTimes} from './run_times.js';
 import {StragglerWatch} from './straggler_watch.js';
@@ -65,6 +67,7 @@
   private readonly forecast = new BacklogForecast(this.times);
   private readonly stragglers = new StragglerWatch(this.times);
   private readonly starter: TaskStarter;
+  private readonly recorder: RunRecorder;
   private readonly takeover: Takeover;
   private currentToken: number;
   private isPassScheduled = false;
@@ -79,7 +82,9 @@
       ...opts,
       infeasible: new InfeasibleJobs(this.times),
     });
-    this.starter = new TaskStarter(this.times, this.breaker, opts.observer);
+    const {times, breaker} = this;
+    this.starter = new TaskStarter(times, breaker, opts.observer);
+    this.recorder = new RunRecorder(times, breaker, opts.observer);
     this.takeover = new Takeover(
       now,
       opts.earlierLeasesMs,
@@ -243,7 +248,12 @@
     this.jobs.clear();
   }
 
-  onRunEnded(worker: LeasedWorker, run: Run, how: RunEnd): void {
+  onRunEnded(
+    worker: LeasedWorker,
+    run: Run,
+    how: RunEnd,
+    loss: RunLoss | undefined,
+  ): void {
     const {clock, observer} = this.opts;
     const now = clock.now();
     const task = this.jobs.taskOf(run.task);
@@ -251,25 +261,7 @@
     if (!task || task.run !== run) return this.schedulePass();
     task.run = undefined;
     task.worker = undefined;
-    const step = task.job.spec.steps[task.step]!;
-    const isWorkerFault = how === RunEnd.failed || how === RunEnd.lost;
-    if (how === RunEnd.done) {
-      const {queue} = task.job;
-      const ranMs = now - run.sentAt;
-      this.times.record(queue.name, worker.report.id, step.estimatedMs, ranMs);
-    }
-    if (how === RunEnd.done || isWorkerFault) {
-      this.breaker.recordEnd(worker.report.id, isWorkerFault, now);
-    }
-    if (how !== RunEnd.done) {
-      observer.recordJobEvent('run_ended', task.job.spec.id, {
-        task: run.task,
-        run: run.number,
-        worker: worker.report.id,
-        how,
-        after_ms: Math.round(now - run.sentAt),
-      });
-    }
+    this.recorder.recordEnd({task, worker, run, how, loss}, now);
     task.state = how === RunEnd.done ? 'done' : 'waiting';
     if (how === RunEnd.failed) task.failures += 1;
     task.job.unblock();
@@ -284,12 +276,7 @@
     task.run = undefined;
     task.worker = undefined;
     task.state = 'waiting';
-    this.opts.observer.recordJobEvent('start_refused', task.job.spec.id, {
-      task: run.task,
-      run: run.number,
-      worker: worker.report.id,
-      reason,
-    });
+    this.recorder.recordRefusal(task, worker, run, reason);
     this.jobs.finishIfDone(task.job, this.opts.clock.now());
     this.schedulePass();
   }
--- a/src/core/pool/relay/relay_reply.test.ts
+++ b/src/core/pool/relay/relay_reply.test.ts
@@ -16,6 +16,8 @@
   assert.isTrue(RelayReply.isOrderReply({kind: 'lost', detail: ''}));
   assert.isTrue(RelayReply.isPollReply({kind: 'ok', look: STATUS}));
   assert.isTrue(RelayReply.isPollReply({kind: 'lost', detail: 'x'}));
+  const refused = {kind: 'lost', detail: 'x', isRefused: true};
+  assert.isTrue(RelayReply.isPollReply(refused));
 });
 
 // A malformed reply must count as lost, not throw later in the dispatcher.
@@ -49,6 +51,7 @@
     {kind: 'ok', clockMs: null},
     {kind: 'refused', reason: 'other'},
     {kind: 'lost'},
+    {kind: 'lost', detail: '', isRefused: 1},
   ];
   for (const reply of replies) {
     assert.isFalse(RelayReply.isOrderReply(reply));
--- a/src/core/pool/relay/relay_reply.ts
+++ b/src/core/pool/relay/relay_reply.ts
@@ -31,9 +31,12 @@
   },
 };
 
-function isWithoutStatus({kind, reason, detail}: Fields): boolean {
+function isWithoutStatus(reply: Fields): boolean {
+  const {kind, reason, detail, isRefused} = reply;
   if (kind === 'refused') return REASONS.has(reason);
-  return kind === 'lost' && typeof detail === 'string';
+  if (kind !== 'lost' || typeof detail !== 'string') return false;
+  // Nodes of an earlier version do not send it.
+  return isRefused === undefined || typeof isRefused === 'boolean';
 }
 
 function isStatus(value: unknown): boolean {
--- a/src/core/pool/run.ts
+++ b/src/core/pool/run.ts
@@ -22,6 +22,13 @@
     readonly sentAt: number,
   ) {}
 
+  /** Whether a stop was requested before `at` and is still not confirmed. */
+  isStopUnconfirmedSince(at: number): boolean {
+    const {stopRequestedAt, stoppedAt} = this;
+    if (stopRequestedAt === undefined || stoppedAt !== undefined) return false;
+    return stopRequestedAt < at;
+  }
+
   /** Creates a run that another dispatcher started and the worker reported. */
   static adopted(
     task: string,
--- /dev/null
+++ b/src/core/pool/run_loss.ts
@@ -0,0 +1,11 @@
+import type {LossCause} from './loss_cause.js';
+
+/** What is known about a run that ended without a reported end. */
+export interface RunLoss {
+  readonly cause: LossCause;
+  /**
+   * Whether connections to the worker were refused since the run was sent: its
+   * process has probably crashed. A silent worker may have been cut off.
+   */
+  readonly isRefused: boolean;
+}
--- /dev/null
+++ b/src/core/pool/run_recorder.ts
@@ -0,0 +1,64 @@
+import type {LeasedWorker} from './leased_worker.js';
+import type {PoolObserver} from './pool_observer.js';
+import type {PoolTask} from './pool_task.js';
+import type {Run} from './run.js';
+import {RunEnd} from './run_end.js';
+import type {RunLoss} from './run_loss.js';
+import type {RunRefusal} from './run_refusal.js';
+import type {RunTimes} from './run_times.js';
+import type {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
+
+/** Ended run of a task, and how it ended. */
+interface EndedRun {
+  readonly task: PoolTask;
+  readonly worker: LeasedWorker;
+  readonly run: Run;
+  readonly how: RunEnd;
+  readonly loss: RunLoss | undefined;
+}
+
+/** Records the ends of runs in the statistics, the log and the metrics. */
+export class RunRecorder {
+  constructor(
+    private readonly times: RunTimes,
+    private readonly breaker: WorkerCircuitBreaker,
+    private readonly observer: PoolObserver,
+  ) {}
+
+  recordEnd({task, worker, run, how, loss}: EndedRun, now: number): void {
+    const {id} = worker.report;
+    const ranMs = now - run.sentAt;
+    if (how === RunEnd.done) {
+      const {queue, spec} = task.job;
+      const {estimatedMs} = spec.steps[task.step]!;
+      this.times.record(queue.name, id, estimatedMs, ranMs);
+      this.breaker.recordEnd(id, false, now);
+      return;
+    }
+    const isWorkerFault = how === RunEnd.failed || how === RunEnd.lost;
+    if (isWorkerFault) this.breaker.recordEnd(id, true, now);
+    this.observer.recordJobEvent('run_ended', task.job.spec.id, {
+      task: run.task,
+      run: run.number,
+      worker: id,
+      how,
+      cause: loss?.cause,
+      refused: loss?.isRefused,
+      after_ms: Math.round(ranMs),
+    });
+  }
+
+  recordRefusal(
+    task: PoolTask,
+    worker: LeasedWorker,
+    run: Run,
+    reason: RunRefusal,
+  ): void {
+    this.observer.recordJobEvent('start_refused', task.job.spec.id, {
+      task: run.task,
+      run: run.number,
+      worker: worker.report.id,
+      reason,
+    });
+  }
+}
--- a/src/core/pool/worker_client.ts
+++ b/src/core/pool/worker_client.ts
@@ -52,7 +52,12 @@
   | ({readonly kind: 'ok'} & T)
   | {readonly kind: 'refused'; readonly reason: RunRefusal}
   /** No reply was received; the worker may have executed the order or may yet. */
-  | {readonly kind: 'lost'; readonly detail: string};
+  | {
+      readonly kind: 'lost';
+      readonly detail: string;
+      /** Whether no process listened at the worker's address. */
+      readonly isRefused?: boolean | undefined;
+    };
 
 /** Orders to workers that run tasks under leases. */
 export abstract class WorkerClient {
--- a/src/core/pool/worker_fleet.ts
+++ b/src/core/pool/worker_fleet.ts
@@ -1,7 +1,9 @@
 import type {LeaseOptions} from './lease_options.js';
 import {LeasedWorker} from './leased_worker.js';
+import {LossCause} from './loss_cause.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {WorkerRegistry} from './worker_registry.js';
+import type {WorkerReport} from './worker_report.js';
 
 interface WorkerFleetOptions extends LeaseOptions {
   readonly registry: WorkerRegistry;
@@ -41,13 +43,16 @@
         continue;
       }
       isChanged = true;
-      known?.close();
+      known?.close(LossCause.moved);
       this.byId.set(id, new LeasedWorker(this.opts, report, seenAt));
-      const {zone, service} = report;
+      const {zone, service, address, bornAt} = report;
       observer.recordStateChange('worker_joined', {
         worker: id,
         worker_zone: zone,
         service,
+        address,
+        born_at: bornAt,
+        replaces: this.findPredecessor(report),
       });
     }
     for (const [id, worker] of this.byId) {
@@ -60,4 +65,14 @@
     }
     if (isChanged) this.list = [...this.byId.values()];
   }
+
+  /** Id of an earlier worker at the address of a new one; its process is over. */
+  private findPredecessor({id, address, bornAt}: WorkerReport) {
+    return this.list.find(
+      ({report}) =>
+        report.id !== id &&
+        report.address === address &&
+        report.bornAt < bornAt,
+    )?.report.id;
+  }
 }
--- a/src/platform/http_worker_client.ts
+++ b/src/platform/http_worker_client.ts
@@ -50,10 +50,11 @@
 type StartOrder = Parameters<WorkerClient['start']>[1];
 type StopOrder = Parameters<WorkerClient['stop']>[1];
 type PollOrder = Parameters<WorkerClient['poll']>[1];
+type Lost = Extract<Awaited<ReturnType<WorkerClient['start']>>, {kind: 'lost'}>;
 type Reply =
   | {readonly kind: 'ok'; readonly body: unknown}
   | {readonly kind: 'refused'; readonly reason: RunRefusal}
-  | {readonly kind: 'lost'; readonly detail: string};
+  | Lost;
 
 /**
  * Client of the workers' HTTP API. Each request carries the dispatcher's fencing
@@ -140,7 +141,7 @@
     const res = await sendRequest(this.getPool(address), request, limits);
     return res.isOk
       ? decodeReply(res.value.status, res.value.text)
-      : lost(res.error);
+      : {kind: 'lost', ...res.error};
   }
 
   /** A relay is not told which workers are gone. */
@@ -197,6 +198,6 @@
   return {kind: 'refused' as const, reason};
 }
 
-function lost(detail: string) {
-  return {kind: 'lost' as const, detail};
+function lost(detail: string): Lost {
+  return {kind: 'lost', detail};
 }
