--- a/test-support/fakes/pool/fake_pool_worker.ts
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -29,6 +29,8 @@
   /** Run time of a task, in ms, by task name. */
   runMs: (task: string) => number = () => 100;
   endOf: (task: string) => RunEnd = () => RunEnd.done;
+  /** Called with the task of each run that starts. */
+  onStart: (task: string) => void = () => undefined;
   /** Time that has passed here while the machine of the dispatcher was suspended. */
   aheadMs = 0;
   private readonly ends: End[] = [];
@@ -78,6 +80,7 @@
     if (this.running.size >= cpu / 1_000) return RunRefusal.noRoom;
     const endsAt = this.clockMs + this.runMs(task);
     this.running.set(task, {run, endsAt, how: this.endOf(task)});
+    this.onStart(task);
     return undefined;
   }
 
--- a/test-support/fakes/pool/fake_worker_client.ts
+++ b/test-support/fakes/pool/fake_worker_client.ts
@@ -12,6 +12,8 @@
 /** Client of fake workers whose orders or replies can be lost. */
 export class FakeWorkerClient extends WorkerClient {
   readonly calls: Array<{readonly call: Call; readonly worker: string}> = [];
+  /** Workers whose process has crashed: connections to them are refused. */
+  readonly crashed = new Set<string>();
   /** Chooses the fault of each call. */
   faultOf: (call: Call, worker: string) => Fault = () => 'ok';
 
@@ -81,11 +83,14 @@
     id: string,
     timeoutMs: number,
     act: (worker: FakePoolWorker) => T,
-  ): Promise<T | {kind: 'lost'; detail: string}> {
+  ): Promise<T | {kind: 'lost'; detail: string; isRefused?: boolean}> {
     this.calls.push({call, worker: id});
     const fault = this.faultOf(call, id);
     const worker = this.workers.get(id);
     await this.sleep(this.delayMs);
+    if (this.crashed.has(id) && fault === 'ok') {
+      return {kind: 'lost', detail: 'refused', isRefused: true};
+    }
     const answer = worker && fault !== 'order_lost' ? act(worker) : undefined;
     if (answer === undefined || fault === 'answer_lost') {
       await this.sleep(timeoutMs);
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -28,6 +28,13 @@
   readonly client = new FakeWorkerClient(this.clock, this.workers);
   readonly answers = new Map<string, PoolAnswer>();
   readonly answeredAt = new Map<string, number>();
+  /** Tasks and the workers that crashed when they started them. */
+  readonly crashes: Array<{readonly task: string; readonly worker: string}> =
+    [];
+  /** Whether a task crashes the worker that starts it. */
+  isDeadly: (task: string) => boolean = () => false;
+  /** Time after which a crashed worker is back under a new id, in ms. */
+  restartMs = 3_000;
   /** Whether a majority confirms the leadership of the dispatchers. */
   isConfirmed = true;
   private readonly registry = new WorkerRegistry();
@@ -38,14 +45,19 @@
     for (let n = 0; n < workers; n += 1) this.addWorker(`w${n}`, tasksEach);
   }
 
-  addWorker(id: string, tasksEach = 2, bornAt = 1): FakePoolWorker {
+  addWorker(
+    id: string,
+    tasksEach = 2,
+    bornAt = 1,
+    address = `${id}:1`,
+  ): FakePoolWorker {
     this.reports += 1;
     const cpu = tasksEach * 1_000;
     const report = {
       id,
       bornAt,
       service: 'svc',
-      address: `${id}:1`,
+      address,
       zone: 'z',
       isDraining: false,
       capacity: {cpu, memoryMb: 1_000, accelerators: 0},
@@ -55,9 +67,28 @@
     const worker = new FakePoolWorker(report, this.clock, LEASE_MS);
     this.workers.set(id, worker);
     this.registry.update(report, this.clock.now());
+    worker.onStart = task => {
+      if (!this.isDeadly(task)) return;
+      this.clock.schedule(1, () => this.crash(id, task));
+    };
     return worker;
   }
 
+  /** Crashes a worker; its successor has its address and a new id. */
+  crash(id: string, task = ''): void {
+    const worker = this.workers.get(id);
+    if (!worker) return;
+    worker.processDueEnds();
+    this.crashes.push({task, worker: id});
+    this.workers.delete(id);
+    this.client.crashed.add(id);
+    const {address, capacity} = worker.report;
+    this.clock.schedule(this.restartMs, () => {
+      const now = this.clock.now();
+      this.addWorker(`${id}+`, capacity.cpu / 1_000, now, address);
+    });
+  }
+
   /** Makes a worker send its next report. */
   report(id: string, change: {readonly isDraining?: boolean} = {}): void {
     this.reports += 1;
