Give up tasks that crash their workers

Callers saw: jobs with a task that crashes its worker went unanswered until their deadline, and jobs of others were late or refused as too late, since up to a third of the workers was down at a time.

Cause: a run that ended with its worker counted against nothing. Only reported failures use up attempts, so the task was started again at once on a worker that was sound, until its caller gave up. Tasks that had shared the worker were often started beside it again.

Ruled out: workers that crash by themselves (no worker crashed without a run of such a task, and each successor took over the address of one); counting every lost run (a worker that was cut off and runs on would have its work given up); taking a refused connection for the end of a run (a link may refuse, too, while the worker runs on, so the lease still decides when a task may start again).

Change: CrashWatch records the workers that were lost under a task and whether they crashed. Two crashes end the job as failed, four losses stop further starts until it is known what they were. Suspected tasks run apart from each other, so that a second crash shows which one caused it. The losses go to the entry node and back to the next dispatcher, and stay for 60 s after the job.

--- a/src/core/pool/active_job.ts
+++ b/src/core/pool/active_job.ts
@@ -1,5 +1,6 @@
 import type {RoutingTable} from '../routing/routing_table.js';
 import {FencingToken} from './fencing_token.js';
+import {CrashPolicy} from './crashes/crash_policy.js';
 import {criticalPathMs} from './critical_path_ms.js';
 import type {PoolJob} from './pool_job.js';
 import type {PoolSubmission} from './pool_submission.js';
@@ -68,6 +69,7 @@
         worker: undefined,
         nextRunNumber: FencingToken.firstRun(token),
         failures: 0,
+        losses: [],
         stragglerStops: 0,
       })),
     );
@@ -82,9 +84,13 @@
     return this.tasks.every(t => t.state === 'done');
   }
 
-  /** Whether a task has used up the attempts that the queue allows. */
-  get isFailed(): boolean {
-    return this.tasks.some(t => t.failures >= this.queue.maxAttempts);
+  /** Why the job has failed; undefined if it has not. */
+  get failureReason(): 'attempts' | 'crashes_workers' | undefined {
+    const {tasks, queue} = this;
+    if (tasks.some(t => t.failures >= queue.maxAttempts)) return 'attempts';
+    return tasks.some(t => CrashPolicy.isFatal(t.losses))
+      ? 'crashes_workers'
+      : undefined;
   }
 
   /** Whether a run of the job may still use capacity of a worker. */
--- a/src/core/pool/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher_endpoint.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../clock/clock.js';
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {RoutingTable} from '../routing/routing_table.js';
+import type {WorkerLoss} from './crashes/worker_loss.js';
 import {AnswerCache} from './answer_cache.js';
 import {FailoverTiming} from './failover_timing.js';
 import type {PoolAnswer} from './pool_answer.js';
@@ -74,6 +75,11 @@
     this.opts.peers.send(owner, 'pool.answer', {id, answer});
   }
 
+  /** Sends the entry node what it needs to submit the job elsewhere. */
+  reportLosses(owner: string, id: string, losses: readonly WorkerLoss[]): void {
+    this.opts.peers.send(owner, 'pool.losses', {id, losses});
+  }
+
   private onSubmit(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolSubmission, body)) return;
--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry_gateway.ts
@@ -7,6 +7,7 @@
 import {criticalPathMs} from './critical_path_ms.js';
 import type {PoolJob} from './pool_job.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
+import type {OpenJob} from './open_job.js';
 import {PoolMessage} from './pool_message.js';
 import type {PoolObserver} from './pool_observer.js';
 import {retryAfterMs} from './retry_after.js';
@@ -38,25 +39,6 @@
 const QUERY_TIMEOUT_MS = 1_000;
 const RETRY_AFTER_MS = 1_000;
 
-interface OpenJob {
-  readonly id: string;
-  readonly host: string;
-  readonly path: string;
-  readonly job: PoolJob;
-  readonly arrivedAt: number;
-  readonly deadlineAt: number;
-  respond: (answer: PoolAnswer) => void;
-  /** Dispatcher to which the job was last submitted, if any. */
-  assignedTo: DispatcherClaim | undefined;
-  submittedAt: number;
-  /** Time up to which runs of an earlier dispatcher may be active. */
-  earliestStartAt: number;
-  /** How long the job waits while no dispatcher is known, in ms. */
-  readonly maxWaitMs: number;
-  /** Whether the job has been submitted more than once. */
-  wasResubmitted: boolean;
-}
-
 interface EntryGatewayOptions {
   readonly clock: Clock;
   readonly peers: PeerTransport;
@@ -89,6 +71,11 @@
       if (!v.is(PoolMessage.answer, body)) return;
       this.onAnswer(from, body.id, body.answer);
     });
+    peers.onMessage('pool.losses', (from, body) => {
+      if (!v.is(PoolMessage.losses, body)) return;
+      const job = this.jobs.get(body.id);
+      if (job?.assignedTo?.node === from) job.losses = body.losses;
+    });
     peers.onMessage('pool.unknown', (_from, body, now) =>
       this.onUnknown(body, now),
     );
@@ -121,6 +108,7 @@
       assignedTo: undefined,
       submittedAt: 0,
       earliestStartAt: 0,
+      losses: [],
       wasResubmitted: false,
       maxWaitMs: Math.min(
         MAX_WAIT_MS,
@@ -294,6 +282,7 @@
       waitedMs: now - job.arrivedAt,
       patienceMs: Math.max(0, job.deadlineAt - now),
       settleMs: Math.max(0, job.earliestStartAt - now),
+      losses: job.losses,
       revision: claim.isFallback ? (directory.lastLeader?.revision ?? 0) : 0,
     });
   }
--- a/src/core/pool/fallback_service.ts
+++ b/src/core/pool/fallback_service.ts
@@ -200,6 +200,8 @@
         return claim === undefined || claim.isFallback;
       },
       answer: (owner, id, answer) => this.endpoint.answer(owner, id, answer),
+      reportLosses: (owner, id, losses) =>
+        this.endpoint.reportLosses(owner, id, losses),
     });
     this.endpoint.attach(dispatcher);
     directory.recordClaim(this.claim(now)!);
--- a/src/core/pool/leader_service.ts
+++ b/src/core/pool/leader_service.ts
@@ -183,6 +183,8 @@
         );
       },
       answer: (owner, id, answer) => this.endpoint.answer(owner, id, answer),
+      reportLosses: (owner, id, losses) =>
+        this.endpoint.reportLosses(owner, id, losses),
     });
   }
 
--- a/src/core/pool/lease_listener.ts
+++ b/src/core/pool/lease_listener.ts
@@ -6,6 +6,8 @@
 
 /** Receives events of the runs on a worker. */
 export interface LeaseListener {
+  /** Called before the ends of runs that were lost together with their worker. */
+  onWorkerLost(worker: LeasedWorker, runs: readonly Run[], loss: RunLoss): void;
   /**
    * Called when a run has ended and its capacity is free; `loss` is given if its
    * end was not reported.
--- a/src/core/pool/leased_worker.ts
+++ b/src/core/pool/leased_worker.ts
@@ -1,3 +1,4 @@
+import {EndAcknowledgements} from './end_acknowledgements.js';
 import {resolveMissingRun} from './resolve_missing_run.js';
 import type {LeaseOptions} from './lease_options.js';
 import {LeaseTiming} from './lease_timing.js';
@@ -12,6 +13,7 @@
 import type {WorkerClient} from './worker_client.js';
 import {WorkerFence} from './worker_fence.js';
 import {WorkerLease} from './worker_lease.js';
+import {WorkerOrders} from './worker_orders.js';
 import type {WorkerReport} from './worker_report.js';
 
 type PollReply = Awaited<ReturnType<WorkerClient['poll']>>;
@@ -25,10 +27,11 @@
   private readonly ledger = new RunLedger();
   private readonly lease: WorkerLease;
   private bornAt: number | undefined;
+  /** When another process instance replied for the first time. */
+  private restartedAt = Number.NEGATIVE_INFINITY;
   private readonly fence: WorkerFence;
-  private acknowledged = 0;
-  private acknowledgedSent = 0;
-  private endedAt = 0;
+  private readonly acks = new EndAcknowledgements();
+  private readonly orders: WorkerOrders;
   private pendingPolls = 0;
   private readonly probes = new ProbeBackoff();
   private backoffUntil = 0;
@@ -40,6 +43,7 @@
     public seenAt: number,
   ) {
     this.lease = new WorkerLease(opts.leaseMs);
+    this.orders = new WorkerOrders(opts);
     this.fence = new WorkerFence(opts.currentToken);
   }
 
@@ -67,6 +71,11 @@
     return this.probes.isSilent;
   }
 
+  /** Whether a task that may crash the worker runs on it. */
+  get hasSuspect(): boolean {
+    return this.ledger.hasSuspect;
+  }
+
   get isIdle(): boolean {
     return this.ledger.isEmpty;
   }
@@ -95,15 +104,12 @@
   }
 
   start(run: Run, payload: string): void {
-    const {client, clock} = this.opts;
-    const {token} = this;
-    const now = clock.now();
+    const {token} = this.orders;
+    const now = this.opts.clock.now();
     this.ledger.add(run);
-    const leaseEnd = this.lease.extend(now);
-    run.startLeaseEnd = leaseEnd;
-    const order = {task: run.task, run: run.number, token, payload, leaseEnd};
-    void client
-      .start(this.report, order, LeaseTiming.ORDER_TIMEOUT_MS)
+    run.startLeaseEnd = this.lease.extend(now);
+    void this.orders
+      .start(this.report, run, payload)
       .then(reply => this.onStartReply(run, reply, now, token));
     this.tick(now);
   }
@@ -137,39 +143,28 @@
 
   /** Ends all runs, which are known to be over for this reason. */
   close(cause: LossCause): void {
-    for (const run of [...this.runs.values()]) this.loseRun(run, cause);
+    this.loseRuns([...this.runs.values()], cause);
     this.ledger.inherited.clear();
   }
 
-  private get token(): number {
-    return this.opts.currentToken();
-  }
-
   private pollIfDue(now: number): void {
     if (this.isSilent || !this.isFenced) {
       if (this.probes.takeIfDue(now)) this.poll(0, now);
     } else if (!this.isIdle) {
       this.poll(LeaseTiming.POLL_WAIT_MS, now);
-    } else if (this.acknowledged > this.acknowledgedSent) {
-      if (now - this.endedAt >= LeaseTiming.IDLE_ACK_MS) this.poll(0, now);
-    }
+    } else if (this.acks.isDue(now)) this.poll(0, now);
   }
 
   private poll(waitMs: number, now: number): void {
-    const {client} = this.opts;
-    const {acknowledged, token} = this;
+    const {token} = this.orders;
+    const acknowledged = this.acks.take();
     // An unanswered poll may still renew the lease; without this check, the runs
     // of a worker whose replies are lost would never end.
     const mayExtend = this.lease.isClockKnown && !this.isSilent;
     const leaseEnd = mayExtend ? this.lease.extend(now) : undefined;
     this.pendingPolls += 1;
-    this.acknowledgedSent = acknowledged;
-    void client
-      .poll(
-        this.report,
-        {token, acknowledged, waitMs, leaseEnd},
-        waitMs + LeaseTiming.POLL_GRACE_MS,
-      )
+    void this.orders
+      .poll(this.report, {acknowledged, waitMs, leaseEnd})
       .then(reply => {
         this.pendingPolls -= 1;
         this.onPollReply(reply, now, token);
@@ -197,7 +192,8 @@
         if (run.confirmedAt !== undefined) return;
         // The worker may have received the order. A poll shows whether the task
         // runs; if not, a stop prevents a late order from starting it.
-        if (reply.isRefused) this.probes.refusedAt = now;
+        run.isStartRefused = reply.isRefused ?? false;
+        this.probes.isRefused ||= run.isStartRefused;
         run.isStartReplyLost = true;
         this.poll(0, now);
         return;
@@ -240,7 +236,7 @@
       this.onStatus(reply.look, sentAt, now);
       if (!wasUsable && this.isUsable(now)) this.opts.listener.onChange(this);
     } else if (reply.kind === 'lost') {
-      this.probes.onTimeout(reply.isRefused ? now : undefined);
+      this.probes.onTimeout(reply.isRefused);
     } else {
       this.onRefusal(reply.reason, token);
       if (this.isOutranked) this.opts.listener.onChange(this);
@@ -250,28 +246,28 @@
   }
 
   private onStatus(status: Status, sentAt: number, now: number): void {
-    if (status.bornAt !== undefined) this.updateInstance(status.bornAt);
+    if (status.bornAt !== undefined) this.updateInstance(status.bornAt, now);
     this.lease.updateClock(status.clockMs, sentAt, now);
     this.fence.recordAccepted();
     for (const {number, task, run, how} of status.ended) {
-      if (number <= this.acknowledged) continue;
-      this.acknowledged = number;
-      this.endedAt = now;
-      this.onListedEnd(task, run, how);
+      if (this.acks.receive(number, now)) this.onListedEnd(task, run, how);
     }
     const reported = new Map(status.running.map(r => [r.task, r.run]));
     this.ledger.updateInherited(reported, now);
     if (status.isPartial) return;
+    const lost: Run[] = [];
     for (const run of [...this.runs.values()]) {
       if (reported.get(run.task) === run.number) run.confirmedAt ??= now;
-      else this.onAbsent(run, status, sentAt, now);
+      else if (this.isLost(run, status, sentAt, now)) lost.push(run);
     }
+    const isRestart = lost.some(run => run.sentAt < this.restartedAt);
+    this.loseRuns(lost, isRestart ? LossCause.restarted : LossCause.notListed);
   }
 
-  private updateInstance(bornAt: number): void {
+  private updateInstance(bornAt: number, now: number): void {
     if (this.bornAt !== undefined && bornAt !== this.bornAt) {
-      this.acknowledged = 0;
-      this.acknowledgedSent = 0;
+      this.restartedAt = now;
+      this.acks.reset();
       this.lease.reset();
       this.ledger.inherited.clear();
     }
@@ -288,29 +284,35 @@
     this.opts.listener.onInheritedRunEnded(task, number, how);
   }
 
-  /** Handles a run that the worker lists neither as active nor as ended. */
-  private onAbsent(run: Run, reply: Status, sentAt: number, now: number): void {
+  /**
+   * Handles a run that the worker lists neither as active nor as ended; returns
+   * whether it is lost.
+   */
+  private isLost(
+    run: Run,
+    reply: Status,
+    sentAt: number,
+    now: number,
+  ): boolean {
     const outcome = resolveMissingRun(run, reply.clockMs, sentAt);
-    if (outcome === RunEnd.lost) this.loseRun(run, LossCause.notListed);
-    else if (outcome) this.rejectRun(run, outcome);
+    if (outcome === RunEnd.lost) return true;
+    if (outcome) this.rejectRun(run, outcome);
     else if (run.isStartReplyLost && run.stopRequestedAt === undefined) {
       this.sendStop(run, now);
     }
+    return false;
   }
 
   private sendStop(run: Run, now: number): void {
-    const {client, clock} = this.opts;
-    const {token} = this;
+    const {clock} = this.opts;
+    const {token} = this.orders;
     run.stopRequestedAt = now;
-    const order = {task: run.task, run: run.number, token};
-    void client
-      .stop(this.report, order, LeaseTiming.ORDER_TIMEOUT_MS)
-      .then(reply => {
-        if (reply.kind === 'ok') run.stoppedAt ??= clock.now();
-        else if (reply.kind === 'refused') this.onRefusal(reply.reason, token);
-        if (this.pendingPolls === 0) this.tick(clock.now());
-        else this.poll(0, clock.now());
-      });
+    void this.orders.stop(this.report, run).then(reply => {
+      if (reply.kind === 'ok') run.stoppedAt ??= clock.now();
+      else if (reply.kind === 'refused') this.onRefusal(reply.reason, token);
+      if (this.pendingPolls === 0) this.tick(clock.now());
+      else this.poll(0, clock.now());
+    });
   }
 
   private retryStops(now: number): void {
@@ -334,9 +336,11 @@
     this.opts.listener.onRunEnded(this, run, how, loss);
   }
 
-  private loseRun(run: Run, cause: LossCause): void {
-    const isRefused = this.probes.refusedAt >= run.sentAt;
-    this.endRun(run, RunEnd.lost, {cause, isRefused});
+  private loseRuns(runs: readonly Run[], cause: LossCause): void {
+    if (runs.length === 0) return;
+    const loss = {cause, isRefused: this.probes.isRefused};
+    this.opts.listener.onWorkerLost(this, runs, loss);
+    for (const run of runs) this.endRun(run, RunEnd.lost, loss);
   }
 
   private rejectRun(run: Run, reason: RunRefusal): void {
--- /dev/null
+++ b/src/core/pool/open_job.ts
@@ -0,0 +1,26 @@
+import type {WorkerLoss} from './crashes/worker_loss.js';
+import type {DispatcherClaim} from './dispatcher_claim.js';
+import type {PoolAnswer} from './pool_answer.js';
+import type {PoolJob} from './pool_job.js';
+
+/** A job at an entry node whose caller waits for the answer. */
+export interface OpenJob {
+  readonly id: string;
+  readonly host: string;
+  readonly path: string;
+  readonly job: PoolJob;
+  readonly arrivedAt: number;
+  readonly deadlineAt: number;
+  respond: (answer: PoolAnswer) => void;
+  /** Dispatcher to which the job was last submitted, if any. */
+  assignedTo: DispatcherClaim | undefined;
+  submittedAt: number;
+  /** Time up to which runs of an earlier dispatcher may be active. */
+  earliestStartAt: number;
+  /** Workers that dispatchers have lost under tasks of the job. */
+  losses: readonly WorkerLoss[];
+  /** How long the job waits while no dispatcher is known, in ms. */
+  readonly maxWaitMs: number;
+  /** Whether the job has been submitted more than once. */
+  wasResubmitted: boolean;
+}
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -1,19 +1,15 @@
-import type {Clock} from '../clock/clock.js';
-import type {RoutingTable} from '../routing/routing_table.js';
 import type {LeasedWorker} from './leased_worker.js';
 import type {LeaseListener} from './lease_listener.js';
+import {CrashWatch} from './crashes/crash_watch.js';
 import {BacklogForecast} from './backlog_forecast.js';
 import {InfeasibleJobs} from './infeasible_jobs.js';
-import type {PoolAnswer} from './pool_answer.js';
 import {ActiveJob} from './active_job.js';
-import {canRun} from './can_run.js';
 import {PoolJobs} from './pool_jobs.js';
-import type {PoolObserver} from './pool_observer.js';
 import {PoolAdmission} from './pool_admission.js';
 import {JobPrioritizer} from './job_prioritizer.js';
+import type {PoolDispatcherOptions} from './pool_dispatcher_options.js';
 import type {PoolSubmission} from './pool_submission.js';
 import type {Run} from './run.js';
-import type {PoolTask} from './pool_task.js';
 import {RunEnd} from './run_end.js';
 import type {RunLoss} from './run_loss.js';
 import {RunRecorder} from './run_recorder.js';
@@ -21,9 +17,7 @@
 import {RunTimes} from './run_times.js';
 import {StragglerWatch} from './straggler_watch.js';
 import {Takeover} from './takeover.js';
-import type {WorkerRegistry} from './worker_registry.js';
 import {TaskStarter} from './task_starter.js';
-import type {WorkerClient} from './worker_client.js';
 import {WorkerFleet} from './worker_fleet.js';
 import {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
 
@@ -34,25 +28,6 @@
 /** Time within which jobs of another dispatcher are resubmitted. */
 const CLAIM_MS = 1_000;
 
-interface PoolDispatcherOptions {
-  readonly clock: Clock;
-  readonly client: WorkerClient;
-  readonly registry: WorkerRegistry;
-  /** Initial fencing token. */
-  readonly token: number;
-  /** Longest lease that workers grant, in ms. */
-  readonly leaseMs: number;
-  /** Longest time that leases of earlier dispatchers may still last, in ms. */
-  readonly earlierLeasesMs: number;
-  /** Whether the registry was up to date when the dispatcher started. */
-  readonly isRegistryComplete: boolean;
-  readonly maySendOrders: (now: number) => boolean;
-  /** Current queue configuration; undefined before the first one. */
-  readonly routing: () => RoutingTable | undefined;
-  readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
-  readonly observer: PoolObserver;
-}
-
 /**
  * Dispatches jobs for one term of a leader or one period of a fallback: queues
  * tasks, starts them on leased workers and answers each job when it has ended.
@@ -69,6 +44,7 @@
   private readonly starter: TaskStarter;
   private readonly recorder: RunRecorder;
   private readonly takeover: Takeover;
+  private readonly crashes: CrashWatch;
   private currentToken: number;
   private isPassScheduled = false;
   private lastPassAt = Number.NEGATIVE_INFINITY;
@@ -85,6 +61,7 @@
     const {times, breaker} = this;
     this.starter = new TaskStarter(times, breaker, opts.observer);
     this.recorder = new RunRecorder(times, breaker, opts.observer);
+    this.crashes = new CrashWatch(opts);
     this.takeover = new Takeover(
       now,
       opts.earlierLeasesMs,
@@ -130,6 +107,7 @@
     if (known) {
       known.owner = owner;
       known.isAbandoned = false;
+      this.jobs.finishIfDone(known, now);
       this.schedulePass();
       return;
     }
@@ -149,6 +127,7 @@
     const {token} = this;
     const job = new ActiveJob(submission, {owner, queue, token, now});
     this.takeover.adopt([job], this.workers.all, now);
+    this.crashes.restore(job, submission.losses ?? []);
     const refusal = job.hasStarted ? undefined : this.checkAdmission(job, now);
     if (refusal) {
       const {reason, retryAfterMs} = refusal;
@@ -191,8 +170,7 @@
 
   /** Number of jobs of a queue without a started task. */
   pendingOf(queue: string): number {
-    const isPending = (j: ActiveJob) => j.queue.name === queue && j.isPending;
-    return [...this.jobs.all].filter(isPending).length;
+    return this.jobs.pendingOf(queue);
   }
 
   /** Drops the jobs of entry nodes that no longer poll. */
@@ -212,21 +190,20 @@
       this.stragglers.stopStragglers(this.jobs.all, now);
     }
     this.jobs.expire(now);
+    for (const job of this.crashes.resolve(this.workers.all, now)) {
+      this.jobs.finishIfDone(job, now);
+    }
     this.refuseInfeasible(now);
     this.schedulePass();
   }
 
   /** Returns why a job is refused; undefined if it is admitted. */
   private checkAdmission(job: ActiveJob, now: number) {
-    const {all, size} = this.workers;
     // Existing workers may not have reported to a new dispatcher yet.
-    const mayMoreWorkersReport = !this.takeover.areWorkersKnown(now);
-    const isPlaceable = (task: PoolTask) =>
-      all.some(({report}) => canRun(task, report, report.capacity));
-    if (!mayMoreWorkersReport && !job.tasks.every(isPlaceable)) {
-      return {reason: 'no_worker_fits', retryAfterMs: 2_000};
-    }
-    return this.admission.check(this.jobs.size, size, mayMoreWorkersReport);
+    const mayMoreReport = !this.takeover.areWorkersKnown(now);
+    const openJobs = this.jobs.size;
+    const workers = this.workers.all;
+    return this.admission.check(job, {openJobs, workers, mayMoreReport});
   }
 
   /** Refuses jobs that would be late because of the work ahead of them. */
@@ -248,6 +225,15 @@
     this.jobs.clear();
   }
 
+  onWorkerLost(
+    worker: LeasedWorker,
+    runs: readonly Run[],
+    loss: RunLoss,
+  ): void {
+    const started = this.jobs.tasksOf(runs.filter(r => !r.isStartRefused));
+    this.crashes.record(worker, started, loss, this.opts.clock.now());
+  }
+
   onRunEnded(
     worker: LeasedWorker,
     run: Run,
--- a/src/core/pool/pool_jobs.ts
+++ b/src/core/pool/pool_jobs.ts
@@ -4,6 +4,7 @@
 import type {ActiveJob} from './active_job.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {PoolTask} from './pool_task.js';
+import type {Run} from './run.js';
 import {RecentStarts} from './recent_starts.js';
 import {retryAfterMs} from './retry_after.js';
 
@@ -50,6 +51,23 @@
     return this.byId.get(id)?.tasks.find(t => t.name === name);
   }
 
+  /** Tasks of which these are the current runs. */
+  tasksOf(runs: readonly Run[]): PoolTask[] {
+    return runs.flatMap(run => {
+      const task = this.taskOf(run.task);
+      return task?.run === run ? [task] : [];
+    });
+  }
+
+  /** Number of jobs of a queue without a started task. */
+  pendingOf(queue: string): number {
+    let count = 0;
+    for (const job of this.all) {
+      if (job.queue.name === queue && job.isPending) count += 1;
+    }
+    return count;
+  }
+
   /**
    * Refuses a job of which no task has run. `clearInMs` is the expected time
    * until the reason of the refusal no longer applies.
@@ -95,8 +113,8 @@
       this.removeIfFinished(job);
       return;
     }
-    const {isDone, isFailed} = job;
-    if (isDone || isFailed) this.finish(job, isDone, now);
+    const {isDone, failureReason} = job;
+    if (isDone || failureReason) this.finish(job, isDone, now);
   }
 
   /** Refuses infeasible jobs and ends jobs whose deadline has passed. */
@@ -131,6 +149,7 @@
     const {answer, observer} = this.opts;
     observer.recordJobEvent(`job_${kind}`, spec.id, {
       queue: queue.name,
+      reason: isDone ? undefined : job.failureReason,
       took_ms: Math.round(now - arrivedAt),
       late_ms: Math.max(0, Math.round(now - objectiveAt)),
     });
--- a/src/core/pool/pool_message.ts
+++ b/src/core/pool/pool_message.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {WorkerLoss} from './crashes/worker_loss.js';
 import {PoolAnswer} from './pool_answer.js';
 import {WorkerReport} from './worker_report.js';
 
@@ -40,6 +41,8 @@
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
+  /** Workers that were lost under tasks of a job, for its resubmission. */
+  losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
   book: v.object({reports: v.array(WorkerReport), isWhole: v.boolean()}),
   /** Reports without news that another core node has taken. */
--- a/src/core/pool/pool_submission.ts
+++ b/src/core/pool/pool_submission.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {WorkerLoss} from './crashes/worker_loss.js';
 import {PoolJob} from './pool_job.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
@@ -18,6 +19,8 @@
    * are adopted, and no task of the job is started before this time is over.
    */
   settleMs: v.optional(ms, 0),
+  /** Workers that earlier dispatchers lost under tasks of the job. */
+  losses: v.optional(v.pipe(v.array(WorkerLoss), v.readonly()), []),
   /** Lowest configuration revision that may be used to find its queue. */
   revision: v.optional(count, 0),
 });
--- a/src/core/pool/pool_task.ts
+++ b/src/core/pool/pool_task.ts
@@ -1,5 +1,6 @@
 import type {LeasedWorker} from './leased_worker.js';
 import type {ActiveJob} from './active_job.js';
+import type {WorkerLoss} from './crashes/worker_loss.js';
 import type {Run} from './run.js';
 
 /** One task of an active job. */
@@ -14,6 +15,8 @@
   /** Run number of the next start; increases with every start of the task. */
   nextRunNumber: number;
   failures: number;
+  /** Workers that were lost while they ran the task. */
+  losses: readonly WorkerLoss[];
   /** Number of runs that were stopped as stragglers. */
   stragglerStops: number;
 }
--- a/src/core/pool/probe_backoff.ts
+++ b/src/core/pool/probe_backoff.ts
@@ -6,8 +6,8 @@
 export class ProbeBackoff {
   private timeouts = 0;
   private nextAt = 0;
-  /** When a connection to the worker was last refused; never: minus infinity. */
-  refusedAt = Number.NEGATIVE_INFINITY;
+  /** Whether a connection to the worker was refused since its last reply. */
+  isRefused = false;
 
   get isSilent(): boolean {
     return this.timeouts > 0;
@@ -26,9 +26,8 @@
     this.nextAt = 0;
   }
 
-  /** `refusedAt` is given if the connection was refused. */
-  onTimeout(refusedAt = this.refusedAt): void {
-    this.refusedAt = refusedAt;
+  onTimeout(isRefused = false): void {
+    this.isRefused ||= isRefused;
     this.timeouts += 1;
     // The lease expires soon, so the first timeout is retried immediately.
     if (this.timeouts === 1) this.makeDue();
@@ -36,6 +35,6 @@
 
   onReply(): void {
     this.timeouts = 0;
-    this.refusedAt = Number.NEGATIVE_INFINITY;
+    this.isRefused = false;
   }
 }
--- a/src/core/pool/run.ts
+++ b/src/core/pool/run.ts
@@ -10,6 +10,10 @@
   confirmedAt: number | undefined;
   /** Whether no reply to the start order was received. */
   isStartReplyLost = false;
+  /** Whether the connection for the start order was refused: it was not sent. */
+  isStartRefused = false;
+  /** Whether the task may crash its worker; see CrashPolicy. */
+  isSuspect = false;
   /** When a stop was requested; undefined if none was. */
   stopRequestedAt: number | undefined;
   /** When the worker confirmed the stop. */
--- a/src/core/pool/run_ledger.ts
+++ b/src/core/pool/run_ledger.ts
@@ -24,6 +24,12 @@
       : Number.POSITIVE_INFINITY;
   }
 
+  /** Whether a run of a task that may crash the worker is active. */
+  get hasSuspect(): boolean {
+    for (const run of this.runs.values()) if (run.isSuspect) return true;
+    return false;
+  }
+
   get isEmpty(): boolean {
     return this.runs.size === 0 && this.inherited.size === 0;
   }
--- a/src/core/pool/run_loss.ts
+++ b/src/core/pool/run_loss.ts
@@ -4,7 +4,7 @@
 export interface RunLoss {
   readonly cause: LossCause;
   /**
-   * Whether connections to the worker were refused since the run was sent: its
+   * Whether connections to the worker were refused since its last reply: its
    * process has probably crashed. A silent worker may have been cut off.
    */
   readonly isRefused: boolean;
--- a/src/core/pool/start_candidates.ts
+++ b/src/core/pool/start_candidates.ts
@@ -1,4 +1,5 @@
 import {canRun} from './can_run.js';
+import {CrashPolicy} from './crashes/crash_policy.js';
 import type {LeasedWorker} from './leased_worker.js';
 import type {PoolTask} from './pool_task.js';
 import type {Resources} from './resources.js';
@@ -7,6 +8,8 @@
 
 /** Slowdown of a task that runs outside the rack of its data. */
 const REMOTE_FACTOR = 2;
+/** Cost of running a task beside one that may crash the worker. */
+const CRASH_RISK_FACTOR = 4;
 /** Workers within this factor of the fastest one count as equally fast. */
 const SPEED_TOLERANCE = 1.1;
 const MIN_SLOWNESS = 0.5;
@@ -15,6 +18,8 @@
   readonly worker: LeasedWorker;
   readonly slowness: number;
   free: Resources;
+  /** Whether a task that may crash the worker runs on it. */
+  hasSuspect: boolean;
 }
 
 interface StartCandidatesOptions {
@@ -39,6 +44,7 @@
         worker,
         slowness: Math.max(MIN_SLOWNESS, opts.times.slownessOf(id)),
         free: worker.freeCapacity,
+        hasSuspect: worker.hasSuspect,
       };
       const known = this.byService.get(service);
       if (known) known.push(candidate);
@@ -56,8 +62,10 @@
       // A start may have ended other runs of the worker, whose lease is over.
       const isStillAllowed = this.isAllowed(best.worker);
       if (isStillAllowed) start(best.worker);
-      if (this.isAllowed(best.worker)) best.free = best.worker.freeCapacity;
-      else candidates.splice(at, 1);
+      if (this.isAllowed(best.worker)) {
+        best.free = best.worker.freeCapacity;
+        best.hasSuspect = best.worker.hasSuspect;
+      } else candidates.splice(at, 1);
       if (isStillAllowed) return true;
     }
   }
@@ -77,13 +85,19 @@
   let bestAt = -1;
   let bestCost = Number.POSITIVE_INFINITY;
   let bestRuns = 0;
-  for (const [at, {worker, slowness, free}] of candidates.entries()) {
+  const isSuspect = CrashPolicy.isSuspect(task.losses);
+  for (const [at, candidate] of candidates.entries()) {
+    const {worker, slowness, free, hasSuspect} = candidate;
     // Checked first because most workers of a busy fleet have too little.
     if (demand.cpu > free.cpu) continue;
     if (!canRun(task, worker.report, free)) continue;
     if (isAtStepLimit(task, worker)) continue;
-    const cost = slowness * distanceFactor(task, worker);
+    // With two of them on a worker, a crash would not show which one caused it.
+    if (isSuspect && hasSuspect) continue;
     const runs = worker.runs.size;
+    const isRisky = hasSuspect || (isSuspect && runs > 0);
+    const risk = isRisky ? CRASH_RISK_FACTOR : 1;
+    const cost = slowness * distanceFactor(task, worker) * risk;
     const isBetter =
       cost * SPEED_TOLERANCE < bestCost ||
       (cost < bestCost * SPEED_TOLERANCE && runs < bestRuns);
--- a/src/core/pool/task_starter.ts
+++ b/src/core/pool/task_starter.ts
@@ -1,3 +1,4 @@
+import {CrashPolicy} from './crashes/crash_policy.js';
 import type {LeasedWorker} from './leased_worker.js';
 import type {ActiveJob} from './active_job.js';
 import type {PoolObserver} from './pool_observer.js';
@@ -29,13 +30,17 @@
     for (const {tasks, spec, queue} of jobs) {
       for (const task of tasks) {
         if (task.state !== 'waiting') continue;
+        if (!CrashPolicy.mayStart(task.losses)) continue;
         const {demand, requiredLabel = ''} = spec.steps[task.step]!;
         const kind = `${queue.service} ${requiredLabel}`;
         if (demand.cpu >= (minUnplacedCpu.get(kind) ?? Infinity)) continue;
         const isStarted = candidates.place(task, worker =>
           this.start(task, worker, now),
         );
-        if (!isStarted && !spec.steps[task.step]!.maxPerWorker) {
+        const hasOwnLimits =
+          spec.steps[task.step]!.maxPerWorker ||
+          CrashPolicy.isSuspect(task.losses);
+        if (!isStarted && !hasOwnLimits) {
           minUnplacedCpu.set(kind, demand.cpu);
         }
       }
@@ -50,6 +55,7 @@
       task.job.queue.name,
       spec.steps[task.step]!.estimatedMs,
     );
+    run.isSuspect = CrashPolicy.isSuspect(task.losses);
     task.nextRunNumber += 1;
     task.run = run;
     task.worker = worker;
--- a/src/core/pool/warm_up/dispatch_warm_up.ts
+++ b/src/core/pool/warm_up/dispatch_warm_up.ts
@@ -42,6 +42,7 @@
       maySendOrders: () => true,
       routing: () => TABLE,
       answer: () => (this.answered += 1),
+      reportLosses: noop,
       observer: {
         recordJobEvent: noop,
         recordStateChange: noop,
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -1,6 +1,7 @@
 import type {PoolAnswer} from '../../../src/core/pool/pool_answer.js';
 import {FencingToken} from '../../../src/core/pool/fencing_token.js';
 import {PoolDispatcher} from '../../../src/core/pool/pool_dispatcher.js';
+import type {WorkerLoss} from '../../../src/core/pool/crashes/worker_loss.js';
 import type {PoolSubmission} from '../../../src/core/pool/pool_submission.js';
 import {WorkerRegistry} from '../../../src/core/pool/worker_registry.js';
 import type {WorkerClient} from '../../../src/core/pool/worker_client.js';
@@ -28,6 +29,8 @@
   readonly client = new FakeWorkerClient(this.clock, this.workers);
   readonly answers = new Map<string, PoolAnswer>();
   readonly answeredAt = new Map<string, number>();
+  /** Latest losses of each job, as its entry node would know them. */
+  readonly losses = new Map<string, readonly WorkerLoss[]>();
   /** Tasks and the workers that crashed when they started them. */
   readonly crashes: Array<{readonly task: string; readonly worker: string}> =
     [];
@@ -116,6 +119,7 @@
         this.answers.set(id, answer);
         this.answeredAt.set(id, clock.now());
       },
+      reportLosses: (_owner, id, losses) => this.losses.set(id, losses),
       observer: {
         recordJobEvent: () => undefined,
         recordStateChange: () => undefined,
