Give no starts to a worker that still stops unclaimed runs

Operators would see: after a change of leader, a worker that does not check its capacity runs more than it has room for.

Cause: runs of an earlier leader that no job claims were added with no demand while they are stopped, so the room that they use counted as free.

Evidence: found while looking for other breaks of the rule on capacity; the new test fails before (a task starts beside the run that is being stopped).

Change: such runs have an unknown demand, and their worker gets no starts until they have ended.

--- a/src/core/pool/leased_worker.test.ts
+++ b/src/core/pool/leased_worker.test.ts
@@ -137,3 +137,28 @@
   assert.equal(bench.answers.get('j')?.kind, 'completed');
   assert.lengthOf(worker!.history, 1);
 });
+
+// Guards against starts on a worker that does not check its capacity, while runs
+// of an earlier dispatcher are being stopped whose demand nobody knows.
+test('a worker gets no starts until its unclaimed runs have ended', async () => {
+  const bench = new PoolBench(1);
+  const [worker] = bench.workers.values();
+  worker!.runMs = () => 60_000;
+  const first = bench.createDispatcher({term: 1});
+  await bench.run(50, first);
+  const unclaimed = PoolBench.submission('j', {estimatedMs: 60_000});
+  first.submit('e', unclaimed);
+  await bench.run(50, first);
+  first.close();
+  bench.client.faultOf = call => (call === 'stop' ? 'order_lost' : 'ok');
+  const second = bench.createDispatcher({term: 2});
+  await bench.run(1_300, second);
+  assert.equal(worker!.running.size, 1);
+  second.submit('e', PoolBench.submission('k', {tasks: 2}));
+  await bench.run(100, second);
+  assert.isFalse([...worker!.running.keys()].some(t => t.startsWith('k')));
+  bench.client.faultOf = () => 'ok';
+  worker!.runMs = () => 100;
+  await bench.run(1_500, second);
+  assert.equal(bench.answers.get('k')?.kind, 'completed');
+});
--- a/src/core/pool/leased_worker.ts
+++ b/src/core/pool/leased_worker.ts
@@ -91,7 +91,7 @@
       !this.isOutranked &&
       !this.isSilent &&
       !this.report.isDraining &&
-      this.inherited.size === 0 &&
+      this.ledger.isAccountedFor &&
       now >= this.backoffUntil
     );
   }
--- a/src/core/pool/run_ledger.ts
+++ b/src/core/pool/run_ledger.ts
@@ -2,6 +2,8 @@
 import {Run} from './run.js';
 
 const NOTHING: Resources = {cpu: 0, memoryMb: 0, accelerators: 0};
+/** Demand of a run whose job is not known. */
+const UNKNOWN: Resources = {...NOTHING};
 
 /** Runs that may be active on one worker, and the capacity that they use. */
 export class RunLedger {
@@ -30,6 +32,15 @@
     return false;
   }
 
+  /** Whether the capacity that is in use is known. */
+  get isAccountedFor(): boolean {
+    if (this.inherited.size > 0) return false;
+    for (const {demand} of this.runs.values()) {
+      if (demand === UNKNOWN) return false;
+    }
+    return true;
+  }
+
   get isEmpty(): boolean {
     return this.runs.size === 0 && this.inherited.size === 0;
   }
@@ -60,7 +71,7 @@
   /** Adopts all inherited runs; the capacity that they use is unknown. */
   takeInherited(now: number): Run[] {
     return [...this.inherited].map(([task, number]) => {
-      const run = Run.adopted(task, number, NOTHING, now);
+      const run = Run.adopted(task, number, UNKNOWN, now);
       this.add(run);
       return run;
     });
