Excuse a task only once for a crash beside a suspected one

Callers would see: a task crashes more workers than two if suspected tasks that are innocent happen to run beside it.

Cause: a crash is put down to the tasks that were suspected before, and the others on the worker are excused, without a limit.

--- a/src/core/pool/active_job.ts
+++ b/src/core/pool/active_job.ts
@@ -69,6 +69,7 @@
         worker: undefined,
         nextRunNumber: FencingToken.firstRun(token),
         failures: 0,
+        excusedCrashes: 0,
         losses: [],
         stragglerStops: 0,
       })),
--- a/src/core/pool/crashes/crash_watch.ts
+++ b/src/core/pool/crashes/crash_watch.ts
@@ -4,6 +4,7 @@
 import type {PoolObserver} from '../pool_observer.js';
 import type {PoolTask} from '../pool_task.js';
 import type {RunLoss} from '../run_loss.js';
+import type {WorkerReport} from '../worker_report.js';
 import {CrashPolicy} from './crash_policy.js';
 import type {WorkerLoss} from './worker_loss.js';
 
@@ -44,12 +45,11 @@
 
   /** Records that a worker was lost while it ran these tasks. */
   record(
-    worker: LeasedWorker,
+    {id, address, bornAt, isDraining}: WorkerReport,
     tasks: readonly PoolTask[],
     {cause, isRefused}: RunLoss,
     now: number,
   ): void {
-    const {id, address, bornAt, isDraining} = worker.report;
     // A worker that has announced its departure ends its runs, and one that does
     // not list a run is alive.
     if (isDraining || cause === LossCause.notListed) return;
@@ -160,15 +160,20 @@
 
 /**
  * Tasks that may have crashed a worker: those under which another one crashed
- * before, if there are any, else all. A worker runs only one of the former.
+ * before, if there are any, else all. The others are excused, but only once: a
+ * new task that crashes its workers may start beside an innocent suspect.
  */
 function blamedOf(
   tasks: readonly PoolTask[],
   isCrashed: boolean,
 ): readonly PoolTask[] {
-  if (!isCrashed) return tasks;
-  const suspects = tasks.filter(t => CrashPolicy.isSuspect(t.losses));
-  return suspects.length > 0 ? suspects : tasks;
+  const hasSuspect = tasks.some(t => CrashPolicy.isSuspect(t.losses));
+  if (!isCrashed || !hasSuspect) return tasks;
+  return tasks.filter(task => {
+    if (CrashPolicy.isSuspect(task.losses)) return true;
+    task.excusedCrashes += 1;
+    return task.excusedCrashes > 1;
+  });
 }
 
 /** What became of a silent worker, from the workers that report now. */
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -231,7 +231,7 @@
     loss: RunLoss,
   ): void {
     const started = this.jobs.tasksOf(runs.filter(r => !r.isStartRefused));
-    this.crashes.record(worker, started, loss, this.opts.clock.now());
+    this.crashes.record(worker.report, started, loss, this.opts.clock.now());
   }
 
   onRunEnded(
--- a/src/core/pool/pool_task.ts
+++ b/src/core/pool/pool_task.ts
@@ -15,6 +15,8 @@
   /** Run number of the next start; increases with every start of the task. */
   nextRunNumber: number;
   failures: number;
+  /** Crashes under the task that were put down to another one beside it. */
+  excusedCrashes: number;
   /** Workers that were lost while they ran the task. */
   losses: readonly WorkerLoss[];
   /** Number of runs that were stopped as stragglers. */
