Count a crash under a task only if its start was confirmed; check the pool

Callers would see: a job fails as if its task had crashed two workers, though one of them lost power before it received the start.

Cause: a start order without a reply counted like a confirmed one.

Ruled out: counting no unconfirmed start at all; a worker that crashes before it replies would be followed by another without a limit.

--- a/src/check/main.ts
+++ b/src/check/main.ts
@@ -2,11 +2,13 @@
 import {Command} from 'commander';
 import {createConfigCommand} from './config/create_config_command.js';
 import {jobsCommand} from './jobs/jobs_command.js';
+import {poolCommand} from './pool/pool_command.js';
 import {processesCommand} from './processes/processes_command.js';
 
 await new Command('check')
   .description('Checks of invariants over generated histories.')
   .addCommand(jobsCommand)
   .addCommand(createConfigCommand())
+  .addCommand(poolCommand)
   .addCommand(processesCommand)
   .parseAsync();
--- a/src/core/pool/crashes/crash_policy.ts
+++ b/src/core/pool/crashes/crash_policy.ts
@@ -12,12 +12,16 @@
 export const CrashPolicy = {
   /** Whether the task is kept away from other tasks that may crash workers. */
   isSuspect: (losses: readonly WorkerLoss[]): boolean =>
-    losses.some(({isCrashed}) => isCrashed),
+    losses.some(isCrashUnderTask),
 
   /** Whether the task, and with it its job, is given up. */
   isFatal: (losses: readonly WorkerLoss[]): boolean =>
-    losses.filter(({isCrashed}) => isCrashed).length >= MAX_CRASHES,
+    losses.filter(isCrashUnderTask).length >= MAX_CRASHES,
 
   mayStart: (losses: readonly WorkerLoss[]): boolean =>
     losses.length < MAX_LOSSES && !CrashPolicy.isFatal(losses),
 };
+
+function isCrashUnderTask({hasStarted, isCrashed}: WorkerLoss): boolean {
+  return hasStarted && isCrashed;
+}
--- a/src/core/pool/crashes/crash_watch.test.ts
+++ b/src/core/pool/crashes/crash_watch.test.ts
@@ -3,6 +3,7 @@
 import {POOL_WORKER_REPORT} from '../../../../test-support/fakes/pool/pool_worker_report.js';
 import {ActiveJob} from '../active_job.js';
 import {LossCause} from '../loss_cause.js';
+import {Run} from '../run.js';
 import {CrashPolicy} from './crash_policy.js';
 import {CrashWatch} from './crash_watch.js';
 
@@ -23,7 +24,10 @@
 function createTask(id: string) {
   const queue = PoolBench.table().find('h', `/a/${id}`)!;
   const opts = {owner: 'e', queue, token: 1, now: 0};
-  return new ActiveJob(PoolBench.submission(id), opts).tasks[0]!;
+  const task = new ActiveJob(PoolBench.submission(id), opts).tasks[0]!;
+  const demand = {cpu: 1, memoryMb: 1, accelerators: 0};
+  task.run = Run.adopted(task.name, 1, demand, 0);
+  return task;
 }
 
 // Guards against a task that is excused each time it crashes a worker, since an
--- a/src/core/pool/crashes/crash_watch.ts
+++ b/src/core/pool/crashes/crash_watch.ts
@@ -56,12 +56,14 @@
     const isCrashed = isRefused || cause === LossCause.restarted;
     for (const task of blamedOf(tasks, isCrashed)) {
       const {name, job} = task;
-      const loss = {task: name, worker: id, address, bornAt, isCrashed};
-      task.losses = withLoss(task.losses, loss);
+      const hasStarted = task.run?.confirmedAt !== undefined;
+      const loss = {task: name, worker: id, address, bornAt};
+      task.losses = withLoss(task.losses, {...loss, hasStarted, isCrashed});
       this.opts.observer.recordJobEvent('task_suspected', job.spec.id, {
         task: name,
         worker: id,
         is_crash: isCrashed,
+        has_started: hasStarted,
         workers_lost: task.losses.length,
       });
       if (!isCrashed) this.unresolved.add(job);
--- a/src/core/pool/crashes/worker_loss.ts
+++ b/src/core/pool/crashes/worker_loss.ts
@@ -8,6 +8,8 @@
   address: v.string(),
   /** Start time of the process, in ms since the Unix epoch. */
   bornAt: v.number(),
+  /** Whether the worker has confirmed the start; the order may have been lost. */
+  hasStarted: v.boolean(),
   /** Whether the process has crashed; otherwise it may have been cut off. */
   isCrashed: v.boolean(),
 });
--- a/src/core/pool/crashing_tasks.test.ts
+++ b/src/core/pool/crashing_tasks.test.ts
@@ -144,3 +144,21 @@
   assert.equal(bench.answers.get('j')?.kind, 'completed');
   assert.isFalse(bench.losses.has('j'));
 });
+
+// Guards against giving up a task for workers that lost power before the start
+// order arrived. Found by `check pool`, seed 1.
+test('a worker that has not confirmed the start has not crashed under the task', async () => {
+  const bench = new PoolBench(4);
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  let lost = 0;
+  bench.client.faultOf = (call, id) => {
+    if (call !== 'start' || lost === 3) return 'ok';
+    lost += 1;
+    bench.crash(id);
+    return 'order_lost';
+  };
+  dispatcher.submit('e', PoolBench.submission('j'));
+  await bench.run(6_000, dispatcher);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+});
--- a/test-support/fakes/pool/fake_pool_worker.ts
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -29,6 +29,8 @@
   /** Run time of a task, in ms, by task name. */
   runMs: (task: string) => number = () => 100;
   endOf: (task: string) => RunEnd = () => RunEnd.done;
+  /** Whether starts beyond the capacity are refused. */
+  guardsCapacity = true;
   /** Called with the task of each run that starts. */
   onStart: (task: string) => void = () => undefined;
   /** Time that has passed here while the machine of the dispatcher was suspended. */
@@ -41,7 +43,7 @@
   private readonly bootedAt: number;
 
   constructor(
-    readonly report: WorkerReport,
+    public report: WorkerReport,
     private readonly clock: FakeClock,
     private readonly leaseMs: number,
   ) {
@@ -77,7 +79,9 @@
     if (this.running.get(task)?.run === run) return undefined;
     if (run <= (this.highestRun.get(task) ?? 0)) return RunRefusal.old;
     const {cpu} = this.report.capacity;
-    if (this.running.size >= cpu / 1_000) return RunRefusal.noRoom;
+    if (this.guardsCapacity && this.running.size >= cpu / 1_000) {
+      return RunRefusal.noRoom;
+    }
     const endsAt = this.clockMs + this.runMs(task);
     this.running.set(task, {run, endsAt, how: this.endOf(task)});
     this.onStart(task);
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -100,6 +100,13 @@
     this.registry.update(next, this.clock.now());
   }
 
+  /** Changes the capacity of a worker, which its next report shows. */
+  resize(id: string, tasksEach: number): void {
+    const worker = this.workers.get(id)!;
+    const capacity = {...worker.report.capacity, cpu: tasksEach * 1_000};
+    worker.report = {...worker.report, capacity};
+  }
+
   createDispatcher(opts: DispatcherOptions = {}): PoolDispatcher {
     const {term = 1, isRegistryComplete = true} = opts;
     const {earlierLeasesMs = LEASE_MS} = opts;
