Let callers leave and stops get lost in the check of the pool

Takeovers now leave the runs of callers that have gone unclaimed, and stop orders can be lost, so that runs go on beside new starts.

--- a/src/check/pool/pool_run.ts
+++ b/src/check/pool/pool_run.ts
@@ -15,6 +15,9 @@
 const COUNTED_CRASHES = 3;
 const MAX_FURTHER_STARTS = 2;
 
+/** Of this many callers, one leaves at a takeover. */
+const CALLERS_PER_LEAVE = 4;
+
 interface Job {
   readonly id: string;
   readonly tasks: number;
@@ -42,8 +45,11 @@
   private readonly capacities = new Map<string, Array<[number, number]>>();
   private readonly cutUntil = new Map<string, number>();
   private readonly dark = new Set<string>();
+  /** Jobs whose callers have left. */
+  private readonly left = new Set<string>();
   /** Workers that crashed while they ran each task. */
   private readonly crashedUnder = new Map<string, Set<string>>();
+  private stopsLostUntil = 0;
   private dispatcher: PoolDispatcher;
   private term = 1;
   private successors = 0;
@@ -51,8 +57,10 @@
   constructor() {
     const {bench} = this;
     for (let n = 0; n < WORKERS; n += 1) this.addWorker(`w${n}`, TASKS_EACH);
-    bench.client.faultOf = (_call, id) => {
-      const isCut = (this.cutUntil.get(id) ?? 0) > bench.clock.now();
+    bench.client.faultOf = (call, id) => {
+      const now = bench.clock.now();
+      if (call === 'stop' && now < this.stopsLostUntil) return 'order_lost';
+      const isCut = (this.cutUntil.get(id) ?? 0) > now;
       return isCut || this.dark.has(id) ? 'order_lost' : 'ok';
     };
     this.dispatcher = bench.createDispatcher();
@@ -69,8 +77,10 @@
       this.execute(step);
     }
     this.cutUntil.clear();
+    this.stopsLostUntil = 0;
     for (const id of this.bench.workers.keys()) this.resize(id, TASKS_EACH);
-    const isAnswered = (job: Job) => this.bench.answers.has(job.id);
+    const isAnswered = ({id}: Job) =>
+      this.left.has(id) || this.bench.answers.has(id);
     for (let waited = 0; waited < SETTLE_MS; waited += SETTLE_STEP_MS) {
       if (this.jobs.every(isAnswered)) break;
       await this.advance(SETTLE_STEP_MS);
@@ -99,10 +109,13 @@
         this.cutUntil.set(this.idOf(step.worker), until);
         return;
       }
+      case 'lose_stops':
+        this.stopsLostUntil = this.bench.clock.now() + step.forMs;
+        return;
       case 'resize':
         return this.resize(this.idOf(step.worker), step.tasks);
       case 'take_over':
-        return this.takeOver();
+        return this.takeOver(step.leaves);
       case 'resubmit': {
         const job = this.jobs[step.job];
         if (job && this.bench.answers.has(job.id)) this.submit(job);
@@ -116,12 +129,14 @@
     this.dispatcher.submit('e', PoolBench.submission(id, opts));
   }
 
-  private takeOver(): void {
+  private takeOver(leaves: number): void {
     this.dispatcher.close();
     this.term += 1;
     this.dispatcher = this.bench.createDispatcher({term: this.term});
-    for (const job of this.jobs) {
+    for (const [at, job] of this.jobs.entries()) {
       if (this.bench.answers.has(job.id)) continue;
+      if (at % CALLERS_PER_LEAVE === leaves) this.left.add(job.id);
+      if (this.left.has(job.id)) continue;
       const {id, tasks, runMs: estimatedMs} = job;
       const opts = {tasks, estimatedMs, patienceMs: PATIENCE_MS};
       const losses = [...(this.bench.losses.get(id) ?? [])];
@@ -209,7 +224,9 @@
   private checkAnswers(): void {
     for (const {id, isDeadly} of this.jobs) {
       const kind = this.bench.answers.get(id)?.kind;
-      if (kind === undefined) this.violations.push(`${id}: no answer`);
+      if (kind === undefined && !this.left.has(id)) {
+        this.violations.push(`${id}: no answer`);
+      }
       if (isDeadly && kind === 'completed') {
         this.violations.push(`${id}: completed, though a task cannot end`);
       }
--- a/src/check/pool/pool_steps_arbitrary.ts
+++ b/src/check/pool/pool_steps_arbitrary.ts
@@ -14,7 +14,10 @@
   kind: fc.constant('submit' as const),
   waitMs,
   tasks: fc.integer({min: 1, max: 4}),
-  runMs: fc.integer({min: 30, max: 1_200}),
+  runMs: fc.oneof(
+    {weight: 4, arbitrary: fc.integer({min: 30, max: 1_200})},
+    {weight: 1, arbitrary: fc.integer({min: 1_200, max: 5_000})},
+  ),
   isDeadly: fc.nat({max: 2}).map(n => n === 0),
 });
 const crash = fc.record({
@@ -28,13 +31,22 @@
   worker,
   forMs: fc.integer({min: 100, max: 4_000}),
 });
+const loseStops = fc.record({
+  kind: fc.constant('lose_stops' as const),
+  waitMs,
+  forMs: fc.integer({min: 500, max: 4_000}),
+});
 const resize = fc.record({
   kind: fc.constant('resize' as const),
   waitMs,
   worker,
   tasks: fc.integer({min: 0, max: 3}),
 });
-const takeOver = fc.record({kind: fc.constant('take_over' as const), waitMs});
+const takeOver = fc.record({
+  kind: fc.constant('take_over' as const),
+  waitMs,
+  leaves: fc.nat({max: 3}),
+});
 const resubmit = fc.record({
   kind: fc.constant('resubmit' as const),
   waitMs,
@@ -47,6 +59,7 @@
     {weight: 5, arbitrary: submit},
     {weight: 1, arbitrary: crash},
     {weight: 2, arbitrary: cut},
+    {weight: 1, arbitrary: loseStops},
     {weight: 2, arbitrary: resize},
     {weight: 1, arbitrary: takeOver},
     {weight: 1, arbitrary: resubmit},
