Unblock the steps of a job in linear time

Callers would see: a job with many steps and dependencies (a body within the limit of 256 KB) stops service for all: each end of one of its runs holds up the leader for a third of a second, it loses its lead, and entry nodes submit the job to the next leader, which it holds up as well.

Cause: for each blocked task and each dependency, all tasks of the job were searched.

Change: one pass finds the steps that are done, another the tasks that may start; a job of one step costs nothing.

--- a/src/core/pool/active_job.ts
+++ b/src/core/pool/active_job.ts
@@ -101,11 +101,15 @@
 
   /** Marks blocked tasks as waiting once their preceding steps are complete. */
   unblock(): void {
-    const isDone = (step: number) =>
-      this.tasks.every(t => t.step !== step || t.state === 'done');
+    const {steps} = this.spec;
+    if (steps.length === 1) return;
+    const isDone = steps.map(() => true);
+    for (const {step, state} of this.tasks) {
+      if (state !== 'done') isDone[step] = false;
+    }
+    const mayStart = steps.map(({after}) => after.every(at => isDone[at]));
     for (const task of this.tasks) {
-      if (task.state !== 'blocked') continue;
-      if (this.spec.steps[task.step]!.after.every(isDone)) {
+      if (task.state === 'blocked' && mayStart[task.step]) {
         task.state = 'waiting';
       }
     }
