Refuse a job with a step without tasks at once

Callers would see: such a job waits until its deadline and gets a 504, although it cannot be served.

Cause: the entry node took it, and the dispatcher's validator, which wants at least one task in a step, dropped the submission without a word.

Evidence: the test fails before.

--- a/src/platform/decode.test.ts
+++ b/src/platform/decode.test.ts
@@ -124,3 +124,11 @@
   });
   fc.assert(assertion, {numRuns: 500, seed: 5});
 });
+
+// Guards against a job that the entry node takes and every dispatcher ignores,
+// so that its caller waits until the deadline.
+test('a job with a step without tasks is refused as invalid', () => {
+  const {steps} = jobOf();
+  const decoded = decodeJob(ID, jobOf({steps: [...steps, {count: 0}]}));
+  assert.equal(decoded.isErr && decoded.error.kind, 'invalid');
+});
--- a/src/platform/decode_job.ts
+++ b/src/platform/decode_job.ts
@@ -27,7 +27,7 @@
 
 const StepBody = v.object({
   /** Number of tasks. */
-  count,
+  count: v.pipe(count, v.minValue(1)),
   /** Demand of one task, in thousandths of a core. */
   cpu: v.optional(nonNegativeNumber, 0),
   mem_mb: v.optional(nonNegativeNumber, 0),
