--- a/src/core/dispatch/job_termination.test.ts
+++ b/src/core/dispatch/job_termination.test.ts
@@ -141,3 +141,24 @@
   bench.clock.advance(62_000);
   assert.equal(bench.answer(key)?.status, 'complete');
 });
+
+// Guards against a task that crashes one worker after the other: the users allow
+// two more starts after three crashes, changes of the dispatcher included.
+test('a task that crashes its workers is started a bounded number of times', () => {
+  const bench = new DispatchBench({workers: 8, classes: [REPEATABLE]});
+  for (let n = 1; n <= 8; n += 1) {
+    bench.worker(`w${n}`).observer = {
+      started: worker => bench.clock.schedule(1, () => worker.kill()),
+      ended: () => undefined,
+    };
+  }
+  const key = bench.submit([1_000]);
+  for (let n = 0; n < 10; n += 1) {
+    bench.clock.advance(3_000);
+    bench.replicator.lead(bench.clock.now());
+  }
+  bench.clock.advance(30_000);
+  assert.isAtMost(bench.starts().length, 5);
+  assert.isAbove(bench.starts().length, 1);
+  assert.equal(bench.answer(key)?.status, 'failed');
+});
