--- a/src/core/pool/worker_report_service.test.ts
+++ b/src/core/pool/worker_report_service.test.ts
@@ -100,3 +100,21 @@
   const next = {...POOL_WORKER_REPORT, sequence: 2};
   assert.isUndefined(await settle(follower.service.report(next)));
 });
+
+// Guards against starts beyond a capacity that has shrunk, on workers that do
+// not check it.
+test('a changed capacity is known to the leader before the worker is answered', async () => {
+  const {leader, follower, settle} = createBench();
+  await settle(follower.service.report(POOL_WORKER_REPORT));
+  const {capacity} = POOL_WORKER_REPORT;
+  const smaller = {
+    ...POOL_WORKER_REPORT,
+    sequence: 2,
+    capacity: {...capacity, memoryMb: capacity.memoryMb / 2},
+  };
+  assert.equal(await settle(follower.service.report(smaller)), 'c2:1');
+  assert.deepEqual(
+    leader.registry.entries.get('w')?.report.capacity,
+    smaller.capacity,
+  );
+});
