--- a/src/core/pool/entry_gateway.test.ts
+++ b/src/core/pool/entry_gateway.test.ts
@@ -9,14 +9,14 @@
 
 /** Records the messages of an entry node and delivers messages to it. */
 class RecordingPeers extends PeerTransport {
-  readonly sent: Array<{node: string; kind: string}> = [];
+  readonly sent: Array<{node: string; kind: string; body: unknown}> = [];
 
   constructor(private readonly clock: FakeClock) {
     super();
   }
 
-  override send(node: string, kind: string): void {
-    this.sent.push({node, kind});
+  override send(node: string, kind: string, body: unknown): void {
+    this.sent.push({node, kind, body});
   }
 
   override request(): Promise<Result<unknown, never>> {
@@ -153,3 +153,27 @@
   bench.peers.deliver('c2', 'pool.answer', {id: 'j', answer});
   assert.equal(bench.answers[0]?.kind, 'given_up');
 });
+
+// Guards against a task that crashes two workers under each leader anew.
+test('a job is submitted to the next leader with the workers lost under it', () => {
+  const bench = createBench();
+  const losses = [
+    {
+      task: 'j.0.0.0',
+      worker: 'w',
+      address: 'w:1',
+      bornAt: 1,
+      hasStarted: true,
+      isCrashed: true,
+    },
+  ];
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  bench.peers.deliver('c1', 'pool.losses', {id: 'j', losses});
+  // A leader that does not have the job knows less.
+  bench.peers.deliver('c2', 'pool.losses', {id: 'j', losses: []});
+  bench.announceLeader('c2', 2);
+  const [submission] = bench.peers.sent.filter(({node}) => node === 'c2');
+  assert.equal(submission?.kind, 'pool.submit');
+  assert.deepInclude(submission?.body, {losses});
+});
