Take back the assumption of a crash when the worker replies again

Callers would see: a job fails although its workers only were behind links that refused connections for a while.

Cause: a refused connection was taken for a crash for good.

Change: CrashWatch watches all lost workers of a job, not only silent ones. One that replies again as the same process no longer counts. A loss names the start time of the process that ran the task (ProcessInstance), since a worker that restarts under its id reports a later one at once.

--- a/src/core/pool/crashes/crash_watch.test.ts
+++ b/src/core/pool/crashes/crash_watch.test.ts
@@ -7,7 +7,11 @@
 import {CrashPolicy} from './crash_policy.js';
 import {CrashWatch} from './crash_watch.js';
 
-const REFUSED = {cause: LossCause.leaseExpired, isRefused: true};
+const REFUSED = {
+  cause: LossCause.leaseExpired,
+  bornAt: POOL_WORKER_REPORT.bornAt,
+  isRefused: true,
+};
 
 function createWatch(): CrashWatch {
   return new CrashWatch({
--- a/src/core/pool/crashes/crash_watch.ts
+++ b/src/core/pool/crashes/crash_watch.ts
@@ -10,10 +10,12 @@
 
 /** Time for which the losses of an ended job are kept for a resubmission. */
 const RETENTION_MS = 60_000;
+/** Interval at which the fleet is searched for lost workers. */
+const RESOLVE_INTERVAL_MS = 100;
 /** Limit of jobs whose losses are kept. */
 const MAX_JOBS = 1_000;
 
-/** What became of a silent worker. */
+/** What became of a lost worker. */
 type Fate = 'crashed' | 'survived' | 'unknown';
 
 interface Remembered {
@@ -33,21 +35,23 @@
 
 /**
  * Finds the tasks that crash their workers. A worker that refuses connections or
- * runs another process has crashed; a silent one may have been cut off, which
- * shows when it replies again or when another process appears at its address.
+ * runs another process has crashed; a silent one may have been cut off. What is
+ * assumed is corrected when the worker replies again or when another process
+ * appears at its address.
  */
 export class CrashWatch {
-  /** Jobs with tasks under which a worker has gone silent. */
-  private readonly unresolved = new Set<ActiveJob>();
+  /** Jobs with tasks under which a worker was lost. */
+  private readonly watched = new Set<ActiveJob>();
   private readonly remembered = new Map<string, Remembered>();
+  private nextResolve = 0;
 
   constructor(private readonly opts: CrashWatchOptions) {}
 
   /** Records that a worker was lost while it ran these tasks. */
   record(
-    {id, address, bornAt, isDraining}: WorkerReport,
+    {id, address, isDraining}: WorkerReport,
     tasks: readonly PoolTask[],
-    {cause, isRefused}: RunLoss,
+    {cause, bornAt, isRefused}: RunLoss,
     now: number,
   ): void {
     // A worker that has announced its departure ends its runs, and one that does
@@ -66,7 +70,7 @@
         has_started: hasStarted,
         workers_lost: task.losses.length,
       });
-      if (!isCrashed) this.unresolved.add(job);
+      this.watched.add(job);
       this.onChanged(job, now);
     }
   }
@@ -79,26 +83,26 @@
       if (!task) continue;
       task.losses = withLoss(task.losses, loss);
       job.hasStarted = true;
-      if (!loss.isCrashed) this.unresolved.add(job);
+      this.watched.add(job);
     }
   }
 
   /**
-   * Finds out what became of silent workers. Returns the jobs with tasks that may
-   * be started again or that are given up.
+   * Finds out what became of lost workers. Returns the jobs with tasks that may be
+   * started again or that are given up.
    */
   resolve(workers: readonly LeasedWorker[], now: number): ActiveJob[] {
+    if (now < this.nextResolve) return [];
+    this.nextResolve = now + RESOLVE_INTERVAL_MS;
     this.forget(now);
-    if (this.unresolved.size === 0) return [];
+    if (this.watched.size === 0) return [];
     const byId = new Map(workers.map(w => [w.report.id, w]));
     const byAddress = new Map(workers.map(w => [w.report.address, w]));
     const changed: ActiveJob[] = [];
-    for (const job of this.unresolved) {
+    for (const job of this.watched) {
       const fateOf = (loss: WorkerLoss) =>
         findFate(loss, byId.get(loss.worker), byAddress.get(loss.address));
       const isChanged = this.resolveJob(job, fateOf);
-      const losses = job.tasks.flatMap(t => t.losses);
-      if (losses.every(l => l.isCrashed)) this.unresolved.delete(job);
       if (!isChanged) continue;
       this.onChanged(job, now);
       changed.push(job);
@@ -113,9 +117,9 @@
     let isChanged = false;
     for (const task of job.tasks) {
       const losses = task.losses.flatMap(loss => {
-        if (loss.isCrashed) return [loss];
         const fate = fateOf(loss);
-        if (fate === 'unknown') return [loss];
+        const isKnown = fate === 'crashed' && loss.isCrashed;
+        if (fate === 'unknown' || isKnown) return [loss];
         isChanged = true;
         this.opts.observer.recordJobEvent('suspicion_resolved', job.spec.id, {
           task: task.name,
@@ -143,9 +147,9 @@
       if (until > now && this.remembered.size <= MAX_JOBS) break;
       this.remembered.delete(id);
     }
-    for (const job of this.unresolved) {
+    for (const job of this.watched) {
       const isKept = !job.isAbandoned || this.remembered.has(job.spec.id);
-      if (!isKept) this.unresolved.delete(job);
+      if (!isKept) this.watched.delete(job);
     }
   }
 }
@@ -178,7 +182,7 @@
   });
 }
 
-/** What became of a silent worker, from the workers that report now. */
+/** What became of a lost worker, from the workers that report now. */
 function findFate(
   {worker, bornAt}: WorkerLoss,
   sameId: LeasedWorker | undefined,
--- a/src/core/pool/crashing_tasks.test.ts
+++ b/src/core/pool/crashing_tasks.test.ts
@@ -162,3 +162,29 @@
   await bench.run(6_000, dispatcher);
   assert.equal(bench.answers.get('j')?.kind, 'completed');
 });
+
+// Guards against taking a link that refuses connections for a crash: the worker
+// runs on, and replies later.
+test('a worker that refused connections and replies again has not crashed', async () => {
+  const bench = new PoolBench(1);
+  const [worker] = bench.workers.values();
+  worker!.runMs = () => 300;
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  dispatcher.submit('e', PoolBench.submission('j', {estimatedMs: 300}));
+  for (let n = 0; n < 2; n += 1) {
+    await bench.run(50, dispatcher);
+    bench.client.crashed.add('w0');
+    await bench.run(1_300, dispatcher);
+    assert.isTrue(bench.losses.get('j')?.every(l => l.isCrashed));
+    bench.client.crashed.clear();
+    worker!.processDueEnds();
+    for (let ms = 0; ms < 3_000 && worker!.running.size === 0; ms += 1) {
+      await bench.run(1, dispatcher);
+    }
+    await bench.run(110, dispatcher);
+    assert.isEmpty(bench.losses.get('j'));
+  }
+  await bench.run(2_000, dispatcher);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+});
--- a/src/core/pool/leased_worker.ts
+++ b/src/core/pool/leased_worker.ts
@@ -3,6 +3,7 @@
 import type {LeaseOptions} from './lease_options.js';
 import {LeaseTiming} from './lease_timing.js';
 import {LossCause} from './loss_cause.js';
+import {ProcessInstance} from './process_instance.js';
 import {ProbeBackoff} from './probe_backoff.js';
 import {Resources} from './resources.js';
 import type {Run} from './run.js';
@@ -26,9 +27,7 @@
 export class LeasedWorker {
   private readonly ledger = new RunLedger();
   private readonly lease: WorkerLease;
-  private bornAt: number | undefined;
-  /** When another process instance replied for the first time. */
-  private restartedAt = Number.NEGATIVE_INFINITY;
+  private readonly instance = new ProcessInstance();
   private readonly fence: WorkerFence;
   private readonly acks = new EndAcknowledgements();
   private readonly orders: WorkerOrders;
@@ -246,7 +245,12 @@
   }
 
   private onStatus(status: Status, sentAt: number, now: number): void {
-    if (status.bornAt !== undefined) this.updateInstance(status.bornAt, now);
+    const {bornAt} = status;
+    if (bornAt !== undefined && this.instance.update(bornAt, now)) {
+      this.acks.reset();
+      this.lease.reset();
+      this.ledger.inherited.clear();
+    }
     this.lease.updateClock(status.clockMs, sentAt, now);
     this.fence.recordAccepted();
     for (const {number, task, run, how} of status.ended) {
@@ -260,18 +264,9 @@
       if (reported.get(run.task) === run.number) run.confirmedAt ??= now;
       else if (this.isLost(run, status, sentAt, now)) lost.push(run);
     }
-    const isRestart = lost.some(run => run.sentAt < this.restartedAt);
-    this.loseRuns(lost, isRestart ? LossCause.restarted : LossCause.notListed);
-  }
-
-  private updateInstance(bornAt: number, now: number): void {
-    if (this.bornAt !== undefined && bornAt !== this.bornAt) {
-      this.restartedAt = now;
-      this.acks.reset();
-      this.lease.reset();
-      this.ledger.inherited.clear();
-    }
-    this.bornAt = bornAt;
+    const [previous] = lost.flatMap(r => this.instance.previousOf(r) ?? []);
+    if (previous === undefined) this.loseRuns(lost, LossCause.notListed);
+    else this.loseRuns(lost, LossCause.restarted, previous);
   }
 
   private onListedEnd(task: string, number: number, how: RunEnd): void {
@@ -336,9 +331,13 @@
     this.opts.listener.onRunEnded(this, run, how, loss);
   }
 
-  private loseRuns(runs: readonly Run[], cause: LossCause): void {
+  private loseRuns(
+    runs: readonly Run[],
+    cause: LossCause,
+    bornAt = this.instance.bornAt ?? this.report.bornAt,
+  ): void {
     if (runs.length === 0) return;
-    const loss = {cause, isRefused: this.probes.isRefused};
+    const loss = {cause, bornAt, isRefused: this.probes.isRefused};
     this.opts.listener.onWorkerLost(this, runs, loss);
     for (const run of runs) this.endRun(run, RunEnd.lost, loss);
   }
