--- a/src/core/pool/backlog_forecast.ts
+++ b/src/core/pool/backlog_forecast.ts
@@ -1,4 +1,4 @@
-import type {LeasedWorker} from './leased_worker.js';
+import type {LeasedWorker} from './lease/leased_worker.js';
 import type {ActiveJob} from './active_job.js';
 import {PlacementForecast} from './placement_forecast.js';
 import type {RunTimes} from './run_times.js';
--- a/src/core/pool/crashes/crash_watch.test.ts
+++ b/src/core/pool/crashes/crash_watch.test.ts
@@ -2,8 +2,8 @@
 import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 import {POOL_WORKER_REPORT} from '../../../../test-support/fakes/pool/pool_worker_report.js';
 import {ActiveJob} from '../active_job.js';
-import {LossCause} from '../loss_cause.js';
-import {Run} from '../run.js';
+import {LossCause} from '../lease/loss_cause.js';
+import {Run} from '../lease/run.js';
 import {CrashPolicy} from './crash_policy.js';
 import {CrashWatch} from './crash_watch.js';
 
--- a/src/core/pool/crashes/crash_watch.ts
+++ b/src/core/pool/crashes/crash_watch.ts
@@ -1,9 +1,9 @@
 import type {ActiveJob} from '../active_job.js';
-import type {LeasedWorker} from '../leased_worker.js';
-import {LossCause} from '../loss_cause.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
+import {LossCause} from '../lease/loss_cause.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {PoolTask} from '../pool_task.js';
-import type {RunLoss} from '../run_loss.js';
+import type {RunLoss} from '../lease/run_loss.js';
 import type {WorkerReport} from '../worker_report.js';
 import {CrashPolicy} from './crash_policy.js';
 import type {WorkerLoss} from './worker_loss.js';
--- a/src/core/pool/fallback_service.ts
+++ b/src/core/pool/fallback_service.ts
@@ -10,7 +10,7 @@
 import type {DispatcherClaim} from './dispatcher_claim.js';
 import type {PoolObserver} from './pool_observer.js';
 import {WorkerRegistry} from './worker_registry.js';
-import type {WorkerClient} from './worker_client.js';
+import type {WorkerClient} from './lease/worker_client.js';
 import type {ZonePeers} from './zone_peers.js';
 
 /** Pause after an attempt that did not start a fallback. */
--- a/src/core/pool/leader_service.ts
+++ b/src/core/pool/leader_service.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '../clock/clock.js';
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {RoutingTable} from '../routing/routing_table.js';
-import {FencingToken} from './fencing_token.js';
+import {FencingToken} from './lease/fencing_token.js';
 import {DispatcherEndpoint} from './dispatcher_endpoint.js';
 import type {NodeDirectory} from './node_directory.js';
 import {PoolDispatcher} from './pool_dispatcher.js';
@@ -13,7 +13,7 @@
 import {RelayChooser} from './relay/relay_chooser.js';
 import {RelayedWorkerClient} from './relay/relayed_worker_client.js';
 import {WorkerRelay} from './relay/worker_relay.js';
-import type {WorkerClient} from './worker_client.js';
+import type {WorkerClient} from './lease/worker_client.js';
 import {WorkerReportService} from './worker_report_service.js';
 
 /** A leader that no majority has confirmed for this long sends no orders. */
--- a/src/core/pool/lease_options.ts
+++ b/src/core/pool/lease/lease_options.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '../clock/clock.js';
+import type {Clock} from '../../clock/clock.js';
 import type {LeaseListener} from './lease_listener.js';
 import type {WorkerClient} from './worker_client.js';
 
--- a/src/core/pool/leased_worker.test.ts
+++ b/src/core/pool/lease/leased_worker.test.ts
@@ -1,5 +1,5 @@
 import {assert} from 'chai';
-import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 import {RunEnd} from './run_end.js';
 
 test('a job runs on the workers and is answered once', async () => {
--- a/src/core/pool/pool_admission.ts
+++ b/src/core/pool/pool_admission.ts
@@ -1,6 +1,6 @@
 import type {ActiveJob} from './active_job.js';
 import {canRun} from './can_run.js';
-import type {LeasedWorker} from './leased_worker.js';
+import type {LeasedWorker} from './lease/leased_worker.js';
 import type {PoolTask} from './pool_task.js';
 
 interface Refusal {
--- a/src/core/pool/pool_jobs.ts
+++ b/src/core/pool/pool_jobs.ts
@@ -4,7 +4,7 @@
 import type {ActiveJob} from './active_job.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {PoolTask} from './pool_task.js';
-import type {Run} from './run.js';
+import type {Run} from './lease/run.js';
 import {RecentStarts} from './recent_starts.js';
 import {retryAfterMs} from './retry_after.js';
 
--- a/src/core/pool/relay/relay_reply.ts
+++ b/src/core/pool/relay/relay_reply.ts
@@ -1,6 +1,6 @@
-import {RunEnd} from '../run_end.js';
-import {RunRefusal} from '../run_refusal.js';
-import type {WorkerClient} from '../worker_client.js';
+import {RunEnd} from '../lease/run_end.js';
+import {RunRefusal} from '../lease/run_refusal.js';
+import type {WorkerClient} from '../lease/worker_client.js';
 
 type OrderReply = Awaited<ReturnType<WorkerClient['start']>>;
 type PollReply = Awaited<ReturnType<WorkerClient['poll']>>;
--- a/src/core/pool/relay/relayed_worker_client.ts
+++ b/src/core/pool/relay/relayed_worker_client.ts
@@ -1,5 +1,5 @@
 import type {PeerTransport} from '../../peer/peer_transport.js';
-import {WorkerClient} from '../worker_client.js';
+import {WorkerClient} from '../lease/worker_client.js';
 import type {RelayChooser} from './relay_chooser.js';
 import type {RelayOrder} from './relay_order.js';
 import {RelayReply} from './relay_reply.js';
--- a/src/core/pool/relay/worker_relay.ts
+++ b/src/core/pool/relay/worker_relay.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
 import type {PeerTransport} from '../../peer/peer_transport.js';
-import type {WorkerClient} from '../worker_client.js';
+import type {WorkerClient} from '../lease/worker_client.js';
 import {RelayOrder} from './relay_order.js';
 
 /** Relays orders of the leader to workers. */
--- a/src/core/pool/run_recorder.ts
+++ b/src/core/pool/run_recorder.ts
@@ -1,10 +1,10 @@
-import type {LeasedWorker} from './leased_worker.js';
+import type {LeasedWorker} from './lease/leased_worker.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {PoolTask} from './pool_task.js';
-import type {Run} from './run.js';
-import {RunEnd} from './run_end.js';
-import type {RunLoss} from './run_loss.js';
-import type {RunRefusal} from './run_refusal.js';
+import type {Run} from './lease/run.js';
+import {RunEnd} from './lease/run_end.js';
+import type {RunLoss} from './lease/run_loss.js';
+import type {RunRefusal} from './lease/run_refusal.js';
 import type {RunTimes} from './run_times.js';
 import type {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
 
--- a/src/core/pool/start_candidates.ts
+++ b/src/core/pool/start_candidates.ts
@@ -1,6 +1,6 @@
 import {canRun} from './can_run.js';
 import {CrashPolicy} from './crashes/crash_policy.js';
-import type {LeasedWorker} from './leased_worker.js';
+import type {LeasedWorker} from './lease/leased_worker.js';
 import type {PoolTask} from './pool_task.js';
 import type {Resources} from './resources.js';
 import type {RunTimes} from './run_times.js';
--- a/src/core/pool/takeover.ts
+++ b/src/core/pool/takeover.ts
@@ -1,7 +1,7 @@
-import type {LeasedWorker} from './leased_worker.js';
+import type {LeasedWorker} from './lease/leased_worker.js';
 import type {ActiveJob} from './active_job.js';
-import {Run} from './run.js';
-import {RunEnd} from './run_end.js';
+import {Run} from './lease/run.js';
+import {RunEnd} from './lease/run_end.js';
 import type {PoolTask} from './pool_task.js';
 
 /** Tolerance for slow clocks of workers and timers that fire late. */
--- a/src/core/pool/warm_up/instant_worker_client.ts
+++ b/src/core/pool/warm_up/instant_worker_client.ts
@@ -1,6 +1,6 @@
 import type {SteppedClock} from '../../clock/stepped_clock.js';
-import {RunEnd} from '../run_end.js';
-import {WorkerClient} from '../worker_client.js';
+import {RunEnd} from '../lease/run_end.js';
+import {WorkerClient} from '../lease/worker_client.js';
 
 interface End {
   readonly number: number;
--- a/src/core/pool/worker_fleet.ts
+++ b/src/core/pool/worker_fleet.ts
@@ -1,6 +1,6 @@
-import type {LeaseOptions} from './lease_options.js';
-import {LeasedWorker} from './leased_worker.js';
-import {LossCause} from './loss_cause.js';
+import type {LeaseOptions} from './lease/lease_options.js';
+import {LeasedWorker} from './lease/leased_worker.js';
+import {LossCause} from './lease/loss_cause.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {WorkerRegistry} from './worker_registry.js';
 import type {WorkerReport} from './worker_report.js';
--- a/src/platform/client_warm_up.ts
+++ b/src/platform/client_warm_up.ts
@@ -1,4 +1,4 @@
-import type {WorkerClient} from '../core/pool/worker_client.js';
+import type {WorkerClient} from '../core/pool/lease/worker_client.js';
 
 const CALLS_PER_SLICE = 4;
 const TIMEOUT_MS = 500;
--- a/src/platform/http_worker_client.ts
+++ b/src/platform/http_worker_client.ts
@@ -2,9 +2,9 @@
 import * as v from 'valibot';
 import {sendRequest} from '../adapter/http/send_request.js';
 import type {Clock} from '../core/clock/clock.js';
-import {RunEnd} from '../core/pool/run_end.js';
-import {RunRefusal} from '../core/pool/run_refusal.js';
-import {WorkerClient} from '../core/pool/worker_client.js';
+import {RunEnd} from '../core/pool/lease/run_end.js';
+import {RunRefusal} from '../core/pool/lease/run_refusal.js';
+import {WorkerClient} from '../core/pool/lease/worker_client.js';
 
 const CONNECT_TIMEOUT_MS = 300;
 /**
--- a/test-support/fakes/pool/fake_pool_worker.ts
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -1,5 +1,5 @@
-import {RunEnd} from '../../../src/core/pool/run_end.js';
-import {RunRefusal} from '../../../src/core/pool/run_refusal.js';
+import {RunEnd} from '../../../src/core/pool/lease/run_end.js';
+import {RunRefusal} from '../../../src/core/pool/lease/run_refusal.js';
 import type {WorkerReport} from '../../../src/core/pool/worker_report.js';
 import type {FakeClock} from '../fake_clock.js';
 
--- a/test-support/fakes/pool/fake_worker_client.ts
+++ b/test-support/fakes/pool/fake_worker_client.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '../../../src/core/clock/clock.js';
-import {WorkerClient} from '../../../src/core/pool/worker_client.js';
+import {WorkerClient} from '../../../src/core/pool/lease/worker_client.js';
 import type {FakePoolWorker} from './fake_pool_worker.js';
 
 const POLL_MS = 5;
