--- a/src/core/pool/crashes/crash_watch.ts
+++ b/src/core/pool/crashes/crash_watch.ts
@@ -4,7 +4,7 @@
 import type {PoolObserver} from '../pool_observer.js';
 import type {PoolTask} from '../pool_task.js';
 import type {RunLoss} from '../lease/run_loss.js';
-import type {WorkerReport} from '../worker_report.js';
+import type {WorkerReport} from '../registry/worker_report.js';
 import {CrashPolicy} from './crash_policy.js';
 import type {WorkerLoss} from './worker_loss.js';
 
--- a/src/core/pool/fallback_service.ts
+++ b/src/core/pool/fallback_service.ts
@@ -9,7 +9,7 @@
 import {PoolMessage} from './pool_message.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
 import type {PoolObserver} from './pool_observer.js';
-import {WorkerRegistry} from './worker_registry.js';
+import {WorkerRegistry} from './registry/worker_registry.js';
 import type {WorkerClient} from './lease/worker_client.js';
 import type {ZonePeers} from './zone_peers.js';
 
--- a/src/core/pool/leader_service.ts
+++ b/src/core/pool/leader_service.ts
@@ -8,13 +8,13 @@
 import {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from './pool_message.js';
 import type {PoolObserver} from './pool_observer.js';
-import {WorkerRegistry} from './worker_registry.js';
-import {WorkerRegistrySender} from './worker_registry_sender.js';
+import {WorkerRegistry} from './registry/worker_registry.js';
+import {WorkerRegistrySender} from './registry/worker_registry_sender.js';
 import {RelayChooser} from './relay/relay_chooser.js';
 import {RelayedWorkerClient} from './relay/relayed_worker_client.js';
 import {WorkerRelay} from './relay/worker_relay.js';
 import type {WorkerClient} from './lease/worker_client.js';
-import {WorkerReportService} from './worker_report_service.js';
+import {WorkerReportService} from './registry/worker_report_service.js';
 
 /** A leader that no majority has confirmed for this long sends no orders. */
 const CONFIRMATION_MAX_AGE_MS = 250;
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -5,7 +5,7 @@
 import {LossCause} from './loss_cause.js';
 import {ProcessInstance} from './process_instance.js';
 import {ProbeBackoff} from './probe_backoff.js';
-import {Resources} from '../resources.js';
+import {Resources} from '../registry/resources.js';
 import type {Run} from './run.js';
 import {RunLedger} from './run_ledger.js';
 import {RunEnd} from './run_end.js';
@@ -15,7 +15,7 @@
 import {WorkerFence} from './worker_fence.js';
 import {WorkerLease} from './worker_lease.js';
 import {WorkerOrders} from './worker_orders.js';
-import type {WorkerReport} from '../worker_report.js';
+import type {WorkerReport} from '../registry/worker_report.js';
 
 type PollReply = Awaited<ReturnType<WorkerClient['poll']>>;
 type Status = Extract<PollReply, {kind: 'ok'}>['look'];
--- a/src/core/pool/lease/run.ts
+++ b/src/core/pool/lease/run.ts
@@ -1,4 +1,4 @@
-import type {Resources} from '../resources.js';
+import type {Resources} from '../registry/resources.js';
 
 /** One execution of a task on a worker, until it is known to have ended. */
 export class Run {
--- a/src/core/pool/lease/run_ledger.ts
+++ b/src/core/pool/lease/run_ledger.ts
@@ -1,4 +1,4 @@
-import {Resources} from '../resources.js';
+import {Resources} from '../registry/resources.js';
 import {Run} from './run.js';
 
 const NOTHING: Resources = {cpu: 0, memoryMb: 0, accelerators: 0};
--- a/src/core/pool/pool_dispatcher_options.ts
+++ b/src/core/pool/pool_dispatcher_options.ts
@@ -4,7 +4,7 @@
 import type {PoolAnswer} from './pool_answer.js';
 import type {PoolObserver} from './pool_observer.js';
 import type {WorkerClient} from './lease/worker_client.js';
-import type {WorkerRegistry} from './worker_registry.js';
+import type {WorkerRegistry} from './registry/worker_registry.js';
 
 /** Options of a PoolDispatcher. */
 export interface PoolDispatcherOptions {
--- a/src/core/pool/worker_registry.test.ts
+++ b/src/core/pool/registry/worker_registry.test.ts
@@ -1,5 +1,5 @@
 import {assert} from 'chai';
-import {POOL_WORKER_REPORT} from '../../../test-support/fakes/pool/pool_worker_report.js';
+import {POOL_WORKER_REPORT} from '../../../../test-support/fakes/pool/pool_worker_report.js';
 import {WorkerRegistry} from './worker_registry.js';
 
 test('a late report of a worker that has left is ignored', () => {
--- a/src/platform/control_frontend.ts
+++ b/src/platform/control_frontend.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {HttpServer} from '../adapter/http/http_server.js';
-import type {WorkerReportService} from '../core/pool/worker_report_service.js';
+import type {WorkerReportService} from '../core/pool/registry/worker_report_service.js';
 import type {PoolObserver} from '../core/pool/pool_observer.js';
 import type {ConfigService} from '../daemon/config/config_service.js';
 import {decodeConfig} from './decode_config.js';
--- a/src/platform/decode_heartbeat.ts
+++ b/src/platform/decode_heartbeat.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import type {WorkerReport} from '../core/pool/worker_report.js';
+import type {WorkerReport} from '../core/pool/registry/worker_report.js';
 
 const nonNegativeNumber = v.pipe(v.number(), v.finite(), v.minValue(0));
 
--- a/test-support/fakes/pool/fake_pool_worker.ts
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -1,6 +1,6 @@
 import {RunEnd} from '../../../src/core/pool/lease/run_end.js';
 import {RunRefusal} from '../../../src/core/pool/lease/run_refusal.js';
-import type {WorkerReport} from '../../../src/core/pool/worker_report.js';
+import type {WorkerReport} from '../../../src/core/pool/registry/worker_report.js';
 import type {FakeClock} from '../fake_clock.js';
 
 interface Running {
