--- a/src/core/pool/backlog_forecast.ts
+++ b/src/core/pool/backlog_forecast.ts
@@ -1,5 +1,5 @@
 import type {LeasedWorker} from './lease/leased_worker.js';
-import type {ActiveJob} from './active_job.js';
+import type {ActiveJob} from './job/active_job.js';
 import {PlacementForecast} from './placement_forecast.js';
 import type {RunTimes} from './run_times.js';
 
--- a/src/core/pool/can_run.ts
+++ b/src/core/pool/can_run.ts
@@ -1,4 +1,4 @@
-import type {PoolTask} from './pool_task.js';
+import type {PoolTask} from './job/pool_task.js';
 import {Resources} from './registry/resources.js';
 import type {WorkerReport} from './registry/worker_report.js';
 
--- a/src/core/pool/crashes/crash_watch.ts
+++ b/src/core/pool/crashes/crash_watch.ts
@@ -1,8 +1,8 @@
-import type {ActiveJob} from '../active_job.js';
+import type {ActiveJob} from '../job/active_job.js';
 import type {LeasedWorker} from '../lease/leased_worker.js';
 import {LossCause} from '../lease/loss_cause.js';
 import type {PoolObserver} from '../pool_observer.js';
-import type {PoolTask} from '../pool_task.js';
+import type {PoolTask} from '../job/pool_task.js';
 import type {RunLoss} from '../lease/run_loss.js';
 import type {WorkerReport} from '../registry/worker_report.js';
 import {CrashPolicy} from './crash_policy.js';
--- a/src/core/pool/entry_gateway.test.ts
+++ b/src/core/pool/entry_gateway.test.ts
@@ -5,7 +5,7 @@
 import {PeerTransport} from '../peer/peer_transport.js';
 import {EntryGateway} from './entry_gateway.js';
 import {NodeDirectory} from './node_directory.js';
-import type {PoolAnswer} from './pool_answer.js';
+import type {PoolAnswer} from './job/pool_answer.js';
 
 /** Records the messages of an entry node and delivers messages to it. */
 class RecordingPeers extends PeerTransport {
--- a/src/core/pool/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -1,6 +1,6 @@
-import type {RoutingTable} from '../routing/routing_table.js';
-import {FencingToken} from './lease/fencing_token.js';
-import {CrashPolicy} from './crashes/crash_policy.js';
+import type {RoutingTable} from '../../routing/routing_table.js';
+import {FencingToken} from '../lease/fencing_token.js';
+import {CrashPolicy} from '../crashes/crash_policy.js';
 import {criticalPathMs} from './critical_path_ms.js';
 import type {PoolJob} from './pool_job.js';
 import type {PoolSubmission} from './pool_submission.js';
--- a/src/core/pool/pool_job.ts
+++ b/src/core/pool/job/pool_job.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import {Resources} from './registry/resources.js';
+import {Resources} from '../registry/resources.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 
--- a/src/core/pool/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import {WorkerLoss} from './crashes/worker_loss.js';
+import {WorkerLoss} from '../crashes/worker_loss.js';
 import {PoolJob} from './pool_job.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
--- a/src/core/pool/pool_task.ts
+++ b/src/core/pool/job/pool_task.ts
@@ -1,7 +1,7 @@
-import type {LeasedWorker} from './lease/leased_worker.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
 import type {ActiveJob} from './active_job.js';
-import type {WorkerLoss} from './crashes/worker_loss.js';
-import type {Run} from './lease/run.js';
+import type {WorkerLoss} from '../crashes/worker_loss.js';
+import type {Run} from '../lease/run.js';
 
 /** One task of an active job. */
 export interface PoolTask {
--- a/src/core/pool/pool_observer.ts
+++ b/src/core/pool/pool_observer.ts
@@ -1,4 +1,4 @@
-import type {PoolAnswer} from './pool_answer.js';
+import type {PoolAnswer} from './job/pool_answer.js';
 
 /** Receives events for logs and metrics. */
 export interface PoolObserver {
--- a/src/core/pool/run_recorder.ts
+++ b/src/core/pool/run_recorder.ts
@@ -1,6 +1,6 @@
 import type {LeasedWorker} from './lease/leased_worker.js';
 import type {PoolObserver} from './pool_observer.js';
-import type {PoolTask} from './pool_task.js';
+import type {PoolTask} from './job/pool_task.js';
 import type {Run} from './lease/run.js';
 import {RunEnd} from './lease/run_end.js';
 import type {RunLoss} from './lease/run_loss.js';
--- a/src/core/pool/run_times.ts
+++ b/src/core/pool/run_times.ts
@@ -1,5 +1,5 @@
-import {criticalPathMs} from './critical_path_ms.js';
-import type {ActiveJob} from './active_job.js';
+import {criticalPathMs} from './job/critical_path_ms.js';
+import type {ActiveJob} from './job/active_job.js';
 import {QuantileSketch} from '../dispatch/target/quantile_sketch.js';
 
 /** Assumed ratio of run time to estimate while there are no samples. */
--- a/src/daemon/pool/pool_telemetry.ts
+++ b/src/daemon/pool/pool_telemetry.ts
@@ -1,7 +1,7 @@
 import type {ConsolaInstance} from 'consola';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {Clock} from '../../core/clock/clock.js';
-import type {PoolAnswer} from '../../core/pool/pool_answer.js';
+import type {PoolAnswer} from '../../core/pool/job/pool_answer.js';
 import type {PoolObserver} from '../../core/pool/pool_observer.js';
 
 type Fields = Readonly<Record<string, unknown>>;
--- a/src/platform/decode_job.ts
+++ b/src/platform/decode_job.ts
@@ -1,6 +1,6 @@
 import {Result} from 'true-myth';
 import * as v from 'valibot';
-import type {PoolJob} from '../core/pool/pool_job.js';
+import type {PoolJob} from '../core/pool/job/pool_job.js';
 
 /** Larger jobs are refused; callers are expected to send up to 840 tasks. */
 const MAX_TASKS = 2_000;
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -1,8 +1,8 @@
-import type {PoolAnswer} from '../../../src/core/pool/pool_answer.js';
+import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
 import {FencingToken} from '../../../src/core/pool/lease/fencing_token.js';
 import {PoolDispatcher} from '../../../src/core/pool/pool_dispatcher.js';
 import type {WorkerLoss} from '../../../src/core/pool/crashes/worker_loss.js';
-import type {PoolSubmission} from '../../../src/core/pool/pool_submission.js';
+import type {PoolSubmission} from '../../../src/core/pool/job/pool_submission.js';
 import {WorkerRegistry} from '../../../src/core/pool/registry/worker_registry.js';
 import type {WorkerClient} from '../../../src/core/pool/lease/worker_client.js';
 import {RoutingTable} from '../../../src/core/routing/routing_table.js';
