--- a/src/core/pool/infeasible_jobs.test.ts
+++ b/src/core/pool/admission/infeasible_jobs.test.ts
@@ -1,5 +1,5 @@
 import {assert} from 'chai';
-import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 
 // After an outage or in a burst, late jobs must not displace jobs that can be on
 // time, and callers must not wait for answers that would be too late.
--- a/src/core/pool/pool_admission.ts
+++ b/src/core/pool/admission/pool_admission.ts
@@ -1,7 +1,7 @@
-import type {ActiveJob} from './job/active_job.js';
-import {canRun} from './can_run.js';
-import type {LeasedWorker} from './lease/leased_worker.js';
-import type {PoolTask} from './job/pool_task.js';
+import type {ActiveJob} from '../job/active_job.js';
+import {canRun} from '../can_run.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
+import type {PoolTask} from '../job/pool_task.js';
 
 interface Refusal {
   readonly reason: string;
--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry_gateway.ts
@@ -10,7 +10,7 @@
 import type {OpenJob} from './open_job.js';
 import {PoolMessage} from './pool_message.js';
 import type {PoolObserver} from './pool_observer.js';
-import {retryAfterMs} from './retry_after.js';
+import {retryAfterMs} from './admission/retry_after.js';
 
 /** Interval at which the dispatcher is polled for open jobs. */
 const POLL_MS = 300;
--- a/src/core/pool/job/pool_jobs.test.ts
+++ b/src/core/pool/job/pool_jobs.test.ts
@@ -2,7 +2,7 @@
 import {FakeClock} from '../../../../test-support/fakes/fake_clock.js';
 import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 import {ActiveJob} from './active_job.js';
-import {InfeasibleJobs} from '../infeasible_jobs.js';
+import {InfeasibleJobs} from '../admission/infeasible_jobs.js';
 import {PoolJobs} from './pool_jobs.js';
 import type {PoolAnswer} from './pool_answer.js';
 import {RunTimes} from '../run_times.js';
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -1,12 +1,12 @@
 import type {Clock} from '../../clock/clock.js';
-import type {InfeasibleJobs} from '../infeasible_jobs.js';
+import type {InfeasibleJobs} from '../admission/infeasible_jobs.js';
 import type {PoolAnswer} from './pool_answer.js';
 import type {ActiveJob} from './active_job.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {PoolTask} from './pool_task.js';
 import type {Run} from '../lease/run.js';
 import {RecentStarts} from './recent_starts.js';
-import {retryAfterMs} from '../retry_after.js';
+import {retryAfterMs} from '../admission/retry_after.js';
 
 /** Time after which a backlog that makes jobs late is usually processed. */
 const LATE_RETRY_MS = 2_000;
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -1,12 +1,12 @@
 import type {LeasedWorker} from './lease/leased_worker.js';
 import type {LeaseListener} from './lease/lease_listener.js';
 import {CrashWatch} from './crashes/crash_watch.js';
-import {BacklogForecast} from './backlog_forecast.js';
-import {InfeasibleJobs} from './infeasible_jobs.js';
+import {BacklogForecast} from './admission/backlog_forecast.js';
+import {InfeasibleJobs} from './admission/infeasible_jobs.js';
 import {ActiveJob} from './job/active_job.js';
 import {PoolJobs} from './job/pool_jobs.js';
-import {PoolAdmission} from './pool_admission.js';
-import {JobPrioritizer} from './job_prioritizer.js';
+import {PoolAdmission} from './admission/pool_admission.js';
+import {JobPrioritizer} from './admission/job_prioritizer.js';
 import type {PoolDispatcherOptions} from './pool_dispatcher_options.js';
 import type {PoolSubmission} from './job/pool_submission.js';
 import type {Run} from './lease/run.js';
