--- a/src/core/pool/admission/backlog_forecast.ts
+++ b/src/core/pool/admission/backlog_forecast.ts
@@ -1,7 +1,7 @@
 import type {LeasedWorker} from '../lease/leased_worker.js';
 import type {ActiveJob} from '../job/active_job.js';
 import {PlacementForecast} from './placement_forecast.js';
-import type {RunTimes} from '../run_times.js';
+import type {RunTimes} from '../placement/run_times.js';
 
 interface InfeasibleJob {
   readonly job: ActiveJob;
--- a/src/core/pool/admission/infeasible_jobs.ts
+++ b/src/core/pool/admission/infeasible_jobs.ts
@@ -1,5 +1,5 @@
 import type {ActiveJob} from '../job/active_job.js';
-import type {RunTimes} from '../run_times.js';
+import type {RunTimes} from '../placement/run_times.js';
 
 /**
  * Finds jobs that cannot be answered while the answer is useful. After an outage
--- a/src/core/pool/admission/job_prioritizer.ts
+++ b/src/core/pool/admission/job_prioritizer.ts
@@ -1,5 +1,5 @@
 import type {ActiveJob} from '../job/active_job.js';
-import type {RunTimes} from '../run_times.js';
+import type {RunTimes} from '../placement/run_times.js';
 
 /** Sorts jobs: those that can still be on time first, then by remaining work. */
 export class JobPrioritizer {
--- a/src/core/pool/admission/pool_admission.ts
+++ b/src/core/pool/admission/pool_admission.ts
@@ -1,5 +1,5 @@
 import type {ActiveJob} from '../job/active_job.js';
-import {canRun} from '../can_run.js';
+import {canRun} from '../placement/can_run.js';
 import type {LeasedWorker} from '../lease/leased_worker.js';
 import type {PoolTask} from '../job/pool_task.js';
 
--- a/src/core/pool/job/pool_jobs.test.ts
+++ b/src/core/pool/job/pool_jobs.test.ts
@@ -5,7 +5,7 @@
 import {InfeasibleJobs} from '../admission/infeasible_jobs.js';
 import {PoolJobs} from './pool_jobs.js';
 import type {PoolAnswer} from './pool_answer.js';
-import {RunTimes} from '../run_times.js';
+import {RunTimes} from '../placement/run_times.js';
 
 const RESEND_WINDOW_MS = 10_000;
 
--- a/src/core/pool/can_run.ts
+++ b/src/core/pool/placement/can_run.ts
@@ -1,6 +1,6 @@
-import type {PoolTask} from './job/pool_task.js';
-import {Resources} from './registry/resources.js';
-import type {WorkerReport} from './registry/worker_report.js';
+import type {PoolTask} from '../job/pool_task.js';
+import {Resources} from '../registry/resources.js';
+import type {WorkerReport} from '../registry/worker_report.js';
 
 /** Whether a worker may run a task if these resources of it are available. */
 export function canRun(
--- a/src/core/pool/run_times.test.ts
+++ b/src/core/pool/placement/run_times.test.ts
@@ -1,6 +1,6 @@
 import {assert} from 'chai';
-import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
-import {ActiveJob} from './job/active_job.js';
+import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
+import {ActiveJob} from '../job/active_job.js';
 import {RunTimes} from './run_times.js';
 
 // A job of three steps in a row was expected to take as long as its longest
--- a/src/core/pool/run_times.ts
+++ b/src/core/pool/placement/run_times.ts
@@ -1,6 +1,6 @@
-import {criticalPathMs} from './job/critical_path_ms.js';
-import type {ActiveJob} from './job/active_job.js';
-import {QuantileSketch} from '../dispatch/target/quantile_sketch.js';
+import {criticalPathMs} from '../job/critical_path_ms.js';
+import type {ActiveJob} from '../job/active_job.js';
+import {QuantileSketch} from '../../dispatch/target/quantile_sketch.js';
 
 /** Assumed ratio of run time to estimate while there are no samples. */
 const ASSUMED_RATIO = 1;
--- a/src/core/pool/start_candidates.ts
+++ b/src/core/pool/placement/start_candidates.ts
@@ -1,8 +1,8 @@
 import {canRun} from './can_run.js';
-import {CrashPolicy} from './crashes/crash_policy.js';
-import type {LeasedWorker} from './lease/leased_worker.js';
-import type {PoolTask} from './job/pool_task.js';
-import type {Resources} from './registry/resources.js';
+import {CrashPolicy} from '../crashes/crash_policy.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
+import type {PoolTask} from '../job/pool_task.js';
+import type {Resources} from '../registry/resources.js';
 import type {RunTimes} from './run_times.js';
 import type {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
 
--- a/src/core/pool/straggler_watch.test.ts
+++ b/src/core/pool/placement/straggler_watch.test.ts
@@ -1,5 +1,5 @@
 import {assert} from 'chai';
-import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 
 async function warmUp(
   bench: PoolBench,
--- a/src/core/pool/straggler_watch.ts
+++ b/src/core/pool/placement/straggler_watch.ts
@@ -1,4 +1,4 @@
-import type {ActiveJob} from './job/active_job.js';
+import type {ActiveJob} from '../job/active_job.js';
 import type {RunTimes} from './run_times.js';
 
 /** Timeout of a run, as a multiple of the 98th percentile of run times. */
--- a/src/core/pool/task_starter.test.ts
+++ b/src/core/pool/placement/task_starter.test.ts
@@ -1,5 +1,5 @@
 import {assert} from 'chai';
-import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 
 // In a burst, tasks beyond the first must not wait for the next pass.
 test('all free capacity is used in one pass', async () => {
--- a/src/core/pool/task_starter.ts
+++ b/src/core/pool/placement/task_starter.ts
@@ -1,9 +1,9 @@
-import {CrashPolicy} from './crashes/crash_policy.js';
-import type {LeasedWorker} from './lease/leased_worker.js';
-import type {ActiveJob} from './job/active_job.js';
-import type {PoolObserver} from './pool_observer.js';
-import type {PoolTask} from './job/pool_task.js';
-import {Run} from './lease/run.js';
+import {CrashPolicy} from '../crashes/crash_policy.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
+import type {ActiveJob} from '../job/active_job.js';
+import type {PoolObserver} from '../pool_observer.js';
+import type {PoolTask} from '../job/pool_task.js';
+import {Run} from '../lease/run.js';
 import type {RunTimes} from './run_times.js';
 import {StartCandidates} from './start_candidates.js';
 import type {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
--- a/src/core/pool/worker_circuit_breaker.ts
+++ b/src/core/pool/placement/worker_circuit_breaker.ts
@@ -1,4 +1,4 @@
-import type {LeasedWorker} from './lease/leased_worker.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
 
 /** Weight of the latest run in the failure rate of a worker. */
 const WEIGHT = 0.25;
--- a/src/core/pool/pool_dispatcher.ts
+++ b/src/core/pool/pool_dispatcher.ts
@@ -14,12 +14,12 @@
 import type {RunLoss} from './lease/run_loss.js';
 import {RunRecorder} from './run_recorder.js';
 import type {RunRefusal} from './lease/run_refusal.js';
-import {RunTimes} from './run_times.js';
-import {StragglerWatch} from './straggler_watch.js';
+import {RunTimes} from './placement/run_times.js';
+import {StragglerWatch} from './placement/straggler_watch.js';
 import {Takeover} from './takeover.js';
-import {TaskStarter} from './task_starter.js';
+import {TaskStarter} from './placement/task_starter.js';
 import {WorkerFleet} from './worker_fleet.js';
-import {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
+import {WorkerCircuitBreaker} from './placement/worker_circuit_breaker.js';
 
 /** Run ends within this time share one pass; far shorter than any task. */
 const PASS_INTERVAL_MS = 2;
