--- a/src/check/pool/pool_run.ts
+++ b/src/check/pool/pool_run.ts
@@ -1,6 +1,6 @@
 import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
 import type {FakePoolWorker} from '../../../test-support/fakes/pool/fake_pool_worker.js';
-import type {PoolDispatcher} from '../../core/pool/pool_dispatcher.js';
+import type {PoolDispatcher} from '../../core/pool/dispatcher/pool_dispatcher.js';
 import type {PoolStep} from './pool_step.js';
 
 const WORKERS = 6;
--- a/src/core/pool/crashing_tasks.test.ts
+++ b/src/core/pool/dispatcher/crashing_tasks.test.ts
@@ -1,5 +1,5 @@
 import {assert} from 'chai';
-import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 
 const DEADLY = 'j.0.0.0';
 
--- a/src/core/pool/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -1,14 +1,14 @@
 import * as v from 'valibot';
-import type {Clock} from '../clock/clock.js';
-import type {PeerTransport} from '../peer/peer_transport.js';
-import type {RoutingTable} from '../routing/routing_table.js';
-import type {WorkerLoss} from './crashes/worker_loss.js';
-import {AnswerCache} from './job/answer_cache.js';
-import {FailoverTiming} from './failover_timing.js';
-import type {PoolAnswer} from './job/pool_answer.js';
+import type {Clock} from '../../clock/clock.js';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {RoutingTable} from '../../routing/routing_table.js';
+import type {WorkerLoss} from '../crashes/worker_loss.js';
+import {AnswerCache} from '../job/answer_cache.js';
+import {FailoverTiming} from '../failover_timing.js';
+import type {PoolAnswer} from '../job/pool_answer.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
-import {PoolMessage} from './pool_message.js';
-import {PoolSubmission} from './job/pool_submission.js';
+import {PoolMessage} from '../pool_message.js';
+import {PoolSubmission} from '../job/pool_submission.js';
 
 interface DispatcherEndpointOptions {
   readonly clock: Clock;
--- a/src/core/pool/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -1,10 +1,10 @@
-import type {Clock} from '../clock/clock.js';
-import type {RoutingTable} from '../routing/routing_table.js';
-import type {WorkerLoss} from './crashes/worker_loss.js';
-import type {PoolAnswer} from './job/pool_answer.js';
-import type {PoolObserver} from './pool_observer.js';
-import type {WorkerClient} from './lease/worker_client.js';
-import type {WorkerRegistry} from './registry/worker_registry.js';
+import type {Clock} from '../../clock/clock.js';
+import type {RoutingTable} from '../../routing/routing_table.js';
+import type {WorkerLoss} from '../crashes/worker_loss.js';
+import type {PoolAnswer} from '../job/pool_answer.js';
+import type {PoolObserver} from '../pool_observer.js';
+import type {WorkerClient} from '../lease/worker_client.js';
+import type {WorkerRegistry} from '../registry/worker_registry.js';
 
 /** Options of a PoolDispatcher. */
 export interface PoolDispatcherOptions {
--- a/src/core/pool/run_recorder.ts
+++ b/src/core/pool/dispatcher/run_recorder.ts
@@ -1,12 +1,12 @@
-import type {LeasedWorker} from './lease/leased_worker.js';
-import type {PoolObserver} from './pool_observer.js';
-import type {PoolTask} from './job/pool_task.js';
-import type {Run} from './lease/run.js';
-import {RunEnd} from './lease/run_end.js';
-import type {RunLoss} from './lease/run_loss.js';
-import type {RunRefusal} from './lease/run_refusal.js';
-import type {RunTimes} from './placement/run_times.js';
-import type {WorkerCircuitBreaker} from './placement/worker_circuit_breaker.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
+import type {PoolObserver} from '../pool_observer.js';
+import type {PoolTask} from '../job/pool_task.js';
+import type {Run} from '../lease/run.js';
+import {RunEnd} from '../lease/run_end.js';
+import type {RunLoss} from '../lease/run_loss.js';
+import type {RunRefusal} from '../lease/run_refusal.js';
+import type {RunTimes} from '../placement/run_times.js';
+import type {WorkerCircuitBreaker} from '../placement/worker_circuit_breaker.js';
 
 /** Ended run of a task, and how it ended. */
 interface EndedRun {
--- a/src/core/pool/takeover.test.ts
+++ b/src/core/pool/dispatcher/takeover.test.ts
@@ -1,5 +1,5 @@
 import {assert} from 'chai';
-import {PoolBench} from '../../../test-support/fakes/pool/pool_bench.js';
+import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 
 // A job can be resubmitted before its worker has replied to the first poll.
 test('a run of the earlier leader is adopted when its worker replies late', async () => {
--- a/src/core/pool/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -1,8 +1,8 @@
-import type {LeasedWorker} from './lease/leased_worker.js';
-import type {ActiveJob} from './job/active_job.js';
-import {Run} from './lease/run.js';
-import {RunEnd} from './lease/run_end.js';
-import type {PoolTask} from './job/pool_task.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
+import type {ActiveJob} from '../job/active_job.js';
+import {Run} from '../lease/run.js';
+import {RunEnd} from '../lease/run_end.js';
+import type {PoolTask} from '../job/pool_task.js';
 
 /** Tolerance for slow clocks of workers and timers that fire late. */
 const LEASE_SLACK_MS = 100;
--- a/src/core/pool/worker_fleet.ts
+++ b/src/core/pool/dispatcher/worker_fleet.ts
@@ -1,9 +1,9 @@
-import type {LeaseOptions} from './lease/lease_options.js';
-import {LeasedWorker} from './lease/leased_worker.js';
-import {LossCause} from './lease/loss_cause.js';
-import type {PoolObserver} from './pool_observer.js';
-import type {WorkerRegistry} from './registry/worker_registry.js';
-import type {WorkerReport} from './registry/worker_report.js';
+import type {LeaseOptions} from '../lease/lease_options.js';
+import {LeasedWorker} from '../lease/leased_worker.js';
+import {LossCause} from '../lease/loss_cause.js';
+import type {PoolObserver} from '../pool_observer.js';
+import type {WorkerRegistry} from '../registry/worker_registry.js';
+import type {WorkerReport} from '../registry/worker_report.js';
 
 interface WorkerFleetOptions extends LeaseOptions {
   readonly registry: WorkerRegistry;
--- a/src/core/pool/warm_up/dispatch_warm_up.ts
+++ b/src/core/pool/warm_up/dispatch_warm_up.ts
@@ -1,6 +1,6 @@
 import {SteppedClock} from '../../clock/stepped_clock.js';
 import {RoutingTable} from '../../routing/routing_table.js';
-import {PoolDispatcher} from '../pool_dispatcher.js';
+import {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
 import type {PoolSubmission} from '../job/pool_submission.js';
 import {WorkerRegistry} from '../registry/worker_registry.js';
 import {InstantWorkerClient} from './instant_worker_client.js';
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -1,6 +1,6 @@
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
 import {FencingToken} from '../../../src/core/pool/lease/fencing_token.js';
-import {PoolDispatcher} from '../../../src/core/pool/pool_dispatcher.js';
+import {PoolDispatcher} from '../../../src/core/pool/dispatcher/pool_dispatcher.js';
 import type {WorkerLoss} from '../../../src/core/pool/crashes/worker_loss.js';
 import type {PoolSubmission} from '../../../src/core/pool/job/pool_submission.js';
 import {WorkerRegistry} from '../../../src/core/pool/registry/worker_registry.js';
