--- a/src/core/pool/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -1,16 +1,16 @@
 import * as v from 'valibot';
-import type {Clock} from '../clock/clock.js';
-import type {PeerTransport} from '../peer/peer_transport.js';
-import {FailoverTiming} from './failover_timing.js';
-import type {NodeDirectory} from './node_directory.js';
-import type {PoolAnswer} from './job/pool_answer.js';
-import {criticalPathMs} from './job/critical_path_ms.js';
-import type {PoolJob} from './job/pool_job.js';
-import type {DispatcherClaim} from './dispatcher_claim.js';
+import type {Clock} from '../../clock/clock.js';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import {FailoverTiming} from '../failover_timing.js';
+import type {NodeDirectory} from '../node_directory.js';
+import type {PoolAnswer} from '../job/pool_answer.js';
+import {criticalPathMs} from '../job/critical_path_ms.js';
+import type {PoolJob} from '../job/pool_job.js';
+import type {DispatcherClaim} from '../dispatcher_claim.js';
 import type {OpenJob} from './open_job.js';
-import {PoolMessage} from './pool_message.js';
-import type {PoolObserver} from './pool_observer.js';
-import {retryAfterMs} from './admission/retry_after.js';
+import {PoolMessage} from '../pool_message.js';
+import type {PoolObserver} from '../pool_observer.js';
+import {retryAfterMs} from '../admission/retry_after.js';
 
 /** Interval at which the dispatcher is polled for open jobs. */
 const POLL_MS = 300;
--- a/src/core/pool/fallback_service.test.ts
+++ b/src/core/pool/entry/fallback_service.test.ts
@@ -1,5 +1,5 @@
 import {assert} from 'chai';
-import {ZonePoolBench} from '../../../test-support/fakes/pool/zone_pool_bench.js';
+import {ZonePoolBench} from '../../../../test-support/fakes/pool/zone_pool_bench.js';
 
 async function createRunningBench(): Promise<ZonePoolBench> {
   const bench = new ZonePoolBench();
--- a/src/core/pool/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -1,16 +1,16 @@
 import * as v from 'valibot';
-import type {Clock} from '../clock/clock.js';
-import type {PeerTransport} from '../peer/peer_transport.js';
-import type {RoutingTable} from '../routing/routing_table.js';
-import {DispatcherEndpoint} from './dispatcher/dispatcher_endpoint.js';
-import {FailoverTiming} from './failover_timing.js';
-import type {NodeDirectory} from './node_directory.js';
-import {PoolDispatcher} from './dispatcher/pool_dispatcher.js';
-import {PoolMessage} from './pool_message.js';
-import type {DispatcherClaim} from './dispatcher_claim.js';
-import type {PoolObserver} from './pool_observer.js';
-import {WorkerRegistry} from './registry/worker_registry.js';
-import type {WorkerClient} from './lease/worker_client.js';
+import type {Clock} from '../../clock/clock.js';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {RoutingTable} from '../../routing/routing_table.js';
+import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
+import {FailoverTiming} from '../failover_timing.js';
+import type {NodeDirectory} from '../node_directory.js';
+import {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
+import {PoolMessage} from '../pool_message.js';
+import type {DispatcherClaim} from '../dispatcher_claim.js';
+import type {PoolObserver} from '../pool_observer.js';
+import {WorkerRegistry} from '../registry/worker_registry.js';
+import type {WorkerClient} from '../lease/worker_client.js';
 import type {ZonePeers} from './zone_peers.js';
 
 /** Pause after an attempt that did not start a fallback. */
--- a/src/core/pool/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -1,7 +1,7 @@
-import type {WorkerLoss} from './crashes/worker_loss.js';
-import type {DispatcherClaim} from './dispatcher_claim.js';
-import type {PoolAnswer} from './job/pool_answer.js';
-import type {PoolJob} from './job/pool_job.js';
+import type {WorkerLoss} from '../crashes/worker_loss.js';
+import type {DispatcherClaim} from '../dispatcher_claim.js';
+import type {PoolAnswer} from '../job/pool_answer.js';
+import type {PoolJob} from '../job/pool_job.js';
 
 /** A job at an entry node whose caller waits for the answer. */
 export interface OpenJob {
--- a/src/platform/caller_frontend.test.ts
+++ b/src/platform/caller_frontend.test.ts
@@ -2,7 +2,7 @@
 import {request} from 'undici';
 import {FakeClock} from '../../test-support/fakes/fake_clock.js';
 import {InMemoryPeers} from '../../test-support/fakes/in_memory_peers.js';
-import {EntryGateway} from '../core/pool/entry_gateway.js';
+import {EntryGateway} from '../core/pool/entry/entry_gateway.js';
 import {NodeDirectory} from '../core/pool/node_directory.js';
 import {CallerFrontend} from './caller_frontend.js';
 
--- a/src/platform/caller_frontend.ts
+++ b/src/platform/caller_frontend.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {HttpServer} from '../adapter/http/http_server.js';
-import type {EntryGateway} from '../core/pool/entry_gateway.js';
+import type {EntryGateway} from '../core/pool/entry/entry_gateway.js';
 import type {PoolAnswer} from '../core/pool/job/pool_answer.js';
 import type {PoolObserver} from '../core/pool/pool_observer.js';
 import {decodeJob} from './decode_job.js';
--- a/test-support/fakes/pool/zone_pool_bench.ts
+++ b/test-support/fakes/pool/zone_pool_bench.ts
@@ -1,10 +1,10 @@
-import {EntryGateway} from '../../../src/core/pool/entry_gateway.js';
-import {EntryPresence} from '../../../src/core/pool/entry_presence.js';
-import {FallbackService} from '../../../src/core/pool/fallback_service.js';
+import {EntryGateway} from '../../../src/core/pool/entry/entry_gateway.js';
+import {EntryPresence} from '../../../src/core/pool/entry/entry_presence.js';
+import {FallbackService} from '../../../src/core/pool/entry/fallback_service.js';
 import {LeaderService} from '../../../src/core/pool/leader_service.js';
 import {NodeDirectory} from '../../../src/core/pool/node_directory.js';
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
-import {ZonePeers} from '../../../src/core/pool/zone_peers.js';
+import {ZonePeers} from '../../../src/core/pool/entry/zone_peers.js';
 import {FakeClock} from '../fake_clock.js';
 import {LossyPeers} from '../lossy_peers.js';
 import {SeededRandom} from '../seeded_random.js';
