--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -4,10 +4,10 @@
 import type {RoutingTable} from '../../routing/routing_table.js';
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import {AnswerCache} from '../job/answer_cache.js';
-import {FailoverTiming} from '../failover_timing.js';
+import {FailoverTiming} from '../node/failover_timing.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
-import {PoolMessage} from '../pool_message.js';
+import {PoolMessage} from '../node/pool_message.js';
 import {PoolSubmission} from '../job/pool_submission.js';
 
 interface DispatcherEndpointOptions {
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -4,7 +4,7 @@
 import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 import {PeerTransport} from '../../peer/peer_transport.js';
 import {EntryGateway} from './entry_gateway.js';
-import {NodeDirectory} from '../node_directory.js';
+import {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 
 /** Records the messages of an entry node and delivers messages to it. */
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -1,14 +1,14 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
-import {FailoverTiming} from '../failover_timing.js';
-import type {NodeDirectory} from '../node_directory.js';
+import {FailoverTiming} from '../node/failover_timing.js';
+import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {criticalPathMs} from '../job/critical_path_ms.js';
 import type {PoolJob} from '../job/pool_job.js';
-import type {DispatcherClaim} from '../dispatcher_claim.js';
+import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {OpenJob} from './open_job.js';
-import {PoolMessage} from '../pool_message.js';
+import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {retryAfterMs} from '../admission/retry_after.js';
 
--- a/src/core/pool/entry/entry_presence.ts
+++ b/src/core/pool/entry/entry_presence.ts
@@ -1,8 +1,8 @@
 import * as v from 'valibot';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {FallbackService} from './fallback_service.js';
-import type {NodeDirectory} from '../node_directory.js';
-import {PoolMessage} from '../pool_message.js';
+import type {NodeDirectory} from '../node/node_directory.js';
+import {PoolMessage} from '../node/pool_message.js';
 import type {ZonePeers} from './zone_peers.js';
 
 const PRESENCE_MS = 1_000;
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -1,5 +1,5 @@
 import type {WorkerLoss} from '../crashes/worker_loss.js';
-import type {DispatcherClaim} from '../dispatcher_claim.js';
+import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import type {PoolJob} from '../job/pool_job.js';
 
--- a/src/core/pool/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -1,20 +1,20 @@
 import * as v from 'valibot';
-import type {Clock} from '../clock/clock.js';
-import type {PeerTransport} from '../peer/peer_transport.js';
-import type {RoutingTable} from '../routing/routing_table.js';
-import {FencingToken} from './lease/fencing_token.js';
-import {DispatcherEndpoint} from './dispatcher/dispatcher_endpoint.js';
+import type {Clock} from '../../clock/clock.js';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {RoutingTable} from '../../routing/routing_table.js';
+import {FencingToken} from '../lease/fencing_token.js';
+import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
 import type {NodeDirectory} from './node_directory.js';
-import {PoolDispatcher} from './dispatcher/pool_dispatcher.js';
+import {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
 import {PoolMessage} from './pool_message.js';
-import type {PoolObserver} from './pool_observer.js';
-import {WorkerRegistry} from './registry/worker_registry.js';
-import {WorkerRegistrySender} from './registry/worker_registry_sender.js';
-import {RelayChooser} from './relay/relay_chooser.js';
-import {RelayedWorkerClient} from './relay/relayed_worker_client.js';
-import {WorkerRelay} from './relay/worker_relay.js';
-import type {WorkerClient} from './lease/worker_client.js';
-import {WorkerReportService} from './registry/worker_report_service.js';
+import type {PoolObserver} from '../pool_observer.js';
+import {WorkerRegistry} from '../registry/worker_registry.js';
+import {WorkerRegistrySender} from '../registry/worker_registry_sender.js';
+import {RelayChooser} from '../relay/relay_chooser.js';
+import {RelayedWorkerClient} from '../relay/relayed_worker_client.js';
+import {WorkerRelay} from '../relay/worker_relay.js';
+import type {WorkerClient} from '../lease/worker_client.js';
+import {WorkerReportService} from '../registry/worker_report_service.js';
 
 /** A leader that no majority has confirmed for this long sends no orders. */
 const CONFIRMATION_MAX_AGE_MS = 250;
--- a/src/core/pool/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -1,7 +1,7 @@
 import * as v from 'valibot';
-import {WorkerLoss} from './crashes/worker_loss.js';
-import {PoolAnswer} from './job/pool_answer.js';
-import {WorkerReport} from './registry/worker_report.js';
+import {WorkerLoss} from '../crashes/worker_loss.js';
+import {PoolAnswer} from '../job/pool_answer.js';
+import {WorkerReport} from '../registry/worker_report.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const ids = v.array(v.string());
--- a/src/core/pool/registry/worker_registry_sender.ts
+++ b/src/core/pool/registry/worker_registry_sender.ts
@@ -1,5 +1,5 @@
 import type {PeerTransport} from '../../peer/peer_transport.js';
-import type {NodeDirectory} from '../node_directory.js';
+import type {NodeDirectory} from '../node/node_directory.js';
 import type {WorkerRegistry} from './worker_registry.js';
 import type {WorkerReport} from './worker_report.js';
 
--- a/src/core/pool/registry/worker_report_service.test.ts
+++ b/src/core/pool/registry/worker_report_service.test.ts
@@ -3,7 +3,7 @@
 import {FakeClock} from '../../../../test-support/fakes/fake_clock.js';
 import {InMemoryPeers} from '../../../../test-support/fakes/in_memory_peers.js';
 import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
-import {NodeDirectory} from '../node_directory.js';
+import {NodeDirectory} from '../node/node_directory.js';
 import type {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
 import {WorkerRegistry} from './worker_registry.js';
 import {WorkerRegistrySender} from './worker_registry_sender.js';
--- a/src/core/pool/registry/worker_report_service.ts
+++ b/src/core/pool/registry/worker_report_service.ts
@@ -1,9 +1,9 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
-import type {NodeDirectory} from '../node_directory.js';
+import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
-import {PoolMessage} from '../pool_message.js';
+import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {WorkerRegistry} from './worker_registry.js';
 import type {WorkerRegistrySender} from './worker_registry_sender.js';
--- a/src/core/pool/relay/relay.test.ts
+++ b/src/core/pool/relay/relay.test.ts
@@ -4,7 +4,7 @@
 import {FakeWorkerClient} from '../../../../test-support/fakes/pool/fake_worker_client.js';
 import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 import {SeededRandom} from '../../../../test-support/fakes/seeded_random.js';
-import {NodeDirectory} from '../node_directory.js';
+import {NodeDirectory} from '../node/node_directory.js';
 import {RelayChooser} from './relay_chooser.js';
 import {RelayedWorkerClient} from './relayed_worker_client.js';
 import {WorkerRelay} from './worker_relay.js';
--- a/src/core/pool/relay/relay_chooser.ts
+++ b/src/core/pool/relay/relay_chooser.ts
@@ -1,6 +1,6 @@
 import CRC32 from 'crc-32';
 import type {Clock} from '../../clock/clock.js';
-import type {NodeDirectory} from '../node_directory.js';
+import type {NodeDirectory} from '../node/node_directory.js';
 
 /** Workers of smaller fleets are contacted directly, which saves a hop. */
 const MIN_WORKERS = 64;
--- a/src/platform/caller_frontend.test.ts
+++ b/src/platform/caller_frontend.test.ts
@@ -3,7 +3,7 @@
 import {FakeClock} from '../../test-support/fakes/fake_clock.js';
 import {InMemoryPeers} from '../../test-support/fakes/in_memory_peers.js';
 import {EntryGateway} from '../core/pool/entry/entry_gateway.js';
-import {NodeDirectory} from '../core/pool/node_directory.js';
+import {NodeDirectory} from '../core/pool/node/node_directory.js';
 import {CallerFrontend} from './caller_frontend.js';
 
 const JOB = {
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -1,5 +1,5 @@
 import {SystemRandom} from '../adapter/system_random.js';
-import {LeaderService} from '../core/pool/leader_service.js';
+import {LeaderService} from '../core/pool/node/leader_service.js';
 import {DispatchWarmUp} from '../core/pool/warm_up/dispatch_warm_up.js';
 import {ConfigService} from '../daemon/config/config_service.js';
 import {ClientWarmUp} from './client_warm_up.js';
--- a/src/platform/platform_node.ts
+++ b/src/platform/platform_node.ts
@@ -2,7 +2,7 @@
 import {HttpServer} from '../adapter/http/http_server.js';
 import {TcpPeerTransport} from '../adapter/peer/tcp_peer_transport.js';
 import type {Clock} from '../core/clock/clock.js';
-import {NodeDirectory} from '../core/pool/node_directory.js';
+import {NodeDirectory} from '../core/pool/node/node_directory.js';
 import {PoolTelemetry} from '../daemon/pool/pool_telemetry.js';
 import type {PlatformSettings} from './platform_settings.js';
 
--- a/test-support/fakes/pool/zone_pool_bench.ts
+++ b/test-support/fakes/pool/zone_pool_bench.ts
@@ -1,8 +1,8 @@
 import {EntryGateway} from '../../../src/core/pool/entry/entry_gateway.js';
 import {EntryPresence} from '../../../src/core/pool/entry/entry_presence.js';
 import {FallbackService} from '../../../src/core/pool/entry/fallback_service.js';
-import {LeaderService} from '../../../src/core/pool/leader_service.js';
-import {NodeDirectory} from '../../../src/core/pool/node_directory.js';
+import {LeaderService} from '../../../src/core/pool/node/leader_service.js';
+import {NodeDirectory} from '../../../src/core/pool/node/node_directory.js';
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
 import {ZonePeers} from '../../../src/core/pool/entry/zone_peers.js';
 import {FakeClock} from '../fake_clock.js';
