--- a/src/core/pool/admission/job_prioritizer.ts
+++ b/src/core/pool/admission/job_prioritizer.ts
@@ -9,7 +9,7 @@
   sort(jobs: Iterable<ActiveJob>, now: number): ActiveJob[] {
     const keyed: Array<{job: ActiveJob; key: number}> = [];
     for (const job of jobs) {
-      if (job.isAbandoned || now < job.earliestStartAt) continue;
+      if (job.isAbandoned || job.isSettling) continue;
       if (!job.tasks.some(t => t.state === 'waiting')) continue;
       keyed.push({job, key: this.priorityKey(job, now)});
     }
--- a/src/core/pool/crashes/crash_watch.ts
+++ b/src/core/pool/crashes/crash_watch.ts
@@ -82,7 +82,7 @@
       const task = job.tasks.find(t => t.name === loss.task);
       if (!task) continue;
       task.losses = withLoss(task.losses, loss);
-      job.hasStarted = true;
+      job.recordStart();
       this.watched.add(job);
     }
   }
--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -6,6 +6,7 @@
 import {AnswerCache} from '../job/answer_cache.js';
 import {FailoverTiming} from '../node/failover_timing.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
+import {EarlySubmissions} from './early_submissions.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from '../node/pool_message.js';
 import {PoolSubmission} from '../job/pool_submission.js';
@@ -24,6 +25,8 @@
   private current: PoolDispatcher | undefined;
   private readonly ownerSeenAt = new Map<string, number>();
   private readonly answers = new AnswerCache();
+  /** Jobs that need a newer configuration than this node has. */
+  private readonly early = new EarlySubmissions();
 
   constructor(private readonly opts: DispatcherEndpointOptions) {
     const {peers} = opts;
@@ -35,6 +38,7 @@
     );
     peers.onMessage('pool.drop', (from, body) => {
       if (!v.is(PoolMessage.drop, body)) return;
+      this.early.delete(body.id);
       this.current?.drop(body.id, from, body.reason);
     });
     peers.onRequest('pool.ask', (_from, body) =>
@@ -56,6 +60,7 @@
   close(): void {
     this.current?.close();
     this.current = undefined;
+    this.early.clear();
   }
 
   tick(now: number): void {
@@ -65,6 +70,9 @@
       const seenAt = this.ownerSeenAt.get(owner) ?? 0;
       return now - seenAt > FailoverTiming.OWNER_TIMEOUT_MS;
     });
+    for (const [owner, submission] of this.early.take(this.revision, now)) {
+      current.submit(owner, submission);
+    }
     current.tick(now);
     this.answers.expire(now);
   }
@@ -86,7 +94,14 @@
     this.ownerSeenAt.set(from, now);
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(body.job.id);
-    current.submit(from, body);
+    const isEarly = this.revision < (body.revision ?? 0);
+    if (isEarly && !current.has(body.job.id)) this.early.add(from, body, now);
+    else current.submit(from, body);
+  }
+
+  /** Revision of the queue configuration in force; -1 before the first one. */
+  private get revision(): number {
+    return this.opts.routing()?.content.revision ?? -1;
   }
 
   private onPoll(from: string, body: unknown, now: number): void {
@@ -98,7 +113,7 @@
       const known = this.answers.get(id);
       if (known) {
         this.opts.peers.send(from, 'pool.answer', {id, answer: known});
-      } else if (!current.has(id)) unknown.push(id);
+      } else if (!current.has(id) && !this.early.has(id)) unknown.push(id);
     }
     if (unknown.length === 0) return;
     this.opts.peers.send(from, 'pool.unknown', {ids: unknown});
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -73,7 +73,8 @@
     };
     this.currentToken = opts.token;
     const currentToken = () => this.currentToken;
-    const lease = {...opts, currentToken, listener: this};
+    const {servesZone = () => true} = opts;
+    const lease = {...opts, currentToken, listener: this, servesZone};
     this.workers = new WorkerFleet({...lease, onRemoved});
     this.workers.tick(now);
   }
@@ -168,6 +169,11 @@
     return job !== undefined && !job.isAbandoned;
   }
 
+  /** Entry nodes whose jobs this dispatcher has. */
+  get owners(): ReadonlySet<string> {
+    return new Set([...this.jobs.all].map(job => job.owner));
+  }
+
   /** Number of jobs of a queue without a started task. */
   pendingOf(queue: string): number {
     return this.jobs.pendingOf(queue);
@@ -285,6 +291,18 @@
     this.schedulePass();
   }
 
+  /** Ends the wait of jobs whose runs under earlier dispatchers are known. */
+  private settle(jobs: readonly ActiveJob[], now: number): void {
+    const settling = jobs.filter(job => job.isSettling);
+    if (settling.length === 0) return;
+    const token = this.takeover.acceptedToken(this.workers.all, now);
+    const unclaimed = this.workers.unclaimedTasks;
+    for (const job of settling) {
+      const isUnclaimed = job.tasks.some(t => !t.run && unclaimed.has(t.name));
+      if (!isUnclaimed) job.settle(token, now);
+    }
+  }
+
   /** Stops inherited runs that no job has claimed in time. */
   private stopUnclaimed(now: number): void {
     const isTakeoverComplete = this.takeover.completeIfDue(now);
@@ -316,7 +334,10 @@
       job.unblock();
       this.jobs.finishIfDone(job, now);
     }
-    if (!this.takeover.mayStart(this.workers.all, now)) return;
-    this.starter.startAll(this.priority.sort(jobs, now), this.workers.all, now);
+    const workers = this.workers.all;
+    if (!this.takeover.mayStart(workers, now)) return;
+    this.settle(jobs, now);
+    const startable = this.priority.sort(jobs, now);
+    this.starter.startAll(startable, workers, now);
   }
 }
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -11,6 +11,8 @@
   readonly clock: Clock;
   readonly client: WorkerClient;
   readonly registry: WorkerRegistry;
+  /** Whether workers of a zone belong to the dispatcher. Default: all do. */
+  readonly servesZone?: (zone: string) => boolean;
   /** Initial fencing token. */
   readonly token: number;
   /** Longest lease that workers grant, in ms. */
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -39,6 +39,19 @@
     return workers.every(w => w.isFenced);
   }
 
+  /**
+   * Lowest fencing token that a worker has accepted last; 0 while workers may be
+   * missing in the registry.
+   */
+  acceptedToken(workers: readonly LeasedWorker[], now: number): number {
+    if (!this.isRegistryComplete && !this.areWorkersKnown(now)) return 0;
+    let lowest = Number.POSITIVE_INFINITY;
+    for (const worker of workers) {
+      lowest = Math.min(lowest, worker.fence.acceptedToken);
+    }
+    return lowest;
+  }
+
   /** Whether enough time has passed for all workers to have reported. */
   areWorkersKnown(now: number): boolean {
     return now - this.startedAt > WORKER_DISCOVERY_MS;
@@ -86,13 +99,13 @@
   ): void {
     if (this.ends.get(task.name) === RunEnd.done) {
       task.state = 'done';
-      task.job.hasStarted = true;
+      task.job.recordStart();
       return;
     }
     for (const worker of workersWithRuns) {
       const number = worker.inherited.get(task.name);
       if (number === undefined) continue;
-      task.job.hasStarted = true;
+      task.job.recordStart();
       task.nextRunNumber = Math.max(task.nextRunNumber, number + 1);
       if (!task.run) adoptRun(task, worker, number, now);
     }
--- a/src/core/pool/dispatcher/worker_fleet.ts
+++ b/src/core/pool/dispatcher/worker_fleet.ts
@@ -8,6 +8,8 @@
 interface WorkerFleetOptions extends LeaseOptions {
   readonly registry: WorkerRegistry;
   readonly observer: PoolObserver;
+  /** Whether workers of a zone belong to the dispatcher. */
+  readonly servesZone: (zone: string) => boolean;
   /** Called when a worker has been removed. */
   readonly onRemoved: (id: string) => void;
 }
@@ -27,15 +29,27 @@
     return this.list;
   }
 
+  /** Tasks of runs that are being stopped because no job claimed them. */
+  get unclaimedTasks(): ReadonlySet<string> {
+    const tasks = new Set<string>();
+    for (const {runs} of this.list) {
+      for (const {task, isUnclaimed} of runs.values()) {
+        if (isUnclaimed) tasks.add(task);
+      }
+    }
+    return tasks;
+  }
+
   tick(now: number): void {
     this.sync();
     for (const worker of this.byId.values()) worker.tick(now);
   }
 
   private sync(): void {
-    const {registry, client, observer, onRemoved} = this.opts;
+    const {registry, client, observer, onRemoved, servesZone} = this.opts;
     let isChanged = false;
     for (const [id, {report, seenAt}] of registry.entries) {
+      if (!servesZone(report.zone)) continue;
       const known = this.byId.get(id);
       if (known?.report.address === report.address) {
         known.report = report;
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -34,6 +34,7 @@
   const noop = () => undefined;
   const directory = new NodeDirectory('e', ['c1', 'c2']);
   const gateway = new EntryGateway({
+    zone: 'z',
     clock,
     peers,
     directory,
@@ -56,7 +57,7 @@
       }),
     announceLeader: (node: string, term: number) => {
       const claim = {token: term * 1_000, isFallback: false, revision: 1};
-      directory.recordClaim({...claim, node, term, heardAt: clock.now()});
+      directory.claims.record({...claim, node, term, heardAt: clock.now()});
       gateway.tick(clock.now());
     },
     run: (ms: number) => {
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -6,8 +6,10 @@
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {criticalPathMs} from '../job/critical_path_ms.js';
 import type {PoolJob} from '../job/pool_job.js';
-import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {OpenJob} from './open_job.js';
+import {isSameDispatcher} from './is_same_dispatcher.js';
+import {settleMsAfter} from './settle_ms_after.js';
+import {ZoneContact} from './zone_contact.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {retryAfterMs} from '../admission/retry_after.js';
@@ -31,15 +33,12 @@
  * lost dispatcher are given up.
  */
 const FAILOVER_MS = 2_300;
-/**
- * Time for which runs of a fallback may be active after another dispatcher has
- * taken over its workers: one lease on a slow clock.
- */
-const FALLBACK_RUNS_MS = 800;
 const QUERY_TIMEOUT_MS = 1_000;
 const RETRY_AFTER_MS = 1_000;
 
 interface EntryGatewayOptions {
+  /** Zone of this node, whose dispatcher gets its jobs. */
+  readonly zone: string;
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly directory: NodeDirectory;
@@ -60,10 +59,8 @@
 export class EntryGateway {
   private readonly jobs = new Map<string, OpenJob>();
   private nextPoll = 0;
-  private lastClaim: DispatcherClaim | undefined;
-  private dispatcherSeenAt = Number.NEGATIVE_INFINITY;
-  /** Time of the last contact with the leader of the log. */
-  private leaderSeenAt = Number.NEGATIVE_INFINITY;
+  /** Contact with the dispatchers of the zones to which jobs are assigned. */
+  private readonly contacts = new Map<string, ZoneContact>();
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
@@ -76,8 +73,8 @@
       const job = this.jobs.get(body.id);
       if (job?.assignedTo?.node === from) job.losses = body.losses;
     });
-    peers.onMessage('pool.unknown', (_from, body, now) =>
-      this.onUnknown(body, now),
+    peers.onMessage('pool.unknown', (from, body, now) =>
+      this.onUnknown(from, body, now),
     );
   }
 
@@ -86,7 +83,8 @@
   }
 
   get hasDispatcher(): boolean {
-    return this.opts.directory.dispatcher(this.opts.clock.now()) !== undefined;
+    const {directory, clock, zone} = this.opts;
+    return directory.claims.dispatcherOf(zone, clock.now()) !== undefined;
   }
 
   /** Accepts a job; `respond` is called once unless it is dropped before. */
@@ -105,9 +103,11 @@
       arrivedAt: now,
       deadlineAt: now + req.patienceMs,
       respond,
+      zone: this.opts.zone,
       assignedTo: undefined,
       submittedAt: 0,
       earliestStartAt: 0,
+      earlierToken: 0,
       losses: [],
       wasResubmitted: false,
       maxWaitMs: Math.min(
@@ -127,84 +127,85 @@
     this.sendDrop(job, 'caller_gone');
   }
 
-  /** Queries the dispatcher; returns undefined if there is no valid reply. */
+  /**
+   * Queries the dispatchers of all zones, since a job may have been submitted in
+   * any; returns undefined if the answer is not known.
+   */
   async query(
     request: v.InferOutput<typeof PoolMessage.ask>,
   ): Promise<{readonly found: boolean; readonly pending?: number} | undefined> {
     const {directory, clock, peers} = this.opts;
-    const claim = directory.dispatcher(clock.now());
-    if (!claim) return undefined;
-    const res = await peers.request(
-      claim.node,
-      'pool.ask',
-      request,
-      QUERY_TIMEOUT_MS,
+    const nodes = directory.claims.dispatchingNodes(clock.now());
+    const replies = await Promise.all(
+      nodes.map(node =>
+        peers.request(node, 'pool.ask', request, QUERY_TIMEOUT_MS),
+      ),
     );
-    if (res.isErr) return undefined;
-    const parsed = v.safeParse(QueryReply, res.value);
-    return parsed.success
-      ? {
-          found: parsed.output.found,
-          ...(parsed.output.pending === undefined
-            ? {}
-            : {pending: parsed.output.pending}),
-        }
-      : undefined;
+    const known = replies.flatMap(res => {
+      if (res.isErr) return [];
+      const parsed = v.safeParse(QueryReply, res.value);
+      return parsed.success ? [parsed.output] : [];
+    });
+    const found = known.some(reply => reply.found);
+    const isComplete = known.length > 0 && known.length === nodes.length;
+    if (!found && !isComplete) return undefined;
+    const counts = known.flatMap(({pending}) => pending ?? []);
+    if (counts.length === 0) return {found};
+    return {found, pending: counts.reduce((sum, count) => sum + count, 0)};
   }
 
   tick(now: number): void {
-    const claim = this.opts.directory.dispatcher(now);
-    if (claim) this.dispatcherSeenAt = now;
-    if (claim && !claim.isFallback) this.leaderSeenAt = claim.heardAt;
-    if (!isSameDispatcher(claim, this.lastClaim)) {
-      this.opts.observer.recordStateChange(
-        claim ? 'lead_found' : 'lead_silent',
-        {
-          term: claim?.term ?? this.lastClaim?.term,
-          lead: claim?.node,
-          is_fallback: claim?.isFallback,
-          open: this.jobs.size,
-        },
-      );
-    }
-    this.lastClaim = claim;
-    for (const job of [...this.jobs.values()]) this.updateJob(job, claim, now);
-    const isLive = claim && now - claim.heardAt < FailoverTiming.POLL_CUTOFF_MS;
-    if (isLive && now >= this.nextPoll) {
-      this.nextPoll = now + POLL_MS;
-      this.poll(claim.node, now);
-    }
+    const zones = new Set([this.opts.zone]);
+    for (const {zone} of this.jobs.values()) zones.add(zone);
+    for (const zone of zones) this.updateContact(zone, now);
+    for (const job of [...this.jobs.values()]) this.updateJob(job, now);
+    if (now >= this.nextPoll) this.poll(now);
+  }
+
+  private contactOf(zone: string): ZoneContact {
+    const contact = this.contacts.get(zone) ?? new ZoneContact();
+    this.contacts.set(zone, contact);
+    return contact;
+  }
+
+  private updateContact(zone: string, now: number): void {
+    const contact = this.contactOf(zone);
+    const before = contact.claim;
+    const claim = this.opts.directory.claims.dispatcherOf(zone, now);
+    contact.update(claim, now);
+    if (isSameDispatcher(claim, before)) return;
+    this.opts.observer.recordStateChange(claim ? 'lead_found' : 'lead_silent', {
+      term: claim?.term ?? before?.term,
+      lead: claim?.node,
+      token: claim?.token,
+      is_fallback: claim?.isFallback,
+      is_holder: claim && claim.zone !== undefined,
+      open: this.jobs.size,
+    });
   }
 
-  private updateJob(
-    job: OpenJob,
-    claim: DispatcherClaim | undefined,
-    now: number,
-  ): void {
+  private updateJob(job: OpenJob, now: number): void {
     const {assignedTo: assigned} = job;
+    const contact = this.contactOf(job.zone);
+    const {claim} = contact;
     if (now >= job.deadlineAt - ANSWER_MARGIN_MS) {
       this.expire(job);
     } else if (claim && !isSameDispatcher(claim, assigned)) {
-      if (this.mayReassign(assigned, now)) this.assign(job, now);
+      if (contact.mayReassign(assigned, now)) this.assign(job, now);
     } else if (!claim && now - job.arrivedAt > job.maxWaitMs) {
       if (!assigned) this.refuse(job, 'no_lead');
-      else if (now - this.dispatcherSeenAt > FAILOVER_MS) this.giveUpLost(job);
+      else if (now - contact.seenAt > FAILOVER_MS) this.giveUpLost(job);
     }
   }
 
-  /** Whether a job may be submitted to another dispatcher than `from`. */
-  private mayReassign(from: DispatcherClaim | undefined, now: number): boolean {
-    if (!from || from.isFallback || !this.lastClaim?.isFallback) return true;
-    // A fallback cannot see runs in other zones, so those must have ended first.
-    return now - this.leaderSeenAt >= FailoverTiming.LEADER_RUNS_ENDED_MS;
-  }
-
   /** Gives up a job that a lost dispatcher may have run. */
   private giveUpLost(job: OpenJob): void {
     this.opts.observer.recordJobEvent('job_given_up', job.id, {
       reason: 'lead_lost',
       lead: job.assignedTo?.node,
-      lead_silent_ms: Math.round(this.opts.clock.now() - this.dispatcherSeenAt),
+      lead_silent_ms: Math.round(
+        this.opts.clock.now() - this.contactOf(job.zone).seenAt,
+      ),
     });
     this.respondTo(job.id, {kind: 'given_up', reason: 'lead_lost'});
   }
@@ -264,62 +265,70 @@
 
   private assign(job: OpenJob, now: number): void {
     const {directory, peers} = this.opts;
-    const claim = directory.dispatcher(now);
+    const {claims} = directory;
+    const claim = claims.dispatcherOf(job.zone, now);
     if (!claim) return;
     const {assignedTo: assigned} = job;
     job.wasResubmitted ||= assigned !== undefined;
     job.assignedTo = claim;
     job.submittedAt = now;
-    // A new leader polls all workers before it starts anything. A leader that
-    // takes a zone back from a fallback does not, so starts must wait.
-    if (assigned?.isFallback && !isSameDispatcher(assigned, claim)) {
-      job.earliestStartAt = now + FALLBACK_RUNS_MS;
+    if (assigned && !isSameDispatcher(assigned, claim)) {
+      const settledAt = now + settleMsAfter(assigned, claim);
+      job.earliestStartAt = Math.max(job.earliestStartAt, settledAt);
+      job.earlierToken = Math.max(job.earlierToken, assigned.token);
     }
+    const isLeader = !claim.isFallback && claim.zone === undefined;
+    const settleMs = Math.max(0, job.earliestStartAt - now);
     peers.send(claim.node, 'pool.submit', {
       host: job.host,
       path: job.path,
       job: job.job,
       waitedMs: now - job.arrivedAt,
       patienceMs: Math.max(0, job.deadlineAt - now),
-      settleMs: Math.max(0, job.earliestStartAt - now),
+      settleMs,
+      ...(settleMs > 0 ? {earlierToken: job.earlierToken} : {}),
       losses: job.losses,
-      revision: claim.isFallback ? (directory.lastLeader?.revision ?? 0) : 0,
+      // The leader has every committed configuration.
+      revision: isLeader ? 0 : claims.revision,
     });
   }
 
   private sendDrop(job: OpenJob, reason: string): void {
-    const {directory, clock, peers} = this.opts;
-    const claim = directory.dispatcher(clock.now());
-    if (!claim) return;
-    peers.send(claim.node, 'pool.drop', {id: job.id, reason});
+    if (!job.assignedTo) return;
+    this.opts.peers.send(job.assignedTo.node, 'pool.drop', {
+      id: job.id,
+      reason,
+    });
   }
 
-  private poll(claim: string, now: number): void {
-    const ids = [...this.jobs.values()]
-      .filter(j => now - j.submittedAt >= IN_FLIGHT_MS)
-      .map(j => j.id);
-    if (ids.length > 0) this.opts.peers.send(claim, 'pool.poll', {ids});
+  /** Asks each dispatcher about the jobs that it has. */
+  private poll(now: number): void {
+    this.nextPoll = now + POLL_MS;
+    const byNode = new Map<string, string[]>();
+    for (const {id, zone, assignedTo, submittedAt} of this.jobs.values()) {
+      const {claim} = this.contactOf(zone);
+      if (!claim || claim.node !== assignedTo?.node) continue;
+      if (now - claim.heardAt >= FailoverTiming.POLL_CUTOFF_MS) continue;
+      if (now - submittedAt < IN_FLIGHT_MS) continue;
+      const ids = byNode.get(claim.node) ?? [];
+      ids.push(id);
+      byNode.set(claim.node, ids);
+    }
+    for (const [node, ids] of byNode) {
+      this.opts.peers.send(node, 'pool.poll', {ids});
+    }
   }
 
-  private onUnknown(body: unknown, now: number): void {
+  private onUnknown(from: string, body: unknown, now: number): void {
     if (!v.is(PoolMessage.unknown, body)) return;
     for (const id of body.ids) {
       const job = this.jobs.get(id);
-      if (job && now - job.submittedAt >= IN_FLIGHT_MS) this.assign(job, now);
+      if (job?.assignedTo?.node !== from) continue;
+      if (now - job.submittedAt >= IN_FLIGHT_MS) this.assign(job, now);
     }
   }
 }
 
-/** Whether two claims are of the same dispatcher; a token may have increased. */
-function isSameDispatcher(
-  a: DispatcherClaim | undefined,
-  b: DispatcherClaim | undefined,
-): boolean {
-  if (!a || !b) return a === b;
-  if (a.isFallback !== b.isFallback || a.node !== b.node) return false;
-  return a.isFallback ? a.token === b.token : a.term === b.term;
-}
-
 const QueryReply = v.object({
   found: v.boolean(),
   pending: v.optional(v.number()),
--- a/src/core/pool/entry/entry_presence.ts
+++ b/src/core/pool/entry/entry_presence.ts
@@ -64,17 +64,25 @@
     this.nextCores = this.nextFollowers = 0;
   }
 
-  /** Core nodes to which a message is due. */
+  /**
+   * Core nodes to which a message is due: the dispatcher of the zone and the
+   * leader, which may be another node, and sometimes all.
+   */
   private coreIds(hasLeader: boolean, now: number): string[] {
-    const {directory} = this.opts;
-    const leader = hasLeader ? directory.dispatcher(now)?.node : undefined;
-    if (leader !== undefined && now < this.nextFollowers) return [leader];
+    const {directory, zone} = this.opts;
+    const {claims} = directory;
+    if (hasLeader && now < this.nextFollowers) {
+      const dispatcher = claims.dispatcherOf(zone, now)?.node ?? [];
+      const leader = claims.lastLeader?.node ?? [];
+      return [...new Set([dispatcher, leader].flat())];
+    }
     this.nextFollowers = now + FOLLOWER_PRESENCE_MS;
     return directory.coreIds(now);
   }
 
   private hasLeader(now: number): boolean {
-    const claim = this.opts.directory.dispatcher(now);
+    const {directory, zone} = this.opts;
+    const claim = directory.claims.dispatcherOf(zone, now);
     return claim !== undefined && !claim.isFallback;
   }
 
@@ -89,13 +97,15 @@
   private send(nodes: readonly string[], now: number): void {
     const {directory, fallback, node, peers, zone} = this.opts;
     const claim = fallback.claim(now);
-    if (claim) directory.recordClaim(claim);
+    if (claim) directory.claims.record(claim);
     const body = {
       role: 'entry',
       zone,
       cores: directory.seenIds('core', now),
       entries: this.zonePeerIds(now),
-      highestToken: directory.highestToken,
+      highestToken: directory.claims.highestToken,
+      zoneToken: directory.claims.tokenOf(zone),
+      isZoned: true,
       hasLead: this.hasLeader(now),
       relays: !this.isDraining,
       mayFallBack: fallback.canFallBack,
@@ -114,10 +124,11 @@
     directory.recordSeen(from, role, now, zone);
     directory.recordGossip(cores, 'core', now);
     directory.recordGossip(entries, 'entry', now);
-    directory.recordToken(highestToken);
+    directory.claims.recordToken(highestToken);
+    directory.setZoned(from, parsed.output.isZoned);
     const {lead: claim} = parsed.output;
-    if (claim) directory.recordClaim({...claim, node: from, heardAt: now});
-    else directory.clearClaim(from);
+    if (claim) directory.claims.record({...claim, node: from, heardAt: now});
+    else directory.claims.clear(from);
     if (role === 'entry') this.onZonePeer(from, parsed.output, now);
     if (claim) this.opts.onDispatcher(now);
   }
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -65,13 +65,14 @@
   claim(now: number): DispatcherClaim | undefined {
     const {directory, node} = this.opts;
     const {dispatcher} = this.endpoint;
-    const {lastLeader} = directory;
+    const {lastLeader} = directory.claims;
     if (!dispatcher || !lastLeader) return undefined;
     return {
       node,
       term: lastLeader.term,
       token: dispatcher.token,
       isFallback: true,
+      zone: this.opts.zone,
       revision: this.revision,
       heardAt: now,
     };
@@ -79,17 +80,17 @@
 
   /** Whether the workers and a recent enough configuration are known. */
   get canFallBack(): boolean {
-    const {lastLeader} = this.opts.directory;
+    const {lastLeader} = this.opts.directory.claims;
     if (!lastLeader || this.registry.entries.size === 0) return false;
-    return this.revision >= lastLeader.revision;
+    return this.revision >= this.opts.directory.claims.revision;
   }
 
   tick(now: number): void {
-    const claim = this.opts.directory.dispatcher(now);
+    const claim = this.currentClaim(now);
     if (claim && !claim.isFallback) {
       // The time of the last message, not of this tick, counts as last contact.
       this.leaderSeenAt = claim.heardAt;
-      this.sendReports(claim);
+      this.sendReports(this.opts.directory.claims.lastLeader ?? claim);
       this.registry.expire(now);
       this.stop('lead_found');
     } else if (this.endpoint.dispatcher) {
@@ -98,6 +99,12 @@
     this.endpoint.tick(now);
   }
 
+  /** Claim of the dispatcher of this zone. */
+  private currentClaim(now: number): DispatcherClaim | undefined {
+    const {directory, zone} = this.opts;
+    return directory.claims.dispatcherOf(zone, now);
+  }
+
   /** Sends the zone's worker reports to a new leader, which may lack them. */
   private sendReports({node, term}: DispatcherClaim): void {
     if (term === this.reportedTerm) return;
@@ -132,12 +139,12 @@
   }
 
   private mayStart(now: number): boolean {
-    const {directory, zonePeers, node} = this.opts;
+    const {zonePeers, node} = this.opts;
     return (
       !this.isProbing &&
       now >= this.nextProbe &&
       now - this.leaderSeenAt >= FailoverTiming.LEADER_RUNS_ENDED_MS &&
-      directory.dispatcher(now) === undefined &&
+      this.currentClaim(now) === undefined &&
       this.canFallBack &&
       !zonePeers.haveLeaderContact(now) &&
       zonePeers.hasPriority(node, now)
@@ -170,7 +177,7 @@
     const {client, directory} = this.opts;
     const workers = this.registry.reports;
     const order = {
-      token: directory.highestToken,
+      token: directory.claims.highestToken,
       acknowledged: 0,
       waitMs: 0,
     };
@@ -187,7 +194,7 @@
 
   private start(now: number): void {
     const {directory, observer, zone} = this.opts;
-    const token = directory.highestToken + 1;
+    const token = directory.claims.highestToken + 1;
     const dispatcher = new PoolDispatcher({
       ...this.opts,
       registry: this.registry,
@@ -196,7 +203,7 @@
       // The leases of the leader have already expired.
       earlierLeasesMs: 0,
       maySendOrders: at => {
-        const claim = directory.dispatcher(at);
+        const claim = this.currentClaim(at);
         return claim === undefined || claim.isFallback;
       },
       answer: (owner, id, answer) => this.endpoint.answer(owner, id, answer),
@@ -204,7 +211,7 @@
         this.endpoint.reportLosses(owner, id, losses),
     });
     this.endpoint.attach(dispatcher);
-    directory.recordClaim(this.claim(now)!);
+    directory.claims.record(this.claim(now)!);
     observer.recordStateChange('fallback_begun', {
       zone,
       token,
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -12,11 +12,15 @@
   readonly arrivedAt: number;
   readonly deadlineAt: number;
   respond: (answer: PoolAnswer) => void;
+  /** Zone whose dispatcher has the job or is to get it. */
+  readonly zone: string;
   /** Dispatcher to which the job was last submitted, if any. */
   assignedTo: DispatcherClaim | undefined;
   submittedAt: number;
   /** Time up to which runs of an earlier dispatcher may be active. */
   earliestStartAt: number;
+  /** Highest fencing token of an earlier dispatcher of the job. */
+  earlierToken: number;
   /** Workers that dispatchers have lost under tasks of the job. */
   losses: readonly WorkerLoss[];
   /** How long the job waits while no dispatcher is known, in ms. */
--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -34,16 +34,29 @@
   readonly usefulUntil: number;
   /** The caller's deadline. */
   readonly deadlineAt: number;
-  /** No task is started before this time. */
-  readonly earliestStartAt: number;
+  /** Time by which the runs of an earlier dispatcher have ended. */
+  private readonly settlesAt: number;
+  /** Fencing token of the dispatcher that had the job before, if known. */
+  private readonly earlierToken: number | undefined;
+  /**
+   * Whether an earlier dispatcher may have runs of the job that have not been
+   * reported. Nothing is started meanwhile.
+   */
+  isSettling: boolean;
   readonly tasks: readonly PoolTask[];
   owner: string;
   /** Whether the answer is no longer awaited; its runs are being stopped. */
   isAbandoned = false;
-  hasStarted: boolean;
+  private hasStartedHere = false;
 
   constructor(
-    {job: spec, waitedMs, patienceMs, settleMs = 0}: PoolSubmission,
+    {
+      job: spec,
+      waitedMs,
+      patienceMs,
+      settleMs = 0,
+      earlierToken,
+    }: PoolSubmission,
     {owner, queue, token, now}: ActiveJobOptions,
   ) {
     this.spec = spec;
@@ -56,9 +69,9 @@
     const objectiveMs = this.objectiveAt - this.arrivedAt;
     this.usefulUntil = this.arrivedAt + USEFUL_FACTOR * objectiveMs;
     this.deadlineAt = now + patienceMs;
-    this.earliestStartAt = now + settleMs;
-    // Runs of an earlier dispatcher may not have been reported yet.
-    this.hasStarted = settleMs > 0;
+    this.settlesAt = now + settleMs;
+    this.earlierToken = earlierToken;
+    this.isSettling = settleMs > 0;
     this.tasks = spec.steps.flatMap((step, at) =>
       Array.from({length: step.count}, (_, index) => ({
         name: `${spec.id}.0.${at}.${index}`,
@@ -76,6 +89,28 @@
     );
   }
 
+  /** Whether a task has started, or may have under an earlier dispatcher. */
+  get hasStarted(): boolean {
+    return this.hasStartedHere || this.isSettling;
+  }
+
+  /** Records that a task has started, or that a run of one was adopted. */
+  recordStart(): void {
+    this.hasStartedHere = true;
+  }
+
+  /**
+   * Ends the wait for runs of an earlier dispatcher when they have ended, or when
+   * all workers have accepted a token above that dispatcher's: `acceptedToken` is
+   * the lowest one that a worker has accepted. Each run is then known.
+   */
+  settle(acceptedToken: number, now: number): void {
+    if (!this.isSettling) return;
+    const {earlierToken = Number.POSITIVE_INFINITY} = this;
+    if (now < this.settlesAt && acceptedToken <= earlierToken) return;
+    this.isSettling = false;
+  }
+
   /** Whether the job waits for an answer and no task has started. */
   get isPending(): boolean {
     return !this.hasStarted && !this.isAbandoned;
--- a/src/core/pool/job/pool_jobs.test.ts
+++ b/src/core/pool/job/pool_jobs.test.ts
@@ -36,7 +36,7 @@
 // and is refused. "Not run" would be wrong.
 test('a job that ran before is not refused as not run', () => {
   const {clock, answers, jobs, job} = createBench();
-  job.hasStarted = true;
+  job.recordStart();
   jobs.abandon(job);
   clock.advance(1_300);
   jobs.expire(clock.now());
--- a/src/core/pool/job/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -19,6 +19,12 @@
    * are adopted, and no task of the job is started before this time is over.
    */
   settleMs: v.optional(ms, 0),
+  /**
+   * Fencing token of the dispatcher that had the job last. Once every worker has
+   * accepted a higher one, all runs of the job are known, and it may start before
+   * `settleMs`. Older nodes omit it.
+   */
+  earlierToken: v.optional(count),
   /** Workers that earlier dispatchers lost under tasks of the job. */
   losses: v.optional(v.pipe(v.array(WorkerLoss), v.readonly()), []),
   /** Lowest configuration revision that may be used to find its queue. */
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -28,7 +28,7 @@
   private readonly ledger = new RunLedger();
   private readonly lease: WorkerLease;
   private readonly instance = new ProcessInstance();
-  private readonly fence: WorkerFence;
+  readonly fence: WorkerFence;
   private readonly acks = new EndAcknowledgements();
   private readonly orders: WorkerOrders;
   private pendingPolls = 0;
@@ -232,6 +232,8 @@
     if (reply.kind === 'ok') {
       const wasUsable = this.isUsable(now);
       this.probes.onReply();
+      // A part of the list does not show all runs of earlier dispatchers.
+      this.fence.recordAccepted(reply.look.isPartial ? 0 : token);
       this.onStatus(reply.look, sentAt, now);
       if (!wasUsable && this.isUsable(now)) this.opts.listener.onChange(this);
     } else if (reply.kind === 'lost') {
@@ -252,7 +254,6 @@
       this.ledger.inherited.clear();
     }
     this.lease.updateClock(status.clockMs, sentAt, now);
-    this.fence.recordAccepted();
     for (const {number, task, run, how} of status.ended) {
       if (this.acks.receive(number, now)) this.onListedEnd(task, run, how);
     }
--- a/src/core/pool/lease/run_ledger.ts
+++ b/src/core/pool/lease/run_ledger.ts
@@ -72,6 +72,7 @@
   takeInherited(now: number): Run[] {
     return [...this.inherited].map(([task, number]) => {
       const run = Run.adopted(task, number, UNKNOWN, now);
+      run.isUnclaimed = true;
       this.add(run);
       return run;
     });
--- a/src/core/pool/lease/worker_fence.test.ts
+++ b/src/core/pool/lease/worker_fence.test.ts
@@ -4,7 +4,7 @@
 test('a refusal of an outdated token is ignored', () => {
   let token = 5;
   const fence = new WorkerFence(() => token);
-  fence.recordAccepted();
+  fence.recordAccepted(5);
   token = 7;
   // The reply to an order that was sent before the token was raised.
   fence.recordFenced(5);
@@ -16,7 +16,7 @@
 test('a raised token must be accepted again', () => {
   let token = 5;
   const fence = new WorkerFence(() => token);
-  fence.recordAccepted();
+  fence.recordAccepted(5);
   assert.isFalse(fence.onTokenRaised());
   assert.isTrue(fence.isAccepted);
   fence.recordFenced(5);
--- a/src/core/pool/lease/worker_fence.ts
+++ b/src/core/pool/lease/worker_fence.ts
@@ -1,6 +1,7 @@
 /** Tracks whether a worker accepts the dispatcher's fencing token. */
 export class WorkerFence {
   private accepted = false;
+  private token = 0;
   private outranked = false;
 
   constructor(private readonly currentToken: () => number) {}
@@ -10,18 +11,26 @@
     return this.accepted;
   }
 
+  /** Highest token that the worker has accepted from here; 0 if none. */
+  get acceptedToken(): number {
+    return this.token;
+  }
+
   /** Whether the worker has accepted a higher token. */
   get isOutranked(): boolean {
     return this.outranked;
   }
 
-  recordAccepted(): void {
+  /** Records the reply to an order that was sent with `token`. */
+  recordAccepted(token: number): void {
     this.accepted = true;
+    this.token = Math.max(this.token, token);
   }
 
   /** Requires a new reply before the token counts as accepted. */
   reset(): void {
     this.accepted = false;
+    this.token = 0;
   }
 
   /** Records a refusal; only one of the current token is significant. */
--- /dev/null
+++ b/src/core/pool/node/core_dispatching.ts
@@ -0,0 +1,193 @@
+import type {Clock} from '../../clock/clock.js';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {RoutingTable} from '../../routing/routing_table.js';
+import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
+import {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
+import {FencingToken} from '../lease/fencing_token.js';
+import type {WorkerClient} from '../lease/worker_client.js';
+import type {PoolObserver} from '../pool_observer.js';
+import type {WorkerRegistry} from '../registry/worker_registry.js';
+import {RelayChooser} from '../relay/relay_chooser.js';
+import {RelayedWorkerClient} from '../relay/relayed_worker_client.js';
+import type {DispatcherClaim} from './dispatcher_claim.js';
+import type {NodeDirectory} from './node_directory.js';
+
+interface CoreDispatchingOptions {
+  readonly node: string;
+  readonly clock: Clock;
+  readonly peers: PeerTransport;
+  readonly client: WorkerClient;
+  readonly directory: NodeDirectory;
+  readonly registry: WorkerRegistry;
+  readonly leaseMs: number;
+  readonly reportAddress: string;
+  readonly routing: () => RoutingTable | undefined;
+  readonly observer: PoolObserver;
+}
+
+/** What a dispatcher of this node serves. */
+interface Scope {
+  readonly term: number;
+  /** Granted zone; undefined stands for the zones of the leader. */
+  readonly zone: string | undefined;
+  /** Zones that the leader does not dispatch. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+interface OpenOptions extends Scope {
+  readonly token: number;
+  readonly earlierLeasesMs: number;
+  readonly isRegistryComplete: boolean;
+  readonly maySendOrders: (now: number) => boolean;
+}
+
+/**
+ * The dispatcher of a core node, while it has one: for a zone that was granted to
+ * it, or for the zones that the leader has granted to nobody.
+ */
+export class CoreDispatching {
+  private readonly endpoint: DispatcherEndpoint;
+  private readonly relayChooser: RelayChooser;
+  private readonly client: WorkerClient;
+  private scope: Scope | undefined;
+  private firstToken = 0;
+
+  constructor(private readonly opts: CoreDispatchingOptions) {
+    const {clock, directory, client: direct, peers} = opts;
+    this.endpoint = new DispatcherEndpoint(opts);
+    this.relayChooser = new RelayChooser(directory, clock);
+    this.client = new RelayedWorkerClient({
+      peers,
+      direct,
+      chooser: this.relayChooser,
+    });
+  }
+
+  get isOpen(): boolean {
+    return this.scope !== undefined;
+  }
+
+  /** Zone granted to this node that it dispatches. */
+  get heldZone(): string | undefined {
+    return this.scope?.zone;
+  }
+
+  /** Current token; 0 without a dispatcher. */
+  get token(): number {
+    return this.endpoint.dispatcher?.token ?? 0;
+  }
+
+  get openJobs(): number {
+    return this.endpoint.dispatcher?.openJobs ?? 0;
+  }
+
+  /** Whether a worker has accepted a higher token. */
+  get isOutranked(): boolean {
+    return this.endpoint.dispatcher?.isOutranked ?? false;
+  }
+
+  /** Entry nodes that have jobs here. */
+  get owners(): ReadonlySet<string> {
+    return this.endpoint.dispatcher?.owners ?? new Set();
+  }
+
+  /** Whether the dispatcher is the leader's, of this term and these zones. */
+  isLeading(term: number, excluded: ReadonlySet<string>): boolean {
+    const {scope} = this;
+    if (scope?.term !== term || scope.zone !== undefined) return false;
+    return (
+      scope.excluded.size === excluded.size &&
+      [...excluded].every(zone => scope.excluded.has(zone))
+    );
+  }
+
+  /** Whether the dispatcher is the leader's, of this term. */
+  isLeadingTerm(term: number): boolean {
+    return this.scope?.term === term && this.scope.zone === undefined;
+  }
+
+  /** The claim that other nodes receive; undefined without a dispatcher. */
+  claim(now: number): DispatcherClaim | undefined {
+    const {scope, opts, firstToken} = this;
+    const {node, reportAddress, routing} = opts;
+    if (!scope) return undefined;
+    const {term, zone} = scope;
+    const isFirst = firstToken === FencingToken.ofTerm(term);
+    return {
+      node,
+      term,
+      token: this.token,
+      isFallback: false,
+      ...(zone === undefined ? {} : {zone}),
+      ...(isFirst || zone !== undefined ? {} : {firstToken}),
+      reportAddress,
+      revision: routing()?.content.revision ?? 0,
+      heardAt: now,
+    };
+  }
+
+  /** Replaces the dispatcher; runs of an earlier one continue and are adopted. */
+  open(options: OpenOptions): void {
+    this.close();
+    const {term, zone, excluded, token, maySendOrders} = options;
+    const scope = {term, zone, excluded};
+    this.scope = scope;
+    this.firstToken = token;
+    this.setRelayedWorkers(scope);
+    const dispatcher = new PoolDispatcher({
+      ...this.opts,
+      ...options,
+      client: this.client,
+      servesZone: each => serves(scope, each),
+      // A closed dispatcher renews no lease.
+      maySendOrders: at => this.scope === scope && maySendOrders(at),
+      answer: (owner, id, answer) => this.endpoint.answer(owner, id, answer),
+      reportLosses: (owner, id, losses) =>
+        this.endpoint.reportLosses(owner, id, losses),
+    });
+    this.endpoint.attach(dispatcher);
+  }
+
+  /** Stops dispatching without stopping any run. */
+  close(): void {
+    this.endpoint.close();
+    this.scope = undefined;
+  }
+
+  tick(now: number): void {
+    if (!this.scope) return;
+    this.setRelayedWorkers(this.scope);
+    this.endpoint.tick(now);
+  }
+
+  /** Raises the token above those of fallbacks in the zones of the leader. */
+  raiseToken(): void {
+    const {opts, scope} = this;
+    const {claims} = opts.directory;
+    const {dispatcher} = this.endpoint;
+    if (!dispatcher || !scope || scope.zone !== undefined) return;
+    const isContested = [...claims.zones].some(
+      zone => serves(scope, zone) && claims.tokenOf(zone) > dispatcher.token,
+    );
+    if (!isContested) return;
+    dispatcher.raiseToken(claims.highestToken + 1);
+    claims.recordToken(dispatcher.token);
+    opts.observer.recordStateChange('token_raised', {
+      term: scope.term,
+      token: dispatcher.token,
+    });
+  }
+
+  private setRelayedWorkers(scope: Scope): void {
+    const {reports} = this.opts.registry;
+    const served = reports.filter(({zone}) => serves(scope, zone));
+    const mayLeaveZone = scope.zone === undefined;
+    this.relayChooser.setWorkers(served, {mayLeaveZone});
+  }
+}
+
+function serves(scope: Scope, zone: string): boolean {
+  return scope.zone === undefined
+    ? !scope.excluded.has(zone)
+    : scope.zone === zone;
+}
--- a/src/core/pool/node/dispatcher_claim.ts
+++ b/src/core/pool/node/dispatcher_claim.ts
@@ -1,3 +1,5 @@
+import type {ZoneGrant} from '../zones/zone_grant.js';
+
 /** A node's claim to dispatch, as received in its presence message. */
 export interface DispatcherClaim {
   readonly node: string;
@@ -7,6 +9,17 @@
   readonly token: number;
   /** Whether the node serves only its zone, while there is no leader. */
   readonly isFallback: boolean;
+  /** Zone of a holder; undefined for the leader and for an older fallback. */
+  readonly zone?: string | undefined;
+  /**
+   * Token under which the dispatcher began, if that is not the first one of the
+   * term. Tells a new dispatcher of the leader from one that raised its token.
+   */
+  readonly firstToken?: number | undefined;
+  /** Zones that the leader has granted. Default: none. */
+  readonly grants?: readonly ZoneGrant[] | undefined;
+  /** Zones that the leader neither dispatches nor grants. Default: none. */
+  readonly unserved?: readonly string[] | undefined;
   /** Address to which workers send their reports. */
   readonly reportAddress?: string | undefined;
   /** Revision of the queue configuration in force at the node. */
--- /dev/null
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -0,0 +1,179 @@
+import {FailoverTiming} from './failover_timing.js';
+import type {DispatcherClaim} from './dispatcher_claim.js';
+
+/**
+ * Claims to dispatch that a node has heard: of the leader, of the holders of
+ * zones, and of the fallback of this node's zone.
+ */
+export class DispatcherClaims {
+  private leaderClaim: DispatcherClaim | undefined;
+  private fallback: DispatcherClaim | undefined;
+  private readonly holders = new Map<string, DispatcherClaim>();
+  /** Highest token known for a zone; tokens of the leader are not included. */
+  private readonly zoneTokens = new Map<string, number>();
+  private maxToken = 0;
+
+  /** Records a claim; one with an outdated term or token is ignored. */
+  record(claim: DispatcherClaim): void {
+    this.recordToken(claim.token);
+    if (claim.isFallback) this.recordFallback(claim);
+    else if (claim.zone === undefined) this.recordLeader(claim);
+    else this.recordHolder(claim, claim.zone);
+  }
+
+  /** Withdraws the claims of a node that does not dispatch. */
+  clear(node: string): void {
+    if (this.fallback?.node === node) this.fallback = undefined;
+    this.clearHolder(node);
+    this.clearLeader(node);
+  }
+
+  recordToken(token: number): void {
+    this.maxToken = Math.max(this.maxToken, token);
+  }
+
+  /** Records a fencing token that a dispatcher of the zone uses. */
+  recordZoneToken(zone: string, token: number): void {
+    this.recordToken(token);
+    const known = this.zoneTokens.get(zone) ?? 0;
+    if (token > known) this.zoneTokens.set(zone, token);
+  }
+
+  get highestToken(): number {
+    return this.maxToken;
+  }
+
+  /** Highest fencing token known for a zone. */
+  tokenOf(zone: string): number {
+    const leader = this.leaderClaim;
+    const known = this.zoneTokens.get(zone) ?? 0;
+    return leader && isServing(leader, zone)
+      ? Math.max(known, leader.token)
+      : known;
+  }
+
+  /** Claim of the leader of the log, if it was heard recently. */
+  leader(now: number): DispatcherClaim | undefined {
+    const claim = this.leaderClaim;
+    return claim && isLive(claim, now) ? claim : undefined;
+  }
+
+  /** Last known leader of the log, even if contact to it is lost. */
+  get lastLeader(): DispatcherClaim | undefined {
+    return this.leaderClaim;
+  }
+
+  /** Last claim of the holder of a zone that was not withdrawn. */
+  holderOf(zone: string): DispatcherClaim | undefined {
+    const claim = this.holders.get(zone);
+    return claim && claim.token >= this.tokenOf(zone) ? claim : undefined;
+  }
+
+  /** Whether a holder is known, even if contact to it is lost. */
+  get hasHolders(): boolean {
+    return this.holders.size > 0;
+  }
+
+  /** Zones whose holder was heard, and zones with a known token. */
+  get zones(): Iterable<string> {
+    return this.zoneTokens.keys();
+  }
+
+  /** Node of the holder of a zone, if it was heard recently. */
+  liveHolderOf(zone: string, now: number): string | undefined {
+    const claim = this.holderOf(zone);
+    return claim && isLive(claim, now) ? claim.node : undefined;
+  }
+
+  /** Nodes that dispatch, as far as this node knows, including fallbacks. */
+  dispatchingNodes(now: number): string[] {
+    const {fallback, leaderClaim: leader} = this;
+    const claims = [...this.holders.values(), fallback, leader];
+    const nodes = claims.flatMap(c => (c && isLive(c, now) ? c.node : []));
+    // An entry node hears the claims of other zones' holders from no one else.
+    const granted = leader?.grants?.map(({node}) => node) ?? [];
+    return [...new Set([...nodes, ...granted])];
+  }
+
+  /**
+   * Claim of the dispatcher of a zone: the holder or the leader, whichever has
+   * the higher token, else the fallback. The leader comes before a fallback with
+   * a higher token, since it raises its own token above that.
+   */
+  dispatcherOf(zone: string, now: number): DispatcherClaim | undefined {
+    const leader = this.leader(now);
+    const holder = this.holderOf(zone);
+    const served = leader && isServing(leader, zone) ? leader : undefined;
+    const held = holder && isLive(holder, now) ? holder : undefined;
+    if (served && held) return held.token > served.token ? held : served;
+    if (served ?? held) return served ?? held;
+    const {fallback} = this;
+    const isFallbackOf = (fallback?.zone ?? zone) === zone;
+    return fallback && isFallbackOf && isLive(fallback, now)
+      ? fallback
+      : undefined;
+  }
+
+  /** Highest configuration revision that a leader or holder last stated. */
+  get revision(): number {
+    let revision = this.leaderClaim?.revision ?? 0;
+    for (const holder of this.holders.values()) {
+      revision = Math.max(revision, holder.revision);
+    }
+    return revision;
+  }
+
+  private recordFallback(claim: DispatcherClaim): void {
+    const known = this.fallback;
+    const isKnown = known && isLive(known, claim.heardAt);
+    if (isKnown && claim.token < known.token) return;
+    this.fallback = claim;
+    if (claim.zone !== undefined) this.recordZoneToken(claim.zone, claim.token);
+  }
+
+  private recordLeader(claim: DispatcherClaim): void {
+    this.clearHolder(claim.node);
+    if (this.leaderClaim && claim.term < this.leaderClaim.term) return;
+    this.leaderClaim = claim;
+    for (const grant of claim.grants ?? []) {
+      this.recordZoneToken(grant.zone, grant.token);
+    }
+  }
+
+  private recordHolder(claim: DispatcherClaim, zone: string): void {
+    // A node has at most one dispatcher.
+    this.clearLeader(claim.node);
+    const known = this.holders.get(zone);
+    if (known?.node !== claim.node) this.clearHolder(claim.node);
+    if (claim.token < this.tokenOf(zone)) {
+      this.clearHolder(claim.node);
+      return;
+    }
+    this.recordZoneToken(zone, claim.token);
+    this.holders.set(zone, claim);
+  }
+
+  private clearHolder(node: string): void {
+    for (const [zone, claim] of this.holders) {
+      if (claim.node === node) this.holders.delete(zone);
+    }
+  }
+
+  private clearLeader(node: string): void {
+    if (this.leaderClaim?.node !== node) return;
+    this.leaderClaim = {
+      ...this.leaderClaim,
+      heardAt: Number.NEGATIVE_INFINITY,
+    };
+  }
+}
+
+/** Whether a leader dispatches a zone itself. */
+function isServing(leader: DispatcherClaim, zone: string): boolean {
+  const {grants = [], unserved = []} = leader;
+  return !unserved.includes(zone) && !grants.some(g => g.zone === zone);
+}
+
+function isLive(claim: DispatcherClaim, now: number): boolean {
+  return now - claim.heardAt < FailoverTiming.DISPATCHER_TIMEOUT_MS;
+}
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -2,33 +2,28 @@
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
-import {FencingToken} from '../lease/fencing_token.js';
-import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
-import type {NodeDirectory} from './node_directory.js';
-import {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
-import {PoolMessage} from './pool_message.js';
+import type {WorkerClient} from '../lease/worker_client.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {WorkerRegistry} from '../registry/worker_registry.js';
 import {WorkerRegistrySender} from '../registry/worker_registry_sender.js';
-import {RelayChooser} from '../relay/relay_chooser.js';
-import {RelayedWorkerClient} from '../relay/relayed_worker_client.js';
-import {WorkerRelay} from '../relay/worker_relay.js';
-import type {WorkerClient} from '../lease/worker_client.js';
 import {WorkerReportService} from '../registry/worker_report_service.js';
+import {WorkerRelay} from '../relay/worker_relay.js';
+import {ResumeGuard} from '../zones/resume_guard.js';
+import type {ZoneGrant} from '../zones/zone_grant.js';
+import {GrantedZone} from '../zones/granted_zone.js';
+import {ZoneLeader} from '../zones/zone_leader.js';
+import {CoreDispatching} from './core_dispatching.js';
+import {CorePresence} from './core_presence.js';
+import type {DispatcherClaim} from './dispatcher_claim.js';
+import type {NodeDirectory} from './node_directory.js';
+import {PoolMessage} from './pool_message.js';
 
 /** A leader that no majority has confirmed for this long sends no orders. */
 const CONFIRMATION_MAX_AGE_MS = 250;
-const LEADER_PRESENCE_MS = 200;
-const PRESENCE_MS = 1_000;
-/**
- * Interval at which a node that does not lead informs entry nodes, and at which
- * the leader names the other nodes to them; below the retention of a node.
- */
-const ENTRY_GOSSIP_MS = 2_500;
-/** Interval of presence messages while no dispatcher is known. */
-const DISCOVERY_MS = 150;
 /** Age up to which a full copy of the registry counts as complete. */
 const REGISTRY_MAX_AGE_MS = 5_000;
+/** Time after which the workers have reported to a leader that knew none. */
+const WORKER_DISCOVERY_MS = 4_000;
 /**
  * Time after the last contact with a leader within which no fallback can have
  * started. After it, leases of a fallback may be active, about which the voters
@@ -63,118 +58,177 @@
 }
 
 /**
- * Dispatches on a core node while the node leads the log. On the other core
- * nodes, keeps a copy of the worker registry for a later takeover.
+ * Pool of a core node. While the node leads the log, it grants zones and
+ * dispatches for the others; as the holder of a zone, it dispatches for that. The
+ * other core nodes keep a copy of the worker registry for a later takeover.
  */
 export class LeaderService {
-  private readonly registry = new WorkerRegistry();
-  private readonly registrySender: WorkerRegistrySender;
   /** Reports of workers, which any core node takes. */
   readonly reports: WorkerReportService;
-  private readonly endpoint: DispatcherEndpoint;
-  private readonly relayChooser: RelayChooser;
-  private readonly client: WorkerClient;
-  private term = 0;
-  private nextPresence = 0;
-  private nextEntryGossip = 0;
-  private isClosed = false;
+  private readonly registry = new WorkerRegistry();
+  private readonly registrySender: WorkerRegistrySender;
+  private readonly dispatching: CoreDispatching;
+  private readonly presence: CorePresence;
+  private readonly guard = new ResumeGuard();
+  private readonly granted: GrantedZone;
+  private leader: ZoneLeader | undefined;
+  private leaderSince = 0;
+  private isDraining = false;
   private fullSnapshotAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly opts: LeaderServiceOptions) {
-    const {peers} = opts;
-    this.endpoint = new DispatcherEndpoint(opts);
-    const {clock, directory, client: direct} = opts;
-    new WorkerRelay(peers, direct);
-    this.relayChooser = new RelayChooser(directory, clock);
-    this.client = new RelayedWorkerClient({
-      peers,
-      direct,
-      chooser: this.relayChooser,
-    });
-    this.registrySender = new WorkerRegistrySender({
+    const {peers, client, clock} = opts;
+    const {registry} = this;
+    const startedAt = clock.now();
+    new WorkerRelay(peers, client);
+    this.dispatching = new CoreDispatching({...opts, registry});
+    this.granted = new GrantedZone({...opts, startedAt});
+    this.registrySender = new WorkerRegistrySender({...opts, registry});
+    this.presence = new CorePresence({
       ...opts,
-      registry: this.registry,
+      startedAt,
+      claim: now => this.claim(now),
+      owners: () => this.dispatching.owners,
+      isRelaying: () => !this.isDraining,
+      onClaim: now => this.updateHolder(now),
     });
-    peers.onMessage('pool.presence', (from, body, now) =>
-      this.onPresence(from, body, now),
-    );
     peers.onMessage('pool.book', (_from, body, now) =>
       this.onRegistryUpdate(body, now),
     );
     this.reports = new WorkerReportService({
       ...opts,
-      registry: this.registry,
+      registry,
       registrySender: this.registrySender,
-      dispatcher: () => this.endpoint.dispatcher,
+      isLeading: () => this.isLeading,
+      holds: zone => this.dispatching.heldZone === zone,
+      onNews: now => this.dispatching.tick(now),
     });
+    this.guard.tick(startedAt);
   }
 
+  /** Whether this node leads, and dispatches the zones that it has not granted. */
   get isLeading(): boolean {
-    return this.endpoint.dispatcher !== undefined;
+    return this.leader !== undefined && this.dispatching.isOpen;
   }
 
   get openJobs(): number {
-    return this.endpoint.dispatcher?.openJobs ?? 0;
+    return this.dispatching.openJobs;
+  }
+
+  /** Number of zones that this node has granted as the leader. */
+  get grantedZones(): number {
+    return this.leader?.grants.length ?? 0;
+  }
+
+  /** Fencing token of the zone that this node holds; 0 if it holds none. */
+  get zoneToken(): number {
+    const {heldZone, token} = this.dispatching;
+    return heldZone === undefined ? 0 : token;
   }
 
   tick(now: number): void {
-    this.updateLeadership(now);
+    this.guard.tick(now);
     this.registry.expire(now);
-    this.raiseToken();
-    if (this.isLeading) this.relayChooser.setWorkers(this.registry.reports);
-    this.endpoint.tick(now);
-    if (now >= this.nextPresence) this.sendPresence(now);
+    this.updateLeadership(now);
+    this.updateHolder(now);
+    this.dispatching.raiseToken();
+    this.dispatching.tick(now);
+    this.presence.tick(now);
     this.reports.tick(now);
     if (this.isLeading) this.registrySender.tick(now);
   }
 
+  /**
+   * Announces a planned stop: a held zone is given up without stopping any run,
+   * so that the leader grants it to another node. A leader dispatches until its
+   * leadership has been transferred.
+   */
+  announceDrain(): void {
+    const now = this.opts.clock.now();
+    this.isDraining = true;
+    this.updateHolder(now);
+    this.presence.makeDue(now);
+    this.presence.tick(now);
+  }
+
   /** Stops dispatching and relaying before a planned shutdown. */
   close(): void {
-    this.isClosed = true;
-    this.endpoint.close();
-    this.sendPresence(this.opts.clock.now());
+    const now = this.opts.clock.now();
+    this.isDraining = true;
+    this.dispatching.close();
+    this.presence.makeDue(now);
+    this.presence.send(now);
+  }
+
+  private claim(now: number): DispatcherClaim | undefined {
+    const claim = this.dispatching.claim(now);
+    const {leader} = this;
+    if (!claim || claim.zone !== undefined || !leader) return claim;
+    const {grants, unserved} = leader;
+    return {
+      ...claim,
+      ...(grants.length > 0 ? {grants} : {}),
+      ...(unserved.length > 0 ? {unserved} : {}),
+    };
   }
 
   private updateLeadership(now: number): void {
-    const {routing, observer, leadership} = this.opts;
+    const {leadership, observer, routing} = this.opts;
     const state = leadership(now);
-    const isSame = state?.isSettled && state.term === this.term;
-    if (this.isLeading && !isSame) {
-      observer.recordStateChange('lead_lost', {term: this.term});
-      this.endpoint.close();
-      this.makePresenceDue(now);
+    if (this.leader && !(state?.isSettled && state.term === this.leader.term)) {
+      observer.recordStateChange('lead_lost', {term: this.leader.term});
+      this.leader = undefined;
+      if (this.dispatching.heldZone === undefined) this.dispatching.close();
+      this.presence.makeDue(now);
     }
-    if (!state?.isSettled || this.isLeading) return;
-    this.term = state.term;
-    const isRegistryComplete = now - this.fullSnapshotAt < REGISTRY_MAX_AGE_MS;
-    observer.recordStateChange('lead_won', {
-      term: state.term,
-      workers: this.registry.entries.size,
-      is_book_complete: isRegistryComplete,
-      confirmed_ms_ago: Math.round(now - state.confirmedAt),
-      silent_ms: Math.round(state.silentMs),
-      revision: routing()?.content.revision,
-    });
-    this.endpoint.attach(this.createDispatcher(state, isRegistryComplete));
-    this.makePresenceDue(now);
-    this.registrySender.makeDue();
+    if (!state?.isSettled) return;
+    if (!this.leader) {
+      const {directory, node} = this.opts;
+      const others = directory.coreIds(now).filter(id => id !== node);
+      if (!this.guard.hasListened(directory, others, now)) return;
+      observer.recordStateChange('lead_won', {
+        term: state.term,
+        workers: this.registry.entries.size,
+        is_book_complete: this.isRegistryComplete(now),
+        confirmed_ms_ago: Math.round(now - state.confirmedAt),
+        silent_ms: Math.round(state.silentMs),
+        revision: routing()?.content.revision,
+      });
+      this.leader = new ZoneLeader({
+        ...this.opts,
+        registry: this.registry,
+        term: state.term,
+      });
+      this.leaderSince = now;
+      this.registrySender.makeDue();
+    }
+    this.lead(this.leader, state, now);
   }
 
-  private createDispatcher(
-    {term, silentMs}: Leadership,
-    isRegistryComplete: boolean,
-  ): PoolDispatcher {
-    const {leaseMs, leadership} = this.opts;
-    const quietMs = silentMs < FALLBACK_EARLIEST_MS ? silentMs : 0;
-    return new PoolDispatcher({
-      ...this.opts,
-      client: this.client,
-      registry: this.registry,
-      token: FencingToken.ofTerm(term),
-      isRegistryComplete,
+  private lead(leader: ZoneLeader, state: Leadership, now: number): void {
+    if (now - this.leaderSince >= WORKER_DISCOVERY_MS) {
+      this.fullSnapshotAt = now;
+    }
+    if (leader.update(state.confirmedAt, now)) this.presence.makeDue(now);
+    const {term, excluded} = leader;
+    if (!leader.isReady || this.dispatching.isLeading(term, excluded)) return;
+    const {observer, leaseMs, leadership} = this.opts;
+    const isFirst = !this.dispatching.isLeadingTerm(term);
+    // Holders have not waited for the leader, whose silence tells nothing then.
+    const mayDeduct = isFirst && !this.opts.directory.claims.hasHolders;
+    const quietMs = state.silentMs < FALLBACK_EARLIEST_MS ? state.silentMs : 0;
+    const token = leader.nextToken();
+    this.recordClosed('leads');
+    this.dispatching.open({
+      term,
+      zone: undefined,
+      excluded,
+      token,
+      isRegistryComplete: this.isRegistryComplete(now),
       // An earlier leader may have granted its last lease when its confirmation
       // became too old.
-      earlierLeasesMs: CONFIRMATION_MAX_AGE_MS + leaseMs - quietMs,
+      earlierLeasesMs:
+        CONFIRMATION_MAX_AGE_MS + leaseMs - (mayDeduct ? quietMs : 0),
       maySendOrders: at => {
         const current = leadership(at);
         return (
@@ -182,100 +236,81 @@
           at - current.confirmedAt < CONFIRMATION_MAX_AGE_MS
         );
       },
-      answer: (owner, id, answer) => this.endpoint.answer(owner, id, answer),
-      reportLosses: (owner, id, losses) =>
-        this.endpoint.reportLosses(owner, id, losses),
+    });
+    this.presence.makeDue(now);
+    if (excluded.size === 0) return;
+    observer.recordStateChange('lead_zones_changed', {
+      term,
+      token,
+      excluded: [...excluded],
     });
   }
 
-  /** Raises the token above that of a fallback that has taken over workers. */
-  private raiseToken(): void {
-    const {directory, observer} = this.opts;
-    const {dispatcher} = this.endpoint;
-    const {highestToken} = directory;
-    if (!dispatcher || highestToken <= dispatcher.token) return;
-    dispatcher.raiseToken(highestToken + 1);
-    directory.recordToken(dispatcher.token);
-    observer.recordStateChange('token_raised', {
-      term: this.term,
-      token: dispatcher.token,
-    });
+  /** Opens or closes the dispatcher of a zone that was granted to this node. */
+  private updateHolder(now: number): void {
+    const {dispatching, granted, leader} = this;
+    if (leader) return;
+    const {heldZone} = dispatching;
+    if (heldZone !== undefined) {
+      const reason = this.isDraining
+        ? 'draining'
+        : granted.findLoss(dispatching.token, dispatching.isOutranked);
+      if (reason === undefined) return;
+      this.recordClosed(reason);
+      dispatching.close();
+      this.presence.makeDue(now);
+    }
+    const isLeader = this.opts.leadership(now) !== undefined;
+    const grant = granted.find(now);
+    if (grant && !this.isDraining && !isLeader) this.hold(grant, now);
   }
 
-  private onPresence(from: string, body: unknown, now: number): void {
-    const parsed = v.safeParse(PoolMessage.presence, body);
-    if (!parsed.success) return;
-    const {directory} = this.opts;
-    const {
-      role,
+  private hold(grant: ZoneGrant & {readonly term: number}, now: number): void {
+    const {zone, token, term} = grant;
+    const {leaseMs, observer} = this.opts;
+    this.granted.recordOpened(token);
+    observer.recordStateChange('zone_opened', {
+      held_zone: zone,
+      token,
+      term,
+      workers: this.registry.entries.size,
+    });
+    this.dispatching.open({
+      term,
       zone,
-      cores,
-      entries,
-      highestToken,
-      lead: claim,
-    } = parsed.output;
-    const isNew = directory.recordSeen(from, role, now, zone);
-    directory.recordGossip(cores, 'core', now);
-    directory.recordGossip(entries, 'entry', now);
-    directory.recordToken(highestToken);
-    directory.setRelay(from, parsed.output.relays);
-    // Informs a new node, and the others of it, without delay.
-    if (isNew) this.makePresenceDue(now);
-    if (role !== 'core') return;
-    if (claim) directory.recordClaim({...claim, node: from, heardAt: now});
-    else directory.clearClaim(from);
+      excluded: new Set(),
+      token,
+      isRegistryComplete: this.isRegistryComplete(now),
+      earlierLeasesMs: leaseMs,
+      maySendOrders: at =>
+        this.guard.isAwake(at) &&
+        this.granted.findLoss(token, this.dispatching.isOutranked) ===
+          undefined,
+    });
+    this.presence.makeDue(now);
+    this.presence.tick(now);
   }
 
-  private makePresenceDue(now: number): void {
-    this.nextPresence = now;
-    this.nextEntryGossip = now;
+  private recordClosed(reason: string): void {
+    const {heldZone, token, openJobs} = this.dispatching;
+    if (heldZone === undefined) return;
+    this.opts.observer.recordStateChange('zone_closed', {
+      held_zone: heldZone,
+      token,
+      reason,
+      open: openJobs,
+    });
   }
 
-  private sendPresence(now: number): void {
-    const {directory, node, zone, peers, reportAddress, routing} = this.opts;
-    const {dispatcher} = this.endpoint;
-    const isLeaderKnown = directory.dispatcher(now) !== undefined;
-    const idleMs = isLeaderKnown ? PRESENCE_MS : DISCOVERY_MS;
-    this.nextPresence = now + (dispatcher ? LEADER_PRESENCE_MS : idleMs);
-    const claim = dispatcher && {
-      term: this.term,
-      token: dispatcher.token,
-      isFallback: false,
-      reportAddress,
-      revision: routing()?.content.revision ?? 0,
-    };
-    if (claim) directory.recordClaim({...claim, node, heardAt: now});
-    const body = {
-      role: 'core',
-      zone,
-      highestToken: directory.highestToken,
-      relays: !this.isClosed,
-      ...(claim ? {lead: claim} : {}),
-    };
-    const cores = directory.seenIds('core', now);
-    const entries = directory.seenIds('entry', now);
-    for (const id of directory.coreIds(now)) {
-      if (id === node) continue;
-      peers.send(id, 'pool.presence', {...body, cores, entries});
-    }
-    const isGossipDue = now >= this.nextEntryGossip || !isLeaderKnown;
-    if (isGossipDue) this.nextEntryGossip = now + ENTRY_GOSSIP_MS;
-    else if (!claim) return;
-    const byZone = isGossipDue ? directory.groupByZone(entries) : undefined;
-    for (const id of directory.entryIds(now)) {
-      // An entry node needs only the entry nodes of its own zone.
-      const zonePeers = byZone?.get(directory.zoneOf(id));
-      peers.send(id, 'pool.presence', {
-        ...body,
-        cores: isGossipDue ? cores : [],
-        ...(zonePeers ? {entries: zonePeers} : {}),
-      });
-    }
+  private isRegistryComplete(now: number): boolean {
+    return now - this.fullSnapshotAt < REGISTRY_MAX_AGE_MS;
   }
 
   private onRegistryUpdate(body: unknown, now: number): void {
     if (!v.is(PoolMessage.book, body)) return;
     for (const report of body.reports) this.registry.update(report, now);
-    if (body.isWhole && !this.isLeading) this.fullSnapshotAt = now;
+    if (body.isWhole && !this.leader) this.fullSnapshotAt = now;
+    // A drain must be obeyed without delay.
+    if (!body.isWhole) this.dispatching.tick(now);
   }
 }
--- a/src/core/pool/node/node_directory.test.ts
+++ b/src/core/pool/node/node_directory.test.ts
@@ -20,8 +20,8 @@
 test('the leader of an older term is ignored', () => {
   const directory = new NodeDirectory('e', []);
   const claim = {token: 0, isFallback: false, revision: 1, heardAt: 0};
-  directory.recordClaim({...claim, node: 'c2', term: 5});
-  directory.recordClaim({...claim, node: 'c1', term: 4});
-  assert.equal(directory.dispatcher(100)?.node, 'c2');
-  assert.isUndefined(directory.dispatcher(5_000));
+  directory.claims.record({...claim, node: 'c2', term: 5});
+  directory.claims.record({...claim, node: 'c1', term: 4});
+  assert.equal(directory.claims.dispatcherOf('z', 100)?.node, 'c2');
+  assert.isUndefined(directory.claims.dispatcherOf('z', 5_000));
 });
--- a/src/core/pool/node/node_directory.ts
+++ b/src/core/pool/node/node_directory.ts
@@ -1,5 +1,4 @@
-import {FailoverTiming} from './failover_timing.js';
-import type {DispatcherClaim} from './dispatcher_claim.js';
+import {DispatcherClaims} from './dispatcher_claims.js';
 
 /** A node that has sent nothing for this long is removed. */
 const RETENTION_MS = 10_000;
@@ -8,7 +7,7 @@
 
 type Role = 'entry' | 'core';
 
-/** Known nodes, and which of them dispatches. */
+/** Known nodes, and which of them claim to dispatch. */
 export class NodeDirectory {
   private readonly seen = {
     core: new Map<string, number>(),
@@ -24,10 +23,12 @@
   };
   private readonly relays = new Set<string>();
   private readonly zones = new Map<string, string>();
-  /** Claim of the last known leader. */
-  private last: DispatcherClaim | undefined;
-  private fallback: DispatcherClaim | undefined;
-  private maxToken = 0;
+  /** Nodes that know claims by zone. */
+  private readonly zoned = new Set<string>();
+  /** Start time of each core node's process, and since when it is known. */
+  private readonly processes = new Map<string, {at: number; since: number}>();
+  /** Claims to dispatch. */
+  readonly claims = new DispatcherClaims();
 
   /** `seeds` are core nodes that are always contacted. */
   constructor(
@@ -83,44 +84,36 @@
     }
   }
 
-  /** Records a claim to dispatch; outdated claims are ignored. */
-  recordClaim(claim: DispatcherClaim): void {
-    this.recordToken(claim.token);
-    if (claim.isFallback) {
-      const known = this.fallback;
-      const isKnown = known && isLive(known, claim.heardAt);
-      if (isKnown && claim.token < known.token) return;
-      this.fallback = claim;
-    } else if (!this.last || claim.term >= this.last.term) this.last = claim;
+  /** Records whether a node knows claims by zone. */
+  setZoned(node: string, isZoned: boolean): void {
+    if (isZoned) this.zoned.add(node);
+    else this.zoned.delete(node);
   }
 
-  /** Withdraws the claim of a node that does not dispatch. */
-  clearClaim(node: string): void {
-    if (this.fallback?.node === node) this.fallback = undefined;
-    if (this.last?.node !== node) return;
-    this.last = {...this.last, heardAt: Number.NEGATIVE_INFINITY};
+  /** Whether a node knows claims by zone; an older process does not. */
+  isZoned(node: string): boolean {
+    return this.zoned.has(node);
   }
 
-  /** Records a fencing token that is in use. */
-  recordToken(token: number): void {
-    this.maxToken = Math.max(this.maxToken, token);
+  /** Records when the process of a core node started, as stated by the node. */
+  setStartedAt(node: string, at: number | undefined, now: number): void {
+    if (at === undefined || this.processes.get(node)?.at === at) return;
+    this.processes.set(node, {at, since: now});
   }
 
-  /** Highest known fencing token. */
-  get highestToken(): number {
-    return this.maxToken;
+  /** When the process of a core node started, as stated by the node. */
+  startedAt(node: string): number | undefined {
+    return this.processes.get(node)?.at;
   }
 
-  /** Claim of the leader or, if there is none, of the fallback of this zone. */
-  dispatcher(now: number): DispatcherClaim | undefined {
-    const {last, fallback} = this;
-    if (last && isLive(last, now)) return last;
-    return fallback && isLive(fallback, now) ? fallback : undefined;
+  /** Since when the process of a core node has been known here. */
+  knownSince(node: string): number {
+    return this.processes.get(node)?.since ?? Number.POSITIVE_INFINITY;
   }
 
-  /** Last known leader of the log, even if contact to it is lost. */
-  get lastLeader(): DispatcherClaim | undefined {
-    return this.last;
+  /** Whether a node relays orders; a node that drains does not. */
+  isRelay(node: string): boolean {
+    return this.relays.has(node);
   }
 
   /** Nodes that were seen recently. */
@@ -149,10 +142,6 @@
   }
 }
 
-function isLive(claim: DispatcherClaim, now: number): boolean {
-  return now - claim.heardAt < FailoverTiming.DISPATCHER_TIMEOUT_MS;
-}
-
 function pruneSeenBefore(nodes: Map<string, number>, since: number): string[] {
   for (const [node, at] of nodes) {
     if (at < since) nodes.delete(node);
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -2,6 +2,7 @@
 import {WorkerLoss} from '../crashes/worker_loss.js';
 import {PoolAnswer} from '../job/pool_answer.js';
 import {WorkerReport} from '../registry/worker_report.js';
+import {ZoneGrant} from '../zones/zone_grant.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const ids = v.array(v.string());
@@ -24,11 +25,25 @@
         term: count,
         token: count,
         isFallback: v.boolean(),
+        /** Zone of a holder. */
+        zone: v.optional(v.string()),
+        /** Token under which the dispatcher began, unless the term's first. */
+        firstToken: v.optional(count),
+        /** Zones that the leader has granted; it dispatches the others. */
+        grants: v.optional(v.array(ZoneGrant)),
+        /** Zones that the leader neither dispatches nor grants. */
+        unserved: v.optional(ids),
         reportAddress: v.optional(v.string()),
         revision: count,
       }),
     ),
-    /** Whether an entry node has contact with the leader of the log. */
+    /** Highest fencing token of the sender's zone; older nodes omit it. */
+    zoneToken: v.optional(count),
+    /** Start time of the process of a core node. */
+    startedAt: v.optional(v.number()),
+    /** Whether the sender knows claims by zone; older nodes do not. */
+    isZoned: v.optional(v.boolean(), false),
+    /** Whether an entry node has contact with the dispatcher of its zone. */
     hasLead: v.optional(v.boolean(), false),
     /** Whether the sender relays orders to workers. */
     relays: v.optional(v.boolean(), false),
--- a/src/core/pool/placement/task_starter.ts
+++ b/src/core/pool/placement/task_starter.ts
@@ -60,7 +60,7 @@
     task.run = run;
     task.worker = worker;
     task.state = 'running';
-    task.job.hasStarted = true;
+    task.job.recordStart();
     this.observer.incrementCounter('starts');
     worker.start(run, spec.payload);
   }
--- a/src/core/pool/registry/worker_report_service.test.ts
+++ b/src/core/pool/registry/worker_report_service.test.ts
@@ -2,9 +2,7 @@
 import {POOL_WORKER_REPORT} from '../../../../test-support/fakes/pool/pool_worker_report.js';
 import {FakeClock} from '../../../../test-support/fakes/fake_clock.js';
 import {InMemoryPeers} from '../../../../test-support/fakes/in_memory_peers.js';
-import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 import {NodeDirectory} from '../node/node_directory.js';
-import type {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
 import {WorkerRegistry} from './worker_registry.js';
 import {WorkerRegistrySender} from './worker_registry_sender.js';
 import {WorkerReportService} from './worker_report_service.js';
@@ -13,7 +11,7 @@
 function createBench() {
   const clock = new FakeClock();
   const peers = new InMemoryPeers(clock);
-  const createNode = (node: string, dispatcher?: PoolDispatcher) => {
+  const createNode = (node: string, isLeading: boolean) => {
     const directory = new NodeDirectory(node, ['c1', 'c2']);
     const transport = peers.node(node);
     const registry = new WorkerRegistry();
@@ -23,7 +21,8 @@
       ...opts,
       registrySender: new WorkerRegistrySender(opts),
       reportAddress: `${node}:1`,
-      dispatcher: () => dispatcher,
+      isLeading: () => isLeading,
+      onNews: noop,
       observer: {
         recordJobEvent: noop,
         recordStateChange: noop,
@@ -37,12 +36,12 @@
     });
     return {directory, registry, service};
   };
-  const leader = createNode('c1', new PoolBench(1).createDispatcher());
-  const follower = createNode('c2');
+  const leader = createNode('c1', true);
+  const follower = createNode('c2', false);
   const claim = () => {
     const fields = {term: 1, token: 1_000, isFallback: false, revision: 1};
     const heardAt = clock.now();
-    follower.directory.recordClaim({...fields, node: 'c1', heardAt});
+    follower.directory.claims.record({...fields, node: 'c1', heardAt});
   };
   const settle = async <T>(result: Promise<T>): Promise<T> => {
     for (let ms = 0; ms < 10; ms += 1) {
--- a/src/core/pool/registry/worker_report_service.ts
+++ b/src/core/pool/registry/worker_report_service.ts
@@ -2,7 +2,6 @@
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {NodeDirectory} from '../node/node_directory.js';
-import type {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {WorkerRegistry} from './worker_registry.js';
@@ -23,15 +22,20 @@
   readonly registrySender: WorkerRegistrySender;
   /** Address of this node to which workers send their reports. */
   readonly reportAddress: string;
-  /** Dispatcher of this node, while it leads. */
-  readonly dispatcher: () => PoolDispatcher | undefined;
+  /** Whether this node leads and keeps the list of all workers. */
+  readonly isLeading: () => boolean;
+  /** Whether this node is the holder of a zone. Default: never. */
+  readonly holds?: (zone: string) => boolean;
+  /** Called when a report with news was stored. */
+  readonly onNews: (now: number) => void;
   readonly observer: PoolObserver;
 }
 
 /**
  * Takes the reports of workers on a core node. News is passed on to the leader
- * before the worker gets its reply. Reports without news are collected, so that
- * the leader does not serve the connections of the whole fleet.
+ * and to the holder of the worker's zone before the worker gets its reply. Reports
+ * without news are collected, so that these do not serve the connections of the
+ * whole fleet.
  */
 export class WorkerReportService {
   /** Reports to pass on, by worker. */
@@ -53,90 +57,123 @@
 
   /**
    * Takes a worker's report. Returns the address for later reports, or undefined
-   * if no leader is known or the leader has not accepted it.
+   * if neither the leader nor the holder of the worker's zone has accepted it.
    */
   async report(report: WorkerReport): Promise<string | undefined> {
-    const {registry, directory, clock, dispatcher, reportAddress} = this.opts;
+    const {registry, clock, isLeading, reportAddress} = this.opts;
     const now = clock.now();
     const known = registry.entries.get(report.id)?.report;
-    const hasLeader = directory.dispatcher(now) !== undefined;
-    if (hasLeader && !dispatcher() && known && !isNews(report, known)) {
+    const receivers = this.receivers(report.zone, now);
+    const isPassedOn = receivers.length > 0 && !isLeading();
+    if (isPassedOn && known && !isNews(report, known)) {
       if (registry.update(report, now)) this.pending.set(report.id, report);
       return reportAddress;
     }
-    const isAccepted = await this.requestLeader('pool.report', report);
-    return isAccepted === true ? reportAddress : undefined;
+    const isAccepted = await this.requestAll(receivers, 'pool.report', report);
+    return isAccepted ? reportAddress : undefined;
   }
 
-  /** Notifies the leader that a worker leaves; false if none was reached. */
+  /**
+   * Notifies the leader and the holder of the zone that a worker leaves; false if
+   * neither was reached.
+   */
   async leave(id: string): Promise<boolean> {
+    const {registry, clock} = this.opts;
     this.pending.delete(id);
-    return (await this.requestLeader('pool.leave', {id})) === true;
+    const zone = registry.entries.get(id)?.report.zone;
+    const receivers = this.receivers(zone, clock.now());
+    return this.requestAll(receivers, 'pool.leave', {id});
   }
 
-  /** Passes collected reports on to the leader if it is time to. */
+  /** Passes collected reports on to the leader and holders if it is time to. */
   tick(now: number): void {
     if (this.pending.size === 0 || now < this.nextForward) return;
-    const {directory, node, peers} = this.opts;
-    const leader = directory.dispatcher(now);
-    if (!leader) return;
+    const {node, peers} = this.opts;
+    const byReceiver = new Map<string, WorkerReport[]>();
+    for (const report of this.pending.values()) {
+      for (const receiver of this.receivers(report.zone, now)) {
+        const reports = byReceiver.get(receiver) ?? [];
+        reports.push(report);
+        byReceiver.set(receiver, reports);
+      }
+    }
+    if (byReceiver.size === 0) return;
     this.nextForward = now + FORWARD_MS;
-    const reports = [...this.pending.values()];
     this.pending.clear();
-    if (leader.node === node) return;
-    peers.send(leader.node, 'pool.reports', {reports});
+    for (const [receiver, reports] of byReceiver) {
+      if (receiver !== node) peers.send(receiver, 'pool.reports', {reports});
+    }
+  }
+
+  /** The leader and the holder of a zone, as far as they are known. */
+  private receivers(zone: string | undefined, now: number): string[] {
+    const {claims} = this.opts.directory;
+    const leader = claims.leader(now)?.node;
+    const holder =
+      zone === undefined ? undefined : claims.liveHolderOf(zone, now);
+    return [...new Set([leader ?? [], holder ?? []].flat())];
   }
 
-  private async requestLeader(method: string, body: unknown): Promise<unknown> {
-    const {directory, clock, peers} = this.opts;
-    const leader = directory.dispatcher(clock.now());
-    if (!leader) return undefined;
-    const res = await peers.request(
-      leader.node,
-      method,
-      body,
-      LEADER_REQUEST_TIMEOUT_MS,
+  /** Whether one of the nodes has accepted the request. */
+  private async requestAll(
+    nodes: readonly string[],
+    method: string,
+    body: unknown,
+  ): Promise<boolean> {
+    const {peers} = this.opts;
+    const replies = await Promise.all(
+      nodes.map(node =>
+        peers.request(node, method, body, LEADER_REQUEST_TIMEOUT_MS),
+      ),
     );
-    return res.isOk ? res.value : undefined;
+    return replies.some(res => res.isOk && res.value === true);
+  }
+
+  private takes(zone: string | undefined): boolean {
+    const {isLeading, holds} = this.opts;
+    return isLeading() || (zone !== undefined && (holds?.(zone) ?? false));
   }
 
   private onForwarded(body: unknown, now: number): void {
-    if (!this.opts.dispatcher() || !v.is(PoolMessage.reports, body)) return;
-    for (const report of body.reports) this.accept(report, now);
+    if (!v.is(PoolMessage.reports, body)) return;
+    for (const report of body.reports) {
+      if (this.takes(report.zone)) this.accept(report, now);
+    }
   }
 
   private onReport(body: unknown): Promise<boolean> {
-    const {dispatcher, clock} = this.opts;
-    if (!dispatcher() || !v.is(WorkerReport, body)) {
+    const {clock} = this.opts;
+    if (!v.is(WorkerReport, body) || !this.takes(body.zone)) {
       return Promise.resolve(false);
     }
     this.accept(body, clock.now());
     return Promise.resolve(true);
   }
 
-  /** Stores a report on the leader; an outdated one has no effect. */
+  /** Stores a report that this node needs; an outdated one has no effect. */
   private accept(report: WorkerReport, now: number): void {
-    const {registry, registrySender, observer, dispatcher} = this.opts;
+    const {registry, registrySender, observer, isLeading, onNews} = this.opts;
     const known = registry.entries.get(report.id)?.report;
     if (!registry.update(report, now)) return;
     if (known && !isNews(report, known)) return;
-    registrySender.sendUpdate(report, now);
+    if (isLeading()) registrySender.sendUpdate(report, now);
     observer.recordStateChange('worker_report', {
       worker: report.id,
       draining: report.isDraining,
       sequence: report.sequence,
     });
-    dispatcher()?.tick(now);
+    onNews(now);
   }
 
   private onLeave(body: unknown): Promise<boolean> {
-    const {clock, directory, node, peers, registry, dispatcher} = this.opts;
-    if (!dispatcher() || !v.is(PoolMessage.left, body)) {
-      return Promise.resolve(false);
-    }
+    const {clock, directory, node, peers, registry, isLeading} = this.opts;
+    if (!v.is(PoolMessage.left, body)) return Promise.resolve(false);
+    const zone = registry.entries.get(body.id)?.report.zone;
+    if (!this.takes(zone)) return Promise.resolve(false);
     const now = clock.now();
     const bornAt = body.bornAt ?? registry.entries.get(body.id)?.report.bornAt;
     registry.remove(body.id, now, bornAt);
+    if (!isLeading()) return Promise.resolve(true);
     const left = {...body, ...(bornAt === undefined ? {} : {bornAt})};
     for (const id of directory.coreIds(now)) {
       if (id !== node) peers.send(id, 'pool.left', left);
--- a/src/core/pool/relay/relay_chooser.ts
+++ b/src/core/pool/relay/relay_chooser.ts
@@ -22,15 +22,23 @@
   private readonly chosen = new Map<string, string | undefined>();
   private readonly pausedUntil = new Map<string, number>();
   private refreshedAt = Number.NEGATIVE_INFINITY;
+  private mayLeaveZone = true;
 
   constructor(
     private readonly directory: NodeDirectory,
     private readonly clock: Clock,
   ) {}
 
-  /** Replaces the set of known workers. */
-  setWorkers(workers: Iterable<{readonly id: string; readonly zone: string}>) {
+  /**
+   * Replaces the set of known workers. `mayLeaveZone` tells whether core nodes of
+   * other zones may relay; the holder of a zone contacts its workers itself.
+   */
+  setWorkers(
+    workers: Iterable<{readonly id: string; readonly zone: string}>,
+    {mayLeaveZone}: {readonly mayLeaveZone: boolean} = {mayLeaveZone: true},
+  ) {
     this.zones.clear();
+    this.mayLeaveZone = mayLeaveZone;
     for (const {id, zone} of workers) this.zones.set(id, zone);
   }
 
@@ -56,12 +64,12 @@
   }
 
   private find(worker: string, zone: string, now: number): string | undefined {
-    return (
+    const inZone =
       this.findAmong('core', worker, zone, now) ??
-      this.findAmong('entry', worker, zone, now) ??
-      // The calls of a whole zone would overload the leader.
-      this.findAmong('core', worker, undefined, now)
-    );
+      this.findAmong('entry', worker, zone, now);
+    if (inZone !== undefined || !this.mayLeaveZone) return inZone;
+    // The calls of a whole zone would overload the leader.
+    return this.findAmong('core', worker, undefined, now);
   }
 
   /**
--- /dev/null
+++ b/src/core/pool/zones/zone_grants.ts
@@ -0,0 +1,134 @@
+import type {ZoneCore} from './zone_core.js';
+import type {ZoneGrant} from './zone_grant.js';
+import {ZoneState} from './zone_state.js';
+import {ZoneTiming} from './zone_timing.js';
+import type {ZoneView} from './zone_view.js';
+
+/** A change of the grants, for the log. */
+interface GrantChange {
+  readonly event: 'zone_granted' | 'zone_kept' | 'zone_returned';
+  readonly grant: ZoneGrant;
+  readonly reason: string;
+}
+
+interface ZoneGrantsOptions {
+  /** The leader. */
+  readonly node: string;
+  /** Returns the next fencing token of the term. */
+  readonly nextToken: () => number;
+}
+
+/**
+ * Decides during one term of a leader which zone is granted to which core node
+ * and under which token. Zones that are neither granted nor `unserved` are
+ * dispatched by the leader itself.
+ */
+export class ZoneGrants {
+  private readonly zones = new Map<string, ZoneState>();
+
+  constructor(private readonly opts: ZoneGrantsOptions) {}
+
+  /** Current grants. */
+  get all(): readonly ZoneGrant[] {
+    return [...this.zones.values()].flatMap(({held}) => held?.grant ?? []);
+  }
+
+  /** Large zones that are not heard, and that no node is known to hold. */
+  unserved(now: number): readonly string[] {
+    return [...this.zones]
+      .filter(([, state]) => !state.held && !state.isServedByLeader(now))
+      .map(([zone]) => zone);
+  }
+
+  /**
+   * Updates the grants; called only while a majority has confirmed the leader
+   * recently. Returns the changes.
+   */
+  update(views: Iterable<ZoneView>, now: number): GrantChange[] {
+    const changes: GrantChange[] = [];
+    for (const view of views) {
+      const state = this.zones.get(view.zone) ?? new ZoneState();
+      this.zones.set(view.zone, state);
+      state.updateHearing(view, now);
+      state.updateSize(view, now);
+      const isOther = view.claim?.node !== this.opts.node;
+      const kept = isOther ? state.keep(view, now) : undefined;
+      if (kept) {
+        changes.push({event: 'zone_kept', grant: kept, reason: 'claimed'});
+      }
+      const change = this.decide(state, view, now);
+      if (change) changes.push(change);
+    }
+    return changes;
+  }
+
+  /** Returns all zones to the leader, for nodes that know no grants. */
+  withdrawAll(): GrantChange[] {
+    const changes = this.all.map(grant => {
+      return {event: 'zone_returned', grant, reason: 'older_node'} as const;
+    });
+    this.zones.clear();
+    return changes;
+  }
+
+  private decide(
+    state: ZoneState,
+    view: ZoneView,
+    now: number,
+  ): GrantChange | undefined {
+    if (state.isUnclear(now)) return undefined;
+    const before = state.held?.grant;
+    const reason = state.isLarge ? state.findLoss(view, now) : 'few_workers';
+    if (reason === undefined) return undefined;
+    const core = state.isLarge ? chooseCore(view, before, now) : undefined;
+    if (core) {
+      if (now - state.grantedAt < ZoneTiming.REGRANT_MS) return undefined;
+      const token = this.opts.nextToken();
+      const {id: node, startedAt} = core;
+      const grant = {zone: view.zone, node, token, startedAt};
+      state.grant(grant, now);
+      return {event: 'zone_granted', grant, reason};
+    }
+    const mayReturn = !state.isLarge || isHeardWithoutCores(view, now);
+    if (!before || !mayReturn) return undefined;
+    state.held = undefined;
+    return {event: 'zone_returned', grant: before, reason};
+  }
+}
+
+/** Chooses the next holder of a zone: another node than before if possible. */
+function chooseCore(
+  {cores}: ZoneView,
+  before: ZoneGrant | undefined,
+  now: number,
+): ZoneCore | undefined {
+  const liveSince = now - ZoneTiming.HOLDER_TIMEOUT_MS;
+  const previous = cores.find(({id}) => id === before?.node);
+  const isLost = previous !== undefined && previous.seenAt <= liveSince;
+  const evidenceSince = isLost
+    ? previous.seenAt + ZoneTiming.EVIDENCE_MS
+    : Number.NEGATIVE_INFINITY;
+  const live = cores.filter(
+    core =>
+      isEligible(core, now) &&
+      core.seenAt > liveSince &&
+      core.seenAt >= evidenceSince,
+  );
+  live.sort((a, b) => (a.id < b.id ? -1 : 1));
+  return live.find(core => core !== previous) ?? live[0];
+}
+
+/** Whether no core node of a zone can hold it although the zone is heard. */
+function isHeardWithoutCores({cores, heardAt}: ZoneView, now: number): boolean {
+  const liveSince = now - ZoneTiming.HOLDER_TIMEOUT_MS;
+  const live = cores.filter(({seenAt}) => seenAt > liveSince);
+  // Live nodes that are not eligible have just started or are stopping.
+  if (live.length > 0) return !live.some(core => isEligible(core, now));
+  const lastSeenAt = Math.max(...cores.map(({seenAt}) => seenAt));
+  return heardAt >= lastSeenAt + ZoneTiming.EVIDENCE_MS;
+}
+
+/** Whether a node knows the workers and does not stop. */
+function isEligible({isDraining, knownSince}: ZoneCore, now: number): boolean {
+  return !isDraining && now - knownSince >= ZoneTiming.WARM_UP_MS;
+}
--- a/src/platform/caller_frontend.test.ts
+++ b/src/platform/caller_frontend.test.ts
@@ -22,7 +22,7 @@
   });
   const directory = new NodeDirectory('e', ['c']);
   const claim = {term: 1, token: 1_000, isFallback: false, revision: 1};
-  directory.recordClaim({...claim, node: 'c', heardAt: clock.now()});
+  directory.claims.record({...claim, node: 'c', heardAt: clock.now()});
   const noop = () => undefined;
   const observer = {
     recordJobEvent: noop,
@@ -31,6 +31,7 @@
     incrementCounter: noop,
   };
   const gateway = new EntryGateway({
+    zone: 'z',
     clock,
     peers: peers.node('e'),
     directory,
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -93,6 +93,12 @@
     observer.addGauge('is_leading', 'Whether this node dispatches', () =>
       Number(this.leaderService.isLeading),
     );
+    observer.addGauge('zones_granted', 'Zones granted by this leader', () => {
+      return this.leaderService.grantedZones;
+    });
+    observer.addGauge('zone_token', 'Token of the zone held here, or 0', () => {
+      return this.leaderService.zoneToken;
+    });
     observer.addGauge('pool_jobs', 'Jobs in the pool of this node', () => {
       return this.leaderService.openJobs;
     });
@@ -108,6 +114,7 @@
 
   /** Transfers leadership; the new leader takes over the active runs unchanged. */
   override async stop(): Promise<void> {
+    this.leaderService.announceDrain();
     await this.config.stop();
     this.isStopping = true;
     this.leaderService.close();
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -99,6 +99,7 @@
       onDispatcher: now => this.gateway.tick(now),
     });
     this.gateway = new EntryGateway({
+      zone,
       clock,
       peers,
       directory,
--- /dev/null
+++ b/test-support/fakes/pool/deployment_log.ts
@@ -0,0 +1,65 @@
+import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
+import type {FakePoolWorker} from './fake_pool_worker.js';
+
+interface Event {
+  readonly at: number;
+  readonly node: string;
+  readonly event: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** What happened to the jobs of a deployment, with times since its start. */
+export class DeploymentLog {
+  readonly events: Event[] = [];
+  /** Answers that the callers of each job received. */
+  readonly answers = new Map<string, Array<PoolAnswer & {at: number}>>();
+  readonly submittedAt = new Map<string, number>();
+
+  constructor(private readonly workers: ReadonlyMap<string, FakePoolWorker>) {}
+
+  answerOf(id: string): PoolAnswer['kind'] | undefined {
+    return this.answers.get(id)?.at(-1)?.kind;
+  }
+
+  /** Longest time without a completed job at the entry nodes of a zone. */
+  longestGap(zone: string, from: number, to: number): number {
+    const times = [...this.answers]
+      .filter(([id]) => id.startsWith(`${zone}e`))
+      .flatMap(([, answers]) => answers)
+      .filter(({kind, at}) => kind === 'completed' && at >= from && at <= to)
+      .map(({at}) => at)
+      .sort((a, b) => a - b);
+    const bounds = [from, ...times];
+    return Math.max(...bounds.slice(1).map((at, n) => at - bounds[n]!));
+  }
+
+  /** Ids of the jobs submitted since `from` whose last answer is of a kind. */
+  jobsWith(kind: PoolAnswer['kind'] | undefined, from = 0): string[] {
+    return [...this.submittedAt]
+      .filter(([id, at]) => at >= from && this.answerOf(id) === kind)
+      .map(([id]) => id);
+  }
+
+  /** Tasks of which two runs overlapped in time. */
+  overlaps(): string[] {
+    const byTask = new Map<string, Array<{from: number; to: number}>>();
+    for (const worker of this.workers.values()) {
+      worker.processDueEnds();
+      for (const run of worker.history) {
+        const runs = byTask.get(run.task) ?? [];
+        runs.push(run);
+        byTask.set(run.task, runs);
+      }
+    }
+    const isOverlap = (runs: Array<{from: number; to: number}>) => {
+      runs.sort((a, b) => a.from - b.from);
+      return runs.some((run, n) => n > 0 && run.from < runs[n - 1]!.to);
+    };
+    return [...byTask].filter(([, r]) => isOverlap(r)).map(([task]) => task);
+  }
+
+  /** Number of events of a kind since a time. */
+  count(event: string, since = 0): number {
+    return this.events.filter(e => e.event === event && e.at >= since).length;
+  }
+}
