Return zones whose grants are lost; keep the fallback's list of workers

A node that does not claim its grant is left out for 5 s, so that a link that fails in one direction does not keep a zone without dispatcher. A fallback keeps its list of workers while it hears a holder but no leader.

--- a/src/core/pool/entry/entry_presence.ts
+++ b/src/core/pool/entry/entry_presence.ts
@@ -30,6 +30,7 @@
   private nextFollowers = 0;
   private nextZone = 0;
   private hadLeader = false;
+  private leaderTerm = -1;
   private wasDispatching = false;
   private isDraining = false;
 
@@ -42,8 +43,14 @@
   tick(now: number): void {
     const hasLeader = this.hasLeader(now);
     const isDispatching = this.opts.fallback.isDispatching;
-    // Reports the tokens used during the outage to a new leader immediately.
-    if (hasLeader && !this.hadLeader) this.nextCores = this.nextFollowers = now;
+    const {term = -1} = this.opts.directory.claims.lastLeader ?? {};
+    const isNewLeader = term !== this.leaderTerm;
+    this.leaderTerm = term;
+    // Reports the tokens used during the outage to a new leader immediately, and
+    // shows it that the zone is not cut off.
+    if ((hasLeader && !this.hadLeader) || isNewLeader) {
+      this.nextCores = this.nextFollowers = now;
+    }
     if (isDispatching !== this.wasDispatching) this.nextZone = now;
     const hasStopped = this.wasDispatching && !isDispatching;
     this.hadLeader = hasLeader;
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -91,7 +91,8 @@
       // The time of the last message, not of this tick, counts as last contact.
       this.leaderSeenAt = claim.heardAt;
       this.sendReports(this.opts.directory.claims.lastLeader ?? claim);
-      this.registry.expire(now);
+      // Only the leader sends the list of workers.
+      if (this.opts.directory.claims.leader(now)) this.registry.expire(now);
       this.stop('lead_found');
     } else if (this.endpoint.dispatcher) {
       this.stopIfSuperseded(now);
--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -43,6 +43,8 @@
    * reported. Nothing is started meanwhile.
    */
   isSettling: boolean;
+  /** Whether an earlier dispatcher had the job, and may have run it. */
+  readonly mayHaveRun: boolean;
   readonly tasks: readonly PoolTask[];
   owner: string;
   /** Whether the answer is no longer awaited; its runs are being stopped. */
@@ -72,6 +74,7 @@
     this.settlesAt = now + settleMs;
     this.earlierToken = earlierToken;
     this.isSettling = settleMs > 0;
+    this.mayHaveRun = settleMs > 0;
     this.tasks = spec.steps.flatMap((step, at) =>
       Array.from({length: step.count}, (_, index) => ({
         name: `${spec.id}.0.${at}.${index}`,
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -137,7 +137,7 @@
 
   private removeIfFinished(job: ActiveJob): void {
     if (!job.isAbandoned || job.hasRuns) return;
-    if (job.hasStarted) {
+    if (job.hasStarted || job.mayHaveRun) {
       this.recentStarts.record(job.spec.id, this.opts.clock.now());
     }
     this.byId.delete(job.spec.id);
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -238,7 +238,7 @@
       },
     });
     this.presence.makeDue(now);
-    if (excluded.size === 0) return;
+    if (isFirst && excluded.size === 0) return;
     observer.recordStateChange('lead_zones_changed', {
       term,
       token,
@@ -283,9 +283,7 @@
       isRegistryComplete: this.isRegistryComplete(now),
       earlierLeasesMs: leaseMs,
       maySendOrders: at =>
-        this.guard.isAwake(at) &&
-        this.granted.findLoss(token, this.dispatching.isOutranked) ===
-          undefined,
+        this.guard.isAwake(at) && this.granted.isHighest(token),
     });
     this.presence.makeDue(now);
     this.presence.tick(now);
--- a/src/core/pool/zones/granted_zone.ts
+++ b/src/core/pool/zones/granted_zone.ts
@@ -35,10 +35,15 @@
     this.usedToken = Math.max(token, this.usedToken);
   }
 
+  /** Whether no higher token is known for the zone. */
+  isHighest(token: number): boolean {
+    const {directory, zone} = this.opts;
+    return directory.claims.tokenOf(zone) <= token;
+  }
+
   /** Why the holder must close; it needs no contact with a leader. */
   findLoss(token: number, isOutranked: boolean): Loss | undefined {
-    const {directory, zone} = this.opts;
-    if (directory.claims.tokenOf(zone) > token) return 'higher_token';
+    if (!this.isHighest(token)) return 'higher_token';
     return isOutranked ? 'outranked' : undefined;
   }
 }
--- a/src/core/pool/zones/zone_grants.ts
+++ b/src/core/pool/zones/zone_grants.ts
@@ -80,7 +80,16 @@
     const before = state.held?.grant;
     const reason = state.isLarge ? state.findLoss(view, now) : 'few_workers';
     if (reason === undefined) return undefined;
-    const core = state.isLarge ? chooseCore(view, before, now) : undefined;
+    // It may hear nothing, although its messages arrive.
+    if (before && reason === 'not_claimed') state.setUnfit(before.node, now);
+    const isEligible = (core: ZoneCore) =>
+      !core.isDraining &&
+      now - core.knownSince >= ZoneTiming.WARM_UP_MS &&
+      !state.isUnfit(core.id, now);
+    const eligible = view.cores.filter(isEligible);
+    const core = state.isLarge
+      ? chooseCore(view, eligible, before, now)
+      : undefined;
     if (core) {
       if (now - state.grantedAt < ZoneTiming.REGRANT_MS) return undefined;
       const token = this.opts.nextToken();
@@ -89,7 +98,7 @@
       state.grant(grant, now);
       return {event: 'zone_granted', grant, reason};
     }
-    const mayReturn = !state.isLarge || isHeardWithoutCores(view, now);
+    const mayReturn = !state.isLarge || isWithoutCores(view, eligible, now);
     if (!before || !mayReturn) return undefined;
     state.held = undefined;
     return {event: 'zone_returned', grant: before, reason};
@@ -99,6 +108,7 @@
 /** Chooses the next holder of a zone: another node than before if possible. */
 function chooseCore(
   {cores}: ZoneView,
+  eligible: readonly ZoneCore[],
   before: ZoneGrant | undefined,
   now: number,
 ): ZoneCore | undefined {
@@ -108,27 +118,23 @@
   const evidenceSince = isLost
     ? previous.seenAt + ZoneTiming.EVIDENCE_MS
     : Number.NEGATIVE_INFINITY;
-  const live = cores.filter(
-    core =>
-      isEligible(core, now) &&
-      core.seenAt > liveSince &&
-      core.seenAt >= evidenceSince,
-  );
-  live.sort((a, b) => (a.id < b.id ? -1 : 1));
+  const live = eligible
+    .filter(({seenAt}) => seenAt > liveSince && seenAt >= evidenceSince)
+    .sort((a, b) => (a.id < b.id ? -1 : 1));
   return live.find(core => core !== previous) ?? live[0];
 }
 
 /** Whether no core node of a zone can hold it although the zone is heard. */
-function isHeardWithoutCores({cores, heardAt}: ZoneView, now: number): boolean {
+function isWithoutCores(
+  {cores, heardAt}: ZoneView,
+  eligible: readonly ZoneCore[],
+  now: number,
+): boolean {
   const liveSince = now - ZoneTiming.HOLDER_TIMEOUT_MS;
-  const live = cores.filter(({seenAt}) => seenAt > liveSince);
-  // Live nodes that are not eligible have just started or are stopping.
-  if (live.length > 0) return !live.some(core => isEligible(core, now));
-  const lastSeenAt = Math.max(...cores.map(({seenAt}) => seenAt));
+  const isLive = ({seenAt}: ZoneCore) => seenAt > liveSince;
+  if (eligible.some(isLive)) return false;
+  // Live nodes that are not eligible have just started, stop or hear nothing.
+  const silent = cores.filter(core => !isLive(core));
+  const lastSeenAt = Math.max(...silent.map(({seenAt}) => seenAt));
   return heardAt >= lastSeenAt + ZoneTiming.EVIDENCE_MS;
 }
-
-/** Whether a node knows the workers and does not stop. */
-function isEligible({isDraining, knownSince}: ZoneCore, now: number): boolean {
-  return !isDraining && now - knownSince >= ZoneTiming.WARM_UP_MS;
-}
--- a/src/core/pool/zones/zone_state.ts
+++ b/src/core/pool/zones/zone_state.ts
@@ -19,6 +19,8 @@
   private learnsUntil = Number.NEGATIVE_INFINITY;
   private heardAt = Number.NEGATIVE_INFINITY;
   private fewSince: number | undefined;
+  /** Until when nodes are not granted the zone because they did not claim it. */
+  private readonly unfitUntil = new Map<string, number>();
   /** Highest token granted or kept; older claims are outdated. */
   private highestToken = -1;
 
@@ -83,6 +85,16 @@
     this.highestToken = grant.token;
   }
 
+  /** Whether a node has failed to claim the zone recently. */
+  isUnfit(node: string, now: number): boolean {
+    return now < (this.unfitUntil.get(node) ?? 0);
+  }
+
+  /** Excludes a node that did not claim the zone, for some time. */
+  setUnfit(node: string, now: number): void {
+    this.unfitUntil.set(node, now + ZoneTiming.UNFIT_MS);
+  }
+
   /** Why the holder has lost the zone; undefined if it has not. */
   findLoss({cores, claim}: ZoneView, now: number): string | undefined {
     if (!this.held) return 'no_holder';
--- a/src/core/pool/zones/zone_timing.ts
+++ b/src/core/pool/zones/zone_timing.ts
@@ -35,6 +35,8 @@
   LEARN_GAP_MS: 400,
   /** Time in which a new process gets the list of workers; sent every 2 s. */
   WARM_UP_MS: 3_000,
+  /** Time for which a node that did not claim a zone is not granted it again. */
+  UNFIT_MS: 5_000,
   /** Least time between two grants of a zone. */
   REGRANT_MS: 100,
 } as const;
--- a/src/core/pool/zones/zones.test.ts
+++ b/src/core/pool/zones/zones.test.ts
@@ -166,6 +166,19 @@
   assert.isEmpty(bench.log.jobsWith('refused', since));
 });
 
+// The link to the second node of the zone fails in one direction only.
+test('the leader dispatches for a zone whose grants are lost', async () => {
+  const bench = await createRunningBench();
+  const since = bench.now;
+  bench.cutFrom('xc1', 'yc2');
+  bench.kill('yc1');
+  await bench.runLoad(3_000, 50, PATIENT);
+  assert.isUndefined(bench.holders()['y']);
+  assert.isAbove(bench.log.count('zone_granted', since), 0);
+  await assertServed(bench, since, {x: 100, y: 1_300, z: 100});
+  assert.isEmpty(bench.log.jobsWith('given_up'));
+});
+
 test('a restarted holder does not use the token of its earlier process', async () => {
   const bench = await createRunningBench(400);
   const since = bench.now;
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -126,6 +126,11 @@
     }
   }
 
+  /** Cuts the link from one node to another, in this direction only. */
+  cutFrom(from: string, to: string): void {
+    this.cut.add(`${from} ${to}`);
+  }
+
   heal(): void {
     this.cut.clear();
   }
