--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -148,6 +148,18 @@
     return this.node?.logMember?.state?.current;
   }
 
+  /**
+   * Newest configuration known here: a node outside the log gets it from the
+   * leader once it is committed.
+   */
+  get newest(): Config {
+    const {committed} = this;
+    const received = this.source.current();
+    return committed && committed.version >= received.version
+      ? committed
+      : received;
+  }
+
   /**
    * Rejects if the data folder is missing, locked, corrupt or of a newer
    * version.
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -66,7 +66,7 @@
       log,
     });
     const routing = new RoutingTableCache(
-      () => this.config.committed?.document,
+      () => this.config.newest.document,
       (revision, detail) => log.error('config_unreadable', {revision, detail}),
     );
     this.client = new HttpWorkerClient(clock);
