--- a/src/check/pool/check_pool.test.ts
+++ b/src/check/pool/check_pool.test.ts
@@ -1,5 +1,6 @@
 import {assert} from 'chai';
 import {checkPool} from './check_pool.js';
+import {checkZones} from './check_zones.js';
 
 // Guards against tasks that crash worker after worker, starts beyond a capacity
 // that has shrunk, and jobs that fail since workers were cut off.
@@ -8,3 +9,10 @@
   assert.deepEqual(report.counterexample, undefined);
   assert.isAbove(report.crashes, 50);
 });
+
+// Guards against a task that two dispatchers run at once, and against zones that
+// stay without a dispatcher after faults.
+test('generated histories of zones keep what callers are promised', async () => {
+  const report = await checkZones(1, 5);
+  assert.deepEqual(report.counterexample, undefined);
+});
--- /dev/null
+++ b/src/check/pool/check_zones.ts
@@ -0,0 +1,39 @@
+import * as fc from 'fast-check';
+import {ZoneRun} from './zone_run.js';
+import type {ZoneStep} from './zone_step.js';
+import {zoneStepsArbitrary} from './zone_steps_arbitrary.js';
+
+interface ZoneReport {
+  readonly runs: number;
+  readonly jobs: number;
+  readonly counterexample:
+    | {
+        readonly steps: readonly ZoneStep[];
+        readonly violations: readonly string[];
+        readonly path: string;
+      }
+    | undefined;
+}
+
+/** Generates histories of zones and shrinks the first one with a violation. */
+export async function checkZones(
+  seed: number,
+  numRuns: number,
+): Promise<ZoneReport> {
+  let [runs, jobs] = [0, 0];
+  const property = fc.asyncProperty(zoneStepsArbitrary, async steps => {
+    const run = new ZoneRun();
+    await run.run(steps);
+    runs += 1;
+    jobs += run.submitted;
+    return run.violations.length === 0;
+  });
+  const details = await fc.check(property, {seed, numRuns});
+  const [steps] = details.counterexample ?? [];
+  if (!steps) return {runs, jobs, counterexample: undefined};
+  const run = new ZoneRun();
+  await run.run(steps);
+  const path = details.counterexamplePath ?? '';
+  const {violations} = run;
+  return {runs, jobs, counterexample: {steps, violations, path}};
+}
--- a/src/check/pool/pool_command.ts
+++ b/src/check/pool/pool_command.ts
@@ -1,9 +1,11 @@
 import {Command} from 'commander';
 import {checkPool} from './check_pool.js';
+import {checkZones} from './check_zones.js';
 
 interface Options {
   readonly seed: string;
   readonly runs: string;
+  readonly group: string;
 }
 
 /** Command `pool`, which checks generated histories of leased workers. */
@@ -11,12 +13,22 @@
   .description('check the rules on starts over generated histories of the pool')
   .option('--seed <n>', 'seed of the generator', '1')
   .option('--runs <n>', 'number of histories', '500')
+  .option(
+    '--group <name>',
+    'workers, or zones for several dispatchers',
+    'workers',
+  )
   .action(async (opts: Options) => {
     const startedAt = performance.now();
-    const report = await checkPool(Number(opts.seed), Number(opts.runs));
+    const [seed, runs] = [Number(opts.seed), Number(opts.runs)];
+    const report =
+      opts.group === 'zones'
+        ? await checkZones(seed, runs)
+        : await checkPool(seed, runs);
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
     console.log(`seed ${opts.seed}: ${report.runs} runs in ${seconds} s`);
-    console.log(`starts: ${report.starts}, crashes: ${report.crashes}`);
+    if ('jobs' in report) console.log(`jobs: ${report.jobs}`);
+    else console.log(`starts: ${report.starts}, crashes: ${report.crashes}`);
     const {counterexample} = report;
     console.log(`violations: ${counterexample?.violations.length ?? 0}`);
     if (!counterexample) return;
--- a/src/core/pool/dispatcher/takeover.test.ts
+++ b/src/core/pool/dispatcher/takeover.test.ts
@@ -98,3 +98,68 @@
   dispatcher.submit('e', PoolBench.submission('j'));
   assert.equal(bench.answers.get('j')?.kind, 'refused');
 });
+
+/** A job that an earlier dispatcher under token 1,000 had. */
+function resubmission(id: string) {
+  const opts = {estimatedMs: 800};
+  const settle = {settleMs: 1_800, earlierToken: 1_000};
+  return {...PoolBench.submission(id, opts), ...settle};
+}
+
+test('a job of a lost holder starts when all workers accept the new token', async () => {
+  const bench = new PoolBench(2);
+  for (const worker of bench.workers.values()) worker.runMs = () => 800;
+  const dispatcher = bench.createDispatcher({term: 2, earlierLeasesMs: 0});
+  dispatcher.submit('e', resubmission('j'));
+  await bench.run(200, dispatcher);
+  const running = [...bench.workers.values()].flatMap(w => [...w.running]);
+  assert.lengthOf(running, 1);
+});
+
+// The earlier dispatcher may reach a worker that its successor does not reach.
+test('a job of a lost holder waits while a worker may run it', async () => {
+  const bench = new PoolBench(2);
+  for (const worker of bench.workers.values()) worker.runMs = () => 800;
+  bench.client.faultOf = (_call, id) => (id === 'w0' ? 'order_lost' : 'ok');
+  const dispatcher = bench.createDispatcher({term: 2, earlierLeasesMs: 0});
+  dispatcher.submit('e', resubmission('j'));
+  dispatcher.submit('e', PoolBench.submission('new', {estimatedMs: 800}));
+  const {running} = bench.workers.get('w1')!;
+  await bench.run(1_700, dispatcher);
+  assert.equal(bench.answers.get('new')?.kind, 'completed');
+  assert.equal(running.size, 0);
+  await bench.run(200, dispatcher);
+  assert.equal(running.size, 1);
+});
+
+// A leader that takes a zone back from a fallback raises its token later.
+test('an acceptance of a lower token than the earlier one does not count', async () => {
+  const bench = new PoolBench(2);
+  for (const worker of bench.workers.values()) worker.runMs = () => 3_000;
+  const dispatcher = bench.createDispatcher({term: 1, earlierLeasesMs: 0});
+  await bench.run(100, dispatcher);
+  dispatcher.submit('e', {...resubmission('j'), earlierToken: 1_001});
+  await bench.run(1_000, dispatcher);
+  const running = [...bench.workers.values()].flatMap(w => [...w.running]);
+  assert.isEmpty(running);
+});
+
+// Runs that no job claims in time are stopped, which takes a moment.
+test('a job that comes late does not start beside its own run', async () => {
+  const bench = new PoolBench(2);
+  for (const worker of bench.workers.values()) worker.runMs = () => 3_000;
+  const first = bench.createDispatcher({term: 1});
+  await bench.run(50, first);
+  first.submit('e', PoolBench.submission('j', {estimatedMs: 3_000}));
+  await bench.run(50, first);
+  first.close();
+  const second = bench.createDispatcher({term: 2, earlierLeasesMs: 0});
+  bench.client.faultOf = call => (call === 'stop' ? 'order_lost' : 'ok');
+  await bench.run(1_100, second);
+  second.submit('e', resubmission('j'));
+  await bench.run(1_000, second);
+  bench.client.faultOf = () => 'ok';
+  await bench.run(4_000, second);
+  assert.isEmpty(bench.overlaps());
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+});
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -60,6 +60,11 @@
       directory.claims.record({...claim, node, term, heardAt: clock.now()});
       gateway.tick(clock.now());
     },
+    announceHolder: (node: string, token: number) => {
+      const claim = {term: 1, token, isFallback: false, revision: 1, zone: 'z'};
+      directory.claims.record({...claim, node, heardAt: clock.now()});
+      gateway.tick(clock.now());
+    },
     run: (ms: number) => {
       for (let passed = 0; passed < ms; passed += 50) {
         clock.advance(50);
@@ -178,3 +183,41 @@
   assert.equal(submission?.kind, 'pool.submit');
   assert.deepInclude(submission?.body, {losses});
 });
+
+test('a job of a lost holder is submitted to the next with a time to settle', () => {
+  const bench = createBench();
+  bench.announceHolder('c1', 1_001);
+  bench.submit();
+  bench.announceHolder('c2', 1_002);
+  const submits = bench.peers.sent.filter(s => s.kind === 'pool.submit');
+  assert.deepEqual(
+    submits.map(s => s.node),
+    ['c1', 'c2'],
+  );
+  assert.deepInclude(submits[0]?.body, {settleMs: 0});
+  assert.deepInclude(submits[1]?.body, {settleMs: 1_800, earlierToken: 1_001});
+});
+
+// Small deployments wait no longer than before: a new leader polls all workers.
+test('a job of a lost leader needs no time to settle at the next leader', () => {
+  const bench = createBench();
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  bench.announceLeader('c2', 2);
+  const submits = bench.peers.sent.filter(s => s.kind === 'pool.submit');
+  assert.deepInclude(submits[1]?.body, {settleMs: 0});
+});
+
+test('only the dispatcher that has a job is asked about it', () => {
+  const bench = createBench();
+  bench.announceHolder('c1', 1_001);
+  bench.submit();
+  for (let n = 0; n < 3; n += 1) {
+    bench.run(200);
+    bench.announceLeader('c2', 0);
+    bench.announceHolder('c1', 1_001);
+  }
+  const polls = bench.peers.sent.filter(s => s.kind === 'pool.poll');
+  assert.isNotEmpty(polls);
+  assert.isTrue(polls.every(({node}) => node === 'c1'));
+});
--- /dev/null
+++ b/src/core/pool/node/dispatcher_claims.test.ts
@@ -0,0 +1,68 @@
+import {assert} from 'chai';
+import type {DispatcherClaim} from './dispatcher_claim.js';
+import {DispatcherClaims} from './dispatcher_claims.js';
+
+const BASE = {isFallback: false, revision: 1, heardAt: 0};
+
+function leaderClaim(change: Partial<DispatcherClaim> = {}): DispatcherClaim {
+  return {...BASE, node: 'l', term: 1, token: 1_000, ...change};
+}
+
+function holderClaim(change: Partial<DispatcherClaim> = {}): DispatcherClaim {
+  return {...BASE, node: 'h', term: 1, token: 1_001, zone: 'z', ...change};
+}
+
+test('a leader that sends no grants dispatches all zones', () => {
+  const claims = new DispatcherClaims();
+  claims.record(leaderClaim());
+  assert.equal(claims.dispatcherOf('z', 100)?.node, 'l');
+});
+
+test('a granted zone is dispatched by its holder, others by the leader', () => {
+  const claims = new DispatcherClaims();
+  const grants = [{zone: 'z', node: 'h', token: 1_001}];
+  claims.record(leaderClaim({token: 1_002, grants}));
+  assert.isUndefined(claims.dispatcherOf('z', 100));
+  claims.record(holderClaim());
+  assert.equal(claims.dispatcherOf('z', 100)?.node, 'h');
+  assert.equal(claims.dispatcherOf('y', 100)?.node, 'l');
+});
+
+test('the claim with the highest token wins', () => {
+  const claims = new DispatcherClaims();
+  claims.record(holderClaim());
+  claims.record(holderClaim({node: 'g', token: 1_005}));
+  claims.record(holderClaim());
+  assert.equal(claims.dispatcherOf('z', 100)?.node, 'g');
+  claims.record(leaderClaim({term: 2, token: 2_000}));
+  assert.equal(claims.dispatcherOf('z', 100)?.node, 'l');
+});
+
+// A holder that was suspended does not know yet that the fallback has taken over.
+test('a holder with a lower token than the fallback is ignored', () => {
+  const claims = new DispatcherClaims();
+  const fallback = {isFallback: true, node: 'e', token: 1_009};
+  claims.record(holderClaim(fallback));
+  claims.record(holderClaim());
+  assert.equal(claims.dispatcherOf('z', 100)?.node, 'e');
+  // The leader raises its own token.
+  claims.record(leaderClaim());
+  assert.equal(claims.dispatcherOf('z', 100)?.node, 'l');
+});
+
+test('a withdrawn claim is cleared, a silent one expires', () => {
+  const claims = new DispatcherClaims();
+  claims.record(holderClaim());
+  claims.clear('h');
+  assert.isUndefined(claims.dispatcherOf('z', 100));
+  claims.record(holderClaim({token: 1_002}));
+  assert.isUndefined(claims.dispatcherOf('z', 700));
+  assert.equal(claims.holderOf('z')?.node, 'h');
+});
+
+test('a zone that the leader withholds has no dispatcher', () => {
+  const claims = new DispatcherClaims();
+  claims.record(leaderClaim({unserved: ['z']}));
+  assert.isUndefined(claims.dispatcherOf('z', 100));
+  assert.equal(claims.tokenOf('z'), 0);
+});
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -53,7 +53,8 @@
   /** Run time of every task, in ms. */
   runMs = 100;
   private readonly zoneOf = new Map<string, string>();
-  private readonly seeds: string[] = [];
+  /** Ids of all core nodes. */
+  readonly seeds: string[] = [];
   private readonly cut = new Set<string>();
   private readonly closed = new Set<string>();
   private sequence = 0;
@@ -96,11 +97,6 @@
     return found;
   }
 
-  /** A core node that holds a zone. */
-  holderOf(zone: string): string {
-    return this.holders()[zone]![0]!;
-  }
-
   fallbacks(): string[] {
     return [...this.entries]
       .filter(([, {fallback}]) => fallback.isDispatching)
@@ -147,6 +143,7 @@
   kill(id: string): void {
     this.clockOf(id).isSuspended = true;
     this.network.disconnect(id);
+    this.election.forget(id);
     this.cores.delete(id);
     this.entries.delete(id);
   }
@@ -164,13 +161,18 @@
     this.closed.add(id);
   }
 
+  /** Whether a core node has been closed for a planned stop. */
+  isClosed(id: string): boolean {
+    return this.closed.has(id);
+  }
+
   startCore(id: string): void {
     this.closed.delete(id);
     const common = this.common(id, id[0]!);
     const service = new LeaderService({
       ...common,
       reportAddress: `${id}:1`,
-      leadership: now => this.election.leadershipOf(id, now),
+      leadership: () => this.election.leadershipOf(id),
     });
     this.cores.set(id, {clock: common.clock, service});
   }
--- a/test-support/fakes/pool/fake_election.ts
+++ b/test-support/fakes/pool/fake_election.ts
@@ -70,7 +70,13 @@
     if (before !== undefined) this.beliefs.delete(before);
   }
 
-  leadershipOf(id: string, _now: number) {
+  /** Ends the leadership of a process that was killed. */
+  forget(id: string): void {
+    this.beliefs.delete(id);
+    if (this.current === id) this.current = undefined;
+  }
+
+  leadershipOf(id: string) {
     const belief = this.beliefs.get(id);
     if (!belief) return undefined;
     return {...belief, isSettled: true, silentMs: 0};
