Read the slowdown outside the data rack from the settings

Cause: REMOTE_FACTOR was 2 in the code; the two new deployments have 3 and 2. Change: bounds.remote_factor (default 2, at least 1) goes from the settings through leader and fallback to the placement.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -25,6 +25,8 @@
 const PASS_INTERVAL_MS = 2;
 const FORECAST_INTERVAL_MS = 60;
 const STRAGGLER_INTERVAL_MS = 60;
+/** Slowdown of a task outside the rack of its data, if it is not configured. */
+const DEFAULT_REMOTE_FACTOR = 2;
 /** Time within which jobs of another dispatcher are resubmitted. */
 const CLAIM_MS = 1_000;
 
@@ -59,7 +61,8 @@
       infeasible: new InfeasibleJobs(this.times),
     });
     const {times, breaker} = this;
-    this.starter = new TaskStarter(times, breaker, opts.observer);
+    const {remoteFactor = DEFAULT_REMOTE_FACTOR} = opts;
+    this.starter = new TaskStarter(times, breaker, opts.observer, remoteFactor);
     this.recorder = new RunRecorder(times, breaker, opts.observer);
     this.crashes = new CrashWatch(opts);
     this.takeover = new Takeover(
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -15,6 +15,8 @@
   readonly token: number;
   /** Longest lease that workers grant, in ms. */
   readonly leaseMs: number;
+  /** Slowdown of a task outside the rack of its data; default 2. */
+  readonly remoteFactor?: number | undefined;
   /** Longest time that leases of earlier dispatchers may still last, in ms. */
   readonly earlierLeasesMs: number;
   /** Whether the registry was up to date when the dispatcher started. */
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -26,6 +26,8 @@
   readonly directory: NodeDirectory;
   readonly zonePeers: ZonePeers;
   readonly leaseMs: number;
+  /** Slowdown of a task outside the rack of its data; default 2. */
+  readonly remoteFactor?: number | undefined;
   /** Latest queue configuration known to this node. */
   readonly routing: () => RoutingTable | undefined;
   readonly observer: PoolObserver;
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -54,6 +54,8 @@
   readonly client: WorkerClient;
   readonly directory: NodeDirectory;
   readonly leaseMs: number;
+  /** Slowdown of a task outside the rack of its data; default 2. */
+  readonly remoteFactor?: number | undefined;
   /** Address to which workers send their reports. */
   readonly reportAddress: string;
   /** Leadership of the replicated log; undefined if another node leads. */
--- a/src/core/pool/placement/start_candidates.ts
+++ b/src/core/pool/placement/start_candidates.ts
@@ -6,8 +6,6 @@
 import type {RunTimes} from './run_times.js';
 import type {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
 
-/** Slowdown of a task that runs outside the rack of its data. */
-const REMOTE_FACTOR = 2;
 /** Cost of running a task beside one that may crash the worker. */
 const CRASH_RISK_FACTOR = 4;
 /** Workers within this factor of the fastest one count as equally fast. */
@@ -27,6 +25,8 @@
   readonly times: RunTimes;
   readonly breaker: WorkerCircuitBreaker;
   readonly now: number;
+  /** Slowdown of a task that runs outside the rack of its data. */
+  readonly remoteFactor: number;
 }
 
 /**
@@ -56,7 +56,7 @@
   place(task: PoolTask, start: (worker: LeasedWorker) => void): boolean {
     const candidates = this.byService.get(task.job.queue.service) ?? [];
     for (;;) {
-      const at = findBest(task, candidates);
+      const at = findBest(task, candidates, this.opts.remoteFactor);
       const best = candidates[at];
       if (!best) return false;
       // A start may have ended other runs of the worker, whose lease is over.
@@ -80,7 +80,11 @@
  * Index of the best candidate with enough free capacity; -1 if there is none.
  * Fast workers are preferred, and among equally fast ones those with few runs.
  */
-function findBest(task: PoolTask, candidates: readonly Candidate[]): number {
+function findBest(
+  task: PoolTask,
+  candidates: readonly Candidate[],
+  remoteFactor: number,
+): number {
   const {demand} = task.job.spec.steps[task.step]!;
   let bestAt = -1;
   let bestCost = Number.POSITIVE_INFINITY;
@@ -97,7 +101,7 @@
     const runs = worker.runs.size;
     const isRisky = hasSuspect || (isSuspect && runs > 0);
     const risk = isRisky ? CRASH_RISK_FACTOR : 1;
-    const cost = slowness * distanceFactor(task, worker) * risk;
+    const cost = slowness * distanceFactor(task, worker, remoteFactor) * risk;
     const isBetter =
       cost * SPEED_TOLERANCE < bestCost ||
       (cost < bestCost * SPEED_TOLERANCE && runs < bestRuns);
@@ -118,7 +122,11 @@
   return running.length >= limit;
 }
 
-function distanceFactor(task: PoolTask, {report}: LeasedWorker): number {
+function distanceFactor(
+  task: PoolTask,
+  {report}: LeasedWorker,
+  remoteFactor: number,
+): number {
   const {dataRack} = task.job.spec.steps[task.step]!;
-  return dataRack && !report.labels.includes(dataRack) ? REMOTE_FACTOR : 1;
+  return dataRack && !report.labels.includes(dataRack) ? remoteFactor : 1;
 }
--- a/src/core/pool/placement/task_starter.ts
+++ b/src/core/pool/placement/task_starter.ts
@@ -14,6 +14,8 @@
     private readonly times: RunTimes,
     private readonly breaker: WorkerCircuitBreaker,
     private readonly observer: PoolObserver,
+    /** Slowdown of a task that runs outside the rack of its data. */
+    private readonly remoteFactor: number,
   ) {}
 
   /** Starts as many tasks as fit, in the order of the jobs. */
@@ -23,8 +25,14 @@
     now: number,
   ): void {
     if (jobs.length === 0) return;
-    const {times, breaker} = this;
-    const candidates = new StartCandidates({workers, times, breaker, now});
+    const {times, breaker, remoteFactor} = this;
+    const candidates = new StartCandidates({
+      workers,
+      times,
+      breaker,
+      now,
+      remoteFactor,
+    });
     // A task that needs at least as much CPU as one that did not fit is skipped.
     const minUnplacedCpu = new Map<string, number>();
     for (const {tasks, spec, queue} of jobs) {
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -78,6 +78,7 @@
       client: this.client,
       directory,
       leaseMs: getLeaseMs(settings),
+      remoteFactor: settings.remoteFactor,
       reportAddress: control!,
       leadership: now => this.config.getLeadership(now),
       routing: () => routing.get(),
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -86,6 +86,7 @@
       directory,
       zonePeers,
       leaseMs: getLeaseMs(settings),
+      remoteFactor: settings.remoteFactor,
       routing: () => routing.get(),
       observer,
     });
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -22,6 +22,8 @@
   readonly lostDisks: number;
   /** Longest lease that workers accept, in ms. */
   readonly leaseMs: number;
+  /** Slowdown of a task that runs outside the rack of its data. */
+  readonly remoteFactor: number;
   /** Time from SIGTERM to SIGKILL, in ms. */
   readonly graceMs: number;
 }
--- a/src/platform/read_platform_settings.test.ts
+++ b/src/platform/read_platform_settings.test.ts
@@ -46,6 +46,7 @@
     dataDir: '/data',
     lostDisks: 2,
     leaseMs: 1_000,
+    remoteFactor: 2,
     graceMs: 6_000,
   });
 });
@@ -58,6 +59,16 @@
   assert.include(noNumber.isErr ? noNumber.error : '', 'bounds.grace_s');
 });
 
+// Guards against a factor fixed in the code: deployments have 2 or 3.
+test('the slowdown outside the data rack is read, and is at least 1', () => {
+  const factorOf = (text: string) =>
+    read([...CORE, `bounds.remote_factor=${text}`]);
+  assert.equal(factorOf('3').unwrapOr(undefined as never).remoteFactor, 3);
+  const tooSmall = factorOf('0.5');
+  const detail = tooSmall.isErr ? tooSmall.error : '';
+  assert.include(detail, 'bounds.remote_factor');
+});
+
 test('a missing file is reported as an error and does not throw', () => {
   const res = readPlatformSettings('/does/not/exist');
   assert.include(res.isErr ? res.error : '', 'settings');
--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -4,6 +4,8 @@
 import type {PlatformSettings} from './platform_settings.js';
 
 const numberText = v.pipe(v.string(), v.transform(Number), v.finite());
+/** A factor below 1 would send tasks away from their data. */
+const remoteFactorText = v.pipe(numberText, v.minValue(1));
 const commaSeparated = v.pipe(
   v.string(),
   v.transform(text => text.split(',').filter(each => each !== '')),
@@ -32,6 +34,8 @@
   'fault_tolerance.machines': v.optional(numberText, '1'),
   /** Longest lease that workers accept. */
   'bounds.max_hold_ms': v.optional(numberText, '1000'),
+  /** Slowdown of a task outside the rack of its data. */
+  'bounds.remote_factor': v.optional(remoteFactorText, '2'),
   /** Time from SIGTERM to SIGKILL. */
   'bounds.grace_s': v.optional(numberText, '6'),
 });
@@ -74,6 +78,7 @@
     dataDir: file.data_dir === '' ? undefined : file.data_dir,
     lostDisks: file['fault_tolerance.machines'],
     leaseMs: file['bounds.max_hold_ms'],
+    remoteFactor: file['bounds.remote_factor'],
     graceMs: file['bounds.grace_s'] * 1_000,
   });
 }
