Estimate the speed of workers by medians and by overdue runs

Cause: the moving average of a worker's run times moved with each long task and with each run outside the data rack, and it noticed a slow worker only when runs ended. Change: per worker, a median of 15 runs for its usual speed and one of the newest three for a change; runs in progress that are overdue count among the newest; a run that no task of its queue explains counts alone. Run times of a queue are kept without the slowness of workers. Forecast and start both leave a pending job off a worker that is too slow for it. `measure -- placement` is new.

--- a/src/core/dispatch/target/quantile_sketch.ts
+++ b/src/core/dispatch/target/quantile_sketch.ts
@@ -63,6 +63,27 @@
     return MIN_VALUE * GROWTH ** BUCKETS;
   }
 
+  /** Share of the values above `value`, with a precision of 10% of it. */
+  shareAbove(value: number): number {
+    if (this.weight === 0) return 0;
+    let above = 0;
+    for (let at = bucketOf(Math.max(MIN_VALUE, value)) + 1; at < BUCKETS; at += 1) {
+      above += this.counts[at]!;
+    }
+    return above / this.weight;
+  }
+
+  /** Mean of the values above `value`; `value` if there are none. */
+  meanAbove(value: number): number {
+    let above = 0;
+    let sum = 0;
+    for (let at = bucketOf(Math.max(MIN_VALUE, value)) + 1; at < BUCKETS; at += 1) {
+      above += this.counts[at]!;
+      sum += this.counts[at]! * MIN_VALUE * GROWTH ** (at + 0.5);
+    }
+    return above === 0 ? value : sum / above;
+  }
+
   private decay(): void {
     for (let at = 0; at < BUCKETS; at += 1) this.counts[at]! /= 2;
     this.weight /= 2;
--- a/src/core/pool/admission/backlog_forecast.ts
+++ b/src/core/pool/admission/backlog_forecast.ts
@@ -54,10 +54,17 @@
     now: number,
   ): PlacementForecast<ActiveJob> {
     const forecast = new PlacementForecast<ActiveJob>(now);
-    for (const worker of workers) {
-      const number = forecast.addWorker(worker.freeCapacity.cpu);
-      for (const {sentAt, expectedMs, demand} of worker.runs.values()) {
-        forecast.addRun(number, demand.cpu, sentAt + expectedMs);
+    const bySpeed = workers
+      .map(worker => ({
+        worker,
+        slowness: this.times.slownessOf(worker.report.id, now),
+      }))
+      .sort((a, b) => a.slowness - b.slowness);
+    for (const {worker, slowness} of bySpeed) {
+      const number = forecast.addWorker(worker.freeCapacity.cpu, slowness);
+      for (const run of worker.runs.values()) {
+        const endsAt = this.times.expectedEnd(run, worker.report.id, now);
+        forecast.addRun(number, run.demand.cpu, endsAt);
       }
     }
     return forecast;
--- a/src/core/pool/admission/placement_forecast.test.ts
+++ b/src/core/pool/admission/placement_forecast.test.ts
@@ -57,3 +57,22 @@
   assert.isEmpty([...forecast.findMissed(tasks)]);
   assert.equal(forecast.clearInMs, 140);
 });
+
+// Guards against a forecast that counts on a slow worker as if it were normal:
+// the job was kept, and started there too late.
+test('a task is not placed on a worker that is too slow for it', () => {
+  const forecast = new PlacementForecast<string>(0);
+  const fast = forecast.addWorker(0, 1);
+  forecast.addWorker(16_000, 5);
+  forecast.addRun(fast, 16_000, 150);
+  assert.isEmpty([...forecast.findMissed([{...TASK, job: 'a'}])]);
+  assert.equal(forecast.clearInMs, 150);
+});
+
+test('a job is refused if only a worker that is too slow becomes free in time', () => {
+  const forecast = new PlacementForecast<string>(0);
+  const fast = forecast.addWorker(0, 1);
+  forecast.addWorker(16_000, 5);
+  forecast.addRun(fast, 16_000, 250);
+  assert.deepEqual([...forecast.findMissed([{...TASK, job: 'a'}])], ['a']);
+});
--- a/src/core/pool/admission/placement_forecast.ts
+++ b/src/core/pool/admission/placement_forecast.ts
@@ -2,6 +2,7 @@
 interface WaitingTask<Job> {
   readonly job: Job;
   readonly cpu: number;
+  /** Run time on a worker of normal speed. */
   readonly runMs: number;
   /** The task is not placed if it cannot end by then. */
   readonly endsBy: number;
@@ -26,6 +27,9 @@
 export class PlacementForecast<Job> {
   /** Free CPU of each worker. */
   private readonly free: number[] = [];
+  /** Slowness of each worker; 1 is normal. */
+  private readonly slowness: number[] = [];
+  private minSlowness = Number.POSITIVE_INFINITY;
   /** Binary heap of the predicted ends of runs, by time. */
   private readonly releases: Release[] = [];
   private readonly missed = new Set<Job>();
@@ -35,8 +39,10 @@
     this.lastStartAt = now;
   }
 
-  /** Adds a worker with its free CPU; returns its number. */
-  addWorker(freeCpu: number): number {
+  /** Adds a worker with its free CPU, fast ones first; returns its number. */
+  addWorker(freeCpu: number, slowness = 1): number {
+    this.slowness.push(slowness);
+    this.minSlowness = Math.min(this.minSlowness, slowness);
     return this.free.push(freeCpu) - 1;
   }
 
@@ -69,7 +75,7 @@
     const open = [...this.free.keys()].filter(at => this.free[at]! >= minCpu);
     return tasks.filter(task => {
       if (this.isTooLate(task, this.now)) return false;
-      const at = open.findIndex(worker => this.free[worker]! >= task.cpu);
+      const at = open.findIndex(worker => this.fits(task, worker, this.now));
       if (at < 0) return true;
       const worker = open[at]!;
       this.place(task, worker, this.now);
@@ -87,7 +93,7 @@
     let tried = 0;
     for (let index = 0; index < tasks.length && tried < MAX_TRIED;) {
       const task = tasks[index]!;
-      const fits = this.free[worker]! >= task.cpu;
+      const fits = this.fits(task, worker, at);
       if (this.isTooLate(task, at)) tasks.splice(index, 1);
       else if (fits) {
         this.place(task, worker, at);
@@ -100,15 +106,24 @@
     return tasks;
   }
 
+  /** Whether the worker has room and is fast enough. */
+  private fits(task: WaitingTask<Job>, worker: number, at: number): boolean {
+    const {cpu, runMs, endsBy} = task;
+    if (this.free[worker]! < cpu) return false;
+    return at + runMs * this.slowness[worker]! <= endsBy;
+  }
+
+  /** Whether the task would end too late even on the fastest worker. */
   private isTooLate({job, runMs, endsBy}: WaitingTask<Job>, at: number) {
-    if (at + runMs > endsBy) this.missed.add(job);
+    if (at + runMs * this.minSlowness > endsBy) this.missed.add(job);
     return this.missed.has(job);
   }
 
   private place({cpu, runMs}: WaitingTask<Job>, worker: number, at: number) {
     this.free[worker]! -= cpu;
     this.lastStartAt = Math.max(this.lastStartAt, at);
-    this.pushRelease({at: at + runMs, worker, cpu});
+    const endsAt = at + runMs * this.slowness[worker]!;
+    this.pushRelease({at: endsAt, worker, cpu});
   }
 
   private pushRelease(release: Release): void {
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -190,6 +190,7 @@
     this.stopUnclaimed(now);
     if (now >= this.nextStragglers) {
       this.nextStragglers = now + STRAGGLER_INTERVAL_MS;
+      this.times.observe(this.workers.all, now);
       this.stragglers.stopStragglers(this.jobs.all, now);
     }
     this.jobs.expire(now);
--- a/src/core/pool/dispatcher/run_recorder.ts
+++ b/src/core/pool/dispatcher/run_recorder.ts
@@ -28,10 +28,13 @@
   recordEnd({task, worker, run, how, loss}: EndedRun, now: number): void {
     const {id} = worker.report;
     const ranMs = now - run.sentAt;
+    const {workload} = run;
+    if (workload && !run.isAdopted) {
+      const ended = {worker: id, task: run.task, workload, ranMs, at: now};
+      if (how === RunEnd.done) this.times.record(ended);
+      else if (how === RunEnd.stopped) this.times.recordStopped(ended);
+    }
     if (how === RunEnd.done) {
-      const {queue, spec} = task.job;
-      const {estimatedMs} = spec.steps[task.step]!;
-      this.times.record(queue.name, id, estimatedMs, ranMs);
       this.breaker.recordEnd(id, false, now);
       return;
     }
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -105,8 +105,10 @@
   number: number,
   now: number,
 ): void {
-  const {demand} = task.job.spec.steps[task.step]!;
+  const {spec, queue} = task.job;
+  const {demand, estimatedMs} = spec.steps[task.step]!;
   const run = Run.adopted(task.name, number, demand, now);
+  run.workload = {queue: queue.name, estimatedMs, distanceFactor: 1};
   task.run = run;
   task.worker = worker;
   task.state = 'running';
--- a/src/core/pool/lease/run.ts
+++ b/src/core/pool/lease/run.ts
@@ -1,11 +1,14 @@
 import type {Resources} from '../registry/resources.js';
+import type {RunWorkload} from './run_workload.js';
 
 /** One execution of a task on a worker, until it is known to have ended. */
 export class Run {
   /** End of the lease in the start order, on the worker's clock. */
   startLeaseEnd = 0;
-  /** Expected run time, in ms; 0 if not known. */
-  expectedMs = 0;
+  /** From which the run time is expected; undefined if the job is not known. */
+  workload: RunWorkload | undefined;
+  /** Whether another dispatcher started the run, at an unknown time. */
+  isAdopted = false;
   /** When the worker confirmed the start; undefined until then. */
   confirmedAt: number | undefined;
   /** Whether no reply to the start order was received. */
@@ -42,6 +45,7 @@
   ): Run {
     const run = new Run(task, number, demand, now);
     run.confirmedAt = now;
+    run.isAdopted = true;
     return run;
   }
 }
--- a/src/core/pool/placement/run_times.ts
+++ b/src/core/pool/placement/run_times.ts
@@ -1,43 +1,84 @@
 import {criticalPathMs} from '../job/critical_path_ms.js';
 import type {ActiveJob} from '../job/active_job.js';
-import {QuantileSketch} from '../../dispatch/target/quantile_sketch.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
+import type {Run} from '../lease/run.js';
+import type {RunWorkload} from '../lease/run_workload.js';
+import {QueueRatios} from './queue_ratios.js';
+import {WorkerSpeed} from './worker_speed.js';
 
-/** Assumed ratio of run time to estimate while there are no samples. */
-const ASSUMED_RATIO = 1;
-/** Scale of the ratios in the sketch, whose smallest value is 0.5. */
-const SCALE = 100;
-/** Samples that a queue needs for its 98th percentile to be used. */
-const MIN_SAMPLES = 30;
-/** Weight of the latest run time in a worker's moving average. */
-const WORKER_WEIGHT = 0.15;
+/** Ratio to the usual run time from which a run may tell a slow worker. */
+const TELLING_RATIO = 1.5;
+
+/** Run of a task on a worker that has ended at `at`. */
+interface RecordedRun {
+  readonly worker: string;
+  readonly task: string;
+  readonly workload: RunWorkload;
+  readonly ranMs: number;
+  readonly at: number;
+}
 
 /**
- * Statistics of completed runs: per queue, the ratio of run time to the
- * caller's estimate; per worker, its slowness relative to its queues.
+ * Expected run times: per queue, the ratio of run time to the caller's
+ * estimate; per worker, its slowness relative to its queues.
  */
 export class RunTimes {
-  private readonly ratios = new Map<string, QuantileSketch>();
-  private readonly slowness = new Map<string, number>();
+  private readonly queues = new Map<string, QueueRatios>();
+  private readonly speeds = new Map<string, WorkerSpeed>();
 
-  record(
-    queue: string,
-    worker: string,
-    estimatedMs: number,
-    actualMs: number,
-  ): void {
-    const sketch = this.sketch(queue);
-    const ratio = actualMs / Math.max(1, estimatedMs);
-    const expected = sketch.mean / SCALE;
-    sketch.record(ratio * SCALE);
-    const before = this.slownessOf(worker);
-    const relative = Math.min(20, ratio / Math.max(0.01, expected));
-    const next = before + WORKER_WEIGHT * (relative - before);
-    this.slowness.set(worker, next);
+  /** Records a completed run. */
+  record({worker, task, workload, ranMs, at}: RecordedRun): void {
+    const speed = this.speedOf(worker);
+    const run = this.timedRun(task, workload, ranMs, at);
+    this.ratiosOf(run.queue).record(ranMs / referenceMs(workload));
+    const known = speed.record({...run, isOverdue: false});
+    if (!known) return;
+    const ratios = this.ratiosOf(known.run.queue);
+    ratios.recordTask((known.run.ratio * ratios.typical) / known.slowness);
   }
 
-  /** Expected run time of a task with this estimate, in ms. */
+  /** Records a run that was stopped; it would have taken longer. */
+  recordStopped({worker, task, workload, ranMs, at}: RecordedRun): void {
+    const run = this.timedRun(task, workload, ranMs, at);
+    this.speedOf(worker).recordStopped({...run, isOverdue: false});
+  }
+
+  /** Takes account of the runs in progress that are overdue. */
+  observe(workers: readonly LeasedWorker[], now: number): void {
+    for (const {report, runs} of workers) {
+      const known = this.speeds.get(report.id);
+      if (runs.size === 0 && !known) continue;
+      const speed = known ?? this.speedOf(report.id);
+      const overdue = [];
+      for (const {task, sentAt, workload, isAdopted} of runs.values()) {
+        if (!workload || isAdopted) continue;
+        const unitMs =
+          referenceMs(workload) * this.ratiosOf(workload.queue).typical;
+        if (now - sentAt <= speed.overdueRatio * unitMs) continue;
+        const run = this.timedRun(task, workload, now - sentAt, now);
+        overdue.push({...run, isOverdue: true});
+      }
+      speed.observe(overdue, now);
+    }
+  }
+
+  /** Expected run time of a task at normal speed beside its data, in ms. */
   expectedMs(queue: string, estimatedMs: number): number {
-    return (estimatedMs * this.sketch(queue).mean) / SCALE;
+    return estimatedMs * this.ratiosOf(queue).mean;
+  }
+
+  /** When a run in progress is expected to end. */
+  expectedEnd(
+    {sentAt, workload}: Run,
+    worker: string,
+    now: number,
+    slowness = this.slownessOf(worker, now),
+  ): number {
+    if (!workload) return now;
+    const unitMs = referenceMs(workload) * slowness;
+    const ratios = this.ratiosOf(workload.queue);
+    const total = ratios.expectedAfter((now - sentAt) / unitMs);
+    return Math.max(now, sentAt + total * unitMs);
   }
 
   /** Expected run time of what is not done, with unlimited capacity, in ms. */
@@ -65,30 +106,56 @@
     return workMs;
   }
 
-  /**
-   * 98th percentile of the ratio of run time to estimate; infinite until the
-   * queue has enough samples.
-   */
-  p98Ratio(queue: string): number {
-    if (this.sketch(queue).count < MIN_SAMPLES) return Number.POSITIVE_INFINITY;
-    return this.sketch(queue).quantile(0.98) / SCALE;
+  private timedRun(
+    task: string,
+    workload: RunWorkload,
+    ranMs: number,
+    at: number,
+  ) {
+    const {queue} = workload;
+    const ratios = this.ratiosOf(queue);
+    const estimates = ranMs / referenceMs(workload);
+    const ratio = estimates / ratios.typical;
+    const isTelling = ratio > TELLING_RATIO && ratios.isBeyond(estimates);
+    return {task, queue, ratio, isTelling, at};
   }
 
-  /** Run times of a worker relative to those of its queues; 1 is average. */
-  slownessOf(worker: string): number {
-    return this.slowness.get(worker) ?? 1;
+  ratiosOf(queue: string): QueueRatios {
+    let ratios = this.queues.get(queue);
+    if (!ratios) {
+      ratios = new QueueRatios();
+      this.queues.set(queue, ratios);
+    }
+    return ratios;
   }
 
-  removeWorker(worker: string): void {
-    this.slowness.delete(worker);
+  speedOf(worker: string): WorkerSpeed {
+    let speed = this.speeds.get(worker);
+    if (!speed) {
+      speed = new WorkerSpeed();
+      this.speeds.set(worker, speed);
+    }
+    return speed;
   }
 
-  private sketch(queue: string): QuantileSketch {
-    let sketch = this.ratios.get(queue);
-    if (!sketch) {
-      sketch = new QuantileSketch(ASSUMED_RATIO * SCALE);
-      this.ratios.set(queue, sketch);
-    }
-    return sketch;
+  /** Run times of a worker relative to those of its queues; 1 is normal. */
+  slownessOf(worker: string, now: number): number {
+    return this.speeds.get(worker)?.slowness(now) ?? 1;
+  }
+
+  /** Slowness for a start on a worker with this number of runs. */
+  slownessForStart(worker: string, runs: number, now: number): number {
+    const speed = this.speeds.get(worker);
+    if (!speed) return 1;
+    return runs === 0 ? speed.slownessWhenIdle(now) : speed.slowness(now);
   }
+
+  removeWorker(worker: string): void {
+    this.speeds.delete(worker);
+  }
+}
+
+/** Run time according to the estimate, at normal speed. */
+function referenceMs({estimatedMs, distanceFactor}: RunWorkload): number {
+  return Math.max(1, estimatedMs) * distanceFactor;
 }
--- a/src/core/pool/placement/start_candidates.test.ts
+++ b/src/core/pool/placement/start_candidates.test.ts
@@ -12,19 +12,21 @@
   const remote = usableWorker('remote', {labels: ['r2']});
   const times = new RunTimes();
   for (let n = 0; n < 400; n += 1) {
-    times.record('a', 'remote', 100, 100);
-    if (n % 8 === 0) times.record('a', 'local', 100, 250);
+    const workload = {queue: 'a', estimatedMs: 100, distanceFactor: 1};
+    const run = {task: `t${n}`, workload, at: n};
+    times.record({...run, worker: 'remote', ranMs: 100});
+    if (n % 8 === 0) times.record({...run, worker: 'local', ranMs: 250});
   }
   const chosenWith = (remoteFactor: number) => {
     const candidates = new StartCandidates({
       workers: [remote, local],
       times,
       breaker: new WorkerCircuitBreaker(),
-      now: 0,
+      now: 500,
       remoteFactor,
     });
     let chosen = '';
-    const task = poolTaskOf('j', {dataRack: 'r1'});
+    const task = poolTaskOf('j', {dataRack: 'r1'}, 500);
     candidates.place(task, worker => (chosen = worker.report.id));
     return chosen;
   };
--- a/src/core/pool/placement/task_starter.ts
+++ b/src/core/pool/placement/task_starter.ts
@@ -42,10 +42,11 @@
         const {demand, requiredLabel = ''} = spec.steps[task.step]!;
         const kind = `${queue.service} ${requiredLabel}`;
         if (demand.cpu >= (minUnplacedCpu.get(kind) ?? Infinity)) continue;
-        const isStarted = candidates.place(task, worker =>
-          this.start(task, worker, now),
+        const isStarted = candidates.place(task, (worker, factor) =>
+          this.start(task, worker, factor, now),
         );
         const hasOwnLimits =
+          candidates.isLimitedBySpeed(task) ||
           spec.steps[task.step]!.maxPerWorker ||
           CrashPolicy.isSuspect(task.losses);
         if (!isStarted && !hasOwnLimits) {
@@ -55,14 +56,16 @@
     }
   }
 
-  private start(task: PoolTask, worker: LeasedWorker, now: number): void {
-    const {spec} = task.job;
-    const {demand} = spec.steps[task.step]!;
+  private start(
+    task: PoolTask,
+    worker: LeasedWorker,
+    distanceFactor: number,
+    now: number,
+  ): void {
+    const {spec, queue} = task.job;
+    const {demand, estimatedMs} = spec.steps[task.step]!;
     const run = new Run(task.name, task.nextRunNumber, demand, now);
-    run.expectedMs = this.times.expectedMs(
-      task.job.queue.name,
-      spec.steps[task.step]!.estimatedMs,
-    );
+    run.workload = {queue: queue.name, estimatedMs, distanceFactor};
     run.isSuspect = CrashPolicy.isSuspect(task.losses);
     task.nextRunNumber += 1;
     task.run = run;
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -7,6 +7,7 @@
 import {FloodMeasurement} from './flood/flood_measurement.js';
 import type {Measurement} from './measurement.js';
 import {OverflowMeasurement} from './overflow/overflow_measurement.js';
+import {PlacementMeasurement} from './placement/placement_measurement.js';
 import {ResponseMeasurement} from './response/response_measurement.js';
 import {SlopesMeasurement} from './slopes/slopes_measurement.js';
 import {ThroughputMeasurement} from './throughput/throughput_measurement.js';
@@ -21,6 +22,7 @@
   new BadWorkerMeasurement(),
   new ThroughputMeasurement(),
   new SlopesMeasurement(),
+  new PlacementMeasurement(),
 ];
 
 interface Options {
