Stop runs early only on workers that other runs show to be slow

Cause: a run was stopped after twice the 98th percentile of its queue. That stopped useful long tasks on healthy workers, and left runs on workers that had become slow. Change: a run is moved if other runs leave less than 0.1% doubt that its worker is slow, another worker has room, and the task is expected to end there in 0.6 of the time that is left. Otherwise it is stopped only at three times the longest runs of its queue. Event run_stopped_early.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -42,7 +42,7 @@
   private readonly priority = new JobPrioritizer(this.times);
   private readonly admission = new PoolAdmission();
   private readonly forecast = new BacklogForecast(this.times);
-  private readonly stragglers = new StragglerWatch(this.times);
+  private readonly stragglers: StragglerWatch;
   private readonly starter: TaskStarter;
   private readonly recorder: RunRecorder;
   private readonly takeover: Takeover;
@@ -63,6 +63,13 @@
     const {times, breaker} = this;
     const {remoteFactor = DEFAULT_REMOTE_FACTOR} = opts;
     this.starter = new TaskStarter(times, breaker, opts.observer, remoteFactor);
+    this.stragglers = new StragglerWatch({
+      times,
+      observer: opts.observer,
+      remoteFactor,
+      mayStartOn: (worker, at) =>
+        worker.isUsable(at) && breaker.allows(worker, at),
+    });
     this.recorder = new RunRecorder(times, breaker, opts.observer);
     this.crashes = new CrashWatch(opts);
     this.takeover = new Takeover(
@@ -191,7 +198,7 @@
     if (now >= this.nextStragglers) {
       this.nextStragglers = now + STRAGGLER_INTERVAL_MS;
       this.times.observe(this.workers.all, now);
-      this.stragglers.stopStragglers(this.jobs.all, now);
+      this.stragglers.stopStragglers(this.jobs.all, this.workers.all, now);
     }
     this.jobs.expire(now);
     for (const job of this.crashes.resolve(this.workers.all, now)) {
--- a/src/core/pool/placement/straggler_watch.ts
+++ b/src/core/pool/placement/straggler_watch.ts
@@ -1,44 +1,79 @@
 import type {ActiveJob} from '../job/active_job.js';
+import type {LeasedWorker} from '../lease/leased_worker.js';
+import type {PoolTask} from '../job/pool_task.js';
+import type {PoolObserver} from '../pool_observer.js';
 import type {RunTimes} from './run_times.js';
+import {SpareWorkers} from './spare_workers.js';
+import {StragglerPolicy} from './straggler_policy.js';
 
-/** Timeout of a run, as a multiple of the 98th percentile of run times. */
-const TIMEOUT_FACTOR = 2;
-/** Factor by which the timeout of a task grows with each stopped run. */
-const TIMEOUT_GROWTH = 4;
-/** Added to every timeout, so that short runs are not stopped. */
-const MIN_TIMEOUT_MS = 150;
-/** Samples that a queue needs for its 98th percentile to be used. */
-const MIN_SAMPLES = 30;
+/** Early stops of one task; a task that is moved again and again never ends. */
+const MAX_EARLY_STOPS = 2;
 
-/** Stops runs that take far longer than other runs of their queue. */
+interface StragglerWatchOptions {
+  readonly times: RunTimes;
+  readonly observer: PoolObserver;
+  /** Slowdown of a task that runs outside the rack of its data. */
+  readonly remoteFactor: number;
+  /** Whether starts on a worker are allowed. */
+  readonly mayStartOn: (worker: LeasedWorker, now: number) => boolean;
+}
+
+/**
+ * Stops runs on workers that have become slow, where a new run elsewhere ends
+ * well before, and runs that never end. Long tasks on healthy workers are left
+ * alone: what they have done would be lost.
+ */
 export class StragglerWatch {
-  constructor(private readonly times: RunTimes) {}
+  private readonly policy: StragglerPolicy;
 
-  /** Infinite until the queue has enough samples. */
-  private p98RatioOf(queue: string): number {
-    const ratios = this.times.ratiosOf(queue);
-    if (ratios.count < MIN_SAMPLES) return Number.POSITIVE_INFINITY;
-    return ratios.quantile(0.98);
+  constructor(private readonly opts: StragglerWatchOptions) {
+    this.policy = new StragglerPolicy(opts.times);
   }
 
-  stopStragglers(jobs: Iterable<ActiveJob>, now: number): void {
-    const ratios = new Map<string, number>();
-    for (const {tasks, queue, spec, isAbandoned} of jobs) {
+  stopStragglers(
+    jobs: Iterable<ActiveJob>,
+    workers: readonly LeasedWorker[],
+    now: number,
+  ): void {
+    const {times, mayStartOn, remoteFactor} = this.opts;
+    const spare = new SpareWorkers({
+      workers,
+      slownessOf: id => times.slownessOf(id, now),
+      isUsable: worker => mayStartOn(worker, now),
+      remoteFactor,
+    });
+    for (const {tasks, isAbandoned} of jobs) {
       if (isAbandoned) continue;
-      const known = ratios.get(queue.name);
-      const ratio = known ?? this.p98RatioOf(queue.name);
-      ratios.set(queue.name, ratio);
-      for (const task of tasks) {
-        const {run, worker} = task;
-        if (!run || !worker || run.stopRequestedAt !== undefined) continue;
-        const {estimatedMs} = spec.steps[task.step]!;
-        const longMs = estimatedMs * ratio;
-        // The task itself may be long, so each further run gets more time.
-        const factor = TIMEOUT_FACTOR * TIMEOUT_GROWTH ** task.stragglerStops;
-        if (now - run.sentAt <= MIN_TIMEOUT_MS + factor * longMs) continue;
-        task.stragglerStops += 1;
-        worker.stop(run);
-      }
+      for (const task of tasks) this.check(task, spare, now);
     }
   }
+
+  private check(task: PoolTask, spare: SpareWorkers, now: number): void {
+    const {run, worker} = task;
+    if (!run?.workload || !worker || run.stopRequestedAt !== undefined) return;
+    const {policy} = this;
+    const {id} = worker.report;
+    if (policy.isEndless(run, id, task.stragglerStops, now)) {
+      this.stop(task, 'endless', now);
+      return;
+    }
+    if (task.stragglerStops >= MAX_EARLY_STOPS) return;
+    if (!policy.isOnSlowWorker(run, id, now)) return;
+    const place = spare.find(task);
+    if (!place || !policy.isWorthMoving(run, id, place.factor, now)) return;
+    place.take();
+    this.stop(task, 'slow_worker', now);
+  }
+
+  private stop(task: PoolTask, reason: string, now: number): void {
+    const {run, worker} = task;
+    task.stragglerStops += 1;
+    this.opts.observer.recordJobEvent('run_stopped_early', task.job.spec.id, {
+      task: task.name,
+      worker: worker!.report.id,
+      reason,
+      after_ms: Math.round(now - run!.sentAt),
+    });
+    worker!.stop(run!);
+  }
 }
