--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -25,6 +25,8 @@
 const PASS_INTERVAL_MS = 2;
 const FORECAST_INTERVAL_MS = 60;
 const STRAGGLER_INTERVAL_MS = 60;
+/** Slowdown of a task outside the rack of its data, if it is not configured. */
+const DEFAULT_REMOTE_FACTOR = 2;
 /** Time within which jobs of another dispatcher are resubmitted. */
 const CLAIM_MS = 1_000;
 
@@ -40,7 +42,7 @@
   private readonly priority = new JobPrioritizer(this.times);
   private readonly admission = new PoolAdmission();
   private readonly forecast = new BacklogForecast(this.times);
-  private readonly stragglers = new StragglerWatch(this.times);
+  private readonly stragglers: StragglerWatch;
   private readonly starter: TaskStarter;
   private readonly recorder: RunRecorder;
   private readonly takeover: Takeover;
@@ -59,7 +61,15 @@
       infeasible: new InfeasibleJobs(this.times),
     });
     const {times, breaker} = this;
-    this.starter = new TaskStarter(times, breaker, opts.observer);
+    const {remoteFactor = DEFAULT_REMOTE_FACTOR} = opts;
+    this.starter = new TaskStarter(times, breaker, opts.observer, remoteFactor);
+    this.stragglers = new StragglerWatch({
+      times,
+      observer: opts.observer,
+      remoteFactor,
+      mayStartOn: (worker, at) =>
+        worker.isUsable(at) && breaker.allows(worker, at),
+    });
     this.recorder = new RunRecorder(times, breaker, opts.observer);
     this.crashes = new CrashWatch(opts);
     this.takeover = new Takeover(
@@ -193,7 +203,8 @@
     this.stopUnclaimed(now);
     if (now >= this.nextStragglers) {
       this.nextStragglers = now + STRAGGLER_INTERVAL_MS;
-      this.stragglers.stopStragglers(this.jobs.all, now);
+      this.times.observe(this.workers.all, now);
+      this.stragglers.stopStragglers(this.jobs.all, this.workers.all, now);
     }
     this.jobs.expire(now);
     for (const job of this.crashes.resolve(this.workers.all, now)) {
