Keep evacuated zones in the configuration log

Cause: operators need to order that nothing more is started in a zone, and an acknowledged order must survive what an acknowledged configuration survives.

The router resends requests, so that a copy may arrive after later orders: a copy is recognised by its key, and an order that is older than the latest one for its zone is refused.

`npm run check -- config` generates orders and late copies of them and checks that no acknowledged order is lost, none is undone by an older one and none is applied that was refused. Versions that no change of a class has made must be explained by orders, in number and parity.

--- a/src/check/config/scenario.ts
+++ b/src/check/config/scenario.ts
@@ -11,6 +11,7 @@
 const COMMAND_WEIGHTS = {
   change: 30,
   resend: 8,
+  evacuation: 14,
   read: 14,
   crash: 5,
   kill: 4,
--- a/src/check/processes/config_client.ts
+++ b/src/check/processes/config_client.ts
@@ -3,6 +3,7 @@
 import type {ClassConfig} from '../../core/config/class_config.js';
 import type {Config} from '../../core/config/config.js';
 import {ChangeHistory} from '../config/change_history.js';
+import {OrderHistory} from '../config/order_history.js';
 import type {HttpReply} from './http_reply.js';
 import type {OpenRequests} from './open_requests.js';
 
@@ -19,7 +20,7 @@
 
 /** Changes the configuration and polls the version in force on each daemon. */
 export class ConfigClient {
-  readonly history = new ChangeHistory();
+  readonly history = new ChangeHistory(new OrderHistory());
   accepted = 0;
   private isStopped = false;
   private changeCount = 0;
--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -13,11 +13,14 @@
 import {VoterReconciler} from './log/voter_reconciler.js';
 import type {LogRequest} from './router/log_request.js';
 import type {LogResponse} from './router/log_response.js';
+import {OrderSubmitter} from './router/order_submitter.js';
 import type {LogStatus} from './router/log_status.js';
 import {RequestRouter} from './router/request_router.js';
 import type {Disk} from './storage/disk.js';
 import type {DiskError} from './storage/disk_error.js';
 import {LogStore} from './storage/log_store.js';
+import type {ChangeOutcome} from './state/change_outcome.js';
+import type {ChangeRefusal} from './state/change_refusal.js';
 
 /** Time after a disk failure at which the data folder is reopened. */
 const REOPEN_MS = 10_000;
@@ -59,6 +62,7 @@
   readonly source: ReplicatedConfigSource;
   private readonly distributor: ConfigDistributor;
   private readonly router: RequestRouter;
+  private readonly orders: OrderSubmitter;
   private readonly bootstrapper: LogBootstrapper;
   private readonly voterReconciler: VoterReconciler | undefined;
   private member: LogMember | undefined;
@@ -91,6 +95,7 @@
       noteLeader: id => this.distributor.noteLeader(id),
       serve: (req, now, respond) => this.serve(req, now, respond),
     });
+    this.orders = new OrderSubmitter(this.router, opts.random);
     for (const type of MESSAGE_TYPES) {
       peers.onMessage(`config.${type}`, (from, body, now) => {
         const parsed = v.safeParse(LogMessage, {...(body as object), type});
@@ -133,6 +138,10 @@
   submit: RequestRouter['submit'] = (request, now, done) =>
     this.router.submit(request, now, done);
 
+  /** Starts or ends the evacuation of a zone. */
+  evacuate: OrderSubmitter['submit'] = (request, now, done) =>
+    this.orders.submit(request, now, done);
+
   /** Transfers leadership to another voter before a planned stop. */
   transferLeadership(now: number): void {
     this.member?.leader?.transferLeadership(now);
@@ -216,26 +225,16 @@
     switch (request.kind) {
       case 'change': {
         const body = {kind: 'change', change: request.change} as const;
-        leader.propose(body, now, decision => {
-          if (!decision) respond({kind: 'unknown'});
-          else if (decision.isOk) {
-            respond({kind: 'accepted', version: decision.value.version});
-          } else respond({kind: 'refused', refusal: decision.error});
-        });
+        leader.propose(body, now, decision => respond(toResponse(decision)));
         return;
       }
       case 'publish':
+      case 'evacuation':
         if (this.voterReconciler?.hasEnoughVoters(member, now) === false) {
           respond({kind: 'not_leader'});
           return;
         }
-        leader.propose(request, now, decision => {
-          respond(
-            decision?.isOk
-              ? {kind: 'accepted', version: decision.value.version}
-              : {kind: 'unknown'},
-          );
-        });
+        leader.propose(request, now, decision => respond(toResponse(decision)));
         return;
       case 'members':
         leader.membership.request(
@@ -250,12 +249,10 @@
         return;
       case 'read':
         leader.confirmLeadership(now, isCurrent => {
-          const config = member.state?.current;
-          respond(
-            isCurrent && config
-              ? {kind: 'config', config}
-              : {kind: 'not_leader'},
-          );
+          const {state} = member;
+          if (!isCurrent || !state) return respond({kind: 'not_leader'});
+          const {current: config, lastOrder} = state;
+          respond({kind: 'config', config, lastOrder});
         });
         return;
       case 'status':
@@ -264,3 +261,13 @@
     }
   }
 }
+
+/** Response to a proposal; undefined if its outcome is unknown. */
+function toResponse(
+  decision: Result<ChangeOutcome, ChangeRefusal> | undefined,
+): LogResponse {
+  if (!decision) return {kind: 'unknown'};
+  return decision.isOk
+    ? {kind: 'accepted', version: decision.value.version}
+    : {kind: 'refused', refusal: decision.error};
+}
--- a/src/core/config/follower/applied_config_file.ts
+++ b/src/core/config/follower/applied_config_file.ts
@@ -7,6 +7,7 @@
 import {FrameFile} from '../storage/frame_file.js';
 import {PublishedDocument} from '../published_document.js';
 import {TenantConfig} from '../tenant_config.js';
+import {ZoneNames} from '../zone_names.js';
 
 const FILE_NAME = 'applied';
 const TEMPORARY_FILE_NAME = 'applied.tmp';
@@ -18,6 +19,7 @@
     classes: v.record(v.string(), ClassConfig),
     tenants: v.record(v.string(), TenantConfig),
     document: v.optional(PublishedDocument),
+    evacuated: v.optional(ZoneNames),
   }),
 });
 
--- a/src/core/config/follower/apply_update.ts
+++ b/src/core/config/follower/apply_update.ts
@@ -11,14 +11,22 @@
 ): Config | undefined {
   const {version} = update;
   if (update.kind === 'whole') {
-    const {classes, tenants, document} = update;
-    return {version, classes, tenants, ...(document ? {document} : {})};
+    const {classes, tenants, document, evacuated} = update;
+    return {
+      version,
+      classes,
+      tenants,
+      ...(document ? {document} : {}),
+      ...(evacuated ? {evacuated} : {}),
+    };
   }
   if (config.version < update.base) return undefined;
   const document = update.document ?? config.document;
+  const evacuated = update.evacuated ?? config.evacuated;
   return {
     version,
     ...(document ? {document} : {}),
+    ...(evacuated ? {evacuated} : {}),
     classes: merge(config.classes, update.diff.classes),
     tenants: merge(config.tenants, update.diff.tenants),
   };
--- a/src/core/config/follower/config_distributor.ts
+++ b/src/core/config/follower/config_distributor.ts
@@ -209,6 +209,7 @@
     const newest = isNewest ? state.current : config;
     const diff = isNewest && version > 0 ? state.diffSince(version) : undefined;
     const document = isNewest ? state.documentSince(version) : undefined;
+    const evacuated = isNewest ? state.evacuatedSince(version) : undefined;
     return diff
       ? {
           kind: 'diff',
@@ -217,6 +218,7 @@
           base: version,
           diff,
           ...(document ? {document} : {}),
+          ...(evacuated ? {evacuated} : {}),
         }
       : {kind: 'whole', log, ...newest};
   }
--- a/src/core/config/follower/config_update.ts
+++ b/src/core/config/follower/config_update.ts
@@ -3,6 +3,7 @@
 import {ConfigDiff} from '../state/config_diff.js';
 import {PublishedDocument} from '../published_document.js';
 import {TenantConfig} from '../tenant_config.js';
+import {ZoneNames} from '../zone_names.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 
@@ -15,6 +16,7 @@
     classes: v.record(v.string(), ClassConfig),
     tenants: v.record(v.string(), TenantConfig),
     document: v.optional(PublishedDocument),
+    evacuated: v.optional(ZoneNames),
   }),
   v.object({
     kind: v.literal('diff'),
@@ -25,6 +27,8 @@
     diff: ConfigDiff,
     /** Absent if the document has not changed since `base`. */
     document: v.optional(PublishedDocument),
+    /** Absent if the evacuated zones have not changed since `base`. */
+    evacuated: v.optional(ZoneNames),
   }),
 ]);
 
--- a/src/core/config/log/log_applier.ts
+++ b/src/core/config/log/log_applier.ts
@@ -74,6 +74,8 @@
         return this.currentState!.apply(body.change);
       case 'publish':
         return Result.ok(this.currentState!.publish(body.document));
+      case 'evacuation':
+        return this.currentState!.evacuate(body.order);
       default:
         return undefined;
     }
--- a/src/core/config/log/log_entry.ts
+++ b/src/core/config/log/log_entry.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import {ConfigChange} from '../state/config_change.js';
+import {EvacuationOrder} from '../state/evacuation_order.js';
 import {PublishedDocument} from '../published_document.js';
 import {Membership} from './membership.js';
 
@@ -14,6 +15,7 @@
     v.object({kind: v.literal('term')}),
     v.object({kind: v.literal('change'), change: ConfigChange}),
     v.object({kind: v.literal('publish'), document: PublishedDocument}),
+    v.object({kind: v.literal('evacuation'), order: EvacuationOrder}),
     v.object({kind: v.literal('members'), members: Membership}),
   ]),
 });
--- a/src/core/config/router/log_response.ts
+++ b/src/core/config/router/log_response.ts
@@ -3,6 +3,7 @@
 import {ConfigDiff} from '../state/config_diff.js';
 import {PublishedDocument} from '../published_document.js';
 import {TenantConfig} from '../tenant_config.js';
+import {ZoneNames} from '../zone_names.js';
 import {LogStatus} from './log_status.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
@@ -33,7 +34,10 @@
       classes: v.record(v.string(), ClassConfig),
       tenants: v.record(v.string(), TenantConfig),
       document: v.optional(PublishedDocument),
+      evacuated: v.optional(ZoneNames),
     }),
+    /** Number of the last evacuation order. */
+    lastOrder: v.optional(count, 0),
   }),
   v.object({kind: v.literal('status'), status: LogStatus}),
 ]);
--- a/src/core/config/router/request_router.ts
+++ b/src/core/config/router/request_router.ts
@@ -23,7 +23,7 @@
 const Request = v.object({id: v.number(), request: LogRequestSchema});
 const Response = v.object({id: v.number(), response: LogResponse});
 
-type Done = (result: LogResponse | ChangeRefusal) => void;
+type Done = (result: LogResponse | ChangeRefusal, now: number) => void;
 
 interface Pending {
   readonly request: LogRequest;
@@ -72,13 +72,21 @@
     );
   }
 
-  /** Calls `done` once, with a response or the refusal `unavailable`. */
-  submit(request: LogRequest, now: number, done: Done): void {
+  /**
+   * Calls `done` once, with a response or, at the deadline at the latest, with
+   * the refusal `unavailable`.
+   */
+  submit(
+    request: LogRequest,
+    now: number,
+    done: Done,
+    deadline = now +
+      (request.kind === 'status' ? STATUS_DEADLINE_MS : DEADLINE_MS),
+  ): void {
     const pending: Pending = {
       request,
       done,
-      deadline:
-        now + (request.kind === 'status' ? STATUS_DEADLINE_MS : DEADLINE_MS),
+      deadline,
       open: new Set(),
       nextAttempt: now,
     };
@@ -93,7 +101,7 @@
 
   tick(now: number): void {
     for (const pending of [...this.pending]) {
-      if (now >= pending.deadline) this.expire(pending);
+      if (now >= pending.deadline) this.expire(pending, now);
       else if (now >= pending.nextAttempt) this.sendAttempt(pending, now);
     }
   }
@@ -159,12 +167,12 @@
       );
       return;
     }
-    this.finish(pending, response);
+    this.finish(pending, response, now);
   }
 
-  private expire(pending: Pending): void {
+  private expire(pending: Pending, now: number): void {
     const isUnknown = pending.open.size > 0;
-    this.finish(pending, {
+    const refusal: ChangeRefusal = {
       code: 'unavailable',
       outcome: isUnknown ? 'outcome_unknown' : 'not_made',
       detail: isUnknown
@@ -172,12 +180,17 @@
           'change may still be accepted; resend it with the same key to check'
         : 'no leader of the configuration log can be reached',
       retryAfterMs: RETRY_AFTER_MS,
-    });
+    };
+    this.finish(pending, refusal, now);
   }
 
-  private finish(pending: Pending, result: LogResponse | ChangeRefusal): void {
+  private finish(
+    pending: Pending,
+    result: LogResponse | ChangeRefusal,
+    now: number,
+  ): void {
     this.pending.delete(pending);
     for (const id of pending.open) this.attempts.delete(id);
-    pending.done(result);
+    pending.done(result, now);
   }
 }
--- a/src/core/config/state/config_snapshot.ts
+++ b/src/core/config/state/config_snapshot.ts
@@ -2,6 +2,8 @@
 import {ClassConfig} from '../class_config.js';
 import {PublishedDocument} from '../published_document.js';
 import {TenantConfig} from '../tenant_config.js';
+import {ZoneNames} from '../zone_names.js';
+import {ZoneOrders} from './zone_orders.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 
@@ -11,12 +13,17 @@
   classes: v.record(v.string(), ClassConfig),
   tenants: v.record(v.string(), TenantConfig),
   document: v.optional(PublishedDocument),
+  evacuated: v.optional(ZoneNames),
   /** Version that last changed or deleted each class. */
   class_versions: v.record(v.string(), count),
   /** Version that last changed or deleted each tenant. */
   tenant_versions: v.record(v.string(), count),
   /** Version created by the latest published document. */
   document_version: v.optional(count),
+  /** Orders of evacuations; absent before the first one. */
+  zone_orders: v.optional(ZoneOrders.Snapshot),
+  /** Version created by the latest order that changed something. */
+  evacuation_version: v.optional(count),
   /** Oldest version from which complete diffs can be computed. */
   diff_floor: count,
   /** Outcomes of recent changes, oldest first, for detecting resent ones. */
--- a/src/core/config/state/config_state.ts
+++ b/src/core/config/state/config_state.ts
@@ -9,6 +9,8 @@
 import type {ConfigChange} from './config_change.js';
 import type {ConfigDiff} from './config_diff.js';
 import type {ConfigSnapshot} from './config_snapshot.js';
+import type {EvacuationOrder} from './evacuation_order.js';
+import {ZoneOrders} from './zone_orders.js';
 
 type OutcomeRecord = ConfigSnapshot['outcomes'][number];
 
@@ -35,17 +37,27 @@
     private diffFloor: number,
     private readonly outcomes: Map<string, OutcomeRecord>,
     private documentVersion = 0,
+    private readonly zoneOrders = new ZoneOrders(),
+    private evacuationVersion = 0,
   ) {}
 
   static from(snapshot: ConfigSnapshot): ConfigState {
-    const {version, classes, tenants, document} = snapshot;
+    const {version, classes, tenants, document, evacuated} = snapshot;
     return new ConfigState(
-      {version, classes, tenants, ...(document ? {document} : {})},
+      {
+        version,
+        classes,
+        tenants,
+        ...(document ? {document} : {}),
+        ...(evacuated ? {evacuated} : {}),
+      },
       new Map(Object.entries(snapshot.class_versions)),
       new Map(Object.entries(snapshot.tenant_versions)),
       snapshot.diff_floor,
       new Map(snapshot.outcomes.map(o => [o.key, o])),
       snapshot.document_version ?? 0,
+      new ZoneOrders(snapshot.zone_orders),
+      snapshot.evacuation_version ?? 0,
     );
   }
 
@@ -69,6 +81,8 @@
   toSnapshot(): ConfigSnapshot {
     return {
       ...this.config,
+      zone_orders: this.zoneOrders.toSnapshot(),
+      evacuation_version: this.evacuationVersion,
       class_versions: Object.fromEntries(this.classVersions),
       tenant_versions: Object.fromEntries(this.tenantVersions),
       diff_floor: this.diffFloor,
@@ -138,6 +152,39 @@
     return {version: this.config.version};
   }
 
+  /** Number of the last evacuation order, for `EvacuationOrder.after`. */
+  get lastOrder(): number {
+    return this.zoneOrders.last;
+  }
+
+  /**
+   * Starts or ends the evacuation of a zone. Refuses an order that was given
+   * before the latest one for the zone, and raises the version only if the
+   * order changes something.
+   */
+  evacuate(order: EvacuationOrder): Result<ChangeOutcome, ChangeRefusal> {
+    const {isAccepted, isChange} = this.zoneOrders.apply(order);
+    if (!isAccepted) {
+      return Result.err({
+        code: 'conflict',
+        outcome: 'not_made',
+        detail: `a later order for the zone "${order.zone}" was applied`,
+      });
+    }
+    if (isChange) {
+      const version = this.config.version + 1;
+      const {evacuated} = this.zoneOrders;
+      this.config = {...this.config, version, evacuated};
+      this.evacuationVersion = version;
+    }
+    return Result.ok({version: this.config.version});
+  }
+
+  /** Returns the evacuated zones if they have changed after `version`. */
+  evacuatedSince(version: number): readonly string[] | undefined {
+    return this.evacuationVersion > version ? this.config.evacuated : undefined;
+  }
+
   /** Returns the document if it was published after `version`. */
   documentSince(version: number): PublishedDocument | undefined {
     return this.documentVersion > version ? this.config.document : undefined;
--- a/test-support/fakes/lossy_peers.ts
+++ b/test-support/fakes/lossy_peers.ts
@@ -13,6 +13,12 @@
   loss = 0;
   minDelayMs = 0.5;
   maxDelayMs = 1.5;
+  /**
+   * Delay of a second copy of a message, also of a lost one, as a sender creates
+   * that sends it again; undefined for no copy.
+   */
+  copyDelay: (kind: string, body: unknown) => number | undefined = () =>
+    undefined;
   /** Number of messages sent and received, by node. */
   readonly messages = new Map<string, number>();
   /** Number of bytes sent and received, by node. */
@@ -67,6 +73,16 @@
     if (this.transports.get(from.node) !== from) return;
     const encoded = cbor.encode(body);
     this.count(from.node, encoded.length);
+    const deliver = () => {
+      // A cut also drops messages in transit.
+      if (this.cuts.has(`${from.node}>${to}`)) return;
+      const end = this.transports.get(to);
+      if (!end) return;
+      this.count(to, encoded.length);
+      end.deliver(from.node, kind, cbor.decode(encoded), this.clock.now());
+    };
+    const copyDelay = this.copyDelay(kind, body);
+    if (copyDelay !== undefined) this.clock.schedule(copyDelay, deliver);
     const isCut = this.cuts.has(`${from.node}>${to}`);
     if (isCut || this.random.next() < this.loss) {
       this.lost += 1;
@@ -74,14 +90,7 @@
     }
     const spread = this.maxDelayMs - this.minDelayMs;
     const delay = this.minDelayMs + this.random.next() * spread;
-    this.clock.schedule(delay, () => {
-      // A cut also drops messages in transit.
-      if (this.cuts.has(`${from.node}>${to}`)) return;
-      const end = this.transports.get(to);
-      if (!end) return;
-      this.count(to, encoded.length);
-      end.deliver(from.node, kind, cbor.decode(encoded), this.clock.now());
-    });
+    this.clock.schedule(delay, deliver);
   }
 
   private count(node: string, bytes: number): void {
