Start nothing on the workers of evacuated zones

Cause: the pool's dispatchers must obey the evacuated zones of the configuration, and the workers of a zone that returns may be cold.

Change: EvacuatedZones answers from the configuration in force. PoolDispatcher passes only StartableWorkers to starts and forecast, and only workers of zones that are not evacuated to admission. A claim carries the version of the configuration; a fallback does not start if the leader had a newer one or if its zone is evacuated.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -15,6 +15,7 @@
 import {RunRecorder} from './run_recorder.js';
 import type {RunRefusal} from '../lease/run_refusal.js';
 import {RunTimes} from '../placement/run_times.js';
+import {StartableWorkers} from '../placement/startable_workers.js';
 import {StragglerWatch} from '../placement/straggler_watch.js';
 import {Takeover} from './takeover.js';
 import {TaskStarter} from '../placement/task_starter.js';
@@ -42,6 +43,7 @@
   private readonly forecast = new BacklogForecast(this.times);
   private readonly stragglers = new StragglerWatch(this.times);
   private readonly starter: TaskStarter;
+  private readonly startable: StartableWorkers;
   private readonly recorder: RunRecorder;
   private readonly takeover: Takeover;
   private readonly crashes: CrashWatch;
@@ -71,6 +73,7 @@
       this.times.removeWorker(id);
       this.breaker.remove(id);
     };
+    this.startable = new StartableWorkers({...opts, forget: onRemoved});
     this.currentToken = opts.token;
     const currentToken = () => this.currentToken;
     const lease = {...opts, currentToken, listener: this};
@@ -184,6 +187,7 @@
   tick(now: number): void {
     if (this.isClosed) return;
     this.workers.tick(now);
+    this.startable.tick(this.workers.all);
     this.stopUnclaimed(now);
     if (now >= this.nextStragglers) {
       this.nextStragglers = now + STRAGGLER_INTERVAL_MS;
@@ -202,7 +206,7 @@
     // Existing workers may not have reported to a new dispatcher yet.
     const mayMoreReport = !this.takeover.areWorkersKnown(now);
     const openJobs = this.jobs.size;
-    const workers = this.workers.all;
+    const workers = this.startable.remaining(this.workers.all);
     return this.admission.check(job, {openJobs, workers, mayMoreReport});
   }
 
@@ -212,8 +216,8 @@
     this.nextForecast = now + FORECAST_INTERVAL_MS;
     const waiting = this.priority.sort(this.jobs.all, now);
     if (waiting.length === 0) return;
-    const {all} = this.workers;
-    const found = this.forecast.findInfeasible(waiting, all, now);
+    const startable = this.startable.select(this.workers.all, now);
+    const found = this.forecast.findInfeasible(waiting, startable, now);
     for (const {job, clearInMs} of found) {
       this.jobs.refuseLate(job, clearInMs);
     }
@@ -317,6 +321,7 @@
       this.jobs.finishIfDone(job, now);
     }
     if (!this.takeover.mayStart(this.workers.all, now)) return;
-    this.starter.startAll(this.priority.sort(jobs, now), this.workers.all, now);
+    const startable = this.startable.select(this.workers.all, now);
+    this.starter.startAll(this.priority.sort(jobs, now), startable, now);
   }
 }
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../../clock/clock.js';
+import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
@@ -22,6 +23,8 @@
   readonly maySendOrders: (now: number) => boolean;
   /** Current queue configuration; undefined before the first one. */
   readonly routing: () => RoutingTable | undefined;
+  /** Default: no zone is ever evacuated. */
+  readonly evacuated?: EvacuatedZones | undefined;
   readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
   /** Sends the owner of a job the workers that were lost under its tasks. */
   readonly reportLosses: (
--- a/src/core/pool/entry/fallback_service.test.ts
+++ b/src/core/pool/entry/fallback_service.test.ts
@@ -137,3 +137,46 @@
   await bench.run(500);
   assert.equal(bench.answerOf('a'), 'completed');
 });
+
+// The leader may have acknowledged the order just before the partition.
+test('a node that lacks the last order of the leader is no fallback', async () => {
+  const bench = new ZonePoolBench();
+  bench.evacuate([], 1, ['ye1', 'ze1', 'ze2']);
+  bench.evacuate(['z'], 2, ['c1']);
+  await bench.run(6_000);
+  bench.isolate('z');
+  await bench.run(5_000);
+  assert.deepEqual(bench.dispatching(), []);
+  bench.evacuate([], 3, ['ze2']);
+  await bench.run(1_500);
+  assert.deepEqual(bench.dispatching(), ['ze2']);
+});
+
+test('a partitioned zone that is evacuated has no fallback', async () => {
+  const bench = new ZonePoolBench();
+  bench.evacuate(['z'], 2, ['c1', 'ye1', 'ze1', 'ze2']);
+  await bench.run(6_000);
+  bench.isolate('z');
+  await bench.run(3_000);
+  bench.submit('ze1', 'a');
+  await bench.run(2_000);
+  assert.deepEqual(bench.dispatching(), []);
+  assert.notEqual(bench.answerOf('a'), 'completed');
+});
+
+// The order reaches the zone by way of a core node in it.
+test('a fallback that learns of the order starts nothing more', async () => {
+  const bench = await createRunningBench();
+  bench.isolate('z');
+  await bench.run(3_000);
+  assert.deepEqual(bench.dispatching(), ['ze1']);
+  bench.evacuate(['z'], 2, ['ze1', 'ze2']);
+  const workers = [...bench.workers.values()].filter(
+    ({report}) => report.zone === 'z',
+  );
+  const count = () => workers.flatMap(w => w.history).length;
+  const before = count();
+  bench.submit('ze1', 'a');
+  await bench.run(1_000);
+  assert.equal(count(), before);
+});
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
 import {FailoverTiming} from '../node/failover_timing.js';
@@ -28,6 +29,8 @@
   readonly leaseMs: number;
   /** Latest queue configuration known to this node. */
   readonly routing: () => RoutingTable | undefined;
+  /** Default: no zone is ever evacuated. */
+  readonly evacuated?: EvacuatedZones | undefined;
   readonly observer: PoolObserver;
 }
 
@@ -73,18 +76,26 @@
       token: dispatcher.token,
       isFallback: true,
       revision: this.revision,
+      version: this.opts.evacuated?.version,
       heardAt: now,
     };
   }
 
-  /** Whether the workers and a recent enough configuration are known. */
+  /**
+   * Whether the workers and a recent enough configuration are known. The leader
+   * may have acknowledged an evacuation of this zone that raised only the
+   * version. In an evacuated zone a fallback could start nothing.
+   */
   get canFallBack(): boolean {
-    const {lastLeader} = this.opts.directory;
+    const {directory, zone, evacuated} = this.opts;
+    const {lastLeader} = directory;
     if (!lastLeader || this.registry.entries.size === 0) return false;
-    return this.revision >= lastLeader.revision;
+    if ((evacuated?.version ?? 0) < (lastLeader.version ?? 0)) return false;
+    return this.revision >= lastLeader.revision && !evacuated?.has(zone);
   }
 
   tick(now: number): void {
+    this.opts.evacuated?.tick(now);
     const claim = this.opts.directory.dispatcher(now);
     if (claim && !claim.isFallback) {
       // The time of the last message, not of this tick, counts as last contact.
--- a/src/core/pool/node/dispatcher_claim.ts
+++ b/src/core/pool/node/dispatcher_claim.ts
@@ -11,6 +11,8 @@
   readonly reportAddress?: string | undefined;
   /** Revision of the queue configuration in force at the node. */
   readonly revision: number;
+  /** Version of the configuration in force at the node. Default 0. */
+  readonly version?: number | undefined;
   /** When the claim was last received. */
   readonly heardAt: number;
 }
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import {FencingToken} from '../lease/fencing_token.js';
 import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
@@ -59,6 +60,8 @@
   /** Leadership of the replicated log; undefined if another node leads. */
   readonly leadership: (now: number) => Leadership | undefined;
   readonly routing: () => RoutingTable | undefined;
+  /** Default: no zone is ever evacuated. */
+  readonly evacuated?: EvacuatedZones | undefined;
   readonly observer: PoolObserver;
 }
 
@@ -118,6 +121,7 @@
   }
 
   tick(now: number): void {
+    this.opts.evacuated?.tick(now);
     this.updateLeadership(now);
     this.registry.expire(now);
     this.raiseToken();
@@ -243,6 +247,7 @@
       isFallback: false,
       reportAddress,
       revision: routing()?.content.revision ?? 0,
+      version: this.opts.evacuated?.version,
     };
     if (claim) directory.recordClaim({...claim, node, heardAt: now});
     const body = {
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -26,6 +26,7 @@
         isFallback: v.boolean(),
         reportAddress: v.optional(v.string()),
         revision: count,
+        version: v.optional(count),
       }),
     ),
     /** Whether an entry node has contact with the leader of the log. */
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -5,6 +5,7 @@
 import type {PoolSubmission} from '../../../src/core/pool/job/pool_submission.js';
 import {WorkerRegistry} from '../../../src/core/pool/registry/worker_registry.js';
 import type {WorkerClient} from '../../../src/core/pool/lease/worker_client.js';
+import {EvacuatedZones} from '../../../src/core/routing/evacuated_zones.js';
 import {RoutingTable} from '../../../src/core/routing/routing_table.js';
 import {FakeClock} from '../fake_clock.js';
 import {FakePoolWorker} from './fake_pool_worker.js';
@@ -40,6 +41,13 @@
   restartMs = 3_000;
   /** Whether a majority confirms the leadership of the dispatchers. */
   isConfirmed = true;
+  /** Configuration that names the evacuated zones. */
+  config: {readonly version: number; readonly evacuated?: readonly string[]} = {
+    version: 1,
+  };
+  /** State changes that dispatchers have recorded. */
+  readonly events: string[] = [];
+  readonly evacuated = new EvacuatedZones(() => this.config);
   private readonly registry = new WorkerRegistry();
   private reports = 0;
 
@@ -53,6 +61,7 @@
     tasksEach = 2,
     bornAt = 1,
     address = `${id}:1`,
+    zone = 'z',
   ): FakePoolWorker {
     this.reports += 1;
     const cpu = tasksEach * 1_000;
@@ -61,7 +70,7 @@
       bornAt,
       service: 'svc',
       address,
-      zone: 'z',
+      zone,
       isDraining: false,
       capacity: {cpu, memoryMb: 1_000, accelerators: 0},
       labels: [],
@@ -107,6 +116,11 @@
     worker.report = {...worker.report, capacity};
   }
 
+  /** Brings a configuration with these evacuated zones into force. */
+  evacuate(...zones: string[]): void {
+    this.config = {version: this.config.version + 1, evacuated: zones};
+  }
+
   createDispatcher(opts: DispatcherOptions = {}): PoolDispatcher {
     const {term = 1, isRegistryComplete = true} = opts;
     const {earlierLeasesMs = LEASE_MS} = opts;
@@ -122,6 +136,7 @@
       earlierLeasesMs,
       maySendOrders: () => this.isConfirmed,
       routing: () => PoolBench.table(),
+      evacuated: this.evacuated,
       answer: (_owner, id, answer) => {
         this.answers.set(id, answer);
         this.answeredAt.set(id, clock.now());
@@ -129,7 +144,7 @@
       reportLosses: (_owner, id, losses) => this.losses.set(id, losses),
       observer: {
         recordJobEvent: () => undefined,
-        recordStateChange: () => undefined,
+        recordStateChange: event => this.events.push(event),
         recordResponseTime: () => undefined,
         incrementCounter: () => undefined,
       },
@@ -144,6 +159,7 @@
       for (let turn = 0; turn < 8; turn += 1) await Promise.resolve();
       if (passed % TICK_MS === 0) {
         for (const id of this.workers.keys()) this.report(id);
+        this.evacuated.tick(this.clock.now());
         for (const dispatcher of dispatchers) dispatcher.tick(this.clock.now());
       }
     }
--- a/test-support/fakes/pool/zone_pool_bench.ts
+++ b/test-support/fakes/pool/zone_pool_bench.ts
@@ -5,6 +5,7 @@
 import {NodeDirectory} from '../../../src/core/pool/node/node_directory.js';
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
 import {ZonePeers} from '../../../src/core/pool/entry/zone_peers.js';
+import {EvacuatedZones} from '../../../src/core/routing/evacuated_zones.js';
 import {FakeClock} from '../fake_clock.js';
 import {LossyPeers} from '../lossy_peers.js';
 import {SeededRandom} from '../seeded_random.js';
@@ -39,6 +40,11 @@
   term: number | undefined = 1;
   /** Revision of the queue configuration at each node. */
   readonly revisions = new Map<string, number>();
+  /** Version and evacuated zones of the configuration at each node. */
+  readonly configs = new Map<
+    string,
+    {readonly version: number; readonly evacuated: readonly string[]}
+  >();
   private readonly zones = new Map<string, string>([[CORE, 'y']]);
   private readonly isolatedZones = new Set<string>();
   private sequence = 0;
@@ -73,6 +79,15 @@
     this.core = this.createCore();
   }
 
+  /** Brings a configuration into force at the given nodes. */
+  evacuate(
+    zones: readonly string[],
+    version: number,
+    nodes: readonly string[],
+  ): void {
+    for (const id of nodes) this.configs.set(id, {version, evacuated: zones});
+  }
+
   submit(entry: string, id: string, opts = {}): void {
     const {host, path, job, patienceMs} = PoolBench.submission(id, opts);
     const answers = this.answers.get(id) ?? [];
@@ -193,6 +208,7 @@
       directory: new NodeDirectory(id, [CORE]),
       leaseMs: LEASE_MS,
       routing: () => PoolBench.table(this.revisions.get(id)),
+      evacuated: new EvacuatedZones(() => this.configs.get(id)),
       observer: {
         recordJobEvent: record,
         recordStateChange: record,
