Take evacuation orders from the platform, the admin API and the tool

Cause: operators had no way to give the orders.

Change: ZoneEvacuations checks that the zone exists, submits the order and logs who acknowledged it. The platform's two calls, PUT and GET /v1/zones and `pimentoyoke zone` translate to it. The zones come from the settings: keys `zones.NAME=REGION` on the platform, the zones of the nodes in the product. A gauge per zone. Core and entry programs pass EvacuatedZones to their dispatchers.

--- a/src/adapter/http/admin_api.ts
+++ b/src/adapter/http/admin_api.ts
@@ -13,6 +13,7 @@
 import {sendJson} from './send_json.js';
 import {sendProblem} from './send_problem.js';
 import {VoterRequest} from './voter_request.js';
+import {ZoneRequest} from './zone_request.js';
 
 const MAX_BODY_BYTES = 64 * 1024;
 
@@ -110,6 +111,35 @@
     this.opts.drain();
   }
 
+  /** `GET /v1/zones` */
+  zones(res: ServerResponse): void {
+    const {config} = this.opts;
+    const {version} = config.read();
+    const zones = config.zones().map(({zone, isEvacuated}) => {
+      return {name: zone, evacuated: isEvacuated};
+    });
+    sendJson(res, 200, {version, zones}, etagHeader(version));
+  }
+
+  /**
+   * `PUT /v1/zones/NAME`. Needs no version or idempotency key, since a repeated
+   * order changes nothing.
+   */
+  async putZone(
+    req: IncomingMessage,
+    res: ServerResponse,
+    bodies: JsonBodyReader,
+    name: string,
+  ): Promise<void> {
+    const body = await bodies.read(req, MAX_BODY_BYTES);
+    if (body.isErr) return refuse(res, body.error.detail, body.error.status);
+    const parsed = v.safeParse(ZoneRequest, body.value);
+    if (!parsed.success) return refuse(res, issuesOf(parsed.issues));
+    const {evacuated} = parsed.output;
+    const outcome = await this.opts.config.evacuate(name, evacuated);
+    AdminChanges.sendOutcome(res, outcome);
+  }
+
   /** `GET /v1/voters` */
   async voters(res: ServerResponse): Promise<void> {
     const status = await this.opts.config.status();
--- a/src/adapter/http/admin_server.test.ts
+++ b/src/adapter/http/admin_server.test.ts
@@ -181,3 +181,31 @@
     {numRuns: 200},
   );
 });
+
+test('a zone is evacuated and restored, and a repeated order changes nothing', async () => {
+  const put = (evacuated: boolean) =>
+    call('PUT', '/v1/zones/medeu', {body: {evacuated}});
+  assert.deepEqual((await put(true)).body, {version: 2});
+  assert.deepEqual((await put(true)).body, {version: 2});
+  assert.deepEqual((await call('GET', '/v1/zones')).body, {
+    version: 2,
+    zones: [
+      {name: 'arbat', evacuated: false},
+      {name: 'medeu', evacuated: true},
+    ],
+  });
+  assert.deepEqual((await put(false)).body, {version: 3});
+});
+
+test('an order for an unknown zone or with a wrong body is refused', async () => {
+  const unknown = await call('PUT', '/v1/zones/nowhere', {
+    body: {evacuated: true},
+  });
+  assert.deepEqual([unknown.status, unknown.body['outcome']], [404, 'not_run']);
+  assert.include(String(unknown.body['detail']), 'nowhere');
+  for (const body of [{}, {evacuated: 'yes'}, {evacuated: true, x: 1}, [], 1]) {
+    const res = await call('PUT', '/v1/zones/arbat', {body});
+    assert.equal(res.status, 400, JSON.stringify(body));
+  }
+  assert.equal(bench.source.current().version, 1);
+});
--- a/src/adapter/http/admin_server.ts
+++ b/src/adapter/http/admin_server.ts
@@ -49,6 +49,14 @@
     http.route('GET', '/v1/upstreams', (_req, res) => api.upstreams(res));
     http.route('GET', '/v1/histograms', (_req, res) => api.histograms(res));
     http.route('POST', '/v1/drain', (_req, res) => api.drain(res));
+    http.route('GET', '/v1/zones', (_req, res) => api.zones(res));
+    http.route(
+      'PUT',
+      '/v1/zones/:name',
+      (req, res, {name = ''}) =>
+        api.putZone(req, res, bodies, decodeSegment(name)),
+      {takesBody: true},
+    );
     http.route('GET', '/v1/voters', (_req, res) => api.voters(res));
     http.route(
       'POST',
--- a/src/cli/run_cli.test.ts
+++ b/src/cli/run_cli.test.ts
@@ -288,3 +288,16 @@
   assert.equal(code, ExitCode.success);
   assert.match(out, /Exit codes: 0 success/);
 });
+
+test('a zone is evacuated, listed and restored', async () => {
+  const evacuated = await bench.run('zone', 'evacuate', 'medeu');
+  assert.deepEqual([evacuated.code, evacuated.out], [0, 'version 2\n']);
+  const list = await bench.run('zone', 'list');
+  assert.match(list.out, /arbat +false/);
+  assert.match(list.out, /medeu +true/);
+  const restored = await bench.run('zone', 'restore', 'medeu', '--json');
+  assert.deepEqual(JSON.parse(restored.out), {version: 3});
+  const unknown = await bench.run('zone', 'evacuate', 'nowhere');
+  assert.equal(unknown.code, ExitCode.notRun);
+  assert.include(unknown.err, 'nowhere');
+});
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -15,6 +15,7 @@
 import {tenantCommand} from './commands/tenant.js';
 import {upstreamsCommand} from './commands/upstreams.js';
 import {votersCommand} from './commands/voters.js';
+import {zoneCommand} from './commands/zone.js';
 import {ExitCode} from './exit_code.js';
 import {UsageError} from './usage_error.js';
 
@@ -45,6 +46,7 @@
         histogramsCommand(ctx),
         drainCommand(ctx),
         votersCommand(ctx),
+        zoneCommand(ctx),
         configCommand(ctx),
         explainCommand(ctx),
       ],
--- a/src/daemon/admin/config_admin.ts
+++ b/src/daemon/admin/config_admin.ts
@@ -22,6 +22,18 @@
     change: ConfigChange,
   ): Promise<Result<ConfigOutcome, ConfigRefusal>>;
 
+  /** Zones of the deployment, and whether each is evacuated. */
+  abstract zones(): ReadonlyArray<{
+    readonly zone: string;
+    readonly isEvacuated: boolean;
+  }>;
+
+  /** Starts or ends the evacuation of a zone. */
+  abstract evacuate(
+    zone: string,
+    isEvacuated: boolean,
+  ): Promise<Result<ConfigOutcome, ConfigRefusal>>;
+
   abstract changeVoters(
     change: VoterChange,
   ): Promise<Result<ConfigOutcome, ConfigRefusal>>;
--- a/src/daemon/admin/in_memory_config_admin.ts
+++ b/src/daemon/admin/in_memory_config_admin.ts
@@ -29,6 +29,7 @@
   constructor(
     private readonly source: StaticConfigSource,
     private readonly node: string,
+    private readonly zoneNames: readonly string[] = [],
   ) {
     super();
   }
@@ -59,6 +60,32 @@
     return outcome;
   }
 
+  override zones() {
+    const {evacuated = []} = this.read();
+    return this.zoneNames.map(zone => {
+      return {zone, isEvacuated: evacuated.includes(zone)};
+    });
+  }
+
+  override async evacuate(
+    zone: string,
+    isEvacuated: boolean,
+  ): Promise<Outcome> {
+    if (!this.zoneNames.includes(zone)) {
+      const detail = `there is no zone "${zone}"`;
+      return Result.err({kind: 'not_found', detail});
+    }
+    const config = this.read();
+    const {evacuated = []} = config;
+    if (evacuated.includes(zone) !== isEvacuated) {
+      const others = evacuated.filter(each => each !== zone);
+      const version = config.version + 1;
+      const next = isEvacuated ? [...others, zone].sort() : others;
+      this.source.set({...config, version, evacuated: next});
+    }
+    return Result.ok({version: this.read().version});
+  }
+
   override async changeVoters(): Promise<Outcome> {
     const detail = 'this daemon runs without a configuration log';
     return Result.err({kind: 'unsupported', detail});
--- a/src/daemon/admin/replicated_config_admin.ts
+++ b/src/daemon/admin/replicated_config_admin.ts
@@ -5,6 +5,7 @@
 import type {ChangeRefusal} from '../../core/config/state/change_refusal.js';
 import type {ConfigDiff} from '../../core/config/state/config_diff.js';
 import type {ConfigService} from '../config/config_service.js';
+import type {ZoneEvacuations} from '../config/zone_evacuations.js';
 import {ConfigAdmin} from './config_admin.js';
 import type {ConfigChange} from './config_change.js';
 import type {ConfigDifference} from './config_difference.js';
@@ -32,6 +33,7 @@
   constructor(
     private readonly service: ConfigService,
     private readonly clock: Clock,
+    private readonly evacuations: ZoneEvacuations,
   ) {
     super();
   }
@@ -71,6 +73,19 @@
     return Result.ok(result.value);
   }
 
+  override zones(): ReturnType<ZoneEvacuations['list']> {
+    return this.evacuations.list();
+  }
+
+  override async evacuate(
+    zone: string,
+    isEvacuated: boolean,
+  ): Promise<Outcome> {
+    const result = await this.evacuations.order(zone, isEvacuated);
+    if (result.isOk) await this.waitUntilInForce(result.value.version);
+    return result;
+  }
+
   override async changeVoters(change: VoterChange): Promise<Outcome> {
     const result =
       change.action === 'add'
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -11,6 +11,7 @@
 import type {LogRequest} from '../../core/config/router/log_request.js';
 import type {LogResponse} from '../../core/config/router/log_response.js';
 import type {LogStatus} from '../../core/config/router/log_status.js';
+import type {EvacuationOrder} from '../../core/config/state/evacuation_order.js';
 import type {ChangeOutcome} from '../../core/config/state/change_outcome.js';
 import type {ChangeRefusal} from '../../core/config/state/change_refusal.js';
 import {ConfigChange} from '../../core/config/state/config_change.js';
@@ -143,6 +144,18 @@
     };
   }
 
+  /**
+   * Newest configuration that this node has: the committed one or, after a
+   * restart, the one that was in force before.
+   */
+  get newest(): Config {
+    const {committed} = this;
+    const inForce = this.source.current();
+    return committed && committed.version >= inForce.version
+      ? committed
+      : inForce;
+  }
+
   /** Newest configuration known to be committed; undefined if there is none. */
   get committed(): Config | undefined {
     return this.node?.logMember?.state?.current;
@@ -210,6 +223,21 @@
       : Result.err(toRefusal(res));
   }
 
+  /** Starts or ends the evacuation of a zone; works on any daemon. */
+  async evacuate(
+    order: Pick<EvacuationOrder, 'zone' | 'isEvacuated'>,
+  ): Promise<Result<ChangeOutcome, ChangeRefusal>> {
+    const {node} = this;
+    if (!node) return Result.err(FIXED);
+    const res = await new Promise<LogResponse | ChangeRefusal>(resolve =>
+      node.evacuate(order, this.opts.clock.now(), resolve),
+    );
+    if ('code' in res) return Result.err(res);
+    return res.kind === 'accepted'
+      ? Result.ok({version: res.version})
+      : Result.err(toRefusal(res));
+  }
+
   /**
    * Returns the newest configuration. If no leader confirms it, `isCurrent` is
    * false and the configuration is the one in force at this daemon.
@@ -254,14 +282,7 @@
 
   private submit(request: LogRequest): Promise<LogResponse | ChangeRefusal> {
     const {node} = this;
-    if (!node) {
-      return Promise.resolve({
-        code: 'unavailable',
-        outcome: 'not_made',
-        detail:
-          'the configuration is fixed: no node in the settings is a voter',
-      });
-    }
+    if (!node) return Promise.resolve(FIXED);
     return new Promise(resolve =>
       node.submit(request, this.opts.clock.now(), resolve),
     );
@@ -275,6 +296,12 @@
   }
 }
 
+const FIXED: ChangeRefusal = {
+  code: 'unavailable',
+  outcome: 'not_made',
+  detail: 'the configuration is fixed: no node in the settings is a voter',
+};
+
 function toInvalidRefusal(
   issues: readonly [v.BaseIssue<unknown>, ...v.BaseIssue<unknown>[]],
 ): ChangeRefusal {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -13,6 +13,7 @@
 import {ReplicatedConfigAdmin} from './admin/replicated_config_admin.js';
 import {StatusReport} from './admin/status_report.js';
 import {ConfigService} from './config/config_service.js';
+import {ZoneEvacuations} from './config/zone_evacuations.js';
 import {LoggingObserver} from './log/logging_observer.js';
 import {getHttpLimits} from './settings/get_http_limits.js';
 import type {Settings} from './settings/settings.js';
@@ -161,7 +162,13 @@
 
   private createAdmin(): AdminServer {
     const {clock, log, self, settings, telemetry, zone} = this;
-    const config = new ReplicatedConfigAdmin(this.config, clock);
+    const evacuations = new ZoneEvacuations({
+      node: self.id,
+      zones: settings.nodes.map(node => node.zone),
+      config: this.config,
+      record: (event, fields) => log.info(event, fields),
+    });
+    const config = new ReplicatedConfigAdmin(this.config, clock, evacuations);
     const report = new StatusReport({
       node: self,
       clock,
@@ -172,7 +179,12 @@
       isReady: () => this.isReady(),
       isDraining: () => this.isDraining,
     });
-    telemetry.reportGauges(() => report.status());
+    telemetry.reportGauges(() => {
+      const zones = evacuations.list().map(({zone: name, isEvacuated}) => {
+        return [`zone_evacuated.${name}`, Number(isEvacuated)] as const;
+      });
+      return {...report.status(), ...Object.fromEntries(zones)};
+    });
     return new AdminServer({
       ...settings.admin,
       limits: getHttpLimits(settings),
--- a/src/daemon/pool/pool_telemetry.ts
+++ b/src/daemon/pool/pool_telemetry.ts
@@ -85,6 +85,28 @@
     this.gauges.set(name, gauge);
   }
 
+  /** Adds a gauge with one value per zone, read as in `addGauge`. */
+  addZoneGauge(
+    name: string,
+    help: string,
+    read: () => ReadonlyArray<readonly [zone: string, value: number]>,
+  ): void {
+    const registers = [this.registry];
+    const gauge: Gauge = new Gauge({
+      name: `pimentoyoke_${name}`,
+      help,
+      labelNames: ['worker_zone'],
+      registers,
+      collect: () => {
+        gauge.reset();
+        for (const [zone, value] of read()) {
+          gauge.set({worker_zone: zone}, value);
+        }
+      },
+    });
+    this.gauges.set(name, gauge);
+  }
+
   private mayLog(event: string): boolean {
     const now = this.clock.now();
     if (now - this.windowStart >= WINDOW_MS) this.startWindow(now);
--- a/src/platform/control_frontend.ts
+++ b/src/platform/control_frontend.ts
@@ -1,7 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {decodeSegment} from '../adapter/http/decode_segment.js';
 import {HttpServer} from '../adapter/http/http_server.js';
 import type {WorkerReportService} from '../core/pool/registry/worker_report_service.js';
 import type {PoolObserver} from '../core/pool/pool_observer.js';
+import type {ZoneEvacuations} from '../daemon/config/zone_evacuations.js';
 import type {ConfigService} from '../daemon/config/config_service.js';
 import {decodeConfig} from './decode_config.js';
 import {decodeHeartbeat} from './decode_heartbeat.js';
@@ -11,18 +13,24 @@
 const MAX_CONFIG_BYTES = 1024 * 1024;
 const MAX_HEARTBEAT_BYTES = 64 * 1024;
 
+const EVACUATION_CALLS = [
+  ['/Evacuate.Start/:zone', true],
+  ['/Evacuate.Finish/:zone', false],
+] as const;
+
 interface ControlFrontendOptions {
   readonly host: string;
   readonly port: number;
   readonly config: ConfigService;
+  readonly evacuations: ZoneEvacuations;
   readonly reports: WorkerReportService;
   readonly observer: PoolObserver;
   readonly onError: (detail: string) => void;
 }
 
 /**
- * HTTP API for operators, who read and publish the configuration, and for
- * workers, which send heartbeats and deregister.
+ * HTTP API for operators, who read and publish the configuration and evacuate
+ * zones, and for workers, which send heartbeats and deregister.
  */
 export class ControlFrontend {
   readonly http: HttpServer;
@@ -45,6 +53,11 @@
       (req, res) => this.publish(req, res),
       body,
     );
+    for (const [path, isEvacuated] of EVACUATION_CALLS) {
+      this.http.route('POST', path, (_req, res, {zone}) =>
+        this.evacuate(res, decodeSegment(zone!), isEvacuated),
+      );
+    }
     this.http.route('GET', '/Config.Get', (_req, res) => this.read(res));
   }
 
@@ -96,6 +109,18 @@
     sendJson(res, 200, {version: revision});
   }
 
+  private async evacuate(
+    res: ServerResponse,
+    zone: string,
+    isEvacuated: boolean,
+  ): Promise<void> {
+    const outcome = await this.opts.evacuations.order(zone, isEvacuated);
+    if (outcome.isOk) sendJson(res, 200, {});
+    else if (outcome.error.kind === 'not_found') {
+      sendJson(res, 404, {detail: outcome.error.detail});
+    } else sendUnavailable(res);
+  }
+
   private async read(res: ServerResponse): Promise<void> {
     const {config, isCurrent} = await this.opts.config.read();
     if (!isCurrent || !config.document) return sendUnavailable(res);
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -1,7 +1,9 @@
 import {SystemRandom} from '../adapter/system_random.js';
 import {LeaderService} from '../core/pool/node/leader_service.js';
 import {DispatchWarmUp} from '../core/pool/warm_up/dispatch_warm_up.js';
+import {EvacuatedZones} from '../core/routing/evacuated_zones.js';
 import {ConfigService} from '../daemon/config/config_service.js';
+import {ZoneEvacuations} from '../daemon/config/zone_evacuations.js';
 import {ClientWarmUp} from './client_warm_up.js';
 import {ControlFrontend} from './control_frontend.js';
 import {RoutingTableCache} from './routing_table_cache.js';
@@ -69,6 +71,12 @@
       () => this.config.committed?.document,
       (revision, detail) => log.error('config_unreadable', {revision, detail}),
     );
+    const evacuations = new ZoneEvacuations({
+      node: ip,
+      zones: [zone, ...settings.zones.keys()],
+      config: this.config,
+      record: (event, fields) => observer.recordStateChange(event, fields),
+    });
     this.client = new HttpWorkerClient(clock);
     this.leaderService = new LeaderService({
       node: ip,
@@ -81,15 +89,22 @@
       reportAddress: control!,
       leadership: now => this.config.getLeadership(now),
       routing: () => routing.get(),
+      evacuated: new EvacuatedZones(() => this.config.newest),
       observer,
     });
     this.frontend = new ControlFrontend({
       ...parseAddress(control!),
       config: this.config,
+      evacuations,
       reports: this.leaderService.reports,
       observer,
       onError: detail => log.error('request_failed', {detail}),
     });
+    observer.addZoneGauge(
+      'zone_evacuated',
+      'Whether the zone is evacuated',
+      () => evacuations.list().map(z => [z.zone, Number(z.isEvacuated)]),
+    );
     observer.addGauge('is_leading', 'Whether this node dispatches', () =>
       Number(this.leaderService.isLeading),
     );
--- a/src/platform/end_to_end.test.ts
+++ b/src/platform/end_to_end.test.ts
@@ -57,6 +57,8 @@
     `node_name=${ip}`,
     `ip=${ip}`,
     'zone=z1',
+    'zones.z1=r1',
+    'zones.z2=r1',
     `listen.frontend=${ip}:${callers}`,
     `listen.readiness=${ip}:${ready}`,
     `listen.control=${ip}:${control}`,
@@ -82,6 +84,32 @@
   return {status: res.statusCode, text: await res.body.text()};
 }
 
+/** Sends the orders as the platform does: without a body. */
+async function checkEvacuation(api: string): Promise<void> {
+  const order = async (path: string) => {
+    const res = await request(`${api}/${path}`, {method: 'POST'});
+    return {status: res.statusCode, text: await res.body.text()};
+  };
+  const startedAt = Date.now();
+  for (const path of ['Evacuate.Start/z1', 'Evacuate.Start/z1']) {
+    assert.equal((await order(path)).status, 200);
+  }
+  assert.isBelow(Date.now() - startedAt, 5_000);
+  const unknown = await order('Evacuate.Start/z9');
+  assert.equal(unknown.status, 404);
+  assert.include(unknown.text, 'z9');
+  await waitUntil('the gauge of the zone', async () => {
+    const metrics = await request(`http://${NET}.1:9464/metrics`);
+    const text = await metrics.body.text();
+    return (
+      text.includes('pimentoyoke_zone_evacuated{worker_zone="z1"} 1') &&
+      text.includes('pimentoyoke_zone_evacuated{worker_zone="z2"} 0')
+    );
+  });
+  assert.equal((await order('Evacuate.Finish/z1')).status, 200);
+  assert.equal((await order('Evacuate.Finish/z2')).status, 200);
+}
+
 // Guards against processes that fail to connect: a job must pass from an entry
 // process through a core process to a worker, and its reply back to the caller.
 test('a job submitted to an entry process runs on a worker and completes', async () => {
@@ -155,6 +183,7 @@
     assert.deepEqual(res, {status: 200, text: '{"state":"completed"}'});
     const none = await post(`${entry}/none/${JOB}`, job, 'a.example');
     assert.equal(none.status, 404);
+    await checkEvacuation(api);
   } finally {
     for (const child of children) child.kill('SIGKILL');
     worker.close();
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -5,6 +5,7 @@
 import {FallbackService} from '../core/pool/entry/fallback_service.js';
 import {WorkerRelay} from '../core/pool/relay/worker_relay.js';
 import {ZonePeers} from '../core/pool/entry/zone_peers.js';
+import {EvacuatedZones} from '../core/routing/evacuated_zones.js';
 import {ConfigService} from '../daemon/config/config_service.js';
 import {CallerFrontend} from './caller_frontend.js';
 import {ClientWarmUp} from './client_warm_up.js';
@@ -87,6 +88,7 @@
       zonePeers,
       leaseMs: getLeaseMs(settings),
       routing: () => routing.get(),
+      evacuated: new EvacuatedZones(() => this.config.newest),
       observer,
     });
     this.presence = new EntryPresence({
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -5,6 +5,8 @@
   /** IP address of the VM, which is also its id among the nodes. */
   readonly ip: string;
   readonly zone: string;
+  /** Zones of the deployment, with the region of each. */
+  readonly zones: ReadonlyMap<string, string>;
   /** Listening address of the API for callers, as `HOST:PORT`; entry only. */
   readonly callers: string | undefined;
   /** Listening address of the readiness probe, as `HOST:PORT`; entry only. */
--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -13,6 +13,9 @@
   v.transform(text => text === 'true'),
 );
 
+/** Prefix of the keys that list the zones, with their regions as values. */
+const ZONE_PREFIX = 'zones.';
+
 /** Keys of the settings file that are used, as the platform names them. */
 const SettingsFile = v.object({
   node_name: v.string(),
@@ -61,10 +64,15 @@
     return Result.err(`settings: ${v.getDotPath(issue)}: ${issue.message}`);
   }
   const file = parsed.output;
+  const zones = pairs
+    .filter(([key]) => key!.startsWith(ZONE_PREFIX))
+    .map(([key, region]) => [key!.slice(ZONE_PREFIX.length), region!] as const)
+    .filter(([zone]) => zone !== '');
   return Result.ok({
     node: file.node_name,
     ip: file.ip,
     zone: file.zone,
+    zones: new Map(zones),
     callers: file['listen.frontend'],
     readiness: file['listen.readiness'],
     control: file['listen.control'],
--- a/test-support/fakes/admin_server_bench.ts
+++ b/test-support/fakes/admin_server_bench.ts
@@ -13,7 +13,10 @@
     classes: {},
     tenants: {},
   });
-  readonly config = new InMemoryConfigAdmin(this.source, 'a1');
+  readonly config = new InMemoryConfigAdmin(this.source, 'a1', [
+    'arbat',
+    'medeu',
+  ]);
   readonly histograms = new HistogramSet(100);
   readonly server: AdminServer;
   /** Number of drain requests. */
