Withhold starts from evacuated zones in the product's dispatcher

Cause: the daemon's own dispatcher must obey the orders as well.

Change: EvacuationGate makes the worker registry withhold starts from workers of evacuated zones, and from a shrinking part of a zone that returns. The registry is asked before each start, by the view of the fleet and by the offers of slots to other zones, so an evacuated zone neither runs its own tasks nor lends. A lending zone that is evacuated is not borrowed from. At a return the health of the zone's workers is recorded anew. An order that still races at its deadline is answered with `unavailable`.

--- a/src/core/config/router/order_submitter.ts
+++ b/src/core/config/router/order_submitter.ts
@@ -63,13 +63,12 @@
       {kind: 'evacuation', order},
       now,
       (res, at) => {
-        const isOvertaken =
-          'kind' in res &&
-          res.kind === 'refused' &&
-          res.refusal.code === 'conflict';
+        if (!('kind' in res) || res.kind !== 'refused') return done(res);
         // Two orders raced; this one takes effect after the other one.
-        if (isOvertaken && at < deadline) this.read(submission, at);
-        else done(res);
+        if (at < deadline) return this.read(submission, at);
+        // Copies of this order are older than the other one as well.
+        const {detail} = res.refusal;
+        done({code: 'unavailable', outcome: 'not_made', detail});
       },
       deadline,
     );
--- a/src/core/dispatch/dispatch_policy.ts
+++ b/src/core/dispatch/dispatch_policy.ts
@@ -41,6 +41,9 @@
     _now: number,
   ): void {}
 
+  /** Forgets the estimates of a worker, which may be cold after a pause. */
+  forgetWorker(_worker: string): void {}
+
   /** Records a measurement of the event-loop lag, in ms. */
   recordLag(_lagMs: number): void {}
 
--- a/src/core/dispatch/fleet.ts
+++ b/src/core/dispatch/fleet.ts
@@ -71,6 +71,7 @@
     this.validUntil = Infinity;
     for (const worker of registry.list()) {
       if (worker.announcement.leaving || !this.includes(worker)) continue;
+      if (registry.isWithheld(worker)) continue;
       this.totalSlots += worker.announcement.slots;
       this.totalWorkers += 1;
       if (!registry.isStartable(worker, epoch, now)) continue;
--- a/src/core/dispatch/fleet_view.ts
+++ b/src/core/dispatch/fleet_view.ts
@@ -6,9 +6,9 @@
   readonly startable: readonly WorkerState[];
   /** Total number of free slots of the startable workers. */
   readonly freeSlots: number;
-  /** Total number of slots of all registered workers that are not leaving. */
+  /** Number of slots of all workers that are not leaving or withheld. */
   readonly totalSlots: number;
-  /** Number of registered workers that are not leaving. */
+  /** Number of workers that are not leaving or withheld. */
   readonly totalWorkers: number;
   /** Number of slots in use on workers that accept starts, by rack. */
   readonly rackLoads: ReadonlyMap<string, number>;
--- a/src/core/dispatch/target/target_policy.ts
+++ b/src/core/dispatch/target/target_policy.ts
@@ -165,6 +165,10 @@
     this.health.ended(attempt, outcome, meanMs, this.fleetSize, now);
   }
 
+  override forgetWorker(worker: string): void {
+    this.health.forget(worker);
+  }
+
   override reset(): void {
     this.queuedTasks = 0;
     this.slotHolders.clear();
--- a/src/core/dispatch/task_assigner.ts
+++ b/src/core/dispatch/task_assigner.ts
@@ -1,18 +1,18 @@
 import {overflowJobKey} from '../overflow/overflow_job_key.js';
 import {ZoneWorker} from '../overflow/zone_worker.js';
 import type {RunningAttempt} from '../worker/running_attempt.js';
-import type {WorkerRegistry} from '../worker/worker_registry.js';
 import type {WorkerState} from '../worker/worker_state.js';
 import type {ActiveJob} from './active_job.js';
 import type {Assignment} from './assignment.js';
-import type {DispatchPolicy} from './dispatch_policy.js';
+import type {DispatcherOptions} from './dispatcher_options.js';
+import {EvacuationGate} from './evacuation_gate.js';
 import {Fleet} from './fleet.js';
 import type {FleetView} from './fleet_view.js';
 
-interface TaskAssignerOptions {
-  readonly registry: WorkerRegistry;
-  readonly policy: DispatchPolicy;
-}
+type TaskAssignerOptions = Pick<
+  DispatcherOptions,
+  'clock' | 'config' | 'policy' | 'registry' | 'requestFlush'
+>;
 
 /** Assigns queued tasks to free slots in the order of the policy. */
 export class TaskAssigner {
@@ -20,12 +20,14 @@
   private readonly local: Fleet;
   /** Other zones as workers whose slots this zone may borrow. */
   private readonly borrowed: Fleet;
+  private readonly evacuation: EvacuationGate;
 
   constructor(
     private readonly opts: TaskAssignerOptions,
     private readonly active: ReadonlyMap<string, ActiveJob>,
   ) {
     const {registry} = opts;
+    this.evacuation = new EvacuationGate(opts);
     this.local = new Fleet(registry, ({id}) => !ZoneWorker.isZone(id));
     this.borrowed = new Fleet(registry, ({id}) => ZoneWorker.isZone(id));
   }
@@ -38,6 +40,7 @@
   /** Occupies slots; returns the attempts whose intents must be proposed. */
   assign(epoch: number, now: number): RunningAttempt[] {
     const {policy} = this.opts;
+    this.evacuation.tick(now);
     if (policy.queued === 0) return [];
     const local = this.localFleet(epoch, now);
     const placed = this.fill(local, epoch, now);
--- a/src/core/worker/worker_health.ts
+++ b/src/core/worker/worker_health.ts
@@ -118,6 +118,12 @@
     this.prune(fleetSize);
   }
 
+  /** Forgets a worker, whose health is then recorded anew. */
+  forget(worker: string): void {
+    if (this.workers.get(worker)?.isEjected) this.ejected -= 1;
+    this.workers.delete(worker);
+  }
+
   reset(): void {
     this.workers.clear();
     this.classes.clear();
--- a/src/core/worker/worker_registry.ts
+++ b/src/core/worker/worker_registry.ts
@@ -48,6 +48,7 @@
   private readonly workers = new Map<string, WorkerState>();
   /** End times of ended incarnations, oldest first. */
   private readonly retired = new Map<string, number>();
+  private readonly withheld: Array<(worker: WorkerState) => boolean> = [];
   private readonly observers: WorkerObserver[] = [];
   private readonly states: WorkerObserver = {
     eligibilityChanged: () => {
@@ -58,6 +59,21 @@
     },
   };
 
+  /** Adds a condition under which a worker gets no starts. */
+  withhold(isWithheld: (worker: WorkerState) => boolean): void {
+    this.withheld.push(isWithheld);
+  }
+
+  /** Whether starts are withheld from a worker although it accepts them. */
+  isWithheld(worker: WorkerState): boolean {
+    return this.withheld.some(isWithheld => isWithheld(worker));
+  }
+
+  /** Reports that a condition of `withhold` may have changed. */
+  eligibilityChanged(): void {
+    this.states.eligibilityChanged();
+  }
+
   /** Adds an observer. */
   observe(observer: WorkerObserver): void {
     this.observers.push(observer);
@@ -139,7 +155,8 @@
       !worker.announcement.leaving &&
       worker.fencedEpoch === epoch &&
       now - worker.announcedAt <= MAX_ANNOUNCEMENT_AGE_MS &&
-      worker.leaseExpiresAt - LEASE_MARGIN_MS > now
+      worker.leaseExpiresAt - LEASE_MARGIN_MS > now &&
+      !this.isWithheld(worker)
     );
   }
 
