--- a/src/check/pool/pool_run.ts
+++ b/src/check/pool/pool_run.ts
@@ -15,6 +15,12 @@
 const COUNTED_CRASHES = 3;
 const MAX_FURTHER_STARTS = 2;
 
+/** The zone that is evacuated at times; half of the workers are in it. */
+const ZONE = 'a';
+const OTHER_ZONE = 'b';
+/** Time within which a start order that was sent arrives. */
+const IN_FLIGHT_MS = 20;
+
 /** Of this many callers, one leaves at a takeover. */
 const CALLERS_PER_LEAVE = 4;
 
@@ -49,6 +55,7 @@
   private readonly left = new Set<string>();
   /** Workers that crashed while they ran each task. */
   private readonly crashedUnder = new Map<string, Set<string>>();
+  private evacuatedAt = Number.POSITIVE_INFINITY;
   private stopsLostUntil = 0;
   private dispatcher: PoolDispatcher;
   private term = 1;
@@ -56,7 +63,10 @@
 
   constructor() {
     const {bench} = this;
-    for (let n = 0; n < WORKERS; n += 1) this.addWorker(`w${n}`, TASKS_EACH);
+    for (let n = 0; n < WORKERS; n += 1) {
+      const zone = n % 2 === 0 ? ZONE : OTHER_ZONE;
+      this.addWorker(`w${n}`, TASKS_EACH, 1, `w${n}:1`, zone);
+    }
     bench.client.faultOf = (call, id) => {
       const now = bench.clock.now();
       if (call === 'stop' && now < this.stopsLostUntil) return 'order_lost';
@@ -76,6 +86,7 @@
       await this.advance(step.waitMs);
       this.execute(step);
     }
+    this.evacuate(false);
     this.cutUntil.clear();
     this.stopsLostUntil = 0;
     for (const id of this.bench.workers.keys()) this.resize(id, TASKS_EACH);
@@ -116,6 +127,8 @@
         return this.resize(this.idOf(step.worker), step.tasks);
       case 'take_over':
         return this.takeOver(step.leaves);
+      case 'evacuate':
+        return this.evacuate(step.isEvacuated);
       case 'resubmit': {
         const job = this.jobs[step.job];
         if (job && this.bench.answers.has(job.id)) this.submit(job);
@@ -123,6 +136,13 @@
     }
   }
 
+  private evacuate(isEvacuated: boolean): void {
+    const {bench} = this;
+    bench.evacuate(...(isEvacuated ? [ZONE] : []));
+    if (!isEvacuated) this.evacuatedAt = Number.POSITIVE_INFINITY;
+    else this.evacuatedAt = Math.min(this.evacuatedAt, bench.clock.now());
+  }
+
   private submit(job: Job): void {
     const {id, tasks, runMs: estimatedMs} = job;
     const opts = {tasks, estimatedMs, patienceMs: PATIENCE_MS};
@@ -152,10 +172,12 @@
   private addWorker(
     id: string,
     capacity: number,
-    bornAt = 1,
-    address?: string,
+    bornAt: number,
+    address: string,
+    zone: string,
   ): void {
-    const worker = this.bench.addWorker(id, capacity, bornAt, address);
+    const {bench} = this;
+    const worker = bench.addWorker(id, capacity, bornAt, address, zone);
     worker.guardsCapacity = false;
     worker.runMs = task => this.jobOf(task)?.runMs ?? 100;
     worker.onStart = task => this.onStart(worker, task);
@@ -170,6 +192,12 @@
     const {id} = worker.report;
     const crashesBefore = this.crashedUnder.get(task)?.size ?? 0;
     this.starts.push({task, worker: id, crashesBefore});
+    const sinceMs = this.bench.clock.now() - this.evacuatedAt;
+    if (worker.report.zone === ZONE && sinceMs > IN_FLIGHT_MS) {
+      this.violations.push(
+        `${task}: started ${sinceMs} ms after an evacuation`,
+      );
+    }
     const room = this.countedCapacity(id);
     if (worker.running.size > room) {
       const {size} = worker.running;
@@ -209,11 +237,11 @@
     bench.workers.delete(id);
     bench.client.crashed.add(id);
     if (isDark) this.dark.add(id);
-    const {address} = worker.report;
+    const {address, zone} = worker.report;
     bench.clock.schedule(bench.restartMs, () => {
       this.successors += 1;
       const now = bench.clock.now();
-      this.addWorker(`s${this.successors}`, TASKS_EACH, now, address);
+      this.addWorker(`s${this.successors}`, TASKS_EACH, now, address, zone);
     });
   }
 
--- a/src/check/pool/pool_step.ts
+++ b/src/check/pool/pool_step.ts
@@ -22,6 +22,8 @@
    * whose callers leave: of each four jobs, the one with this number.
    */
   | {readonly kind: 'take_over'; readonly leaves: number}
+  /** A zone is evacuated or returns. */
+  | {readonly kind: 'evacuate'; readonly isEvacuated: boolean}
   /** A caller sends a job again that was answered. */
   | {readonly kind: 'resubmit'; readonly job: number}
 );
--- a/src/check/pool/pool_steps_arbitrary.ts
+++ b/src/check/pool/pool_steps_arbitrary.ts
@@ -47,6 +47,11 @@
   waitMs,
   leaves: fc.nat({max: 3}),
 });
+const evacuate = fc.record({
+  kind: fc.constant('evacuate' as const),
+  waitMs,
+  isEvacuated: fc.boolean(),
+});
 const resubmit = fc.record({
   kind: fc.constant('resubmit' as const),
   waitMs,
@@ -62,6 +67,7 @@
     {weight: 1, arbitrary: loseStops},
     {weight: 2, arbitrary: resize},
     {weight: 1, arbitrary: takeOver},
+    {weight: 1, arbitrary: evacuate},
     {weight: 1, arbitrary: resubmit},
   ),
   {minLength: 1, maxLength: MAX_STEPS},
--- a/src/core/worker/worker_health.test.ts
+++ b/src/core/worker/worker_health.test.ts
@@ -87,3 +87,19 @@
   fixture.run('w2', DONE, 'c', 32_000);
   assert.isFalse(health.isEjected(worker));
 });
+
+// After an evacuation, the failures before it would keep the worker ejected.
+test('a worker that is forgotten is not ejected and may be ejected again', () => {
+  const fixture = new Fixture();
+  fixture.each(worker => fixture.run(worker, DONE));
+  const fail = () => {
+    for (let n = 0; n < 4; n += 1) fixture.run('w2', FAILED);
+  };
+  fail();
+  fixture.health.forget('w2');
+  fixture.health.forget('w3');
+  assert.isFalse(fixture.health.isEjected(fixture.state('w2')));
+  assert.equal(fixture.health.ejectedCount, 0);
+  fail();
+  assert.equal(fixture.health.ejectedCount, 1);
+});
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -94,10 +94,10 @@
     this.crashes.push({task, worker: id});
     this.workers.delete(id);
     this.client.crashed.add(id);
-    const {address, capacity} = worker.report;
+    const {address, capacity, zone} = worker.report;
     this.clock.schedule(this.restartMs, () => {
       const now = this.clock.now();
-      this.addWorker(`${id}+`, capacity.cpu / 1_000, now, address);
+      this.addWorker(`${id}+`, capacity.cpu / 1_000, now, address, zone);
     });
   }
 
