Give lent tasks back that wait in an evacuated zone

Cause: a lent task that had not started when the evacuation of the lending zone began waited until the return, since it is not passed on to a third zone.

Change: the submission gate ends it as not run, and its home starts it elsewhere.

--- a/src/core/dispatch/evacuation.test.ts
+++ b/src/core/dispatch/evacuation.test.ts
@@ -71,3 +71,14 @@
   });
   assert.deepEqual(counts, [2, 4, 6, 8]);
 });
+
+// The home of the task would otherwise wait until the return.
+test('a lent task that waits in an evacuated zone goes back as not run', () => {
+  const bench = new DispatchBench({workers: 1});
+  const lent = bench.submit([50], {lentTo: 'medeu'});
+  const own = bench.submit([50]);
+  setEvacuated(bench, 'arbat');
+  bench.clock.advance(6_000);
+  assert.include(bench.answer(lent), {status: 'failed', outcome: 'not_run'});
+  assert.equal(bench.answer(own)?.status, 'running');
+});
--- a/src/core/dispatch/submission_gate.ts
+++ b/src/core/dispatch/submission_gate.ts
@@ -7,6 +7,7 @@
 import type {JobTable} from '../job/job_table.js';
 import type {Refusal} from '../job/refusal.js';
 import {RunOutcome} from '../job/run_outcome.js';
+import {ZoneWorker} from '../overflow/zone_worker.js';
 import type {WorkerRegistry} from '../worker/worker_registry.js';
 import type {ActiveJob} from './active_job.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
@@ -181,6 +182,7 @@
     if (now > spec.keyTimeMs + RETENTION_MS) {
       return 'the retention period of the key has ended';
     }
+    if (this.isStuckInEvacuation(job)) return 'the zone is evacuated';
     const reason = this.explainUnplaceable(
       spec,
       config,
@@ -194,6 +196,18 @@
     return now - job.unplaceableSince >= UNPLACEABLE_MS ? reason : undefined;
   }
 
+  /**
+   * Whether a task of another zone waits here while nothing is started. It is
+   * not passed on to a third zone, so its home has to start it elsewhere.
+   */
+  private isStuckInEvacuation({spec, queued, attempts}: ActiveJob): boolean {
+    const {registry} = this.opts;
+    if (spec.lentTo === undefined || queued.size === 0) return false;
+    if (attempts.size > 0) return false;
+    const workers = [...registry.list()].filter(w => !ZoneWorker.isZone(w.id));
+    return workers.length > 0 && workers.every(w => registry.isWithheld(w));
+  }
+
   /** A zone lends only slots that its own queued tasks do not need. */
   private hasSpareSlot(fleet: FleetView): boolean {
     return this.opts.policy.queued < fleet.freeSlots;
