Test evacuation orders over real links and disks

Cause: the tests of the orders used a fake network only.

Change: an order given at each daemon, also twice, makes one version, is in force everywhere and is read from the disk by a restarted daemon.

--- a/src/daemon/config/config_service.test.ts
+++ b/src/daemon/config/config_service.test.ts
@@ -178,3 +178,24 @@
       assert.include(refused.error.detail, 'fixed');
     }
   }));
+
+test('an order of any daemon comes into force everywhere and is durable', () =>
+  Services.run(NODES, async services => {
+    await waitUntil('the initial configuration', () => services.isAt(1));
+    const order = {zone: 'z', isEvacuated: true};
+    for (const id of ['f1', 'v1', 'v2', 'v3', 'f1']) {
+      const made = await services.get(id).evacuate(order);
+      assert.deepEqual(made.unwrapOr({version: 0}), {version: 2});
+    }
+    await waitUntil('version 2', () => services.isAt(2));
+    await services.stopAll();
+    await services.start('v2');
+    assert.deepEqual(services.get('v2').newest.evacuated, ['z']);
+  }));
+
+test('without voters an order is refused as not made', () =>
+  Services.run([{id: 'f1', voter: false}], async services => {
+    const order = {zone: 'z', isEvacuated: true};
+    const refused = await services.get('f1').evacuate(order);
+    assert.isTrue(refused.isErr && refused.error.outcome === 'not_made');
+  }));
