--- a/src/daemon/daemon.test.ts
+++ b/src/daemon/daemon.test.ts
@@ -97,6 +97,29 @@
   assert.equal(fetched.body['status'], 'cancelled');
 });
 
+// Guards against an order that another daemon than the dispatcher does not obey.
+test('a zone that is evacuated at one daemon starts nothing until its return', async () => {
+  const order = (action: string) =>
+    cluster.cli('a2', 'zone', action, 'arbat', '--json');
+  const evacuated = await order('evacuate');
+  assert.equal(evacuated.code, 0, evacuated.err);
+  const key = await newKey('a3');
+  const waiting = await call(
+    'POST',
+    `${cluster.node('a3').caller}/v1/jobs`,
+    {'idempotency-key': key},
+    job([{ms: 5, value: 'z'}], {wait_ms: 700}),
+  );
+  assert.equal(waiting.body['status'], 'running');
+  assert.isFalse(cluster.starts.some(start => start.key === key));
+  assert.equal((await order('restore')).code, 0);
+  const url = `${cluster.node('a1').caller}/v1/jobs/${key}?wait_ms=10000`;
+  const answer = await call('GET', url);
+  assert.deepEqual(answer.body, {status: 'complete', key, results: ['z']});
+  const unknown = await cluster.cli('a1', 'zone', 'evacuate', 'medeu');
+  assert.equal(unknown.code, 3);
+});
+
 test('the admin API requires its token and reports the status of the daemon', async () => {
   const {admin} = cluster.node('a1');
   const refused = await call('GET', `${admin}/v1/status`);
