Drop an order whose caller has left before it reaches the log

Cause: an order waits up to 4 s for a leader, and repeats itself when it races with another one. A caller that gave up and ended the evacuation at another node would have seen the first order take effect after the acknowledged second one.

Change: an order that no caller waits for is dropped before it is sent to the log. The check of the configuration lets a quarter of the callers leave after 600 ms.

--- a/src/adapter/http/admin_api.ts
+++ b/src/adapter/http/admin_api.ts
@@ -12,6 +12,7 @@
 import type {JsonBodyReader} from './json_body_reader.js';
 import {sendJson} from './send_json.js';
 import {sendProblem} from './send_problem.js';
+import {watchCaller} from './watch_caller.js';
 import {VoterRequest} from './voter_request.js';
 import {ZoneRequest} from './zone_request.js';
 
@@ -136,7 +137,9 @@
     const parsed = v.safeParse(ZoneRequest, body.value);
     if (!parsed.success) return refuse(res, issuesOf(parsed.issues));
     const {evacuated} = parsed.output;
-    const outcome = await this.opts.config.evacuate(name, evacuated);
+    const {config} = this.opts;
+    const isWanted = watchCaller(res);
+    const outcome = await config.evacuate(name, evacuated, isWanted);
     AdminChanges.sendOutcome(res, outcome);
   }
 
--- a/src/check/config/config_run.ts
+++ b/src/check/config/config_run.ts
@@ -13,6 +13,9 @@
 const LEADER_POLL_INTERVAL_MS = 20;
 /** Few, so that orders for one zone race. */
 const ZONES = ['a', 'b'];
+/** Of this many callers of orders, one leaves after `LEAVE_MS`. */
+const CALLERS_PER_LEAVE = 4;
+const LEAVE_MS = 600;
 /** An order must be answered within this time in every case. */
 const ORDER_LIMIT_MS = 5_000;
 /** Share of evacuation orders of which a copy arrives late, and how late. */
@@ -176,7 +179,14 @@
     const isEvacuated = Math.floor(otherIndex / ZONES.length) % 2 === 0;
     const now = bench.clock.now();
     const record = orders.recordSend(id, zone, isEvacuated, now);
-    bench.node(id).evacuate({zone, isEvacuated}, now, answer => {
+    let isWanted = true;
+    if (Math.floor(otherIndex / 4) % CALLERS_PER_LEAVE === 0) {
+      bench.clock.schedule(LEAVE_MS, () => {
+        isWanted = false;
+        orders.recordLeft(record, bench.clock.now());
+      });
+    }
+    const done: Parameters<ConfigNode['evacuate']>[2] = answer => {
       const at = bench.clock.now();
       if (at - now > ORDER_LIMIT_MS) {
         history.report(`${zone}: order answered after ${at - now} ms`);
@@ -188,7 +198,9 @@
         orders.recordAcknowledged(record, answer.version, at);
         history.recordVersion(answer.version);
       } else history.report(`${zone}: unexpected answer of ${answer.kind}`);
-    });
+    };
+    const order = {zone, isEvacuated};
+    bench.node(id).evacuate(order, now, done, () => isWanted);
     return true;
   }
 
--- a/src/check/config/order_history.ts
+++ b/src/check/config/order_history.ts
@@ -6,7 +6,10 @@
   readonly zone: string;
   readonly isEvacuated: boolean;
   readonly sentAt: number;
-  /** Time of the answer, or of the crash of the node that had the order. */
+  /**
+   * Time of the answer, of the crash of the node that had the order, or when its
+   * caller left.
+   */
   endedAt?: number;
   /** Version named in the acknowledgement. */
   version?: number;
@@ -49,13 +52,20 @@
   }
 
   recordAcknowledged(order: OrderRecord, version: number, at: number): void {
+    // The caller of an order that has ended before does not see the answer.
+    if (order.endedAt !== undefined) return;
     order.version = version;
     order.endedAt = at;
   }
 
   recordUnavailable(order: OrderRecord, isUnknown: boolean, at: number): void {
     order.isNotMade = !isUnknown;
-    order.endedAt = at;
+    order.endedAt ??= at;
+  }
+
+  /** Records that the caller of an order no longer waits for its answer. */
+  recordLeft(order: OrderRecord, at: number): void {
+    order.endedAt ??= at;
   }
 
   /** Records that the requests at a node have ended without an answer. */
--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -139,8 +139,8 @@
     this.router.submit(request, now, done);
 
   /** Starts or ends the evacuation of a zone. */
-  evacuate: OrderSubmitter['submit'] = (request, now, done) =>
-    this.orders.submit(request, now, done);
+  evacuate: OrderSubmitter['submit'] = (request, now, done, isWanted) =>
+    this.orders.submit(request, now, done, isWanted);
 
   /** Transfers leadership to another voter before a planned stop. */
   transferLeadership(now: number): void {
--- a/src/core/config/evacuation.test.ts
+++ b/src/core/config/evacuation.test.ts
@@ -102,3 +102,27 @@
   const shown = bench.ids.map(id => String(evacuatedAt(bench, id)));
   assert.lengthOf([...new Set(shown)], 1);
 });
+
+// The caller has given up and ended the evacuation at another node meanwhile.
+test('an order whose caller has left is not made later', () => {
+  const bench = new ConfigBench();
+  bench.startAll();
+  const leader = bench.waitForLeader();
+  const cut = bench.voters.find(id => id !== leader)!;
+  bench.peers.isolate([cut], bench.ids);
+  let isWanted = true;
+  let answer: Answer | undefined;
+  bench.node(cut).evacuate(
+    {zone: 'a', isEvacuated: true},
+    bench.clock.now(),
+    res => (answer = res),
+    () => isWanted,
+  );
+  bench.clock.advance(1_000);
+  isWanted = false;
+  order(bench, leader, false);
+  bench.peers.heal();
+  bench.clock.advance(10_000);
+  assert.include(answer, {code: 'unavailable'});
+  for (const id of bench.ids) assert.isUndefined(evacuatedAt(bench, id));
+});
--- a/src/core/config/router/order_submitter.ts
+++ b/src/core/config/router/order_submitter.ts
@@ -10,12 +10,19 @@
 
 type Done = (result: LogResponse | ChangeRefusal) => void;
 
+const NOT_WANTED: ChangeRefusal = {
+  code: 'unavailable',
+  outcome: 'not_made',
+  detail: 'the caller of the order no longer waits',
+};
+
 interface Submission {
   readonly zone: string;
   readonly isEvacuated: boolean;
   readonly key: string;
   readonly deadline: number;
   readonly done: Done;
+  readonly isWanted: () => boolean;
 }
 
 /**
@@ -31,24 +38,30 @@
     private readonly random: RandomSource,
   ) {}
 
-  /** Calls `done` once; with `accepted` when the order is durable. */
+  /**
+   * Calls `done` once; with `accepted` when the order is durable. An order that
+   * waits for a leader is dropped when it is not wanted any more: its caller may
+   * have given later orders at other nodes.
+   */
   submit(
     request: Pick<EvacuationOrder, 'zone' | 'isEvacuated'>,
     now: number,
     done: Done,
+    isWanted: () => boolean = () => true,
   ): void {
     const key = LogBootstrapper.newId(this.random);
     const deadline = now + DEADLINE_MS;
-    this.read({...request, key, deadline, done}, now);
+    this.read({...request, key, deadline, done, isWanted}, now);
   }
 
   private read(submission: Submission, now: number): void {
-    const {deadline, done} = submission;
+    const {deadline, done, isWanted} = submission;
     this.router.submit(
       {kind: 'read'},
       now,
       (res, at) => {
-        if ('kind' in res && res.kind === 'config') {
+        if (!isWanted()) done(NOT_WANTED);
+        else if ('kind' in res && res.kind === 'config') {
           this.send(submission, res.lastOrder, at);
         } else done(res);
       },
--- a/src/daemon/admin/config_admin.ts
+++ b/src/daemon/admin/config_admin.ts
@@ -28,10 +28,14 @@
     readonly isEvacuated: boolean;
   }>;
 
-  /** Starts or ends the evacuation of a zone. */
+  /**
+   * Starts or ends the evacuation of a zone. `isWanted` tells whether the caller
+   * still waits.
+   */
   abstract evacuate(
     zone: string,
     isEvacuated: boolean,
+    isWanted: () => boolean,
   ): Promise<Result<ConfigOutcome, ConfigRefusal>>;
 
   abstract changeVoters(
--- a/src/daemon/admin/replicated_config_admin.ts
+++ b/src/daemon/admin/replicated_config_admin.ts
@@ -80,8 +80,10 @@
   override async evacuate(
     zone: string,
     isEvacuated: boolean,
+    isWanted: () => boolean,
   ): Promise<Outcome> {
-    const result = await this.evacuations.order(zone, isEvacuated);
+    const order = this.evacuations.order(zone, isEvacuated, isWanted);
+    const result = await order;
     if (result.isOk) await this.waitUntilInForce(result.value.version);
     return result;
   }
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -223,14 +223,18 @@
       : Result.err(toRefusal(res));
   }
 
-  /** Starts or ends the evacuation of a zone; works on any daemon. */
+  /**
+   * Starts or ends the evacuation of a zone; works on any daemon. `isWanted`
+   * tells whether the caller still waits.
+   */
   async evacuate(
     order: Pick<EvacuationOrder, 'zone' | 'isEvacuated'>,
+    isWanted?: () => boolean,
   ): Promise<Result<ChangeOutcome, ChangeRefusal>> {
     const {node} = this;
     if (!node) return Result.err(FIXED);
     const res = await new Promise<LogResponse | ChangeRefusal>(resolve =>
-      node.evacuate(order, this.opts.clock.now(), resolve),
+      node.evacuate(order, this.opts.clock.now(), resolve, isWanted),
     );
     if ('code' in res) return Result.err(res);
     return res.kind === 'accepted'
--- a/src/daemon/config/zone_evacuations.ts
+++ b/src/daemon/config/zone_evacuations.ts
@@ -29,10 +29,14 @@
       .map(zone => ({zone, isEvacuated: evacuated.includes(zone)}));
   }
 
-  /** Resolves when the order is durable, has been refused or has timed out. */
+  /**
+   * Resolves when the order is durable, has been refused or has timed out.
+   * `isWanted` tells whether the caller still waits.
+   */
   async order(
     zone: string,
     isEvacuated: boolean,
+    isWanted?: () => boolean,
   ): Promise<Result<ConfigOutcome, ConfigRefusal>> {
     if (!this.list().some(known => known.zone === zone)) {
       const detail = `there is no zone "${zone}"`;
@@ -40,7 +44,7 @@
     }
     const {node, config, record} = this.opts;
     const fields = {worker_zone: zone, is_evacuated: isEvacuated, node};
-    const outcome = await config.evacuate({zone, isEvacuated});
+    const outcome = await config.evacuate({zone, isEvacuated}, isWanted);
     if (outcome.isOk) {
       const {version} = outcome.value;
       record('evacuation_acknowledged', {...fields, version});
--- a/src/platform/control_frontend.ts
+++ b/src/platform/control_frontend.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {decodeSegment} from '../adapter/http/decode_segment.js';
 import {HttpServer} from '../adapter/http/http_server.js';
+import {watchCaller} from '../adapter/http/watch_caller.js';
 import type {WorkerReportService} from '../core/pool/registry/worker_report_service.js';
 import type {PoolObserver} from '../core/pool/pool_observer.js';
 import type {ZoneEvacuations} from '../daemon/config/zone_evacuations.js';
@@ -114,7 +115,9 @@
     zone: string,
     isEvacuated: boolean,
   ): Promise<void> {
-    const outcome = await this.opts.evacuations.order(zone, isEvacuated);
+    const {evacuations} = this.opts;
+    const isWanted = watchCaller(res);
+    const outcome = await evacuations.order(zone, isEvacuated, isWanted);
     if (outcome.isOk) sendJson(res, 200, {});
     else if (outcome.error.kind === 'not_found') {
       sendJson(res, 404, {detail: outcome.error.detail});
