--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
 import {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
@@ -22,6 +23,8 @@
   readonly leaseMs: number;
   readonly reportAddress: string;
   readonly routing: () => RoutingTable | undefined;
+  /** Default: no zone is ever evacuated. */
+  readonly evacuated?: EvacuatedZones | undefined;
   readonly observer: PoolObserver;
 }
 
@@ -122,6 +125,7 @@
       ...(isFirst || zone !== undefined ? {} : {firstToken}),
       reportAddress,
       revision: routing()?.content.revision ?? 0,
+      version: opts.evacuated?.version,
       heardAt: now,
     };
   }
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -123,6 +123,15 @@
     return revision;
   }
 
+  /** Highest configuration version that a leader or holder last stated. */
+  get version(): number {
+    let version = this.leaderClaim?.version ?? 0;
+    for (const holder of this.holders.values()) {
+      version = Math.max(version, holder.version ?? 0);
+    }
+    return version;
+  }
+
   private recordFallback(claim: DispatcherClaim): void {
     const known = this.fallback;
     const isKnown = known && isLive(known, claim.heardAt);
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {PoolObserver} from '../pool_observer.js';
@@ -56,6 +57,8 @@
   /** Leadership of the replicated log; undefined if another node leads. */
   readonly leadership: (now: number) => Leadership | undefined;
   readonly routing: () => RoutingTable | undefined;
+  /** Default: no zone is ever evacuated. */
+  readonly evacuated?: EvacuatedZones | undefined;
   readonly observer: PoolObserver;
 }
 
@@ -130,6 +133,7 @@
 
   tick(now: number): void {
     this.guard.tick(now);
+    this.opts.evacuated?.tick(now);
     this.registry.expire(now);
     this.updateLeadership(now);
     this.updateHolder(now);
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -35,6 +35,7 @@
         unserved: v.optional(ids),
         reportAddress: v.optional(v.string()),
         revision: count,
+        version: v.optional(count),
       }),
     ),
     /** Highest fencing token of the sender's zone; older nodes omit it. */
