Move jobs that would be late to dispatchers with room

A zone with a burst makes jobs late while other zones have free places. A dispatcher now moves a job that no task of may have run and that its forecast shows as late to another dispatcher whose offer has enough room, before it starts any task of it. Only the decisions and the dispatcher's side are built; offers and redirects are not sent between nodes yet.

--- a/src/core/pool/admission/backlog_forecast.ts
+++ b/src/core/pool/admission/backlog_forecast.ts
@@ -26,27 +26,34 @@
     workers: readonly LeasedWorker[],
     now: number,
   ): InfeasibleJob[] {
-    const services = new Set(waiting.map(job => job.queue.service));
-    return [...services].flatMap(service =>
-      this.findIn(
-        waiting.filter(job => job.queue.service === service),
-        workers.filter(w => canServe(w, service)),
-        now,
-      ),
-    );
+    return groupByService(waiting, workers).flatMap(({jobs, serving}) => {
+      if (serving.length === 0) return [];
+      const forecast = this.createForecast(serving, now);
+      const tasks = jobs.flatMap(job => this.waitingTasks(job, usefulUntil));
+      const missed = forecast.findMissed(tasks);
+      const {clearInMs} = forecast;
+      return [...missed].map(job => ({job, clearInMs}));
+    });
   }
 
-  private findIn(
+  /**
+   * Returns the jobs that have not started and cannot be on time, also those
+   * for which there is no worker.
+   */
+  findLate(
     waiting: readonly ActiveJob[],
     workers: readonly LeasedWorker[],
     now: number,
-  ): InfeasibleJob[] {
-    if (workers.length === 0) return [];
-    const forecast = this.createForecast(workers, now);
-    const tasks = waiting.flatMap(job => this.waitingTasks(job));
-    const missed = forecast.findMissed(tasks);
-    const {clearInMs} = forecast;
-    return [...missed].map(job => ({job, clearInMs}));
+  ): ActiveJob[] {
+    return groupByService(waiting, workers).flatMap(({jobs, serving}) => {
+      const forecast = this.createForecast(serving, now);
+      const tasks = jobs.flatMap(job => this.waitingTasks(job, objectiveAt));
+      const missed = forecast.findMissed(tasks);
+      const {unplaceable} = forecast;
+      return jobs.filter(
+        job => job.isPending && (missed.has(job) || unplaceable.has(job)),
+      );
+    });
   }
 
   private createForecast(
@@ -64,8 +71,8 @@
   }
 
   /** A job that has started is finished, however late. */
-  private waitingTasks(job: ActiveJob) {
-    const endsBy = job.isPending ? job.usefulUntil : Number.POSITIVE_INFINITY;
+  private waitingTasks(job: ActiveJob, endOf: (job: ActiveJob) => number) {
+    const endsBy = job.isPending ? endOf(job) : Number.POSITIVE_INFINITY;
     return job.tasks
       .filter(task => task.state === 'waiting')
       .map(({step}) => {
@@ -76,6 +83,26 @@
   }
 }
 
+function usefulUntil(job: ActiveJob): number {
+  return job.usefulUntil;
+}
+
+function objectiveAt(job: ActiveJob): number {
+  return job.objectiveAt;
+}
+
+/** Jobs of each service, with the workers that can serve them. */
+function groupByService(
+  waiting: readonly ActiveJob[],
+  workers: readonly LeasedWorker[],
+) {
+  const services = new Set(waiting.map(job => job.queue.service));
+  return [...services].map(service => ({
+    jobs: waiting.filter(job => job.queue.service === service),
+    serving: workers.filter(w => canServe(w, service)),
+  }));
+}
+
 function canServe({report, isSilent}: LeasedWorker, service: string): boolean {
   return report.service === service && !report.isDraining && !isSilent;
 }
--- a/src/core/pool/admission/job_prioritizer.ts
+++ b/src/core/pool/admission/job_prioritizer.ts
@@ -1,7 +1,10 @@
 import type {ActiveJob} from '../job/active_job.js';
 import type {RunTimes} from '../placement/run_times.js';
 
-/** Sorts jobs: those that can still be on time first, then by remaining work. */
+/**
+ * Sorts jobs: those that can still be on time first, then by remaining work.
+ * Jobs that other zones have moved here come last until they have started.
+ */
 export class JobPrioritizer {
   constructor(private readonly times: RunTimes) {}
 
@@ -19,7 +22,9 @@
 
   private priorityKey(job: ActiveJob, now: number): number {
     const endsAt = now + this.times.remainingMs(job);
-    const workMs = this.times.remainingWorkMs(job);
+    const workMs =
+      this.times.remainingWorkMs(job) +
+      (job.isLent && !job.hasStarted ? LENT_PENALTY_MS : 0);
     if (endsAt <= job.objectiveAt) return workMs;
     // What a late job has had done is lost unless the rest follows soon.
     const isWorthFinishing = job.hasStarted && endsAt <= job.usefulUntil;
@@ -29,3 +34,5 @@
 
 /** Exceeds the remaining work of any job. */
 const LATE_PENALTY_MS = 1e9;
+/** Exceeds the key of any other job. */
+const LENT_PENALTY_MS = 1e10;
--- a/src/core/pool/admission/placement_forecast.ts
+++ b/src/core/pool/admission/placement_forecast.ts
@@ -29,6 +29,7 @@
   /** Binary heap of the predicted ends of runs, by time. */
   private readonly releases: Release[] = [];
   private readonly missed = new Set<Job>();
+  private readonly stuck = new Set<Job>();
   private lastStartAt: number;
 
   constructor(private readonly now: number) {
@@ -54,9 +55,15 @@
       this.free[release.worker]! += release.cpu;
       waiting = this.placeOnWorker(waiting, release.worker, release.at);
     }
+    for (const {job} of waiting) this.stuck.add(job);
     return this.missed;
   }
 
+  /** Jobs of which a task fits on no worker, even after the ends of all runs. */
+  get unplaceable(): ReadonlySet<Job> {
+    return this.stuck;
+  }
+
   /** Expected time until the last of the tasks starts, in ms. */
   get clearInMs(): number {
     return this.lastStartAt - this.now;
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -5,6 +5,8 @@
 import {InfeasibleJobs} from '../admission/infeasible_jobs.js';
 import {ActiveJob} from '../job/active_job.js';
 import {PoolJobs} from '../job/pool_jobs.js';
+import {DispatcherLending} from '../lending/dispatcher_lending.js';
+import type {Room} from '../lending/room.js';
 import {PoolAdmission} from '../admission/pool_admission.js';
 import {JobPrioritizer} from '../admission/job_prioritizer.js';
 import type {PoolDispatcherOptions} from './pool_dispatcher_options.js';
@@ -45,6 +47,7 @@
   private readonly recorder: RunRecorder;
   private readonly takeover: Takeover;
   private readonly crashes: CrashWatch;
+  private readonly lending: DispatcherLending;
   private currentToken: number;
   private isPassScheduled = false;
   private lastPassAt = Number.NEGATIVE_INFINITY;
@@ -58,7 +61,9 @@
       ...opts,
       infeasible: new InfeasibleJobs(this.times),
     });
-    const {times, breaker} = this;
+    const {times, breaker, jobs, forecast} = this;
+    const {lending} = opts;
+    this.lending = new DispatcherLending({lending, jobs, times, forecast});
     this.starter = new TaskStarter(times, breaker, opts.observer);
     this.recorder = new RunRecorder(times, breaker, opts.observer);
     this.crashes = new CrashWatch(opts);
@@ -92,6 +97,11 @@
     return this.workers.all.some(w => w.isOutranked);
   }
 
+  /** What this dispatcher offers to each of the others. */
+  room(now: number): Room {
+    return this.lending.room(this.jobs.all, this.workers.all, now);
+  }
+
   /** Raises the token, so that workers taken by other dispatchers accept it. */
   raiseToken(token: number): void {
     this.currentToken = token;
@@ -111,6 +121,7 @@
       this.schedulePass();
       return;
     }
+    if (this.lending.redirectAgain(owner, submission, now)) return;
     const table = routing();
     const queue = table?.find(host, path);
     const revision = table?.content.revision ?? -1;
@@ -131,9 +142,12 @@
     const refusal = job.hasStarted ? undefined : this.checkAdmission(job, now);
     if (refusal) {
       const {reason, retryAfterMs} = refusal;
+      if (this.moveAway(job, reason, now)) return;
+      if (job.isLent) this.opts.observer.incrementCounter('lent_refused');
       return this.jobs.refuse(owner, spec.id, reason, retryAfterMs);
     }
     this.jobs.add(job);
+    if (job.isLent) this.opts.observer.incrementCounter('jobs_lent_in');
     this.opts.observer.recordJobEvent('job_accepted', spec.id, {
       queue: queue.name,
       owner,
@@ -215,10 +229,17 @@
     const {all} = this.workers;
     const found = this.forecast.findInfeasible(waiting, all, now);
     for (const {job, clearInMs} of found) {
+      if (this.moveAway(job, 'too_late', now)) continue;
       this.jobs.refuseLate(job, clearInMs);
     }
   }
 
+  /** Moves a job to another dispatcher instead of refusing it, if possible. */
+  private moveAway(job: ActiveJob, reason: string, now: number): boolean {
+    if (!this.takeover.areRunsReported(this.workers.all)) return false;
+    return this.lending.moveInsteadOfRefusing(job, reason, now);
+  }
+
   /** Stops dispatching; no more orders are sent. */
   close(): void {
     this.isClosed = true;
@@ -317,6 +338,10 @@
       this.jobs.finishIfDone(job, now);
     }
     if (!this.takeover.mayStart(this.workers.all, now)) return;
-    this.starter.startAll(this.priority.sort(jobs, now), this.workers.all, now);
+    let waiting = this.priority.sort(jobs, now);
+    if (this.takeover.areRunsReported(this.workers.all)) {
+      waiting = this.lending.moveLate(waiting, this.workers.all, now);
+    }
+    this.starter.startAll(waiting, this.workers.all, now);
   }
 }
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -3,6 +3,7 @@
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import type {PoolObserver} from '../pool_observer.js';
+import type {CapacityLending} from '../lending/capacity_lending.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {WorkerRegistry} from '../registry/worker_registry.js';
 
@@ -29,5 +30,7 @@
     id: string,
     losses: readonly WorkerLoss[],
   ) => void;
+  /** Absent if the dispatcher neither borrows nor lends capacity. */
+  readonly lending?: CapacityLending | undefined;
   readonly observer: PoolObserver;
 }
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -39,6 +39,12 @@
     return workers.every(w => w.isFenced);
   }
 
+  /** Whether the workers have reported each run of earlier dispatchers. */
+  areRunsReported(workers: readonly LeasedWorker[]): boolean {
+    if (this.over) return true;
+    return this.isRegistryComplete && workers.every(w => w.isFenced);
+  }
+
   /** Whether enough time has passed for all workers to have reported. */
   areWorkersKnown(now: number): boolean {
     return now - this.startedAt > WORKER_DISCOVERY_MS;
--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -36,6 +36,8 @@
   readonly deadlineAt: number;
   /** No task is started before this time. */
   readonly earliestStartAt: number;
+  /** Whether the dispatcher of another zone has moved the job here. */
+  readonly isLent: boolean;
   readonly tasks: readonly PoolTask[];
   owner: string;
   /** Whether the answer is no longer awaited; its runs are being stopped. */
@@ -43,12 +45,19 @@
   hasStarted: boolean;
 
   constructor(
-    {job: spec, waitedMs, patienceMs, settleMs = 0}: PoolSubmission,
+    {
+      job: spec,
+      waitedMs,
+      patienceMs,
+      settleMs = 0,
+      isLent = false,
+    }: PoolSubmission,
     {owner, queue, token, now}: ActiveJobOptions,
   ) {
     this.spec = spec;
     this.queue = queue;
     this.owner = owner;
+    this.isLent = isLent;
     this.arrivedAt = now - waitedMs;
     this.criticalPathMs = criticalPathMs(spec.steps);
     this.objectiveAt =
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -92,8 +92,19 @@
     answer(owner, id, {kind: 'refused', reason, retryAfterMs: retryMs});
   }
 
+  /** Removes a job that was moved to another dispatcher before it started. */
+  forget(job: ActiveJob): void {
+    this.byId.delete(job.spec.id);
+  }
+
+  /** Whether a task of the job may have run here before it was sent again. */
+  mayHaveRun(id: string): boolean {
+    return this.recentStarts.has(id);
+  }
+
   /** Refuses a job that has not started and would be answered too late. */
   refuseLate(job: ActiveJob, clearInMs: number): void {
+    if (job.isLent) this.opts.observer.incrementCounter('lent_refused');
     this.refuse(job.owner, job.spec.id, 'too_late', clearInMs);
     this.abandon(job);
   }
--- a/src/core/pool/job/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -23,6 +23,11 @@
   losses: v.optional(v.pipe(v.array(WorkerLoss), v.readonly()), []),
   /** Lowest configuration revision that may be used to find its queue. */
   revision: v.optional(count, 0),
+  /**
+   * Whether the dispatcher of another zone has moved the job here. No task of it
+   * had started there, and it is not moved again.
+   */
+  isLent: v.optional(v.boolean(), false),
 });
 
 /** A job that an entry node submits to a dispatcher. */
--- /dev/null
+++ b/src/core/pool/lending/moved_jobs.ts
@@ -0,0 +1,44 @@
+/** Where a job was moved to. */
+interface Destination {
+  readonly node: string;
+  readonly zone: string;
+  readonly token: number;
+}
+
+interface Entry {
+  readonly to: Destination;
+  readonly at: number;
+}
+
+/**
+ * Time for which callers send a job again whose answer they did not receive, and
+ * a margin.
+ */
+const RETENTION_MS = 10_000;
+
+/**
+ * Jobs that were moved recently, by id. A job that is submitted again goes to
+ * the same zone, where it may still run.
+ */
+export class MovedJobs {
+  private readonly byId = new Map<string, Entry>();
+
+  get(id: string, now: number): Destination | undefined {
+    this.expire(now);
+    return this.byId.get(id)?.to;
+  }
+
+  record(id: string, to: Destination, now: number): void {
+    this.expire(now);
+    // Keeps the entries in the order of their times.
+    this.byId.delete(id);
+    this.byId.set(id, {to, at: now});
+  }
+
+  private expire(now: number): void {
+    for (const [id, {at}] of this.byId) {
+      if (now - at < RETENTION_MS) return;
+      this.byId.delete(id);
+    }
+  }
+}
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -1,6 +1,7 @@
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
 import {FencingToken} from '../../../src/core/pool/lease/fencing_token.js';
 import {PoolDispatcher} from '../../../src/core/pool/dispatcher/pool_dispatcher.js';
+import type {CapacityLending} from '../../../src/core/pool/lending/capacity_lending.js';
 import type {WorkerLoss} from '../../../src/core/pool/crashes/worker_loss.js';
 import type {PoolSubmission} from '../../../src/core/pool/job/pool_submission.js';
 import {WorkerRegistry} from '../../../src/core/pool/registry/worker_registry.js';
@@ -20,13 +21,14 @@
   readonly earlierLeasesMs?: number;
   /** Default: the client of the fake workers. */
   readonly client?: WorkerClient;
+  /** Default: capacity is neither borrowed nor lent. */
+  readonly lending?: CapacityLending;
 }
 
 /** Test bench with dispatchers and fake workers, on a fake clock. */
 export class PoolBench {
-  readonly clock = new FakeClock();
   readonly workers = new Map<string, FakePoolWorker>();
-  readonly client = new FakeWorkerClient(this.clock, this.workers);
+  readonly client: FakeWorkerClient;
   readonly answers = new Map<string, PoolAnswer>();
   readonly answeredAt = new Map<string, number>();
   /** Latest losses of each job, as its entry node would know them. */
@@ -44,7 +46,12 @@
   private reports = 0;
 
   /** `tasksEach` is the number of tasks that one worker can run at once. */
-  constructor(workers: number, tasksEach = 2) {
+  constructor(
+    workers: number,
+    tasksEach = 2,
+    readonly clock = new FakeClock(),
+  ) {
+    this.client = new FakeWorkerClient(clock, this.workers);
     for (let n = 0; n < workers; n += 1) this.addWorker(`w${n}`, tasksEach);
   }
 
@@ -116,6 +123,7 @@
       clock,
       client,
       registry,
+      lending: opts.lending,
       token: FencingToken.ofTerm(term),
       leaseMs: LEASE_MS,
       isRegistryComplete,
@@ -142,13 +150,16 @@
     for (let passed = 0; passed < ms; passed += 1) {
       this.clock.advance(1);
       for (let turn = 0; turn < 8; turn += 1) await Promise.resolve();
-      if (passed % TICK_MS === 0) {
-        for (const id of this.workers.keys()) this.report(id);
-        for (const dispatcher of dispatchers) dispatcher.tick(this.clock.now());
-      }
+      if (passed % TICK_MS === 0) this.tick(...dispatchers);
     }
   }
 
+  /** Delivers a report of each worker and ticks the dispatchers. */
+  tick(...dispatchers: PoolDispatcher[]): void {
+    for (const id of this.workers.keys()) this.report(id);
+    for (const dispatcher of dispatchers) dispatcher.tick(this.clock.now());
+  }
+
   /** Tasks of which two runs overlapped in time. */
   overlaps(): string[] {
     const all = [...this.workers.values()].flatMap(w => w.history);
