--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -61,9 +61,7 @@
       ...opts,
       infeasible: new InfeasibleJobs(this.times),
     });
-    const {times, breaker, jobs, forecast} = this;
-    const {lending} = opts;
-    this.lending = new DispatcherLending({lending, jobs, times, forecast});
+    const {times, breaker} = this;
     this.starter = new TaskStarter(times, breaker, opts.observer);
     this.recorder = new RunRecorder(times, breaker, opts.observer);
     this.crashes = new CrashWatch(opts);
@@ -72,13 +70,18 @@
       opts.earlierLeasesMs,
       opts.isRegistryComplete,
     );
+    const {jobs, forecast, takeover} = this;
+    const {lending} = opts;
+    const known = {jobs, times, forecast, takeover};
+    this.lending = new DispatcherLending({...known, lending});
     const onRemoved = (id: string) => {
       this.times.removeWorker(id);
       this.breaker.remove(id);
     };
     this.currentToken = opts.token;
     const currentToken = () => this.currentToken;
-    const lease = {...opts, currentToken, listener: this};
+    const {servesZone = () => true} = opts;
+    const lease = {...opts, currentToken, listener: this, servesZone};
     this.workers = new WorkerFleet({...lease, onRemoved});
     this.workers.tick(now);
   }
@@ -142,7 +145,7 @@
     const refusal = job.hasStarted ? undefined : this.checkAdmission(job, now);
     if (refusal) {
       const {reason, retryAfterMs} = refusal;
-      if (this.moveAway(job, reason, now)) return;
+      if (this.lending.moveRefused(job, reason, this.workers.all, now)) return;
       if (job.isLent) this.opts.observer.incrementCounter('lent_refused');
       return this.jobs.refuse(owner, spec.id, reason, retryAfterMs);
     }
@@ -182,6 +185,11 @@
     return job !== undefined && !job.isAbandoned;
   }
 
+  /** Entry nodes whose jobs this dispatcher has. */
+  get owners(): ReadonlySet<string> {
+    return new Set([...this.jobs.all].map(job => job.owner));
+  }
+
   /** Number of jobs of a queue without a started task. */
   pendingOf(queue: string): number {
     return this.jobs.pendingOf(queue);
@@ -229,17 +237,11 @@
     const {all} = this.workers;
     const found = this.forecast.findInfeasible(waiting, all, now);
     for (const {job, clearInMs} of found) {
-      if (this.moveAway(job, 'too_late', now)) continue;
+      if (this.lending.moveRefused(job, 'too_late', all, now)) continue;
       this.jobs.refuseLate(job, clearInMs);
     }
   }
 
-  /** Moves a job to another dispatcher instead of refusing it, if possible. */
-  private moveAway(job: ActiveJob, reason: string, now: number): boolean {
-    if (!this.takeover.areRunsReported(this.workers.all)) return false;
-    return this.lending.moveInsteadOfRefusing(job, reason, now);
-  }
-
   /** Stops dispatching; no more orders are sent. */
   close(): void {
     this.isClosed = true;
@@ -337,11 +339,11 @@
       job.unblock();
       this.jobs.finishIfDone(job, now);
     }
-    if (!this.takeover.mayStart(this.workers.all, now)) return;
-    let waiting = this.priority.sort(jobs, now);
-    if (this.takeover.areRunsReported(this.workers.all)) {
-      waiting = this.lending.moveLate(waiting, this.workers.all, now);
-    }
-    this.starter.startAll(waiting, this.workers.all, now);
+    const workers = this.workers.all;
+    if (!this.takeover.mayStart(workers, now)) return;
+    this.takeover.settle(jobs, this.workers, now);
+    const waiting = this.priority.sort(jobs, now);
+    const staying = this.lending.moveLate(waiting, workers, now);
+    this.starter.startAll(staying, workers, now);
   }
 }
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -2,6 +2,7 @@
 import type {ActiveJob} from '../job/active_job.js';
 import {Run} from '../lease/run.js';
 import {RunEnd} from '../lease/run_end.js';
+import type {WorkerFleet} from './worker_fleet.js';
 import type {PoolTask} from '../job/pool_task.js';
 
 /** Tolerance for slow clocks of workers and timers that fire late. */
@@ -45,6 +46,31 @@
     return this.isRegistryComplete && workers.every(w => w.isFenced);
   }
 
+  /** Ends the wait of jobs whose runs under earlier dispatchers are known. */
+  settle(jobs: readonly ActiveJob[], fleet: WorkerFleet, now: number): void {
+    const settling = jobs.filter(job => job.isSettling);
+    if (settling.length === 0) return;
+    const token = this.acceptedToken(fleet.all, now);
+    const unclaimed = fleet.unclaimedTasks;
+    for (const job of settling) {
+      const isUnclaimed = job.tasks.some(t => !t.run && unclaimed.has(t.name));
+      if (!isUnclaimed) job.settle(token, now);
+    }
+  }
+
+  /**
+   * Lowest fencing token that a worker has accepted last; 0 while workers may be
+   * missing in the registry.
+   */
+  private acceptedToken(workers: readonly LeasedWorker[], now: number): number {
+    if (!this.isRegistryComplete && !this.areWorkersKnown(now)) return 0;
+    let lowest = Number.POSITIVE_INFINITY;
+    for (const worker of workers) {
+      lowest = Math.min(lowest, worker.fence.acceptedToken);
+    }
+    return lowest;
+  }
+
   /** Whether enough time has passed for all workers to have reported. */
   areWorkersKnown(now: number): boolean {
     return now - this.startedAt > WORKER_DISCOVERY_MS;
@@ -92,13 +118,13 @@
   ): void {
     if (this.ends.get(task.name) === RunEnd.done) {
       task.state = 'done';
-      task.job.hasStarted = true;
+      task.job.recordStart();
       return;
     }
     for (const worker of workersWithRuns) {
       const number = worker.inherited.get(task.name);
       if (number === undefined) continue;
-      task.job.hasStarted = true;
+      task.job.recordStart();
       task.nextRunNumber = Math.max(task.nextRunNumber, number + 1);
       if (!task.run) adoptRun(task, worker, number, now);
     }
--- a/src/core/pool/lending/capacity_lending.ts
+++ b/src/core/pool/lending/capacity_lending.ts
@@ -1,16 +1,17 @@
 import type {ActiveJob} from '../job/active_job.js';
 import type {PoolObserver} from '../pool_observer.js';
+import type {Destination} from './destination.js';
 import {MovedJobs} from './moved_jobs.js';
 import type {RoomOffers} from './room_offers.js';
 import {SpilloverPolicy} from './spillover_policy.js';
 import {UsualTaskSize} from './usual_task_size.js';
 
-type Destination = NonNullable<ReturnType<MovedJobs['get']>>;
-
 interface CapacityLendingOptions {
   readonly offers: RoomOffers;
   /** Factor of the run time of a task that is far from its data. */
   readonly remoteFactor: number;
+  /** Whether the owner of a job understands redirects. Default: each does. */
+  readonly canRedirect?: ((owner: string) => boolean) | undefined;
   /** Sends the owner of a job the dispatcher to which it has to submit it. */
   readonly redirect: (owner: string, id: string, to: Destination) => void;
   readonly observer: PoolObserver;
@@ -63,11 +64,11 @@
 
   /** Moves jobs that have not started to dispatchers with room; returns them. */
   move(late: LateJobs, now: number): ActiveJob[] {
-    const {offers, observer, redirect} = this.opts;
+    const {offers, observer, redirect, canRedirect} = this.opts;
     const open = offers.open(now);
     if (open.length === 0) return [];
     const candidates = late.jobs
-      .filter(job => job.isPending && !job.isLent)
+      .filter(job => canRedirect?.(job.owner) ?? true)
       .map(job => this.candidateOf(job, late));
     const {cpu: usualCpu} = this.taskSize;
     const moves = this.policy.choose(candidates, open, usualCpu, now);
--- a/src/core/pool/lending/dispatcher_lending.ts
+++ b/src/core/pool/lending/dispatcher_lending.ts
@@ -1,4 +1,5 @@
 import type {BacklogForecast} from '../admission/backlog_forecast.js';
+import type {Takeover} from '../dispatcher/takeover.js';
 import type {ActiveJob} from '../job/active_job.js';
 import type {PoolJobs} from '../job/pool_jobs.js';
 import type {PoolSubmission} from '../job/pool_submission.js';
@@ -29,6 +30,7 @@
   readonly jobs: PoolJobs;
   readonly times: RunTimes;
   readonly forecast: BacklogForecast;
+  readonly takeover: Takeover;
 }
 
 /** What one dispatcher borrows and lends. */
@@ -55,18 +57,17 @@
 
   /**
    * Moves waiting jobs that would be late to dispatchers with room; returns the
-   * jobs that stay. To be called before starts and only while no run of an
-   * earlier dispatcher can be unknown.
+   * jobs that stay. To be called before starts.
    */
   moveLate(
     waiting: ActiveJob[],
     workers: readonly LeasedWorker[],
     now: number,
   ): ActiveJob[] {
-    const {lending, forecast} = this.opts;
-    if (!lending || now < this.nextForecast || !lending.hasOffers(now)) {
-      return waiting;
-    }
+    const {lending, forecast, takeover} = this.opts;
+    if (!lending || now < this.nextForecast) return waiting;
+    if (!takeover.areRunsReported(workers)) return waiting;
+    if (!lending.hasOffers(now)) return waiting;
     if (!waiting.some(job => this.mayMove(job))) return waiting;
     if (canAllStart(waiting, workers, now)) return waiting;
     this.nextForecast = now + FORECAST_INTERVAL_MS;
@@ -76,7 +77,13 @@
   }
 
   /** Moves a job that would be refused otherwise; false if no one has room. */
-  moveInsteadOfRefusing(job: ActiveJob, reason: string, now: number): boolean {
+  moveRefused(
+    job: ActiveJob,
+    reason: string,
+    workers: readonly LeasedWorker[],
+    now: number,
+  ): boolean {
+    if (!this.opts.takeover.areRunsReported(workers)) return false;
     return this.move([job], reason, now).has(job);
   }
 
@@ -106,9 +113,8 @@
   }
 
   private mayMove(job: ActiveJob): boolean {
-    return (
-      job.isPending && !job.isLent && !this.opts.jobs.mayHaveRun(job.spec.id)
-    );
+    if (!job.isPending || job.isLent || job.hadDispatcher) return false;
+    return !this.opts.jobs.mayHaveRun(job.spec.id);
   }
 
   private move(
--- a/src/core/pool/lending/moved_jobs.ts
+++ b/src/core/pool/lending/moved_jobs.ts
@@ -1,9 +1,4 @@
-/** Where a job was moved to. */
-interface Destination {
-  readonly node: string;
-  readonly zone: string;
-  readonly token: number;
-}
+import type {Destination} from './destination.js';
 
 interface Entry {
   readonly to: Destination;
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -1,7 +1,10 @@
 import * as v from 'valibot';
 import {WorkerLoss} from '../crashes/worker_loss.js';
 import {PoolAnswer} from '../job/pool_answer.js';
+import {Destination} from '../lending/destination.js';
+import {Room} from '../lending/room.js';
 import {WorkerReport} from '../registry/worker_report.js';
+import {ZoneGrant} from '../zones/zone_grant.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const ids = v.array(v.string());
@@ -24,11 +27,27 @@
         term: count,
         token: count,
         isFallback: v.boolean(),
+        /** Zone of a holder. */
+        zone: v.optional(v.string()),
+        /** Token under which the dispatcher began, unless the term's first. */
+        firstToken: v.optional(count),
+        /** Zones that the leader has granted; it dispatches the others. */
+        grants: v.optional(v.array(ZoneGrant)),
+        /** Zones that the leader neither dispatches nor grants. */
+        unserved: v.optional(ids),
+        /** What the holder offers to each of the others, to core nodes only. */
+        room: v.optional(Room.schema),
         reportAddress: v.optional(v.string()),
         revision: count,
       }),
     ),
-    /** Whether an entry node has contact with the leader of the log. */
+    /** Highest fencing token of the sender's zone; older nodes omit it. */
+    zoneToken: v.optional(count),
+    /** Start time of the process of a core node. */
+    startedAt: v.optional(v.number()),
+    /** Whether the sender knows claims by zone; older nodes do not. */
+    isZoned: v.optional(v.boolean(), false),
+    /** Whether an entry node has contact with the dispatcher of its zone. */
     hasLead: v.optional(v.boolean(), false),
     /** Whether the sender relays orders to workers. */
     relays: v.optional(v.boolean(), false),
@@ -41,6 +60,8 @@
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
+  /** Dispatcher to which the entry node has to submit a job that was moved. */
+  redirect: v.object({id: v.string(), ...Destination.entries}),
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
