Measure the time without service, and test the successor of a lender

Without the memory of moved jobs, the test of a lost redirect passed, since the home took the job again: it now checks in which zone the job has run.

--- a/src/core/pool/lending/lending.test.ts
+++ b/src/core/pool/lending/lending.test.ts
@@ -38,6 +38,14 @@
     .filter(task => task.startsWith(`${job}.`)).length;
 }
 
+/** Zones in which tasks of a job have run. */
+function zonesOf(bench: DeploymentBench, job: string): string[] {
+  const ran = [...bench.workers.values()].filter(w =>
+    w.history.some(({task}) => task.startsWith(`${job}.`)),
+  );
+  return [...new Set(ran.map(w => w.report.zone))];
+}
+
 test('a burst in one zone is served by the others too', async () => {
   const bench = await createRunningBench();
   const since = bench.now;
@@ -68,8 +76,9 @@
   assert.isAbove(moved.size, 0);
   for (const id of moved.keys()) assert.equal(countStarts(bench, id), 0);
   await bench.run(2_000);
-  for (const id of moved.keys()) {
+  for (const [id, node] of moved) {
     assert.equal(bench.log.answerOf(id), 'completed', id);
+    assert.deepEqual(zonesOf(bench, id), [node[0]], id);
   }
   assert.isEmpty(bench.log.overlaps());
 });
@@ -89,6 +98,7 @@
   assert.notEqual(bench.holderOf('z'), lender);
   for (const [id] of moved) {
     assert.equal(bench.log.answerOf(id), 'completed', id);
+    assert.deepEqual(zonesOf(bench, id), ['z'], id);
   }
   assert.isEmpty(bench.log.overlaps());
 });
--- a/src/measure/zones/zones_measurement.ts
+++ b/src/measure/zones/zones_measurement.ts
@@ -1,6 +1,7 @@
 import {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
 import {Measurement} from '../measurement.js';
 import {drawZoneJobs} from './draw_zone_jobs.js';
+import {measureLoss} from './measure_loss.js';
 import {measureStartCost} from './measure_start_cost.js';
 import {summarizeOutcomes} from './summarize_outcomes.js';
 import {ZonePools} from './zone_pools.js';
@@ -23,7 +24,7 @@
 export class ZonesMeasurement extends Measurement {
   readonly name = 'zones';
   readonly description =
-    'jobs on time and cost of a start, one leader against one per zone';
+    'jobs on time, loss and cost of a start, one leader against one per zone';
 
   override async run(
     opts: Parameters<Measurement['run']>[0],
@@ -51,6 +52,8 @@
         }
       }
     }
-    return {results: {onTime, microsecondsPerStart: await measureStartCost()}};
+    const withoutServiceMs = await measureLoss(this.seedsOf(opts));
+    const microsecondsPerStart = await measureStartCost();
+    return {results: {onTime, withoutServiceMs, microsecondsPerStart}};
   }
 }
