Keep a job that was sent again when its first instance is removed

A run that is lost with a silent worker keeps its job in CrashWatch until it is known what became of the worker. If the caller has sent the job again meanwhile, the removal of the dropped instance deleted the new one by its id: the dispatcher no longer knew a running job, took it again on the next poll and started its tasks beside the active ones. Jobs are now removed by identity. The new test fails without the change.

--- a/src/core/pool/job/pool_jobs.test.ts
+++ b/src/core/pool/job/pool_jobs.test.ts
@@ -60,3 +60,31 @@
     ['refused'],
   );
 });
+
+// What became of a lost worker may be found out after the caller has sent the job
+// again; the dispatcher then forgot the new job, whose tasks ran twice.
+test('a job that was sent again outlives what is left of the first one', async () => {
+  const bench = new PoolBench(2);
+  const [silent, other] = bench.workers.values();
+  silent!.runMs = () => 200;
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  bench.client.faultOf = (_call, id) => (id === 'w1' ? 'order_lost' : 'ok');
+  await bench.run(600, dispatcher);
+  dispatcher.submit('e', PoolBench.submission('j', {estimatedMs: 600}));
+  await bench.run(20, dispatcher);
+  assert.equal(silent!.running.size, 1);
+  bench.client.faultOf = (_call, id) => (id === 'w0' ? 'order_lost' : 'ok');
+  await bench.run(1_500, dispatcher);
+  dispatcher.drop('j', 'e', 'caller_gone');
+  other!.runMs = () => 900;
+  await bench.run(200, dispatcher);
+  dispatcher.submit('e', PoolBench.submission('j', {estimatedMs: 600}));
+  await bench.run(50, dispatcher);
+  bench.client.faultOf = () => 'ok';
+  await bench.run(700, dispatcher);
+  assert.isTrue(dispatcher.has('j'));
+  await bench.run(1_500, dispatcher);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+  assert.isEmpty(bench.overlaps());
+});
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -92,9 +92,9 @@
     answer(owner, id, {kind: 'refused', reason, retryAfterMs: retryMs});
   }
 
-  /** Removes a job that was moved to another dispatcher before it started. */
+  /** Removes a job, but not one that was submitted under its id since. */
   forget(job: ActiveJob): void {
-    this.byId.delete(job.spec.id);
+    if (this.byId.get(job.spec.id) === job) this.byId.delete(job.spec.id);
   }
 
   /** Whether a task of the job may have run here before it was sent again. */
@@ -151,7 +151,7 @@
     if (job.hasStarted) {
       this.recentStarts.record(job.spec.id, this.opts.clock.now());
     }
-    this.byId.delete(job.spec.id);
+    this.forget(job);
   }
 
   private finish(job: ActiveJob, isDone: boolean, now: number): void {
