Wait for the runs of a job that the leader had before a holder starts it

A holder starts a job that an earlier dispatcher had once all workers of its zone have accepted its token. The entry node no longer states a token for jobs that the leader had; they wait for settleMs.

--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -50,6 +50,7 @@
   return {
     clock,
     peers,
+    directory,
     answers,
     submit: () =>
       gateway.submit({host, path, job, patienceMs: 8_000}, answer => {
@@ -178,3 +179,20 @@
   assert.equal(submission?.kind, 'pool.submit');
   assert.deepInclude(submission?.body, {losses});
 });
+
+// The leader may run the job in a zone whose workers the holder does not know.
+test('a holder waits for the runs of a job that the leader had', () => {
+  const bench = createBench();
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  const {clock, directory, peers} = bench;
+  directory.claims.record({
+    ...{node: 'c2', term: 1, token: 1_001, isFallback: false},
+    ...{zone: 'z', revision: 1, heardAt: clock.now()},
+  });
+  bench.run(50);
+  const last = peers.sent.at(-1)!;
+  assert.include(last, {node: 'c2', kind: 'pool.submit'});
+  assert.include(last.body, {settleMs: 1_800});
+  assert.notProperty(last.body, 'earlierToken');
+});
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -10,6 +10,7 @@
 import type {OpenJob} from './open_job.js';
 import {followRedirect} from './follow_redirect.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
+import {provingToken} from './proving_token.js';
 import {queryDispatchers} from './query_dispatchers.js';
 import {settleMsAfter} from './settle_ms_after.js';
 import {ZoneContact} from './zone_contact.js';
@@ -268,7 +269,7 @@
     if (assigned && !isSameDispatcher(assigned, claim)) {
       const settledAt = now + settleMsAfter(assigned, claim);
       job.earliestStartAt = Math.max(job.earliestStartAt, settledAt);
-      job.earlierToken = Math.max(job.earlierToken, assigned.token);
+      job.earlierToken = Math.max(job.earlierToken, provingToken(assigned));
     }
     const isLeader = !claim.isFallback && claim.zone === undefined;
     const settleMs = Math.max(0, job.earliestStartAt - now);
@@ -279,7 +280,9 @@
       waitedMs: now - job.arrivedAt,
       patienceMs: Math.max(0, job.deadlineAt - now),
       settleMs,
-      ...(settleMs > 0 ? {earlierToken: job.earlierToken} : {}),
+      ...(settleMs > 0 && Number.isFinite(job.earlierToken)
+        ? {earlierToken: job.earlierToken}
+        : {}),
       losses: job.losses,
       // The leader has every committed configuration.
       revision: isLeader ? 0 : claims.revision,
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -21,7 +21,7 @@
   submittedAt: number;
   /** Time up to which runs of an earlier dispatcher may be active. */
   earliestStartAt: number;
-  /** Highest fencing token of an earlier dispatcher of the job. */
+  /** Highest fencing token of an earlier dispatcher; see provingToken. */
   earlierToken: number;
   /** Workers that dispatchers have lost under tasks of the job. */
   losses: readonly WorkerLoss[];
