--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -5,6 +5,7 @@
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import {AnswerCache} from '../job/answer_cache.js';
 import {FailoverTiming} from '../node/failover_timing.js';
+import type {Destination} from '../lending/destination.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {EarlySubmissions} from './early_submissions.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
@@ -15,6 +16,8 @@
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly routing: () => RoutingTable | undefined;
+  /** Redirects a job again that was moved before; false if it was not. */
+  readonly redirectAgain?: (owner: string, id: string) => boolean;
 }
 
 /**
@@ -88,6 +91,11 @@
     this.opts.peers.send(owner, 'pool.losses', {id, losses});
   }
 
+  /** Tells the entry node of a job to which dispatcher it was moved. */
+  redirect(owner: string, id: string, to: Destination): void {
+    this.opts.peers.send(owner, 'pool.redirect', {id, ...to});
+  }
+
   private onSubmit(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolSubmission, body)) return;
@@ -113,7 +121,11 @@
       const known = this.answers.get(id);
       if (known) {
         this.opts.peers.send(from, 'pool.answer', {id, answer: known});
-      } else if (!current.has(id) && !this.early.has(id)) unknown.push(id);
+        continue;
+      }
+      if (current.has(id) || this.early.has(id)) continue;
+      // The redirect may have been lost.
+      if (!this.opts.redirectAgain?.(from, id)) unknown.push(id);
     }
     if (unknown.length === 0) return;
     this.opts.peers.send(from, 'pool.unknown', {ids: unknown});
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -3,9 +3,10 @@
 import {CrashWatch} from '../crashes/crash_watch.js';
 import {BacklogForecast} from '../admission/backlog_forecast.js';
 import {InfeasibleJobs} from '../admission/infeasible_jobs.js';
-import {ActiveJob} from '../job/active_job.js';
+import {JobIntake} from './job_intake.js';
 import {PoolJobs} from '../job/pool_jobs.js';
-import {PoolAdmission} from '../admission/pool_admission.js';
+import {DispatcherLending} from '../lending/dispatcher_lending.js';
+import type {Room} from '../lending/room.js';
 import {JobPrioritizer} from '../admission/job_prioritizer.js';
 import type {PoolDispatcherOptions} from './pool_dispatcher_options.js';
 import type {PoolSubmission} from '../job/pool_submission.js';
@@ -41,7 +42,6 @@
   private readonly times = new RunTimes();
   private readonly breaker = new WorkerCircuitBreaker();
   private readonly priority = new JobPrioritizer(this.times);
-  private readonly admission = new PoolAdmission();
   private readonly forecast = new BacklogForecast(this.times);
   private readonly stragglers: StragglerWatch;
   private readonly starter: TaskStarter;
@@ -49,6 +49,8 @@
   private readonly recorder: RunRecorder;
   private readonly takeover: Takeover;
   private readonly crashes: CrashWatch;
+  private readonly lending: DispatcherLending;
+  private readonly intake: JobIntake;
   private currentToken: number;
   private isPassScheduled = false;
   private lastPassAt = Number.NEGATIVE_INFINITY;
@@ -79,6 +81,10 @@
       opts.earlierLeasesMs,
       opts.isRegistryComplete,
     );
+    const {jobs, forecast, takeover} = this;
+    const {lending} = opts;
+    const known = {jobs, times, forecast, takeover};
+    this.lending = new DispatcherLending({...known, lending});
     const onRemoved = (id: string) => {
       this.times.removeWorker(id);
       this.breaker.remove(id);
@@ -89,6 +95,9 @@
     const {servesZone = () => true} = opts;
     const lease = {...opts, currentToken, listener: this, servesZone};
     this.workers = new WorkerFleet({...lease, onRemoved});
+    const {workers, crashes, startable} = this;
+    const parts = {jobs, takeover, crashes, startable, workers};
+    this.intake = new JobIntake({...opts, ...parts, lending: this.lending});
     this.workers.tick(now);
   }
 
@@ -106,6 +115,12 @@
     return this.workers.all.some(w => w.isOutranked);
   }
 
+  /** What this dispatcher offers to each of the others. */
+  room(now: number): Room {
+    const startable = this.startable.select(this.workers.all, now);
+    return this.lending.room(this.jobs.all, startable, now);
+  }
+
   /** Raises the token, so that workers taken by other dispatchers accept it. */
   raiseToken(token: number): void {
     this.currentToken = token;
@@ -114,10 +129,8 @@
 
   /** Accepts or refuses a job; a known job is assigned to the new owner. */
   submit(owner: string, submission: PoolSubmission): void {
-    const {clock, routing} = this.opts;
-    const now = clock.now();
-    const {job: spec, host, path} = submission;
-    const known = this.jobs.get(spec.id);
+    const now = this.opts.clock.now();
+    const known = this.jobs.get(submission.job.id);
     if (known) {
       known.owner = owner;
       known.isAbandoned = false;
@@ -125,36 +138,8 @@
       this.schedulePass();
       return;
     }
-    const table = routing();
-    const queue = table?.find(host, path);
-    const revision = table?.content.revision ?? -1;
-    if (!table || revision < (submission.revision ?? 0)) {
-      return this.jobs.refuse(owner, spec.id, 'no_configuration', 1_000);
-    }
-    if (!queue || queue.prefix + spec.id !== path) {
-      this.opts.answer(owner, spec.id, {kind: 'no_queue'});
-      return;
-    }
-    if (queue.needsAdvice) {
-      return this.jobs.refuse(owner, spec.id, 'advice_not_supported', 5_000);
-    }
-    const {token} = this;
-    const job = new ActiveJob(submission, {owner, queue, token, now});
-    this.takeover.adopt([job], this.workers.all, now);
-    this.crashes.restore(job, submission.losses ?? []);
-    const refusal = job.hasStarted ? undefined : this.checkAdmission(job, now);
-    if (refusal) {
-      const {reason, retryAfterMs} = refusal;
-      return this.jobs.refuse(owner, spec.id, reason, retryAfterMs);
-    }
-    this.jobs.add(job);
-    this.opts.observer.recordJobEvent('job_accepted', spec.id, {
-      queue: queue.name,
-      owner,
-      tasks: job.tasks.length,
-      open: this.jobs.size,
-      revision: table.content.revision,
-    });
+    const job = this.intake.accept(owner, submission, this.token, now);
+    if (!job) return;
     this.jobs.finishIfDone(job, now);
     this.schedulePass();
   }
@@ -218,24 +203,17 @@
     this.schedulePass();
   }
 
-  /** Returns why a job is refused; undefined if it is admitted. */
-  private checkAdmission(job: ActiveJob, now: number) {
-    // Existing workers may not have reported to a new dispatcher yet.
-    const mayMoreReport = !this.takeover.areWorkersKnown(now);
-    const openJobs = this.jobs.size;
-    const workers = this.startable.remaining(this.workers.all);
-    return this.admission.check(job, {openJobs, workers, mayMoreReport});
-  }
-
   /** Refuses jobs that would be late because of the work ahead of them. */
   private refuseInfeasible(now: number): void {
     if (now < this.nextForecast) return;
     this.nextForecast = now + FORECAST_INTERVAL_MS;
     const waiting = this.priority.sort(this.jobs.all, now);
     if (waiting.length === 0) return;
-    const startable = this.startable.select(this.workers.all, now);
+    const {all} = this.workers;
+    const startable = this.startable.select(all, now);
     const found = this.forecast.findInfeasible(waiting, startable, now);
     for (const {job, clearInMs} of found) {
+      if (this.lending.moveRefused(job, 'too_late', all, now)) continue;
       this.jobs.refuseLate(job, clearInMs);
     }
   }
@@ -306,18 +284,6 @@
     this.schedulePass();
   }
 
-  /** Ends the wait of jobs whose runs under earlier dispatchers are known. */
-  private settle(jobs: readonly ActiveJob[], now: number): void {
-    const settling = jobs.filter(job => job.isSettling);
-    if (settling.length === 0) return;
-    const token = this.takeover.acceptedToken(this.workers.all, now);
-    const unclaimed = this.workers.unclaimedTasks;
-    for (const job of settling) {
-      const isUnclaimed = job.tasks.some(t => !t.run && unclaimed.has(t.name));
-      if (!isUnclaimed) job.settle(token, now);
-    }
-  }
-
   /** Stops inherited runs that no job has claimed in time. */
   private stopUnclaimed(now: number): void {
     const isTakeoverComplete = this.takeover.completeIfDue(now);
@@ -351,9 +317,10 @@
     }
     const workers = this.workers.all;
     if (!this.takeover.mayStart(workers, now)) return;
-    this.settle(jobs, now);
-    const waiting = this.priority.sort(jobs, now);
+    this.takeover.settle(jobs, this.workers, now);
     const startable = this.startable.select(workers, now);
-    this.starter.startAll(waiting, startable, now);
+    const waiting = this.priority.sort(jobs, now);
+    const staying = this.lending.moveLate(waiting, startable, now);
+    this.starter.startAll(staying, startable, now);
   }
 }
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -2,6 +2,7 @@
 import type {ActiveJob} from '../job/active_job.js';
 import {Run} from '../lease/run.js';
 import {RunEnd} from '../lease/run_end.js';
+import type {WorkerFleet} from './worker_fleet.js';
 import type {PoolTask} from '../job/pool_task.js';
 
 /** Tolerance for slow clocks of workers and timers that fire late. */
@@ -39,11 +40,29 @@
     return workers.every(w => w.isFenced);
   }
 
+  /** Whether the workers have reported each run of earlier dispatchers. */
+  areRunsReported(workers: readonly LeasedWorker[]): boolean {
+    if (this.over) return true;
+    return this.isRegistryComplete && workers.every(w => w.isFenced);
+  }
+
+  /** Ends the wait of jobs whose runs under earlier dispatchers are known. */
+  settle(jobs: readonly ActiveJob[], fleet: WorkerFleet, now: number): void {
+    const settling = jobs.filter(job => job.isSettling);
+    if (settling.length === 0) return;
+    const token = this.acceptedToken(fleet.all, now);
+    const unclaimed = fleet.unclaimedTasks;
+    for (const job of settling) {
+      const isUnclaimed = job.tasks.some(t => !t.run && unclaimed.has(t.name));
+      if (!isUnclaimed) job.settle(token, now);
+    }
+  }
+
   /**
    * Lowest fencing token that a worker has accepted last; 0 while workers may be
    * missing in the registry.
    */
-  acceptedToken(workers: readonly LeasedWorker[], now: number): number {
+  private acceptedToken(workers: readonly LeasedWorker[], now: number): number {
     if (!this.isRegistryComplete && !this.areWorkersKnown(now)) return 0;
     let lowest = Number.POSITIVE_INFINITY;
     for (const worker of workers) {
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -2,12 +2,16 @@
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import {FailoverTiming} from '../node/failover_timing.js';
+import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {criticalPathMs} from '../job/critical_path_ms.js';
 import type {PoolJob} from '../job/pool_job.js';
 import type {OpenJob} from './open_job.js';
+import {followRedirect} from './follow_redirect.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
+import {provingToken} from './proving_token.js';
+import {queryDispatchers} from './query_dispatchers.js';
 import {settleMsAfter} from './settle_ms_after.js';
 import {ZoneContact} from './zone_contact.js';
 import {PoolMessage} from '../node/pool_message.js';
@@ -33,7 +37,6 @@
  * lost dispatcher are given up.
  */
 const FAILOVER_MS = 2_300;
-const QUERY_TIMEOUT_MS = 1_000;
 const RETRY_AFTER_MS = 1_000;
 
 interface EntryGatewayOptions {
@@ -73,6 +76,9 @@
       const job = this.jobs.get(body.id);
       if (job?.assignedTo?.node === from) job.losses = body.losses;
     });
+    peers.onMessage('pool.redirect', (from, body, now) =>
+      this.onRedirect(from, body, now),
+    );
     peers.onMessage('pool.unknown', (from, body, now) =>
       this.onUnknown(from, body, now),
     );
@@ -104,6 +110,7 @@
       deadlineAt: now + req.patienceMs,
       respond,
       zone: this.opts.zone,
+      isLent: false,
       assignedTo: undefined,
       submittedAt: 0,
       earliestStartAt: 0,
@@ -127,31 +134,11 @@
     this.sendDrop(job, 'caller_gone');
   }
 
-  /**
-   * Queries the dispatchers of all zones, since a job may have been submitted in
-   * any; returns undefined if the answer is not known.
-   */
-  async query(
-    request: v.InferOutput<typeof PoolMessage.ask>,
-  ): Promise<{readonly found: boolean; readonly pending?: number} | undefined> {
-    const {directory, clock, peers} = this.opts;
-    const nodes = directory.claims.dispatchingNodes(clock.now());
-    const replies = await Promise.all(
-      nodes.map(node =>
-        peers.request(node, 'pool.ask', request, QUERY_TIMEOUT_MS),
-      ),
-    );
-    const known = replies.flatMap(res => {
-      if (res.isErr) return [];
-      const parsed = v.safeParse(QueryReply, res.value);
-      return parsed.success ? [parsed.output] : [];
-    });
-    const found = known.some(reply => reply.found);
-    const isComplete = known.length > 0 && known.length === nodes.length;
-    if (!found && !isComplete) return undefined;
-    const counts = known.flatMap(({pending}) => pending ?? []);
-    if (counts.length === 0) return {found};
-    return {found, pending: counts.reduce((sum, count) => sum + count, 0)};
+  /** Queries the dispatchers of all zones; see queryDispatchers. */
+  query(
+    request: Parameters<typeof queryDispatchers>[1],
+  ): ReturnType<typeof queryDispatchers> {
+    return queryDispatchers(this.opts, request);
   }
 
   tick(now: number): void {
@@ -162,6 +149,13 @@
     if (now >= this.nextPoll) this.poll(now);
   }
 
+  private dispatcherOf(zone: string, now: number): DispatcherClaim | undefined {
+    const {claims} = this.opts.directory;
+    return zone === this.opts.zone
+      ? claims.dispatcherOf(zone, now)
+      : claims.lenderOf(zone, now);
+  }
+
   private contactOf(zone: string): ZoneContact {
     const contact = this.contacts.get(zone) ?? new ZoneContact();
     this.contacts.set(zone, contact);
@@ -171,7 +165,7 @@
   private updateContact(zone: string, now: number): void {
     const contact = this.contactOf(zone);
     const before = contact.claim;
-    const claim = this.opts.directory.claims.dispatcherOf(zone, now);
+    const claim = this.dispatcherOf(zone, now);
     contact.update(claim, now);
     if (isSameDispatcher(claim, before)) return;
     this.opts.observer.recordStateChange(claim ? 'lead_found' : 'lead_silent', {
@@ -266,7 +260,7 @@
   private assign(job: OpenJob, now: number): void {
     const {directory, peers} = this.opts;
     const {claims} = directory;
-    const claim = claims.dispatcherOf(job.zone, now);
+    const claim = this.dispatcherOf(job.zone, now);
     if (!claim) return;
     const {assignedTo: assigned} = job;
     job.wasResubmitted ||= assigned !== undefined;
@@ -275,7 +269,7 @@
     if (assigned && !isSameDispatcher(assigned, claim)) {
       const settledAt = now + settleMsAfter(assigned, claim);
       job.earliestStartAt = Math.max(job.earliestStartAt, settledAt);
-      job.earlierToken = Math.max(job.earlierToken, assigned.token);
+      job.earlierToken = Math.max(job.earlierToken, provingToken(assigned));
     }
     const isLeader = !claim.isFallback && claim.zone === undefined;
     const settleMs = Math.max(0, job.earliestStartAt - now);
@@ -286,10 +280,13 @@
       waitedMs: now - job.arrivedAt,
       patienceMs: Math.max(0, job.deadlineAt - now),
       settleMs,
-      ...(settleMs > 0 ? {earlierToken: job.earlierToken} : {}),
+      ...(settleMs > 0 && Number.isFinite(job.earlierToken)
+        ? {earlierToken: job.earlierToken}
+        : {}),
       losses: job.losses,
       // The leader has every committed configuration.
       revision: isLeader ? 0 : claims.revision,
+      ...(job.isLent ? {isLent: true} : {}),
     });
   }
 
@@ -308,7 +305,7 @@
     for (const {id, zone, assignedTo, submittedAt} of this.jobs.values()) {
       const {claim} = this.contactOf(zone);
       if (!claim || claim.node !== assignedTo?.node) continue;
-      if (now - claim.heardAt >= FailoverTiming.POLL_CUTOFF_MS) continue;
+      if (now - claim.heardAt >= this.pollCutoffMs(zone)) continue;
       if (now - submittedAt < IN_FLIGHT_MS) continue;
       const ids = byNode.get(claim.node) ?? [];
       ids.push(id);
@@ -319,6 +316,23 @@
     }
   }
 
+  /** A lender is heard only after it has the job, for which it must be polled. */
+  private pollCutoffMs(zone: string): number {
+    return zone === this.opts.zone
+      ? FailoverTiming.POLL_CUTOFF_MS
+      : FailoverTiming.DISPATCHER_TIMEOUT_MS;
+  }
+
+  /** Only the dispatcher that has a job can know that it has not started. */
+  private onRedirect(from: string, body: unknown, now: number): void {
+    if (!v.is(PoolMessage.redirect, body)) return;
+    const job = this.jobs.get(body.id);
+    if (!job || job.isLent || job.assignedTo?.node !== from) return;
+    followRedirect(job, body, this.opts.directory.claims, now);
+    this.updateContact(job.zone, now);
+    this.assign(job, now);
+  }
+
   private onUnknown(from: string, body: unknown, now: number): void {
     if (!v.is(PoolMessage.unknown, body)) return;
     for (const id of body.ids) {
@@ -328,8 +342,3 @@
     }
   }
 }
-
-const QueryReply = v.object({
-  found: v.boolean(),
-  pending: v.optional(v.number()),
-});
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -13,13 +13,15 @@
   readonly deadlineAt: number;
   respond: (answer: PoolAnswer) => void;
   /** Zone whose dispatcher has the job or is to get it. */
-  readonly zone: string;
+  zone: string;
+  /** Whether the dispatcher of the entry node's zone has moved it to `zone`. */
+  isLent: boolean;
   /** Dispatcher to which the job was last submitted, if any. */
   assignedTo: DispatcherClaim | undefined;
   submittedAt: number;
   /** Time up to which runs of an earlier dispatcher may be active. */
   earliestStartAt: number;
-  /** Highest fencing token of an earlier dispatcher of the job. */
+  /** Highest fencing token of an earlier dispatcher; see provingToken. */
   earlierToken: number;
   /** Workers that dispatchers have lost under tasks of the job. */
   losses: readonly WorkerLoss[];
--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -34,6 +34,10 @@
   readonly usefulUntil: number;
   /** The caller's deadline. */
   readonly deadlineAt: number;
+  /** Whether the dispatcher of another zone has moved the job here. */
+  readonly isLent: boolean;
+  /** Whether an earlier dispatcher of the zone had the job and may have run it. */
+  readonly hadDispatcher: boolean;
   /** Time by which the runs of an earlier dispatcher have ended. */
   private readonly settlesAt: number;
   /** Fencing token of the dispatcher that had the job before, if known. */
@@ -57,6 +61,7 @@
       waitedMs,
       patienceMs,
       settleMs = 0,
+      isLent = false,
       earlierToken,
     }: PoolSubmission,
     {owner, queue, token, now}: ActiveJobOptions,
@@ -64,6 +69,7 @@
     this.spec = spec;
     this.queue = queue;
     this.owner = owner;
+    this.isLent = isLent;
     this.arrivedAt = now - waitedMs;
     this.criticalPathMs = criticalPathMs(spec.steps);
     this.objectiveAt =
@@ -73,6 +79,7 @@
     this.deadlineAt = now + patienceMs;
     this.settlesAt = now + settleMs;
     this.earlierToken = earlierToken;
+    this.hadDispatcher = settleMs > 0;
     this.isSettling = settleMs > 0;
     this.mayHaveRun = settleMs > 0;
     this.tasks = spec.steps.flatMap((step, at) =>
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -5,6 +5,9 @@
 import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
 import {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
 import {FencingToken} from '../lease/fencing_token.js';
+import {CapacityLending} from '../lending/capacity_lending.js';
+import type {RoomOffers} from '../lending/room_offers.js';
+import {Room} from '../lending/room.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {WorkerRegistry} from '../registry/worker_registry.js';
@@ -13,6 +16,9 @@
 import type {DispatcherClaim} from './dispatcher_claim.js';
 import type {NodeDirectory} from './node_directory.js';
 
+/** Run-time factor of tasks outside the rack of their data. */
+const REMOTE_FACTOR = 2;
+
 interface CoreDispatchingOptions {
   readonly node: string;
   readonly clock: Clock;
@@ -20,6 +26,8 @@
   readonly client: WorkerClient;
   readonly directory: NodeDirectory;
   readonly registry: WorkerRegistry;
+  /** Offers of the holders of other zones. */
+  readonly offers: RoomOffers;
   readonly leaseMs: number;
   readonly reportAddress: string;
   readonly routing: () => RoutingTable | undefined;
@@ -52,12 +60,24 @@
   private readonly endpoint: DispatcherEndpoint;
   private readonly relayChooser: RelayChooser;
   private readonly client: WorkerClient;
+  private readonly lending: CapacityLending;
   private scope: Scope | undefined;
   private firstToken = 0;
 
   constructor(private readonly opts: CoreDispatchingOptions) {
     const {clock, directory, client: direct, peers} = opts;
-    this.endpoint = new DispatcherEndpoint(opts);
+    this.endpoint = new DispatcherEndpoint({
+      ...opts,
+      redirectAgain: (owner, id) =>
+        this.lending.redirectAgain(owner, id, clock.now()),
+    });
+    this.lending = new CapacityLending({
+      ...opts,
+      remoteFactor: REMOTE_FACTOR,
+      // An older entry node would ignore the redirect.
+      canRedirect: owner => directory.isZoned(owner),
+      redirect: (owner, id, to) => this.endpoint.redirect(owner, id, to),
+    });
     this.relayChooser = new RelayChooser(directory, clock);
     this.client = new RelayedWorkerClient({
       peers,
@@ -109,6 +129,11 @@
     return this.scope?.term === term && this.scope.zone === undefined;
   }
 
+  /** What a holder offers to each of the others. */
+  room(now: number): Room {
+    return this.endpoint.dispatcher?.room(now) ?? Room.NONE;
+  }
+
   /** The claim that other nodes receive; undefined without a dispatcher. */
   claim(now: number): DispatcherClaim | undefined {
     const {scope, opts, firstToken} = this;
@@ -142,6 +167,8 @@
       ...this.opts,
       ...options,
       client: this.client,
+      // The leader's dispatcher is one of the last resort and makes no offers.
+      lending: zone === undefined ? undefined : this.lending,
       servesZone: each => serves(scope, each),
       // A closed dispatcher renews no lease.
       maySendOrders: at => this.scope === scope && maySendOrders(at),
--- a/src/core/pool/node/core_presence.ts
+++ b/src/core/pool/node/core_presence.ts
@@ -1,5 +1,7 @@
 import * as v from 'valibot';
 import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {Room} from '../lending/room.js';
+import type {RoomOffers} from '../lending/room_offers.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
 import type {NodeDirectory} from './node_directory.js';
 import {PoolMessage} from './pool_message.js';
@@ -22,6 +24,12 @@
 /** Fields of a claim that its receiver adds. */
 const RECEIVER_FIELDS = new Set(['node', 'heardAt']);
 
+/** Nodes that a message names. */
+interface NodeLists {
+  readonly cores?: readonly string[];
+  readonly entries?: readonly string[];
+}
+
 interface CorePresenceOptions {
   readonly node: string;
   readonly zone: string;
@@ -31,6 +39,10 @@
   readonly startedAt: number;
   /** Claim of this node; undefined without a dispatcher. */
   readonly claim: (now: number) => DispatcherClaim | undefined;
+  /** Offer of this node's dispatcher; undefined unless it holds a zone. */
+  readonly room: (now: number) => Room | undefined;
+  /** Offers of the other holders, which are recorded here. */
+  readonly offers: RoomOffers;
   /** Entry nodes that have jobs here. */
   readonly owners: () => ReadonlySet<string>;
   /** Whether the node relays orders and may hold a zone: it does not drain. */
@@ -46,6 +58,8 @@
   private nextBeat = 0;
   private nextEntryGossip = 0;
   private nextGranted = 0;
+  /** Whether the offer in the last claim was not empty. */
+  private hasOffered = false;
 
   constructor(private readonly opts: CorePresenceOptions) {
     opts.peers.onMessage('pool.presence', (from, body, now) =>
@@ -55,7 +69,9 @@
 
   tick(now: number): void {
     if (now >= this.nextPresence) this.send(now);
-    else if (now >= this.nextBeat) this.sendBeat(now);
+    else if (this.hasOffered && this.opts.room(now)?.cpu === 0) {
+      this.sendToCores({}, now);
+    } else if (now >= this.nextBeat) this.sendBeat(now);
   }
 
   /** Makes messages to all nodes due, after a change of the claim. */
@@ -79,10 +95,7 @@
     if (isListDue) this.nextLists = now + PRESENCE_MS;
     const cores = directory.seenIds('core', now);
     const entries = directory.seenIds('entry', now);
-    for (const id of directory.coreIds(now)) {
-      if (id === node) continue;
-      this.sendTo(id, claim, isListDue ? {cores, entries} : {});
-    }
+    this.sendToCores(isListDue ? {cores, entries} : {}, now);
     const isGossipDue = now >= this.nextEntryGossip || !isLeaderKnown;
     if (isGossipDue) {
       this.nextEntryGossip = now + ENTRY_GOSSIP_MS;
@@ -90,6 +103,18 @@
     } else if (claim) this.sendClaim(claim, now);
   }
 
+  /** Sends the claim to the other core nodes, with the offer of a holder. */
+  private sendToCores(lists: NodeLists, now: number): void {
+    const {directory, node} = this.opts;
+    const claim = this.opts.claim(now);
+    const room = this.opts.room(now);
+    this.hasOffered = room !== undefined && room.cpu > 0;
+    const offering = claim && room ? {...claim, room} : claim;
+    for (const id of directory.coreIds(now)) {
+      if (id !== node) this.sendTo(id, offering, lists);
+    }
+  }
+
   /** Shows the leader that this node is alive. */
   private sendBeat(now: number): void {
     const {directory, node} = this.opts;
@@ -136,10 +161,7 @@
   private sendTo(
     id: string,
     claim: DispatcherClaim | undefined,
-    lists: {
-      readonly cores?: readonly string[];
-      readonly entries?: readonly string[];
-    },
+    lists: NodeLists,
   ): void {
     const {directory, peers, zone, isRelaying} = this.opts;
     // An older node would take a holder for the leader.
@@ -180,8 +202,23 @@
       }
     } else if (claim) claims.record({...claim, node: from, heardAt: now});
     else claims.clear(from);
+    if (role === 'core') this.recordOffer(from, claim, now);
     onClaim(now);
   }
+
+  /** Records the offer in a claim; beats and claims of others have none. */
+  private recordOffer(
+    node: string,
+    claim: Pick<DispatcherClaim, 'zone' | 'token' | 'room'> | undefined,
+    now: number,
+  ): void {
+    const {offers} = this.opts;
+    if (claim?.zone === undefined) return offers.remove(node);
+    const {zone, token, room} = claim;
+    if (!room) return;
+    // Delays are not measured; all zones count as equally far.
+    offers.record({node, zone, token, room, pathMs: 0, heardAt: now});
+  }
 }
 
 /** Omits what the receiver adds. */
--- a/src/core/pool/node/dispatcher_claim.ts
+++ b/src/core/pool/node/dispatcher_claim.ts
@@ -1,3 +1,4 @@
+import type {Room} from '../lending/room.js';
 import type {ZoneGrant} from '../zones/zone_grant.js';
 
 /** A node's claim to dispatch, as received in its presence message. */
@@ -20,6 +21,8 @@
   readonly grants?: readonly ZoneGrant[] | undefined;
   /** Zones that the leader neither dispatches nor grants. Default: none. */
   readonly unserved?: readonly string[] | undefined;
+  /** What a holder offers to each of the others; told to core nodes only. */
+  readonly room?: Room | undefined;
   /** Address to which workers send their reports. */
   readonly reportAddress?: string | undefined;
   /** Revision of the queue configuration in force at the node. */
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -1,6 +1,9 @@
 import {FailoverTiming} from './failover_timing.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
 
+/** Interval of the leader's claims to nodes of zones it has granted, and slack. */
+const GRANT_MAX_AGE_MS = 1_300;
+
 /**
  * Claims to dispatch that a node has heard: of the leader, of the holders of
  * zones, and of the fallback of this node's zone.
@@ -114,6 +117,25 @@
       : undefined;
   }
 
+  /**
+   * Claim of the dispatcher of another zone. Nodes hear its successor only when
+   * they have jobs there; until then they go by the leader's grants.
+   */
+  lenderOf(zone: string, now: number): DispatcherClaim | undefined {
+    const heard = this.dispatcherOf(zone, now);
+    const leader = this.leaderClaim;
+    if (heard || !leader || now - leader.heardAt > GRANT_MAX_AGE_MS) {
+      return heard;
+    }
+    const grant = leader.grants?.find(each => each.zone === zone);
+    if (!grant || grant.token <= (this.holderOf(zone)?.token ?? 0)) {
+      return undefined;
+    }
+    const {term, revision, heardAt} = leader;
+    const {node, token} = grant;
+    return {node, term, token, isFallback: false, zone, revision, heardAt};
+  }
+
   /** Highest configuration revision that a leader or holder last stated. */
   get revision(): number {
     let revision = this.leaderClaim?.revision ?? 0;
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -3,6 +3,7 @@
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
+import {RoomOffers} from '../lending/room_offers.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {WorkerRegistry} from '../registry/worker_registry.js';
@@ -71,6 +72,7 @@
   /** Reports of workers, which any core node takes. */
   readonly reports: WorkerReportService;
   private readonly registry = new WorkerRegistry();
+  private readonly offers = new RoomOffers();
   private readonly registrySender: WorkerRegistrySender;
   private readonly dispatching: CoreDispatching;
   private readonly presence: CorePresence;
@@ -83,16 +85,21 @@
 
   constructor(private readonly opts: LeaderServiceOptions) {
     const {peers, client, clock} = opts;
-    const {registry} = this;
+    const {registry, offers} = this;
     const startedAt = clock.now();
     new WorkerRelay(peers, client);
-    this.dispatching = new CoreDispatching({...opts, registry});
+    this.dispatching = new CoreDispatching({...opts, registry, offers});
     this.granted = new GrantedZone({...opts, startedAt});
     this.registrySender = new WorkerRegistrySender({...opts, registry});
     this.presence = new CorePresence({
       ...opts,
       startedAt,
       claim: now => this.claim(now),
+      offers,
+      room: now =>
+        this.dispatching.heldZone === undefined
+          ? undefined
+          : this.dispatching.room(now),
       owners: () => this.dispatching.owners,
       isRelaying: () => !this.isDraining,
       onClaim: now => this.updateHolder(now),
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -1,6 +1,8 @@
 import * as v from 'valibot';
 import {WorkerLoss} from '../crashes/worker_loss.js';
 import {PoolAnswer} from '../job/pool_answer.js';
+import {Destination} from '../lending/destination.js';
+import {Room} from '../lending/room.js';
 import {WorkerReport} from '../registry/worker_report.js';
 import {ZoneGrant} from '../zones/zone_grant.js';
 
@@ -33,6 +35,8 @@
         grants: v.optional(v.array(ZoneGrant)),
         /** Zones that the leader neither dispatches nor grants. */
         unserved: v.optional(ids),
+        /** What the holder offers to each of the others, to core nodes only. */
+        room: v.optional(Room.schema),
         reportAddress: v.optional(v.string()),
         revision: count,
         version: v.optional(count),
@@ -57,6 +61,8 @@
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
+  /** Dispatcher to which the entry node has to submit a job that was moved. */
+  redirect: v.object({id: v.string(), ...Destination.entries}),
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -11,6 +11,7 @@
 import {ResponseMeasurement} from './response/response_measurement.js';
 import {SlopesMeasurement} from './slopes/slopes_measurement.js';
 import {ThroughputMeasurement} from './throughput/throughput_measurement.js';
+import {ZonesMeasurement} from './zones/zones_measurement.js';
 import {DEPLOYMENTS} from './workload/deployments.js';
 
 /** Measurements with common options; `control` has options of its own. */
@@ -23,6 +24,7 @@
   new ThroughputMeasurement(),
   new SlopesMeasurement(),
   new PlacementMeasurement(),
+  new ZonesMeasurement(),
 ];
 
 interface Options {
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -97,6 +97,11 @@
     return found;
   }
 
+  /** A core node that holds a zone. */
+  holderOf(zone: string): string {
+    return this.holders()[zone]![0]!;
+  }
+
   fallbacks(): string[] {
     return [...this.entries]
       .filter(([, {fallback}]) => fallback.isDispatching)
