Give the estimate of the tasks in the test of evacuations

The estimate of a worker's speed takes overdue runs into account, so that a task with a fifth of its true run time as estimate made the workers slow and the forecast refuse the next jobs. The test is about starts.

--- a/src/core/pool/dispatcher/evacuation.test.ts
+++ b/src/core/pool/dispatcher/evacuation.test.ts
@@ -25,7 +25,10 @@
   const dispatcher = bench.createDispatcher();
   for (const worker of bench.workers.values()) worker.runMs = () => 500;
   await bench.run(50, dispatcher);
-  dispatcher.submit('e', PoolBench.submission('j', {tasks: 4}));
+  dispatcher.submit(
+    'e',
+    PoolBench.submission('j', {tasks: 4, estimatedMs: 500}),
+  );
   await bench.run(100, dispatcher);
   bench.evacuate('a');
   const since = bench.clock.now();
