Do not redirect a job that another dispatcher of the zone had since

A submission with settleMs now ends the memory, an entry node follows no redirect for such a job, and states settleMs to a holder also when the time is over.

--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -196,3 +196,55 @@
   assert.include(last.body, {settleMs: 1_800});
   assert.notProperty(last.body, 'earlierToken');
 });
+
+// The home was suspended after it had moved the job, and a fallback has it since.
+test('a job that an earlier dispatcher had is not redirected', () => {
+  const bench = createBench();
+  const {clock, directory, peers} = bench;
+  const announce = (node: string, token: number) => {
+    const claim = {term: 1, isFallback: false, zone: 'z', revision: 1};
+    const heardAt = clock.now();
+    directory.claims.record({...claim, node, token, heardAt});
+  };
+  announce('c1', 1_001);
+  bench.submit();
+  announce('c2', 1_002);
+  bench.run(50);
+  const to = {zone: 'y', node: 'c3', token: 1_003};
+  peers.deliver('c2', 'pool.redirect', {id: 'j', ...to});
+  for (let passed = 0; passed < 2_000; passed += 50) {
+    announce('c2', 1_002);
+    bench.run(50);
+  }
+  peers.deliver('c2', 'pool.redirect', {id: 'j', ...to});
+  const submissions = peers.sent.filter(({kind}) => kind === 'pool.submit');
+  assert.deepEqual(
+    submissions.map(({node}) => node),
+    ['c1', 'c2', 'c2'],
+  );
+  const last = submissions.at(-1)!.body as {settleMs: number};
+  assert.isAbove(last.settleMs, 0);
+});
+
+test('a redirect is followed only from the dispatcher that has the job', () => {
+  const bench = createBench();
+  const {peers} = bench;
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  const to = {zone: 'y', node: 'c3', token: 1_003};
+  peers.deliver('c2', 'pool.redirect', {id: 'j', ...to});
+  assert.equal(peers.sent.at(-1)?.node, 'c1');
+  peers.deliver('c1', 'pool.redirect', {id: 'j', ...to});
+  peers.deliver('c1', 'pool.redirect', {id: 'j', ...to});
+  const submissions = peers.sent.filter(({kind}) => kind === 'pool.submit');
+  assert.lengthOf(submissions, 2);
+  assert.equal(submissions[1]!.node, 'c3');
+  assert.include(submissions[1]!.body, {isLent: true, settleMs: 0});
+  // The home has started nothing, so that "not run" is true.
+  const answer = {kind: 'refused', reason: 'too_late', retryAfterMs: 1};
+  peers.deliver('c3', 'pool.answer', {id: 'j', answer});
+  assert.deepEqual(
+    bench.answers.map(({kind}) => kind),
+    ['refused'],
+  );
+});
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -272,7 +272,9 @@
       job.earlierToken = Math.max(job.earlierToken, provingToken(assigned));
     }
     const isLeader = !claim.isFallback && claim.zone === undefined;
-    const settleMs = Math.max(0, job.earliestStartAt - now);
+    // A holder moves no job that an earlier dispatcher had, also after its runs.
+    const minMs = claim.zone !== undefined && job.earliestStartAt > 0 ? 1 : 0;
+    const settleMs = Math.max(minMs, job.earliestStartAt - now);
     peers.send(claim.node, 'pool.submit', {
       host: job.host,
       path: job.path,
@@ -328,6 +330,10 @@
     if (!v.is(PoolMessage.redirect, body)) return;
     const job = this.jobs.get(body.id);
     if (!job || job.isLent || job.assignedTo?.node !== from) return;
+    if (job.earliestStartAt > 0) {
+      // The home moved the job before another dispatcher of the zone had it.
+      return this.onUnknown(from, {ids: [job.id]}, now);
+    }
     followRedirect(job, body, this.opts.directory.claims, now);
     this.updateContact(job.zone, now);
     this.assign(job, now);
--- a/src/core/pool/lending/capacity_lending.ts
+++ b/src/core/pool/lending/capacity_lending.ts
@@ -62,6 +62,11 @@
     return to !== undefined;
   }
 
+  /** Forgets that a job was moved. */
+  forget(id: string): void {
+    this.moved.delete(id);
+  }
+
   /** Moves jobs that have not started to dispatchers with room; returns them. */
   move(late: LateJobs, now: number): ActiveJob[] {
     const {offers, observer, redirect, canRedirect} = this.opts;
--- a/src/core/pool/lending/dispatcher_lending.test.ts
+++ b/src/core/pool/lending/dispatcher_lending.test.ts
@@ -159,6 +159,20 @@
   assert.isEmpty(bench.overlaps());
 });
 
+// While the home was suspended, a fallback has started the job in its zone.
+test('a moved job that another dispatcher of the zone had since stays', async () => {
+  const bench = await createBench();
+  for (let n = 0; n < 14; n += 1) bench.submit(0, wide(`j${n}`));
+  await bench.run(300);
+  const {id} = bench.redirects[0]!;
+  const before = bench.redirects.length;
+  bench.zones[0]!.dispatcher.submit('e2', {...wide(id), settleMs: 100});
+  bench.zones[0]!.dispatcher.submit('e2', wide(id));
+  await bench.run(300);
+  assert.lengthOf(bench.redirects, before);
+  assert.equal(bench.zones[0]!.bench.answers.get(id)?.kind, 'completed');
+});
+
 // A refusal of the lender says that no task has run.
 test('a job that may have run is not moved', async () => {
   const bench = await createBench();
--- a/src/core/pool/lending/dispatcher_lending.ts
+++ b/src/core/pool/lending/dispatcher_lending.ts
@@ -43,7 +43,7 @@
   /** Records a submission; returns whether its job is redirected again. */
   redirectAgain(
     owner: string,
-    {job, isLent}: PoolSubmission,
+    {job, isLent, settleMs = 0}: PoolSubmission,
     now: number,
   ): boolean {
     const {lending} = this.opts;
@@ -52,6 +52,11 @@
     }
     // Its home has moved it here, whatever this dispatcher did with it before.
     if (isLent) return false;
+    if (settleMs > 0) {
+      // Another dispatcher of this zone had the job since, and may have run it.
+      lending?.forget(job.id);
+      return false;
+    }
     return lending?.redirectAgain(owner, job.id, now) ?? false;
   }
 
--- a/src/core/pool/lending/moved_jobs.ts
+++ b/src/core/pool/lending/moved_jobs.ts
@@ -30,6 +30,10 @@
     this.byId.set(id, {to, at: now});
   }
 
+  delete(id: string): void {
+    this.byId.delete(id);
+  }
+
   private expire(now: number): void {
     for (const [id, {at}] of this.byId) {
       if (now - at < RETENTION_MS) return;
