Wait for runs of a leader of several zones in other zones

Cause: a leader of several zones may run a job on workers of any of them. Change: an entry node passes the earlier token only if the earlier dispatcher had no other workers; the leader names its sole zone. Nodes that have not been heard yet count as new ones, so that they get the claims of holders.

--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -8,7 +8,7 @@
 import type {PoolJob} from '../job/pool_job.js';
 import type {OpenJob} from './open_job.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
-import {settleMsAfter} from './settle_ms_after.js';
+import {Settling} from './settling.js';
 import {ZoneContact} from './zone_contact.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
@@ -192,6 +192,8 @@
       this.expire(job);
     } else if (claim && !isSameDispatcher(claim, assigned)) {
       if (contact.mayReassign(assigned, now)) this.assign(job, now);
+    } else if (claim) {
+      job.assignedTo = claim;
     } else if (!claim && now - job.arrivedAt > job.maxWaitMs) {
       if (!assigned) this.refuse(job, 'no_lead');
       else if (now - contact.seenAt > FAILOVER_MS) this.giveUpLost(job);
@@ -273,9 +275,11 @@
     job.assignedTo = claim;
     job.submittedAt = now;
     if (assigned && !isSameDispatcher(assigned, claim)) {
-      const settledAt = now + settleMsAfter(assigned, claim);
+      const change = {zone: job.zone, from: assigned, to: claim};
+      const settledAt = now + Settling.durationMs(change);
       job.earliestStartAt = Math.max(job.earliestStartAt, settledAt);
-      job.earlierToken = Math.max(job.earlierToken, assigned.token);
+      const token = Settling.earlierToken(change);
+      job.earlierToken = Math.max(job.earlierToken, token);
     }
     const isLeader = !claim.isFallback && claim.zone === undefined;
     const settleMs = Math.max(0, job.earliestStartAt - now);
@@ -286,7 +290,9 @@
       waitedMs: now - job.arrivedAt,
       patienceMs: Math.max(0, job.deadlineAt - now),
       settleMs,
-      ...(settleMs > 0 ? {earlierToken: job.earlierToken} : {}),
+      ...(settleMs > 0 && Number.isFinite(job.earlierToken)
+        ? {earlierToken: job.earlierToken}
+        : {}),
       losses: job.losses,
       // The leader has every committed configuration.
       revision: isLeader ? 0 : claims.revision,
--- a/src/core/pool/entry/entry_presence.ts
+++ b/src/core/pool/entry/entry_presence.ts
@@ -65,10 +65,15 @@
     }
   }
 
+  /** Makes messages to all core nodes due. */
+  makeDue(): void {
+    this.nextCores = this.nextFollowers = 0;
+  }
+
   /** Announces a shutdown, so that the leader stops relaying through this node. */
   announceDrain(): void {
     this.isDraining = true;
-    this.nextCores = this.nextFollowers = 0;
+    this.makeDue();
   }
 
   /**
--- /dev/null
+++ b/src/core/pool/entry/settling.test.ts
@@ -0,0 +1,38 @@
+import {assert} from 'chai';
+import type {DispatcherClaim} from '../node/dispatcher_claim.js';
+import {Settling} from './settling.js';
+
+function claim(change: Partial<DispatcherClaim>): DispatcherClaim {
+  const base = {node: 'n', term: 1, token: 1_000, revision: 1, heardAt: 0};
+  return {...base, isFallback: false, ...change};
+}
+
+const grants = [{zone: 'y', node: 'h', token: 1_003}];
+
+// A leader of several zones once had runs in other zones, which the holder of a
+// newly granted zone did not know of; their tasks ran twice.
+test('runs of a leader of several zones are waited for in any case', () => {
+  const to = claim({zone: 'z', token: 1_002});
+  const [from, sole] = [claim({}), claim({soleZone: 'z'})];
+  assert.equal(Settling.durationMs({zone: 'z', from, to}), 1_800);
+  assert.equal(Settling.earlierToken({zone: 'z', from, to}), Infinity);
+  assert.equal(Settling.earlierToken({zone: 'z', from: sole, to}), 1_000);
+});
+
+test('the holder of a zone and its fallback have runs in the zone only', () => {
+  const to = claim({token: 2_000, term: 2, grants});
+  const holder = claim({zone: 'z', token: 1_002});
+  assert.equal(Settling.earlierToken({zone: 'z', from: holder, to}), 1_002);
+  const fallback = claim({isFallback: true, token: 1_009});
+  assert.equal(Settling.earlierToken({zone: 'z', from: fallback, to}), 1_009);
+  assert.equal(Settling.durationMs({zone: 'z', from: fallback, to}), 800);
+});
+
+test('the next leader of all zones waits for nothing, one of some does', () => {
+  const from = claim({});
+  const all = claim({term: 2, token: 2_000});
+  const some = claim({term: 2, token: 2_000, grants});
+  assert.equal(Settling.durationMs({zone: 'z', from, to: all}), 0);
+  assert.equal(Settling.durationMs({zone: 'z', from, to: some}), 1_800);
+  assert.equal(Settling.earlierToken({zone: 'z', from, to: some}), Infinity);
+});
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -51,6 +51,8 @@
   private readonly client: WorkerClient;
   private scope: Scope | undefined;
   private firstToken = 0;
+  /** Zones of all workers that the dispatcher has had. */
+  private readonly servedZones = new Set<string>();
 
   constructor(private readonly opts: CoreDispatchingOptions) {
     const {clock, directory, client: direct, peers} = opts;
@@ -120,6 +122,7 @@
       isFallback: false,
       ...(zone === undefined ? {} : {zone}),
       ...(isFirst || zone !== undefined ? {} : {firstToken}),
+      ...(zone === undefined ? this.soleZone(scope) : {}),
       reportAddress,
       revision: routing()?.content.revision ?? 0,
       heardAt: now,
@@ -133,6 +136,7 @@
     const scope = {term, zone, excluded};
     this.scope = scope;
     this.firstToken = token;
+    this.servedZones.clear();
     this.setRelayedWorkers(scope);
     const dispatcher = new PoolDispatcher({
       ...this.opts,
@@ -178,9 +182,17 @@
     });
   }
 
+  /** A leader of small zones does not tell, since it grants none. */
+  private soleZone({excluded}: Scope): {readonly soleZone?: string} {
+    const [soleZone, ...others] = this.servedZones;
+    if (excluded.size === 0 || others.length > 0) return {};
+    return soleZone === undefined ? {} : {soleZone};
+  }
+
   private setRelayedWorkers(scope: Scope): void {
     const {reports} = this.opts.registry;
     const served = reports.filter(({zone}) => serves(scope, zone));
+    for (const {zone} of served) this.servedZones.add(zone);
     const mayLeaveZone = scope.zone === undefined;
     this.relayChooser.setWorkers(served, {mayLeaveZone});
   }
--- a/src/core/pool/node/dispatcher_claim.ts
+++ b/src/core/pool/node/dispatcher_claim.ts
@@ -16,6 +16,11 @@
    * term. Tells a new dispatcher of the leader from one that raised its token.
    */
   readonly firstToken?: number | undefined;
+  /**
+   * The only zone on whose workers this dispatcher of the leader can have started
+   * runs, if it is one.
+   */
+  readonly soleZone?: string | undefined;
   /** Zones that the leader has granted. Default: none. */
   readonly grants?: readonly ZoneGrant[] | undefined;
   /** Zones that the leader neither dispatches nor grants. Default: none. */
--- a/src/core/pool/node/node_directory.ts
+++ b/src/core/pool/node/node_directory.ts
@@ -23,8 +23,8 @@
   };
   private readonly relays = new Set<string>();
   private readonly zones = new Map<string, string>();
-  /** Nodes that know claims by zone. */
-  private readonly zoned = new Set<string>();
+  /** Nodes whose older process does not know claims by zone. */
+  private readonly unzoned = new Set<string>();
   /** Start time of each core node's process, and since when it is known. */
   private readonly processes = new Map<string, {at: number; since: number}>();
   /** Claims to dispatch. */
@@ -86,13 +86,13 @@
 
   /** Records whether a node knows claims by zone. */
   setZoned(node: string, isZoned: boolean): void {
-    if (isZoned) this.zoned.add(node);
-    else this.zoned.delete(node);
+    if (isZoned) this.unzoned.delete(node);
+    else this.unzoned.add(node);
   }
 
   /** Whether a node knows claims by zone; an older process does not. */
   isZoned(node: string): boolean {
-    return this.zoned.has(node);
+    return !this.unzoned.has(node);
   }
 
   /** Records when the process of a core node started, as stated by the node. */
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -29,6 +29,8 @@
         zone: v.optional(v.string()),
         /** Token under which the dispatcher began, unless the term's first. */
         firstToken: v.optional(count),
+        /** The only zone that a dispatcher of the leader has served. */
+        soleZone: v.optional(v.string()),
         /** Zones that the leader has granted; it dispatches the others. */
         grants: v.optional(v.array(ZoneGrant)),
         /** Zones that the leader neither dispatches nor grants. */
--- a/src/core/pool/zones/zones.test.ts
+++ b/src/core/pool/zones/zones.test.ts
@@ -253,6 +253,53 @@
   await assertServed(bench, since, {x: 900, y: 900, z: 900});
 });
 
+/** Makes a node send and understand only what an older process does. */
+function makeOld(bench: DeploymentBench, old: string | undefined): void {
+  bench.network.translate = (from, to, body) => {
+    const message = body as Record<string, unknown>;
+    if (message['role'] === undefined) return body;
+    if (from === old) {
+      return {
+        ...message,
+        isZoned: undefined,
+        zoneToken: undefined,
+        startedAt: undefined,
+      };
+    }
+    const lead = message['lead'] as object | undefined;
+    if (to !== old || !lead) return body;
+    const fields = {
+      zone: undefined,
+      grants: undefined,
+      unserved: undefined,
+      firstToken: undefined,
+    };
+    return {...message, lead: {...lead, ...fields}};
+  };
+}
+
+// During a rolling restart, older processes would take a holder for the leader.
+test('nothing is granted while an older process is there', async () => {
+  const bench = new DeploymentBench();
+  makeOld(bench, 'ye1');
+  await bench.run(6_000);
+  assert.deepEqual(bench.holders(), {});
+  const since = bench.now;
+  await bench.runLoad(500, 50, PATIENT);
+  makeOld(bench, undefined);
+  // A new process sends its presence to all core nodes at once.
+  bench.entries.get('ye1')!.presence.makeDue();
+  await bench.runLoad(2_000, 50, PATIENT);
+  assert.deepEqual(bench.holders(), {x: ['xc2'], y: ['yc1'], z: ['zc1']});
+  makeOld(bench, 'ze2');
+  await bench.runLoad(2_000, 50, PATIENT);
+  assert.deepEqual(bench.holders(), {});
+  await assertServed(bench, since, {x: 300, y: 300, z: 300});
+  // Runs in other zones are stopped when a zone is granted for the first time.
+  assert.isAtMost(bench.log.jobsWith('given_up').length, 20);
+  assert.isEmpty(bench.log.jobsWith('refused'));
+});
+
 test('zones with one core node each have their own dispatchers', async () => {
   const bench = new DeploymentBench({coresPerZone: 1});
   await bench.run(6_000);
--- a/test-support/fakes/pool/pool_network.ts
+++ b/test-support/fakes/pool/pool_network.ts
@@ -13,6 +13,12 @@
   readonly bytes = new Map<string, number>();
   /** Whether messages from one node reach another. */
   isConnected: (from: string, to: string) => boolean = () => true;
+  /** Changes the messages from one node to another, as an older process would. */
+  translate: (from: string, to: string, body: unknown) => unknown = (
+    _from,
+    _to,
+    body,
+  ) => body;
   private readonly nodes = new Map<string, PoolTransport>();
 
   connect(node: string, clock: SuspendableClock): PeerTransport {
@@ -33,7 +39,7 @@
     handle: (receiver: PoolTransport, body: unknown) => void,
   ): void {
     if (this.nodes.get(from.node) !== from) return;
-    const encoded = cbor.encode(body);
+    const encoded = cbor.encode(this.translate(from.node, to, body));
     const sent = (this.bytes.get(from.node) ?? 0) + encoded.length;
     this.bytes.set(from.node, sent);
     // The network goes on while the sender is suspended.
