--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -209,6 +209,8 @@
     if (now - this.leaderSince >= WORKER_DISCOVERY_MS) {
       this.fullSnapshotAt = now;
     }
+    // After a suspension, all holders seem silent until their messages are read.
+    if (!this.guard.isAwake(now)) return;
     if (leader.update(state.confirmedAt, now)) this.presence.makeDue(now);
     const {term, excluded} = leader;
     if (!leader.isReady || this.dispatching.isLeading(term, excluded)) return;
--- a/src/core/pool/zones/zones.test.ts
+++ b/src/core/pool/zones/zones.test.ts
@@ -86,6 +86,19 @@
   await assertServed(bench, since, {x: 600, y: 100, z: 100});
 });
 
+// Its timers fire before it has read the messages of the holders.
+test('a leader that was frozen for a moment takes no zone from its holder', async () => {
+  const bench = await createRunningBench();
+  const since = bench.now;
+  bench.suspend('xc1');
+  await bench.runLoad(550, 50, PATIENT);
+  bench.resume('xc1');
+  await bench.runLoad(2_000, 50, PATIENT);
+  assert.equal(bench.leader, 'xc1');
+  assert.equal(bench.log.count('zone_closed', since), 0);
+  await assertServed(bench, since, {x: 100, y: 100, z: 100});
+});
+
 // A zone that comes back after a partition once was taken from its holder, and
 // waited for the takeover.
 for (const cutMs of [400, 600, 900, 1_600, 5_000, 12_000]) {
