--- a/src/check/pool/check_pool.test.ts
+++ b/src/check/pool/check_pool.test.ts
@@ -15,4 +15,5 @@
 test('generated histories of zones keep what callers are promised', async () => {
   const report = await checkZones(1, 5);
   assert.deepEqual(report.counterexample, undefined);
+  assert.isAbove(report.moved, 0);
 });
--- a/src/check/pool/pool_command.ts
+++ b/src/check/pool/pool_command.ts
@@ -27,8 +27,9 @@
         : await checkPool(seed, runs);
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
     console.log(`seed ${opts.seed}: ${report.runs} runs in ${seconds} s`);
-    if ('jobs' in report) console.log(`jobs: ${report.jobs}`);
-    else console.log(`starts: ${report.starts}, crashes: ${report.crashes}`);
+    if ('jobs' in report) {
+      console.log(`jobs: ${report.jobs}, moved: ${report.moved}`);
+    } else console.log(`starts: ${report.starts}, crashes: ${report.crashes}`);
     const {counterexample} = report;
     console.log(`violations: ${counterexample?.violations.length ?? 0}`);
     if (!counterexample) return;
--- a/src/check/pool/zone_run.ts
+++ b/src/check/pool/zone_run.ts
@@ -30,6 +30,11 @@
     return this.bench.log.submittedAt.size;
   }
 
+  /** Number of jobs that were moved to other zones. */
+  get moved(): number {
+    return this.bench.log.count('job_redirected');
+  }
+
   async run(steps: readonly ZoneStep[]): Promise<void> {
     const {bench} = this;
     for (const worker of bench.workers.values()) {
@@ -53,6 +58,8 @@
   private execute(step: ZoneStep): void {
     const {bench} = this;
     switch (step.kind) {
+      case 'burst':
+        return this.burst(ZONES[step.zone]!, step.jobs);
       case 'cut_zone': {
         const zone = ZONES[step.zone]!;
         return this.cut(step.forMs, bench.inZone(zone), bench.outsideOf(zone));
@@ -78,6 +85,14 @@
     }
   }
 
+  /** Submits jobs that need more places than a zone has. */
+  private burst(zone: string, jobs: number): void {
+    const entries = [...this.bench.entries.keys()].filter(e => e[0] === zone);
+    for (let n = 0; n < jobs; n += 1) {
+      this.submit(entries[n % entries.length]!);
+    }
+  }
+
   private stop(
     kind: 'kill' | 'suspend' | 'drain',
     id: string,
@@ -128,17 +143,19 @@
   private submitAll(): void {
     const {bench} = this;
     this.nextSubmit = bench.now + SUBMIT_MS;
-    for (const id of bench.entries.keys()) {
-      this.jobs += 1;
-      bench.submit(id, `${id}-${this.jobs}`, {
-        tasks: 1 + (this.jobs % 4),
-        estimatedMs: RUN_TIMES_MS[this.jobs % RUN_TIMES_MS.length],
-        patienceMs: PATIENCE_MS,
-      });
-    }
+    for (const id of bench.entries.keys()) this.submit(id);
     this.retry();
   }
 
+  private submit(entry: string): void {
+    this.jobs += 1;
+    this.bench.submit(entry, `${entry}-${this.jobs}`, {
+      tasks: 1 + (this.jobs % 4),
+      estimatedMs: RUN_TIMES_MS[this.jobs % RUN_TIMES_MS.length],
+      patienceMs: PATIENCE_MS,
+    });
+  }
+
   /** Sends jobs again that were given up, to another entry node. */
   private retry(): void {
     const {bench} = this;
--- a/src/check/pool/zone_step.ts
+++ b/src/check/pool/zone_step.ts
@@ -7,6 +7,8 @@
     | {readonly kind: 'suspend'; readonly core: number; readonly forMs: number}
     /** A core node is stopped as planned; another process starts later. */
     | {readonly kind: 'drain'; readonly core: number; readonly forMs: number}
+    /** The callers of a zone send many wide jobs at once. */
+    | {readonly kind: 'burst'; readonly zone: number; readonly jobs: number}
     /** All links between a zone and the others are cut. */
     | {readonly kind: 'cut_zone'; readonly zone: number; readonly forMs: number}
     /** The links between two core nodes are cut. */
--- a/src/check/pool/zone_steps_arbitrary.ts
+++ b/src/check/pool/zone_steps_arbitrary.ts
@@ -1,7 +1,7 @@
 import * as fc from 'fast-check';
 import type {ZoneStep} from './zone_step.js';
 
-const MAX_STEPS = 6;
+const MAX_STEPS = 9;
 const CORES = 6;
 const ZONES = 3;
 
@@ -48,13 +48,21 @@
   forMs,
 });
 
-/** Generates the faults of a history. */
+const burst = fc.record({
+  kind: fc.constant('burst' as const),
+  waitMs: fc.integer({min: 0, max: 300}),
+  zone: fc.nat({max: ZONES - 1}),
+  jobs: fc.integer({min: 15, max: 60}),
+});
+
+/** Generates the faults and the bursts of a history. */
 export const zoneStepsArbitrary: fc.Arbitrary<ZoneStep[]> = fc.array(
   fc.oneof(
     {weight: 4, arbitrary: fault},
     {weight: 2, arbitrary: cutZone},
     {weight: 1, arbitrary: cutCores},
     {weight: 2, arbitrary: cutWorkers},
+    {weight: 4, arbitrary: burst},
   ),
   {minLength: 1, maxLength: MAX_STEPS},
 );
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -185,6 +185,75 @@
   assert.deepInclude(submission?.body, {losses});
 });
 
+// The leader may run the job in a zone whose workers the holder does not know.
+test('a holder waits for the runs of a job that the leader had', () => {
+  const bench = createBench();
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  const {clock, directory, peers} = bench;
+  directory.claims.record({
+    ...{node: 'c2', term: 1, token: 1_001, isFallback: false},
+    ...{zone: 'z', revision: 1, heardAt: clock.now()},
+  });
+  bench.run(50);
+  const last = peers.sent.at(-1)!;
+  assert.include(last, {node: 'c2', kind: 'pool.submit'});
+  assert.include(last.body, {settleMs: 1_800});
+  assert.notProperty(last.body, 'earlierToken');
+});
+
+// The home was suspended after it had moved the job, and a fallback has it since.
+test('a job that an earlier dispatcher had is not redirected', () => {
+  const bench = createBench();
+  const {clock, directory, peers} = bench;
+  const announce = (node: string, token: number) => {
+    const claim = {term: 1, isFallback: false, zone: 'z', revision: 1};
+    const heardAt = clock.now();
+    directory.claims.record({...claim, node, token, heardAt});
+  };
+  announce('c1', 1_001);
+  bench.submit();
+  announce('c2', 1_002);
+  bench.run(50);
+  const to = {zone: 'y', node: 'c3', token: 1_003};
+  peers.deliver('c2', 'pool.redirect', {id: 'j', ...to});
+  for (let passed = 0; passed < 2_000; passed += 50) {
+    announce('c2', 1_002);
+    bench.run(50);
+  }
+  peers.deliver('c2', 'pool.redirect', {id: 'j', ...to});
+  const submissions = peers.sent.filter(({kind}) => kind === 'pool.submit');
+  assert.deepEqual(
+    submissions.map(({node}) => node),
+    ['c1', 'c2', 'c2'],
+  );
+  const last = submissions.at(-1)!.body as {settleMs: number};
+  assert.isAbove(last.settleMs, 0);
+});
+
+test('a redirect is followed only from the dispatcher that has the job', () => {
+  const bench = createBench();
+  const {peers} = bench;
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  const to = {zone: 'y', node: 'c3', token: 1_003};
+  peers.deliver('c2', 'pool.redirect', {id: 'j', ...to});
+  assert.equal(peers.sent.at(-1)?.node, 'c1');
+  peers.deliver('c1', 'pool.redirect', {id: 'j', ...to});
+  peers.deliver('c1', 'pool.redirect', {id: 'j', ...to});
+  const submissions = peers.sent.filter(({kind}) => kind === 'pool.submit');
+  assert.lengthOf(submissions, 2);
+  assert.equal(submissions[1]!.node, 'c3');
+  assert.include(submissions[1]!.body, {isLent: true, settleMs: 0});
+  // The home has started nothing, so that "not run" is true.
+  const answer = {kind: 'refused', reason: 'too_late', retryAfterMs: 1};
+  peers.deliver('c3', 'pool.answer', {id: 'j', answer});
+  assert.deepEqual(
+    bench.answers.map(({kind}) => kind),
+    ['refused'],
+  );
+});
+
 test('a job of a lost holder is submitted to the next with a time to settle', () => {
   const bench = createBench();
   bench.announceHolder('c1', 1_001);
@@ -222,20 +291,3 @@
   assert.isNotEmpty(polls);
   assert.isTrue(polls.every(({node}) => node === 'c1'));
 });
-
-// The leader may run the job in a zone whose workers the holder does not know.
-test('a holder waits for the runs of a job that the leader had', () => {
-  const bench = createBench();
-  bench.announceLeader('c1', 1);
-  bench.submit();
-  const {clock, directory, peers} = bench;
-  directory.claims.record({
-    ...{node: 'c2', term: 1, token: 1_001, isFallback: false},
-    ...{zone: 'z', revision: 1, heardAt: clock.now()},
-  });
-  bench.run(50);
-  const last = peers.sent.at(-1)!;
-  assert.include(last, {node: 'c2', kind: 'pool.submit'});
-  assert.include(last.body, {settleMs: 1_800});
-  assert.notProperty(last.body, 'earlierToken');
-});
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -10,9 +10,8 @@
 import type {OpenJob} from './open_job.js';
 import {followRedirect} from './follow_redirect.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
-import {provingToken} from './proving_token.js';
 import {queryDispatchers} from './query_dispatchers.js';
-import {settleMsAfter} from './settle_ms_after.js';
+import {Settling} from './settling.js';
 import {ZoneContact} from './zone_contact.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
@@ -134,10 +133,8 @@
     this.sendDrop(job, 'caller_gone');
   }
 
-  /** Queries the dispatchers of all zones; see queryDispatchers. */
-  query(
-    request: Parameters<typeof queryDispatchers>[1],
-  ): ReturnType<typeof queryDispatchers> {
+  /** Queries the dispatchers of all zones. */
+  query(request: Parameters<typeof queryDispatchers>[1]) {
     return queryDispatchers(this.opts, request);
   }
 
@@ -186,6 +183,8 @@
       this.expire(job);
     } else if (claim && !isSameDispatcher(claim, assigned)) {
       if (contact.mayReassign(assigned, now)) this.assign(job, now);
+    } else if (claim) {
+      job.assignedTo = claim;
     } else if (!claim && now - job.arrivedAt > job.maxWaitMs) {
       if (!assigned) this.refuse(job, 'no_lead');
       else if (now - contact.seenAt > FAILOVER_MS) this.giveUpLost(job);
@@ -267,12 +266,16 @@
     job.assignedTo = claim;
     job.submittedAt = now;
     if (assigned && !isSameDispatcher(assigned, claim)) {
-      const settledAt = now + settleMsAfter(assigned, claim);
+      const change = {zone: job.zone, from: assigned, to: claim};
+      const settledAt = now + Settling.durationMs(change);
       job.earliestStartAt = Math.max(job.earliestStartAt, settledAt);
-      job.earlierToken = Math.max(job.earlierToken, provingToken(assigned));
+      const token = Settling.earlierToken(change);
+      job.earlierToken = Math.max(job.earlierToken, token);
     }
     const isLeader = !claim.isFallback && claim.zone === undefined;
-    const settleMs = Math.max(0, job.earliestStartAt - now);
+    // A holder moves no job that an earlier dispatcher had, also after its runs.
+    const minMs = claim.zone !== undefined && job.earliestStartAt > 0 ? 1 : 0;
+    const settleMs = Math.max(minMs, job.earliestStartAt - now);
     peers.send(claim.node, 'pool.submit', {
       host: job.host,
       path: job.path,
@@ -305,7 +308,11 @@
     for (const {id, zone, assignedTo, submittedAt} of this.jobs.values()) {
       const {claim} = this.contactOf(zone);
       if (!claim || claim.node !== assignedTo?.node) continue;
-      if (now - claim.heardAt >= this.pollCutoffMs(zone)) continue;
+      // A lender is heard only after it has the job, for which it must be polled.
+      const isOwnZone = zone === this.opts.zone;
+      const {POLL_CUTOFF_MS, DISPATCHER_TIMEOUT_MS} = FailoverTiming;
+      const cutoffMs = isOwnZone ? POLL_CUTOFF_MS : DISPATCHER_TIMEOUT_MS;
+      if (now - claim.heardAt >= cutoffMs) continue;
       if (now - submittedAt < IN_FLIGHT_MS) continue;
       const ids = byNode.get(claim.node) ?? [];
       ids.push(id);
@@ -316,18 +323,15 @@
     }
   }
 
-  /** A lender is heard only after it has the job, for which it must be polled. */
-  private pollCutoffMs(zone: string): number {
-    return zone === this.opts.zone
-      ? FailoverTiming.POLL_CUTOFF_MS
-      : FailoverTiming.DISPATCHER_TIMEOUT_MS;
-  }
-
   /** Only the dispatcher that has a job can know that it has not started. */
   private onRedirect(from: string, body: unknown, now: number): void {
     if (!v.is(PoolMessage.redirect, body)) return;
     const job = this.jobs.get(body.id);
     if (!job || job.isLent || job.assignedTo?.node !== from) return;
+    if (job.earliestStartAt > 0) {
+      // The home moved the job before another dispatcher of the zone had it.
+      return this.onUnknown(from, {ids: [job.id]}, now);
+    }
     followRedirect(job, body, this.opts.directory.claims, now);
     this.updateContact(job.zone, now);
     this.assign(job, now);
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -97,7 +97,7 @@
     return found;
   }
 
-  /** A core node that holds a zone. */
+  /** Holder of a zone. */
   holderOf(zone: string): string {
     return this.holders()[zone]![0]!;
   }
