--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -10,6 +10,7 @@
 import type {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from '../node/pool_message.js';
 import {PoolSubmission} from '../job/pool_submission.js';
+import {RecentStarts} from '../job/recent_starts.js';
 
 interface DispatcherEndpointOptions {
   readonly clock: Clock;
@@ -25,6 +26,8 @@
   private current: PoolDispatcher | undefined;
   private readonly ownerSeenAt = new Map<string, number>();
   private readonly answers = new AnswerCache();
+  /** Jobs that may have run under any dispatcher of the deployment. */
+  private readonly unclear = new RecentStarts();
   /** Jobs that need a newer configuration than this node has. */
   private readonly early = new EarlySubmissions();
 
@@ -41,11 +44,22 @@
       this.early.delete(body.id);
       this.current?.drop(body.id, from, body.reason);
     });
+    peers.onMessage('pool.unclear', (_from, body, now) => {
+      if (!v.is(PoolMessage.unclear, body)) return;
+      this.unclear.expire(now);
+      for (const id of body.ids) this.unclear.record(id, now);
+    });
     peers.onRequest('pool.ask', (_from, body) =>
       Promise.resolve(this.onQuery(body)),
     );
   }
 
+  /** Whether another dispatcher or an entry node has told that a job may have run. */
+  mayHaveRun(id: string): boolean {
+    this.unclear.expire(this.opts.clock.now());
+    return this.unclear.has(id);
+  }
+
   get dispatcher(): PoolDispatcher | undefined {
     return this.current;
   }
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -181,10 +181,13 @@
 
   /** Drops the jobs of entry nodes that no longer poll. */
   dropJobsOfOwners(isLost: (owner: string) => boolean): void {
-    for (const {spec, owner, isAbandoned} of [...this.jobs.all]) {
-      if (isAbandoned || !isLost(owner)) continue;
-      this.drop(spec.id, owner, 'owner_silent');
+    const started: string[] = [];
+    for (const job of [...this.jobs.all]) {
+      if (job.isAbandoned || !isLost(job.owner)) continue;
+      if (job.hasStarted || job.mayHaveRun) started.push(job.spec.id);
+      this.drop(job.spec.id, job.owner, 'owner_silent');
     }
+    if (started.length > 0) this.opts.onUnclear?.(started);
   }
 
   tick(now: number): void {
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -31,5 +31,9 @@
     id: string,
     losses: readonly WorkerLoss[],
   ) => void;
+  /** Whether a job may have run under another dispatcher. Default: none has. */
+  readonly mayHaveRun?: (id: string) => boolean;
+  /** Called with jobs that may have run and that no entry node waits for. */
+  readonly onUnclear?: (ids: readonly string[]) => void;
   readonly observer: PoolObserver;
 }
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -8,6 +8,7 @@
 import type {PoolJob} from '../job/pool_job.js';
 import type {OpenJob} from './open_job.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
+import {queryDispatchers} from './query_dispatchers.js';
 import {Settling} from './settling.js';
 import {ZoneContact} from './zone_contact.js';
 import {PoolMessage} from '../node/pool_message.js';
@@ -33,7 +34,6 @@
  * lost dispatcher are given up.
  */
 const FAILOVER_MS = 2_300;
-const QUERY_TIMEOUT_MS = 1_000;
 const RETRY_AFTER_MS = 1_000;
 
 interface EntryGatewayOptions {
@@ -125,33 +125,14 @@
     if (!job || job.respond !== respond) return;
     this.jobs.delete(id);
     this.sendDrop(job, 'caller_gone');
+    this.sendUnclear(job);
   }
 
-  /**
-   * Queries the dispatchers of all zones, since a job may have been submitted in
-   * any; returns undefined if the answer is not known.
-   */
-  async query(
-    request: v.InferOutput<typeof PoolMessage.ask>,
-  ): Promise<{readonly found: boolean; readonly pending?: number} | undefined> {
-    const {directory, clock, peers} = this.opts;
-    const nodes = directory.claims.dispatchingNodes(clock.now());
-    const replies = await Promise.all(
-      nodes.map(node =>
-        peers.request(node, 'pool.ask', request, QUERY_TIMEOUT_MS),
-      ),
-    );
-    const known = replies.flatMap(res => {
-      if (res.isErr) return [];
-      const parsed = v.safeParse(QueryReply, res.value);
-      return parsed.success ? [parsed.output] : [];
-    });
-    const found = known.some(reply => reply.found);
-    const isComplete = known.length > 0 && known.length === nodes.length;
-    if (!found && !isComplete) return undefined;
-    const counts = known.flatMap(({pending}) => pending ?? []);
-    if (counts.length === 0) return {found};
-    return {found, pending: counts.reduce((sum, count) => sum + count, 0)};
+  /** Queries all dispatchers; undefined if the answer is not known. */
+  query(
+    request: Parameters<typeof queryDispatchers>[1],
+  ): ReturnType<typeof queryDispatchers> {
+    return queryDispatchers(this.opts, request);
   }
 
   tick(now: number): void {
@@ -258,6 +239,7 @@
       answer.kind === 'refused' || answer.kind === 'no_queue';
     const isConsistent = !isTurnedAway || !job.wasResubmitted;
     this.jobs.delete(id);
+    if (!isConsistent || answer.kind === 'given_up') this.sendUnclear(job);
     job.respond(
       isConsistent
         ? answer
@@ -265,6 +247,20 @@
     );
   }
 
+  /**
+   * Tells the core nodes that a job may have run. Its caller may send it again to
+   * an entry node of any zone, whose dispatcher must not refuse it as not run.
+   */
+  private sendUnclear({id, assignedTo}: OpenJob): void {
+    if (!assignedTo) return;
+    const {directory, clock, peers} = this.opts;
+    const now = clock.now();
+    const dispatching = directory.claims.dispatchingNodes(now);
+    for (const node of new Set([...directory.coreIds(now), ...dispatching])) {
+      peers.send(node, 'pool.unclear', {ids: [id]});
+    }
+  }
+
   private assign(job: OpenJob, now: number): void {
     const {directory, peers} = this.opts;
     const {claims} = directory;
@@ -334,8 +330,3 @@
     }
   }
 }
-
-const QueryReply = v.object({
-  found: v.boolean(),
-  pending: v.optional(v.number()),
-});
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -207,6 +207,7 @@
         const claim = this.currentClaim(at);
         return claim === undefined || claim.isFallback;
       },
+      mayHaveRun: id => this.endpoint.mayHaveRun(id),
       answer: (owner, id, answer) => this.endpoint.answer(owner, id, answer),
       reportLosses: (owner, id, losses) =>
         this.endpoint.reportLosses(owner, id, losses),
--- /dev/null
+++ b/src/core/pool/entry/query_dispatchers.ts
@@ -0,0 +1,45 @@
+import * as v from 'valibot';
+import type {Clock} from '../../clock/clock.js';
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {NodeDirectory} from '../node/node_directory.js';
+import type {PoolMessage} from '../node/pool_message.js';
+
+const QUERY_TIMEOUT_MS = 1_000;
+
+const QueryReply = v.object({
+  found: v.boolean(),
+  pending: v.optional(v.number()),
+});
+
+interface QueryOptions {
+  readonly clock: Clock;
+  readonly peers: PeerTransport;
+  readonly directory: NodeDirectory;
+}
+
+/**
+ * Queries the dispatchers of all zones, since a job may have been submitted in
+ * any; returns undefined if the answer is not known.
+ */
+export async function queryDispatchers(
+  {directory, clock, peers}: QueryOptions,
+  request: v.InferOutput<typeof PoolMessage.ask>,
+): Promise<{readonly found: boolean; readonly pending?: number} | undefined> {
+  const nodes = directory.claims.dispatchingNodes(clock.now());
+  const replies = await Promise.all(
+    nodes.map(node =>
+      peers.request(node, 'pool.ask', request, QUERY_TIMEOUT_MS),
+    ),
+  );
+  const known = replies.flatMap(res => {
+    if (res.isErr) return [];
+    const parsed = v.safeParse(QueryReply, res.value);
+    return parsed.success ? [parsed.output] : [];
+  });
+  const found = known.some(reply => reply.found);
+  const isComplete = known.length > 0 && known.length === nodes.length;
+  if (!found && !isComplete) return undefined;
+  const counts = known.flatMap(({pending}) => pending ?? []);
+  if (counts.length === 0) return {found};
+  return {found, pending: counts.reduce((sum, count) => sum + count, 0)};
+}
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -16,6 +16,8 @@
   readonly clock: Clock;
   readonly infeasible: InfeasibleJobs;
   readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
+  /** Whether a job may have run under another dispatcher. Default: none has. */
+  readonly mayHaveRun?: (id: string) => boolean;
   readonly observer: PoolObserver;
 }
 
@@ -73,8 +75,8 @@
    * until the reason of the refusal no longer applies.
    */
   refuse(owner: string, id: string, reason: string, clearInMs: number): void {
-    const {observer, answer} = this.opts;
-    if (this.recentStarts.has(id)) {
+    const {observer, answer, mayHaveRun} = this.opts;
+    if (this.recentStarts.has(id) || mayHaveRun?.(id)) {
       // The caller has sent the job before and not received the answer.
       observer.recordJobEvent('job_given_up', id, {owner, reason});
       answer(owner, id, {kind: 'given_up', reason: 'may have run before'});
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -145,6 +145,8 @@
       servesZone: each => serves(scope, each),
       // A closed dispatcher renews no lease.
       maySendOrders: at => this.scope === scope && maySendOrders(at),
+      mayHaveRun: id => this.endpoint.mayHaveRun(id),
+      onUnclear: ids => this.sendUnclear(ids),
       answer: (owner, id, answer) => this.endpoint.answer(owner, id, answer),
       reportLosses: (owner, id, losses) =>
         this.endpoint.reportLosses(owner, id, losses),
@@ -182,6 +184,14 @@
     });
   }
 
+  /** Tells the other core nodes, whose entry nodes the callers may try next. */
+  private sendUnclear(ids: readonly string[]): void {
+    const {directory, clock, node, peers} = this.opts;
+    for (const id of directory.coreIds(clock.now())) {
+      if (id !== node) peers.send(id, 'pool.unclear', {ids});
+    }
+  }
+
   /** A leader of small zones does not tell, since it grants none. */
   private soleZone({excluded}: Scope): {readonly soleZone?: string} {
     const [soleZone, ...others] = this.servedZones;
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -90,9 +90,12 @@
     const {fallback, leaderClaim: leader} = this;
     const claims = [...this.holders.values(), fallback, leader];
     const nodes = claims.flatMap(c => (c && isLive(c, now) ? c.node : []));
-    // An entry node hears the claims of other zones' holders from no one else.
-    const granted = leader?.grants?.map(({node}) => node) ?? [];
-    return [...new Set([...nodes, ...granted])];
+    const {grants = []} = leader ?? {};
+    if (!leader || grants.length === 0) return [...new Set(nodes)];
+    // The leader sends its claim to entry nodes of granted zones less often, and
+    // nobody else tells them about the holders of other zones.
+    const granted = grants.map(({node}) => node);
+    return [...new Set([...nodes, ...granted, leader.node])];
   }
 
   /**
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -57,6 +57,8 @@
   /** Jobs of a poll that the dispatcher does not know. */
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
+  /** Jobs that may have run, and whose callers may send them again anywhere. */
+  unclear: v.object({ids}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
--- a/src/core/pool/zones/zones.test.ts
+++ b/src/core/pool/zones/zones.test.ts
@@ -252,6 +252,21 @@
   assert.isEmpty(starts);
 });
 
+// With one dispatcher for all zones, that one knew.
+test('a job that ran in one zone is not refused as not run in another', async () => {
+  const bench = await createRunningBench();
+  bench.runMs = 3_000;
+  bench.submit('ye1', 'j', {estimatedMs: 3_000, patienceMs: 1_000});
+  await bench.run(1_200);
+  assert.equal(bench.log.answerOf('j'), 'given_up');
+  const tooLarge = {estimatedMs: 1, patienceMs: 500, tasks: 1_000};
+  bench.submit('xe1', 'j', tooLarge);
+  bench.submit('xe1', 'k', tooLarge);
+  await bench.run(1_000);
+  const kinds = ['j', 'k'].map(id => bench.log.answers.get(id)!.at(-1)!.kind);
+  assert.deepEqual(kinds, ['given_up', 'refused']);
+});
+
 test('small zones have one leader for all of them', async () => {
   const bench = new DeploymentBench({workersPerZone: 20});
   await bench.run(6_000);
