Grant zones of a young leader at once, after the list of workers

Cause: after a stop of everything the leader dispatched all zones for 3 s, and each grant then stopped runs in other zones. Change: in its first 5 s a leader also grants zones to new processes, and the list of workers is sent before a grant. On the fake clock with 61 workers per zone and load from the first moment, all jobs submitted after the first second complete.

--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -133,9 +133,10 @@
     this.updateHolder(now);
     this.dispatching.raiseToken();
     this.dispatching.tick(now);
+    // A node must have the list of workers when it gets a zone.
+    if (this.isLeading) this.registrySender.tick(now);
     this.presence.tick(now);
     this.reports.tick(now);
-    if (this.isLeading) this.registrySender.tick(now);
   }
 
   /**
@@ -211,7 +212,10 @@
     }
     // After a suspension, all holders seem silent until their messages are read.
     if (!this.guard.isAwake(now)) return;
-    if (leader.update(state.confirmedAt, now)) this.presence.makeDue(now);
+    if (leader.update(state.confirmedAt, now)) {
+      this.registrySender.makeDue();
+      this.presence.makeDue(now);
+    }
     const {term, excluded} = leader;
     if (!leader.isReady || this.dispatching.isLeading(term, excluded)) return;
     const {observer, leaseMs, leadership} = this.opts;
--- a/src/core/pool/zones/zone_grants.ts
+++ b/src/core/pool/zones/zone_grants.ts
@@ -25,6 +25,7 @@
  */
 export class ZoneGrants {
   private readonly zones = new Map<string, ZoneState>();
+  private startedAt: number | undefined;
 
   constructor(private readonly opts: ZoneGrantsOptions) {}
 
@@ -46,6 +47,7 @@
    */
   update(views: Iterable<ZoneView>, now: number): GrantChange[] {
     const changes: GrantChange[] = [];
+    this.startedAt ??= now;
     for (const view of views) {
       const state = this.zones.get(view.zone) ?? new ZoneState();
       this.zones.set(view.zone, state);
@@ -82,9 +84,10 @@
     if (reason === undefined) return undefined;
     // It may hear nothing, although its messages arrive.
     if (before && reason === 'not_claimed') state.setUnfit(before.node, now);
+    const isYoung = now - (this.startedAt ?? now) < ZoneTiming.YOUNG_MS;
     const isEligible = (core: ZoneCore) =>
       !core.isDraining &&
-      now - core.knownSince >= ZoneTiming.WARM_UP_MS &&
+      (isYoung || now - core.knownSince >= ZoneTiming.WARM_UP_MS) &&
       !state.isUnfit(core.id, now);
     const eligible = view.cores.filter(isEligible);
     const core = state.isLarge
--- a/src/core/pool/zones/zone_timing.ts
+++ b/src/core/pool/zones/zone_timing.ts
@@ -33,8 +33,17 @@
   LEARN_MS: 1_500,
   /** The same after a gap that is shorter than a silence. */
   LEARN_GAP_MS: 400,
-  /** Time in which a new process gets the list of workers; sent every 2 s. */
+  /**
+   * Time after which a new process is granted a zone that another node can
+   * dispatch meanwhile; it compiles its code in that time.
+   */
   WARM_UP_MS: 3_000,
+  /**
+   * Time after the start of a leader in which new processes are granted zones at
+   * once. After a stop of everything, each grant that comes later disturbs the
+   * jobs that the leader has started in other zones.
+   */
+  YOUNG_MS: 5_000,
   /** Time for which a node that did not claim a zone is not granted it again. */
   UNFIT_MS: 5_000,
   /** Least time between two grants of a zone. */
