--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -6,7 +6,6 @@
 import {ActiveJob} from '../job/active_job.js';
 import {PoolJobs} from '../job/pool_jobs.js';
 import {DispatcherLending} from '../lending/dispatcher_lending.js';
-import type {Room} from '../lending/room.js';
 import {PoolAdmission} from '../admission/pool_admission.js';
 import {JobPrioritizer} from '../admission/job_prioritizer.js';
 import type {PoolDispatcherOptions} from './pool_dispatcher_options.js';
@@ -71,9 +70,8 @@
       opts.isRegistryComplete,
     );
     const {jobs, forecast, takeover} = this;
-    const {lending} = opts;
     const known = {jobs, times, forecast, takeover};
-    this.lending = new DispatcherLending({...known, lending});
+    this.lending = new DispatcherLending({...known, lending: opts.lending});
     const onRemoved = (id: string) => {
       this.times.removeWorker(id);
       this.breaker.remove(id);
@@ -101,7 +99,7 @@
   }
 
   /** What this dispatcher offers to each of the others. */
-  room(now: number): Room {
+  room(now: number) {
     return this.lending.room(this.jobs.all, this.workers.all, now);
   }
 
@@ -197,10 +195,13 @@
 
   /** Drops the jobs of entry nodes that no longer poll. */
   dropJobsOfOwners(isLost: (owner: string) => boolean): void {
-    for (const {spec, owner, isAbandoned} of [...this.jobs.all]) {
-      if (isAbandoned || !isLost(owner)) continue;
-      this.drop(spec.id, owner, 'owner_silent');
+    const started: string[] = [];
+    for (const job of [...this.jobs.all]) {
+      if (job.isAbandoned || !isLost(job.owner)) continue;
+      if (job.hasStarted || job.mayHaveRun) started.push(job.spec.id);
+      this.drop(job.spec.id, job.owner, 'owner_silent');
     }
+    if (started.length > 0) this.opts.onUnclear?.(started);
   }
 
   tick(now: number): void {
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -34,5 +34,9 @@
   ) => void;
   /** Absent if the dispatcher neither borrows nor lends capacity. */
   readonly lending?: CapacityLending | undefined;
+  /** Whether a job may have run under another dispatcher. Default: none has. */
+  readonly mayHaveRun?: (id: string) => boolean;
+  /** Called with jobs that may have run and that no entry node waits for. */
+  readonly onUnclear?: (ids: readonly string[]) => void;
   readonly observer: PoolObserver;
 }
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -1,7 +1,6 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
-import {FailoverTiming} from '../node/failover_timing.js';
 import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
@@ -10,7 +9,9 @@
 import type {OpenJob} from './open_job.js';
 import {followRedirect} from './follow_redirect.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
+import {pollCutoffMs} from './poll_cutoff_ms.js';
 import {queryDispatchers} from './query_dispatchers.js';
+import {sendUnclear} from './send_unclear.js';
 import {Settling} from './settling.js';
 import {ZoneContact} from './zone_contact.js';
 import {PoolMessage} from '../node/pool_message.js';
@@ -131,6 +132,7 @@
     if (!job || job.respond !== respond) return;
     this.jobs.delete(id);
     this.sendDrop(job, 'caller_gone');
+    sendUnclear(job, this.opts);
   }
 
   /** Queries the dispatchers of all zones. */
@@ -249,6 +251,8 @@
       answer.kind === 'refused' || answer.kind === 'no_queue';
     const isConsistent = !isTurnedAway || !job.wasResubmitted;
     this.jobs.delete(id);
+    if (!isConsistent || answer.kind === 'given_up')
+      {sendUnclear(job, this.opts);}
     job.respond(
       isConsistent
         ? answer
@@ -308,17 +312,13 @@
   private poll(now: number): void {
     this.nextPoll = now + POLL_MS;
     const byNode = new Map<string, string[]>();
-    for (const {id, zone, assignedTo, submittedAt} of this.jobs.values()) {
-      const {claim} = this.contactOf(zone);
-      if (!claim || claim.node !== assignedTo?.node) continue;
-      // A lender is heard only after it has the job, for which it must be polled.
-      const isOwnZone = zone === this.opts.zone;
-      const {POLL_CUTOFF_MS, DISPATCHER_TIMEOUT_MS} = FailoverTiming;
-      const cutoffMs = isOwnZone ? POLL_CUTOFF_MS : DISPATCHER_TIMEOUT_MS;
-      if (now - claim.heardAt >= cutoffMs) continue;
-      if (now - submittedAt < IN_FLIGHT_MS) continue;
+    for (const job of this.jobs.values()) {
+      const {claim} = this.contactOf(job.zone);
+      if (!claim || claim.node !== job.assignedTo?.node) continue;
+      if (now - claim.heardAt >= pollCutoffMs(job)) continue;
+      if (now - job.submittedAt < IN_FLIGHT_MS) continue;
       const ids = byNode.get(claim.node) ?? [];
-      ids.push(id);
+      ids.push(job.id);
       byNode.set(claim.node, ids);
     }
     for (const [node, ids] of byNode) {
--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -36,8 +36,6 @@
   readonly deadlineAt: number;
   /** Whether the dispatcher of another zone has moved the job here. */
   readonly isLent: boolean;
-  /** Whether an earlier dispatcher of the zone had the job and may have run it. */
-  readonly hadDispatcher: boolean;
   /** Time by which the runs of an earlier dispatcher have ended. */
   private readonly settlesAt: number;
   /** Fencing token of the dispatcher that had the job before, if known. */
@@ -79,7 +77,6 @@
     this.deadlineAt = now + patienceMs;
     this.settlesAt = now + settleMs;
     this.earlierToken = earlierToken;
-    this.hadDispatcher = settleMs > 0;
     this.isSettling = settleMs > 0;
     this.mayHaveRun = settleMs > 0;
     this.tasks = spec.steps.flatMap((step, at) =>
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -61,6 +61,8 @@
   /** Jobs of a poll that the dispatcher does not know. */
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
+  /** Jobs that may have run, and whose callers may send them again anywhere. */
+  unclear: v.object({ids}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
   /** Dispatcher to which the entry node has to submit a job that was moved. */
   redirect: v.object({id: v.string(), ...Destination.entries}),
