--- a/src/core/pool/entry/query_dispatchers.ts
+++ b/src/core/pool/entry/query_dispatchers.ts
@@ -4,9 +4,9 @@
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolMessage} from '../node/pool_message.js';
 
-const TIMEOUT_MS = 1_000;
+const QUERY_TIMEOUT_MS = 1_000;
 
-const Reply = v.object({
+const QueryReply = v.object({
   found: v.boolean(),
   pending: v.optional(v.number()),
 });
@@ -27,11 +27,13 @@
 ): Promise<{readonly found: boolean; readonly pending?: number} | undefined> {
   const nodes = directory.claims.dispatchingNodes(clock.now());
   const replies = await Promise.all(
-    nodes.map(node => peers.request(node, 'pool.ask', request, TIMEOUT_MS)),
+    nodes.map(node =>
+      peers.request(node, 'pool.ask', request, QUERY_TIMEOUT_MS),
+    ),
   );
   const known = replies.flatMap(res => {
     if (res.isErr) return [];
-    const parsed = v.safeParse(Reply, res.value);
+    const parsed = v.safeParse(QueryReply, res.value);
     return parsed.success ? [parsed.output] : [];
   });
   const found = known.some(reply => reply.found);
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -16,6 +16,8 @@
   readonly clock: Clock;
   readonly infeasible: InfeasibleJobs;
   readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
+  /** Whether a job may have run under another dispatcher. Default: none has. */
+  readonly mayHaveRun?: (id: string) => boolean;
   readonly observer: PoolObserver;
 }
 
@@ -74,7 +76,7 @@
    */
   refuse(owner: string, id: string, reason: string, clearInMs: number): void {
     const {observer, answer} = this.opts;
-    if (this.recentStarts.has(id)) {
+    if (this.mayHaveRun(id)) {
       // The caller has sent the job before and not received the answer.
       observer.recordJobEvent('job_given_up', id, {owner, reason});
       answer(owner, id, {kind: 'given_up', reason: 'may have run before'});
@@ -97,9 +99,9 @@
     if (this.byId.get(job.spec.id) === job) this.byId.delete(job.spec.id);
   }
 
-  /** Whether a task of the job may have run here before it was sent again. */
+  /** Whether a task of the job may have run before the job was sent again. */
   mayHaveRun(id: string): boolean {
-    return this.recentStarts.has(id);
+    return this.recentStarts.has(id) || (this.opts.mayHaveRun?.(id) ?? false);
   }
 
   /** Refuses a job that has not started and would be answered too late. */
