Submit a redirected job to the dispatcher of another zone

The entry node's side of pool.redirect: a job is moved once, by the dispatcher that has it, and needs no time to settle, since nothing of it was started. The dispatcher of the other zone is known from the redirect and then from the leader's grants. The decisions and the dispatcher's side of lending are not part of this change.

--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -221,3 +221,24 @@
   assert.isNotEmpty(polls);
   assert.isTrue(polls.every(({node}) => node === 'c1'));
 });
+
+test('a redirected job is submitted to the other zone, once', () => {
+  const bench = createBench();
+  bench.announceLeader('l', 1);
+  bench.announceHolder('c1', 1_001);
+  bench.submit();
+  const redirect = {id: 'j', zone: 'y', node: 'c2', token: 1_002};
+  bench.peers.deliver('other', 'pool.redirect', redirect);
+  bench.peers.deliver('c1', 'pool.redirect', redirect);
+  bench.peers.deliver('c2', 'pool.redirect', {...redirect, node: 'c3'});
+  const submits = bench.peers.sent.filter(s => s.kind === 'pool.submit');
+  assert.deepEqual(
+    submits.map(s => s.node),
+    ['c1', 'c2'],
+  );
+  assert.deepInclude(submits[1]?.body, {isLent: true, settleMs: 0});
+  // The home has started nothing, so the refusal is true.
+  const answer = {kind: 'refused', reason: 'no_room', retryAfterMs: 1};
+  bench.peers.deliver('c2', 'pool.answer', {id: 'j', answer});
+  assert.equal(bench.answers[0]?.kind, 'refused');
+});
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -10,7 +10,7 @@
 import {isSameDispatcher} from './is_same_dispatcher.js';
 import {queryDispatchers} from './query_dispatchers.js';
 import {Settling} from './settling.js';
-import {ZoneContact} from './zone_contact.js';
+import {ZoneContacts} from './zone_contacts.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {retryAfterMs} from '../admission/retry_after.js';
@@ -59,11 +59,11 @@
 export class EntryGateway {
   private readonly jobs = new Map<string, OpenJob>();
   private nextPoll = 0;
-  /** Contact with the dispatchers of the zones to which jobs are assigned. */
-  private readonly contacts = new Map<string, ZoneContact>();
+  private readonly contacts: ZoneContacts;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
+    this.contacts = new ZoneContacts({...opts, openJobs: () => this.jobs.size});
     peers.onMessage('pool.answer', (from, body) => {
       if (!v.is(PoolMessage.answer, body)) return;
       this.onAnswer(from, body.id, body.answer);
@@ -73,6 +73,10 @@
       const job = this.jobs.get(body.id);
       if (job?.assignedTo?.node === from) job.losses = body.losses;
     });
+    peers.onMessage('pool.redirect', (from, body, now) => {
+      if (!v.is(PoolMessage.redirect, body)) return;
+      this.onRedirect(from, body, now);
+    });
     peers.onMessage('pool.unknown', (from, body, now) =>
       this.onUnknown(from, body, now),
     );
@@ -104,6 +108,7 @@
       deadlineAt: now + req.patienceMs,
       respond,
       zone: this.opts.zone,
+      isLent: false,
       assignedTo: undefined,
       submittedAt: 0,
       earliestStartAt: 0,
@@ -138,36 +143,14 @@
   tick(now: number): void {
     const zones = new Set([this.opts.zone]);
     for (const {zone} of this.jobs.values()) zones.add(zone);
-    for (const zone of zones) this.updateContact(zone, now);
+    for (const zone of zones) this.contacts.update(zone, now);
     for (const job of [...this.jobs.values()]) this.updateJob(job, now);
     if (now >= this.nextPoll) this.poll(now);
   }
 
-  private contactOf(zone: string): ZoneContact {
-    const contact = this.contacts.get(zone) ?? new ZoneContact();
-    this.contacts.set(zone, contact);
-    return contact;
-  }
-
-  private updateContact(zone: string, now: number): void {
-    const contact = this.contactOf(zone);
-    const before = contact.claim;
-    const claim = this.opts.directory.claims.dispatcherOf(zone, now);
-    contact.update(claim, now);
-    if (isSameDispatcher(claim, before)) return;
-    this.opts.observer.recordStateChange(claim ? 'lead_found' : 'lead_silent', {
-      term: claim?.term ?? before?.term,
-      lead: claim?.node,
-      token: claim?.token,
-      is_fallback: claim?.isFallback,
-      is_holder: claim && claim.zone !== undefined,
-      open: this.jobs.size,
-    });
-  }
-
   private updateJob(job: OpenJob, now: number): void {
     const {assignedTo: assigned} = job;
-    const contact = this.contactOf(job.zone);
+    const contact = this.contacts.of(job.zone);
     const {claim} = contact;
     if (now >= job.deadlineAt - ANSWER_MARGIN_MS) {
       this.expire(job);
@@ -187,7 +170,7 @@
       reason: 'lead_lost',
       lead: job.assignedTo?.node,
       lead_silent_ms: Math.round(
-        this.opts.clock.now() - this.contactOf(job.zone).seenAt,
+        this.opts.clock.now() - this.contacts.of(job.zone).seenAt,
       ),
     });
     this.respondTo(job.id, {kind: 'given_up', reason: 'lead_lost'});
@@ -251,8 +234,8 @@
    * Tells the core nodes that a job may have run. Its caller may send it again to
    * an entry node of any zone, whose dispatcher must not refuse it as not run.
    */
-  private sendUnclear({id, assignedTo}: OpenJob): void {
-    if (!assignedTo) return;
+  private sendUnclear({id, assignedTo, wasResubmitted}: OpenJob): void {
+    if (!assignedTo && !wasResubmitted) return;
     const {directory, clock, peers} = this.opts;
     const now = clock.now();
     const dispatching = directory.claims.dispatchingNodes(now);
@@ -264,7 +247,7 @@
   private assign(job: OpenJob, now: number): void {
     const {directory, peers} = this.opts;
     const {claims} = directory;
-    const claim = claims.dispatcherOf(job.zone, now);
+    const claim = this.contacts.claimOf(job.zone, now);
     if (!claim) return;
     const {assignedTo: assigned} = job;
     job.wasResubmitted ||= assigned !== undefined;
@@ -290,11 +273,29 @@
         ? {earlierToken: job.earlierToken}
         : {}),
       losses: job.losses,
+      ...(job.isLent ? {isLent: true} : {}),
       // The leader has every committed configuration.
       revision: isLeader ? 0 : claims.revision,
     });
   }
 
+  /** Submits a job to another zone; only its dispatcher moves it, and only once. */
+  private onRedirect(
+    from: string,
+    {id, ...grant}: v.InferOutput<typeof PoolMessage.redirect>,
+    now: number,
+  ): void {
+    const job = this.jobs.get(id);
+    if (!job || job.isLent || job.assignedTo?.node !== from) return;
+    this.opts.directory.claims.recordReferral(grant, now);
+    job.isLent = true;
+    job.zone = grant.zone;
+    // The job has not been started, so it needs no time to settle.
+    job.assignedTo = undefined;
+    this.contacts.update(job.zone, now);
+    this.assign(job, now);
+  }
+
   private sendDrop(job: OpenJob, reason: string): void {
     if (!job.assignedTo) return;
     this.opts.peers.send(job.assignedTo.node, 'pool.drop', {
@@ -308,7 +309,7 @@
     this.nextPoll = now + POLL_MS;
     const byNode = new Map<string, string[]>();
     for (const {id, zone, assignedTo, submittedAt} of this.jobs.values()) {
-      const {claim} = this.contactOf(zone);
+      const {claim} = this.contacts.of(zone);
       if (!claim || claim.node !== assignedTo?.node) continue;
       if (now - claim.heardAt >= FailoverTiming.POLL_CUTOFF_MS) continue;
       if (now - submittedAt < IN_FLIGHT_MS) continue;
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -13,7 +13,9 @@
   readonly deadlineAt: number;
   respond: (answer: PoolAnswer) => void;
   /** Zone whose dispatcher has the job or is to get it. */
-  readonly zone: string;
+  zone: string;
+  /** Whether the dispatcher of its own zone has redirected it. */
+  isLent: boolean;
   /** Dispatcher to which the job was last submitted, if any. */
   assignedTo: DispatcherClaim | undefined;
   submittedAt: number;
--- a/src/core/pool/job/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -25,6 +25,8 @@
    * `settleMs`. Older nodes omit it.
    */
   earlierToken: v.optional(count),
+  /** Whether the dispatcher of the job's own zone has redirected it here. */
+  isLent: v.optional(v.boolean(), false),
   /** Workers that earlier dispatchers lost under tasks of the job. */
   losses: v.optional(v.pipe(v.array(WorkerLoss), v.readonly()), []),
   /** Lowest configuration revision that may be used to find its queue. */
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -1,4 +1,5 @@
 import {FailoverTiming} from './failover_timing.js';
+import type {ZoneGrant} from '../zones/zone_grant.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
 
 /**
@@ -117,6 +118,31 @@
       : undefined;
   }
 
+  /**
+   * Claim of the dispatcher of a zone whose holder may not send its claim here: the
+   * leader's grant stands for it.
+   */
+  remoteDispatcherOf(zone: string, now: number): DispatcherClaim | undefined {
+    const known = this.dispatcherOf(zone, now);
+    const leader = this.leaderClaim;
+    const grant = leader?.grants?.find(each => each.zone === zone);
+    if (known || !leader || !grant) return known;
+    const {DISTANT_LEADER_TIMEOUT_MS} = FailoverTiming;
+    const isRecent = now - leader.heardAt < DISTANT_LEADER_TIMEOUT_MS;
+    const isHighest = grant.token >= this.tokenOf(zone);
+    return isRecent && isHighest ? toClaim(grant, leader) : undefined;
+  }
+
+  /** Records the dispatcher of another zone that a dispatcher has named. */
+  recordReferral(grant: ZoneGrant, now: number): void {
+    const leader = this.leaderClaim;
+    if (leader?.node === grant.node) {
+      this.leaderClaim = {...leader, heardAt: Math.max(leader.heardAt, now)};
+    } else if (leader) {
+      this.record({...toClaim(grant, leader), heardAt: now});
+    }
+  }
+
   /** Highest configuration revision that a leader or holder last stated. */
   get revision(): number {
     let revision = this.leaderClaim?.revision ?? 0;
@@ -171,6 +197,13 @@
   }
 }
 
+/** The claim that the node of a grant is expected to send. */
+function toClaim(grant: ZoneGrant, leader: DispatcherClaim): DispatcherClaim {
+  const {node, zone, token} = grant;
+  const {term, heardAt} = leader;
+  return {node, zone, token, term, heardAt, isFallback: false, revision: 0};
+}
+
 /** Whether a leader dispatches a zone itself. */
 function isServing(leader: DispatcherClaim, zone: string): boolean {
   const {grants = [], unserved = []} = leader;
--- a/src/core/pool/node/failover_timing.ts
+++ b/src/core/pool/node/failover_timing.ts
@@ -2,6 +2,11 @@
 export const FailoverTiming = {
   /** A dispatcher without a presence message for this long counts as lost. */
   DISPATCHER_TIMEOUT_MS: 600,
+  /**
+   * The same at entry nodes of granted zones, which receive the leader's claim once
+   * a second.
+   */
+  DISTANT_LEADER_TIMEOUT_MS: 2_500,
   /**
    * An entry node that has received nothing from the dispatcher for this long
    * stops polling. If the link fails in one direction only, the dispatcher then
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -60,6 +60,11 @@
   /** Jobs that may have run, and whose callers may send them again anywhere. */
   unclear: v.object({ids}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
+  /**
+   * Tells the entry node of a job to submit it to the dispatcher of another zone;
+   * the sender has started nothing of it and forgets it.
+   */
+  redirect: v.object({id: v.string(), ...ZoneGrant.entries}),
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
