--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -1,19 +1,17 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
-import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {criticalPathMs} from '../job/critical_path_ms.js';
 import type {PoolJob} from '../job/pool_job.js';
 import type {OpenJob} from './open_job.js';
-import {followRedirect} from './follow_redirect.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
 import {pollCutoffMs} from './poll_cutoff_ms.js';
 import {queryDispatchers} from './query_dispatchers.js';
 import {sendUnclear} from './send_unclear.js';
 import {Settling} from './settling.js';
-import {ZoneContact} from './zone_contact.js';
+import {ZoneContacts} from './zone_contacts.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {retryAfterMs} from '../admission/retry_after.js';
@@ -62,11 +60,11 @@
 export class EntryGateway {
   private readonly jobs = new Map<string, OpenJob>();
   private nextPoll = 0;
-  /** Contact with the dispatchers of the zones to which jobs are assigned. */
-  private readonly contacts = new Map<string, ZoneContact>();
+  private readonly contacts: ZoneContacts;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
+    this.contacts = new ZoneContacts({...opts, openJobs: () => this.jobs.size});
     peers.onMessage('pool.answer', (from, body) => {
       if (!v.is(PoolMessage.answer, body)) return;
       this.onAnswer(from, body.id, body.answer);
@@ -76,9 +74,10 @@
       const job = this.jobs.get(body.id);
       if (job?.assignedTo?.node === from) job.losses = body.losses;
     });
-    peers.onMessage('pool.redirect', (from, body, now) =>
-      this.onRedirect(from, body, now),
-    );
+    peers.onMessage('pool.redirect', (from, body, now) => {
+      if (!v.is(PoolMessage.redirect, body)) return;
+      this.onRedirect(from, body, now);
+    });
     peers.onMessage('pool.unknown', (from, body, now) =>
       this.onUnknown(from, body, now),
     );
@@ -135,51 +134,24 @@
     sendUnclear(job, this.opts);
   }
 
-  /** Queries the dispatchers of all zones. */
-  query(request: Parameters<typeof queryDispatchers>[1]) {
+  /** Queries all dispatchers; undefined if the answer is not known. */
+  query(
+    request: Parameters<typeof queryDispatchers>[1],
+  ): ReturnType<typeof queryDispatchers> {
     return queryDispatchers(this.opts, request);
   }
 
   tick(now: number): void {
     const zones = new Set([this.opts.zone]);
     for (const {zone} of this.jobs.values()) zones.add(zone);
-    for (const zone of zones) this.updateContact(zone, now);
+    for (const zone of zones) this.contacts.update(zone, now);
     for (const job of [...this.jobs.values()]) this.updateJob(job, now);
     if (now >= this.nextPoll) this.poll(now);
   }
 
-  private dispatcherOf(zone: string, now: number): DispatcherClaim | undefined {
-    const {claims} = this.opts.directory;
-    return zone === this.opts.zone
-      ? claims.dispatcherOf(zone, now)
-      : claims.lenderOf(zone, now);
-  }
-
-  private contactOf(zone: string): ZoneContact {
-    const contact = this.contacts.get(zone) ?? new ZoneContact();
-    this.contacts.set(zone, contact);
-    return contact;
-  }
-
-  private updateContact(zone: string, now: number): void {
-    const contact = this.contactOf(zone);
-    const before = contact.claim;
-    const claim = this.dispatcherOf(zone, now);
-    contact.update(claim, now);
-    if (isSameDispatcher(claim, before)) return;
-    this.opts.observer.recordStateChange(claim ? 'lead_found' : 'lead_silent', {
-      term: claim?.term ?? before?.term,
-      lead: claim?.node,
-      token: claim?.token,
-      is_fallback: claim?.isFallback,
-      is_holder: claim && claim.zone !== undefined,
-      open: this.jobs.size,
-    });
-  }
-
   private updateJob(job: OpenJob, now: number): void {
     const {assignedTo: assigned} = job;
-    const contact = this.contactOf(job.zone);
+    const contact = this.contacts.of(job.zone);
     const {claim} = contact;
     if (now >= job.deadlineAt - ANSWER_MARGIN_MS) {
       this.expire(job);
@@ -199,7 +171,7 @@
       reason: 'lead_lost',
       lead: job.assignedTo?.node,
       lead_silent_ms: Math.round(
-        this.opts.clock.now() - this.contactOf(job.zone).seenAt,
+        this.opts.clock.now() - this.contacts.of(job.zone).seenAt,
       ),
     });
     this.respondTo(job.id, {kind: 'given_up', reason: 'lead_lost'});
@@ -251,8 +223,9 @@
       answer.kind === 'refused' || answer.kind === 'no_queue';
     const isConsistent = !isTurnedAway || !job.wasResubmitted;
     this.jobs.delete(id);
-    if (!isConsistent || answer.kind === 'given_up')
-      {sendUnclear(job, this.opts);}
+    if (!isConsistent || answer.kind === 'given_up') {
+      sendUnclear(job, this.opts);
+    }
     job.respond(
       isConsistent
         ? answer
@@ -262,7 +235,8 @@
 
   private assign(job: OpenJob, now: number): void {
     const {directory, peers} = this.opts;
-    const claim = this.dispatcherOf(job.zone, now);
+    const {claims} = directory;
+    const claim = this.contacts.claimOf(job.zone, now);
     if (!claim) return;
     const {assignedTo: assigned} = job;
     // On resuming, a suspended node would run it. A fallback's runs are adopted.
@@ -294,12 +268,33 @@
         ? {earlierToken: job.earlierToken}
         : {}),
       losses: job.losses,
-      // The leader has every committed configuration.
-      revision: isLeader ? 0 : directory.claims.revision,
       ...(job.isLent ? {isLent: true} : {}),
+      // The leader has every committed configuration.
+      revision: isLeader ? 0 : claims.revision,
     });
   }
 
+  /** Submits a job to another zone; only its dispatcher moves it, and only once. */
+  private onRedirect(
+    from: string,
+    {id, ...grant}: v.InferOutput<typeof PoolMessage.redirect>,
+    now: number,
+  ): void {
+    const job = this.jobs.get(id);
+    if (!job || job.isLent || job.assignedTo?.node !== from) return;
+    if (job.earliestStartAt > 0) {
+      // The home moved the job before another dispatcher of the zone had it.
+      return this.onUnknown(from, {ids: [id]}, now);
+    }
+    this.opts.directory.claims.recordReferral(grant, now);
+    job.isLent = true;
+    job.zone = grant.zone;
+    // The job has not been started, so it needs no time to settle.
+    job.assignedTo = undefined;
+    this.contacts.update(job.zone, now);
+    this.assign(job, now);
+  }
+
   private sendDrop(job: OpenJob, reason: string): void {
     if (!job.assignedTo) return;
     this.opts.peers.send(job.assignedTo.node, 'pool.drop', {
@@ -313,7 +308,7 @@
     this.nextPoll = now + POLL_MS;
     const byNode = new Map<string, string[]>();
     for (const job of this.jobs.values()) {
-      const {claim} = this.contactOf(job.zone);
+      const {claim} = this.contacts.of(job.zone);
       if (!claim || claim.node !== job.assignedTo?.node) continue;
       if (now - claim.heardAt >= pollCutoffMs(job)) continue;
       if (now - job.submittedAt < IN_FLIGHT_MS) continue;
@@ -326,19 +321,6 @@
     }
   }
 
-  /** Only the dispatcher that has a job can know that it has not started. */
-  private onRedirect(from: string, body: unknown, now: number): void {
-    if (!v.is(PoolMessage.redirect, body)) return;
-    const job = this.jobs.get(body.id);
-    if (!job || job.isLent || job.assignedTo?.node !== from) return;
-    if (job.earliestStartAt > 0) {
-      // The home moved the job before another dispatcher of the zone had it.
-      return this.onUnknown(from, {ids: [job.id]}, now);
-    }
-    followRedirect(job, body, this.opts.directory.claims, now);
-    this.assign(job, now);
-  }
-
   private onUnknown(from: string, body: unknown, now: number): void {
     if (!v.is(PoolMessage.unknown, body)) return;
     for (const id of body.ids) {
--- a/src/core/pool/lending/capacity_lending.ts
+++ b/src/core/pool/lending/capacity_lending.ts
@@ -1,6 +1,6 @@
 import type {ActiveJob} from '../job/active_job.js';
 import type {PoolObserver} from '../pool_observer.js';
-import type {Destination} from './destination.js';
+import type {ZoneGrant} from '../zones/zone_grant.js';
 import {MovedJobs} from './moved_jobs.js';
 import type {RoomOffers} from './room_offers.js';
 import {SpilloverPolicy} from './spillover_policy.js';
@@ -13,7 +13,7 @@
   /** Whether the owner of a job understands redirects. Default: each does. */
   readonly canRedirect?: ((owner: string) => boolean) | undefined;
   /** Sends the owner of a job the dispatcher to which it has to submit it. */
-  readonly redirect: (owner: string, id: string, to: Destination) => void;
+  readonly redirect: (owner: string, id: string, to: ZoneGrant) => void;
   readonly observer: PoolObserver;
 }
 
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -1,9 +1,7 @@
 import {FailoverTiming} from './failover_timing.js';
+import type {ZoneGrant} from '../zones/zone_grant.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
 
-/** Interval of the leader's claims to nodes of zones it has granted, and slack. */
-const GRANT_MAX_AGE_MS = 1_300;
-
 /**
  * Claims to dispatch that a node has heard: of the leader, of the holders of
  * zones, and of the fallback of this node's zone.
@@ -121,22 +119,28 @@
   }
 
   /**
-   * Claim of the dispatcher of another zone. Nodes hear its successor only when
-   * they have jobs there; until then they go by the leader's grants.
+   * Claim of the dispatcher of a zone whose holder may not send its claim here: the
+   * leader's grant stands for it.
    */
-  lenderOf(zone: string, now: number): DispatcherClaim | undefined {
-    const heard = this.dispatcherOf(zone, now);
+  remoteDispatcherOf(zone: string, now: number): DispatcherClaim | undefined {
+    const known = this.dispatcherOf(zone, now);
     const leader = this.leaderClaim;
-    if (heard || !leader || now - leader.heardAt > GRANT_MAX_AGE_MS) {
-      return heard;
-    }
-    const grant = leader.grants?.find(each => each.zone === zone);
-    if (!grant || grant.token <= (this.holderOf(zone)?.token ?? 0)) {
-      return undefined;
+    const grant = leader?.grants?.find(each => each.zone === zone);
+    if (known || !leader || !grant) return known;
+    const {DISTANT_LEADER_TIMEOUT_MS} = FailoverTiming;
+    const isRecent = now - leader.heardAt < DISTANT_LEADER_TIMEOUT_MS;
+    const isHighest = grant.token >= this.tokenOf(zone);
+    return isRecent && isHighest ? toClaim(grant, leader) : undefined;
+  }
+
+  /** Records the dispatcher of another zone that a dispatcher has named. */
+  recordReferral(grant: ZoneGrant, now: number): void {
+    const leader = this.leaderClaim;
+    if (leader?.node === grant.node) {
+      this.leaderClaim = {...leader, heardAt: Math.max(leader.heardAt, now)};
+    } else if (leader) {
+      this.record({...toClaim(grant, leader), heardAt: now});
     }
-    const {term, revision, heardAt} = leader;
-    const {node, token} = grant;
-    return {node, term, token, isFallback: false, zone, revision, heardAt};
   }
 
   /** Highest configuration revision that a leader or holder last stated. */
@@ -193,6 +197,13 @@
   }
 }
 
+/** The claim that the node of a grant is expected to send. */
+function toClaim(grant: ZoneGrant, leader: DispatcherClaim): DispatcherClaim {
+  const {node, zone, token} = grant;
+  const {term, heardAt} = leader;
+  return {node, zone, token, term, heardAt, isFallback: false, revision: 0};
+}
+
 /** Whether a leader dispatches a zone itself. */
 function isServing(leader: DispatcherClaim, zone: string): boolean {
   const {grants = [], unserved = []} = leader;
