--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -5,7 +5,7 @@
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import {AnswerCache} from '../job/answer_cache.js';
 import {FailoverTiming} from '../node/failover_timing.js';
-import type {Destination} from '../lending/destination.js';
+import type {ZoneGrant} from '../zones/zone_grant.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {EarlySubmissions} from './early_submissions.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
@@ -106,7 +106,7 @@
   }
 
   /** Tells the entry node of a job to which dispatcher it was moved. */
-  redirect(owner: string, id: string, to: Destination): void {
+  redirect(owner: string, id: string, to: ZoneGrant): void {
     this.opts.peers.send(owner, 'pool.redirect', {id, ...to});
   }
 
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -14,7 +14,7 @@
   respond: (answer: PoolAnswer) => void;
   /** Zone whose dispatcher has the job or is to get it. */
   zone: string;
-  /** Whether the dispatcher of the entry node's zone has moved it to `zone`. */
+  /** Whether the dispatcher of its own zone has redirected it. */
   isLent: boolean;
   /** Dispatcher to which the job was last submitted, if any. */
   assignedTo: DispatcherClaim | undefined;
--- a/src/core/pool/lending/moved_jobs.ts
+++ b/src/core/pool/lending/moved_jobs.ts
@@ -1,7 +1,7 @@
-import type {Destination} from './destination.js';
+import type {ZoneGrant} from '../zones/zone_grant.js';
 
 interface Entry {
-  readonly to: Destination;
+  readonly to: ZoneGrant;
   readonly at: number;
 }
 
@@ -18,12 +18,12 @@
 export class MovedJobs {
   private readonly byId = new Map<string, Entry>();
 
-  get(id: string, now: number): Destination | undefined {
+  get(id: string, now: number): ZoneGrant | undefined {
     this.expire(now);
     return this.byId.get(id)?.to;
   }
 
-  record(id: string, to: Destination, now: number): void {
+  record(id: string, to: ZoneGrant, now: number): void {
     this.expire(now);
     // Keeps the entries in the order of their times.
     this.byId.delete(id);
--- a/src/core/pool/node/dispatcher_claims.test.ts
+++ b/src/core/pool/node/dispatcher_claims.test.ts
@@ -1,5 +1,6 @@
 import {assert} from 'chai';
 import type {DispatcherClaim} from './dispatcher_claim.js';
+import {FailoverTiming} from './failover_timing.js';
 import {DispatcherClaims} from './dispatcher_claims.js';
 
 const BASE = {isFallback: false, revision: 1, heardAt: 0};
@@ -73,10 +74,11 @@
   const grant = (node: string, token: number) => [{zone: 'z', node, token}];
   claims.record(holderClaim());
   claims.record(leaderClaim({grants: grant('h', 1_001), heardAt: 500}));
-  assert.equal(claims.lenderOf('z', 500)?.node, 'h');
-  assert.isUndefined(claims.lenderOf('z', 700));
+  assert.equal(claims.remoteDispatcherOf('z', 700)?.node, 'h');
   claims.record(leaderClaim({grants: grant('g', 1_005), heardAt: 700}));
-  const successor = claims.lenderOf('z', 2_000);
+  const successor = claims.remoteDispatcherOf('z', 1_600);
   assert.include(successor, {node: 'g', token: 1_005, zone: 'z'});
-  assert.isUndefined(claims.lenderOf('z', 2_001));
+  const {DISTANT_LEADER_TIMEOUT_MS} = FailoverTiming;
+  const isOver = 700 + DISTANT_LEADER_TIMEOUT_MS;
+  assert.isUndefined(claims.remoteDispatcherOf('z', isOver));
 });
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -1,7 +1,6 @@
 import * as v from 'valibot';
 import {WorkerLoss} from '../crashes/worker_loss.js';
 import {PoolAnswer} from '../job/pool_answer.js';
-import {Destination} from '../lending/destination.js';
 import {Room} from '../lending/room.js';
 import {WorkerReport} from '../registry/worker_report.js';
 import {ZoneGrant} from '../zones/zone_grant.js';
@@ -65,8 +64,11 @@
   /** Jobs that may have run, and whose callers may send them again anywhere. */
   unclear: v.object({ids}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
-  /** Dispatcher to which the entry node has to submit a job that was moved. */
-  redirect: v.object({id: v.string(), ...Destination.entries}),
+  /**
+   * Tells the entry node of a job to submit it to the dispatcher of another zone;
+   * the sender has started nothing of it and forgets it.
+   */
+  redirect: v.object({id: v.string(), ...ZoneGrant.entries}),
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
