Run jobs of an earlier dispatcher to their end in a zone of the leader

A job that may have run cannot be refused as not run. The rule that starts nothing where its answer is useless made the leader refuse such jobs, and their callers got 504.

--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -118,9 +118,12 @@
     this.isSettling = false;
   }
 
-  /** Whether the job waits for an answer and no task has started. */
+  /**
+   * Whether the job waits for an answer and no task can have started, under this
+   * or an earlier dispatcher. Only such a job may be refused as not run.
+   */
   get isPending(): boolean {
-    return !this.hasStarted && !this.isAbandoned;
+    return !this.hasStarted && !this.mayHaveRun && !this.isAbandoned;
   }
 
   get isDone(): boolean {
--- a/src/core/pool/lending/dispatcher_lending.ts
+++ b/src/core/pool/lending/dispatcher_lending.ts
@@ -118,7 +118,7 @@
   }
 
   private mayMove(job: ActiveJob): boolean {
-    if (!job.isPending || job.isLent || job.mayHaveRun) return false;
+    if (!job.isPending || job.isLent) return false;
     return !this.opts.jobs.mayHaveRun(job.spec.id);
   }
 
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -97,11 +97,6 @@
     return found;
   }
 
-  /** Holder of a zone. */
-  holderOf(zone: string): string {
-    return this.holders()[zone]![0]!;
-  }
-
   fallbacks(): string[] {
     return [...this.entries]
       .filter(([, {fallback}]) => fallback.isDispatching)
