Withdraw full entry nodes from the balancer

Cause: entry VMs differ three to one in their processor share, and callers are spread over them by a hash. A small node is full while others idle.

--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -41,6 +41,8 @@
   'bounds.remote_factor': v.optional(remoteFactorText, '2'),
   /** Time from SIGTERM to SIGKILL. */
   'bounds.grace_s': v.optional(numberText, '6'),
+  /** Fraction of a processor that the VM has. */
+  'limits.cpu_share': v.optional(v.pipe(numberText, v.gtValue(0)), '1'),
 });
 
 /**
@@ -88,5 +90,6 @@
     leaseMs: file['bounds.max_hold_ms'],
     remoteFactor: file['bounds.remote_factor'],
     graceMs: file['bounds.grace_s'] * 1_000,
+    processorShare: file['limits.cpu_share'],
   });
 }
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -1,6 +1,7 @@
 import {EntryGateway} from '../../../src/core/pool/entry/entry_gateway.js';
 import {EntryPresence} from '../../../src/core/pool/entry/entry_presence.js';
 import {FallbackService} from '../../../src/core/pool/entry/fallback_service.js';
+import {ReliefService} from '../../../src/core/pool/pressure/relief_service.js';
 import {ZonePeers} from '../../../src/core/pool/entry/zone_peers.js';
 import {LeaderService} from '../../../src/core/pool/node/leader_service.js';
 import {NodeDirectory} from '../../../src/core/pool/node/node_directory.js';
@@ -301,7 +302,8 @@
   private addEntry(zone: string, n: number): void {
     const id = `${zone}e${n}`;
     const common = this.common(id, zone);
-    const opts = {...common, zonePeers: new ZonePeers()};
+    const relief = new ReliefService({...common, share: 1});
+    const opts = {...common, relief, zonePeers: new ZonePeers()};
     const fallback = new FallbackService(opts);
     const gateway = new EntryGateway(opts);
     const onDispatcher = (now: number) => gateway.tick(now);
