--- a/src/core/pool/registry/worker_report_service.test.ts
+++ b/src/core/pool/registry/worker_report_service.test.ts
@@ -11,7 +11,7 @@
 function createBench() {
   const clock = new FakeClock();
   const peers = new InMemoryPeers(clock);
-  const createNode = (node: string, isLeading: boolean) => {
+  const createNode = (node: string, isLeading: boolean, held?: string) => {
     const directory = new NodeDirectory(node, ['c1', 'c2']);
     const transport = peers.node(node);
     const registry = new WorkerRegistry();
@@ -22,6 +22,7 @@
       registrySender: new WorkerRegistrySender(opts),
       reportAddress: `${node}:1`,
       isLeading: () => isLeading,
+      holds: zone => zone === held,
       onNews: noop,
       observer: {
         recordJobEvent: noop,
@@ -38,6 +39,7 @@
   };
   const leader = createNode('c1', true);
   const follower = createNode('c2', false);
+  const holder = createNode('c3', false, 'z');
   const claim = () => {
     const fields = {term: 1, token: 1_000, isFallback: false, revision: 1};
     const heardAt = clock.now();
@@ -51,7 +53,12 @@
     return result;
   };
   claim();
-  return {clock, peers, leader, follower, claim, settle};
+  const claimZone = () => {
+    const fields = {term: 1, token: 1_001, isFallback: false, revision: 1};
+    const claimed = {...fields, node: 'c3', zone: 'z', heardAt: clock.now()};
+    follower.directory.claims.record(claimed);
+  };
+  return {clock, peers, leader, follower, holder, claim, claimZone, settle};
 }
 
 test('a new worker is known to the leader before it gets its reply', async () => {
@@ -117,3 +124,43 @@
     smaller.capacity,
   );
 });
+
+test('a drain is known to the holder of the zone before the worker is answered', async () => {
+  const {follower, holder, claimZone, settle} = createBench();
+  claimZone();
+  await settle(follower.service.report(POOL_WORKER_REPORT));
+  const draining = {...POOL_WORKER_REPORT, sequence: 2, isDraining: true};
+  assert.equal(await settle(follower.service.report(draining)), 'c2:1');
+  assert.isTrue(holder.registry.entries.get('w')?.report.isDraining);
+});
+
+// While the holder's link is down, the leader alone accepts the report.
+test('a holder that missed a drain gets it with the next reports', async () => {
+  const {clock, peers, follower, holder, claim, claimZone, settle} =
+    createBench();
+  claimZone();
+  await settle(follower.service.report(POOL_WORKER_REPORT));
+  peers.cut.add('c3');
+  const draining = {...POOL_WORKER_REPORT, sequence: 2, isDraining: true};
+  const reply = follower.service.report(draining);
+  await settle(Promise.resolve());
+  clock.advance(800);
+  assert.equal(await settle(reply), 'c2:1');
+  peers.cut.delete('c3');
+  claim();
+  claimZone();
+  follower.service.tick(clock.now());
+  clock.advance(5);
+  assert.isTrue(holder.registry.entries.get('w')?.report.isDraining);
+});
+
+test('without a leader, the holder of the zone accepts reports', async () => {
+  const {clock, follower, holder, claimZone, settle} = createBench();
+  clock.advance(60_000);
+  claimZone();
+  assert.equal(
+    await settle(follower.service.report(POOL_WORKER_REPORT)),
+    'c2:1',
+  );
+  assert.isTrue(holder.registry.entries.has('w'));
+});
--- a/src/core/pool/registry/worker_report_service.ts
+++ b/src/core/pool/registry/worker_report_service.ts
@@ -69,8 +69,12 @@
       if (registry.update(report, now)) this.pending.set(report.id, report);
       return reportAddress;
     }
-    const isAccepted = await this.requestAll(receivers, 'pool.report', report);
-    return isAccepted ? reportAddress : undefined;
+    const accepted = await this.requestAll(receivers, 'pool.report', report);
+    // The one that has not replied gets the news with the next reports.
+    if (accepted > 0 && accepted < receivers.length) {
+      this.pending.set(report.id, report);
+    }
+    return accepted > 0 ? reportAddress : undefined;
   }
 
   /**
@@ -82,7 +86,7 @@
     this.pending.delete(id);
     const zone = registry.entries.get(id)?.report.zone;
     const receivers = this.receivers(zone, clock.now());
-    return this.requestAll(receivers, 'pool.leave', {id});
+    return (await this.requestAll(receivers, 'pool.leave', {id})) > 0;
   }
 
   /** Passes collected reports on to the leader and holders if it is time to. */
@@ -114,19 +118,19 @@
     return [...new Set([leader ?? [], holder ?? []].flat())];
   }
 
-  /** Whether one of the nodes has accepted the request. */
+  /** Number of the nodes that have accepted the request. */
   private async requestAll(
     nodes: readonly string[],
     method: string,
     body: unknown,
-  ): Promise<boolean> {
+  ): Promise<number> {
     const {peers} = this.opts;
     const replies = await Promise.all(
       nodes.map(node =>
         peers.request(node, method, body, LEADER_REQUEST_TIMEOUT_MS),
       ),
     );
-    return replies.some(res => res.isOk && res.value === true);
+    return replies.filter(res => res.isOk && res.value === true).length;
   }
 
   private takes(zone: string | undefined): boolean {
