--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -15,8 +15,7 @@
 import {SuspendableClock} from './suspendable_clock.js';
 
 const LEASE_MS = 600;
-const CORE_TICK_MS = 20;
-const ENTRY_TICK_MS = 50;
+const TICK_MS = {core: 20, entry: 50};
 const REPORT_MS = 1_500;
 
 interface Entry {
@@ -162,7 +161,7 @@
     this.closed.add(id);
   }
 
-  /** Whether a core node has been closed for a planned stop. */
+  /** Whether a core node was closed for a planned stop. */
   isClosed(id: string): boolean {
     return this.closed.has(id);
   }
@@ -215,7 +214,7 @@
 
   private tick(): void {
     const now = this.clock.now();
-    if (now % CORE_TICK_MS === 0) {
+    if (now % TICK_MS.core === 0) {
       this.election.tick();
       for (const [id, {clock, service}] of this.cores) {
         if (!clock.isSuspended && !this.closed.has(id)) service.tick(now);
@@ -224,7 +223,7 @@
         if (!clock.isSuspended && fallback.isDispatching) fallback.tick(now);
       }
     }
-    if (now % ENTRY_TICK_MS === 0) {
+    if (now % TICK_MS.entry === 0) {
       for (const entry of this.entries.values()) {
         if (entry.clock.isSuspended) continue;
         entry.fallback.tick(now);
