--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -15,6 +15,7 @@
 import {RunRecorder} from './run_recorder.js';
 import type {RunRefusal} from '../lease/run_refusal.js';
 import {RunTimes} from '../placement/run_times.js';
+import {DEFAULT_REMOTE_FACTOR} from '../placement/default_remote_factor.js';
 import {StartableWorkers} from '../placement/startable_workers.js';
 import {StragglerWatch} from '../placement/straggler_watch.js';
 import {Takeover} from './takeover.js';
@@ -26,8 +27,6 @@
 const PASS_INTERVAL_MS = 2;
 const FORECAST_INTERVAL_MS = 60;
 const STRAGGLER_INTERVAL_MS = 60;
-/** Slowdown of a task outside the rack of its data, if it is not configured. */
-const DEFAULT_REMOTE_FACTOR = 2;
 /** Time within which jobs of another dispatcher are resubmitted. */
 const CLAIM_MS = 1_000;
 
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -9,6 +9,7 @@
 import type {RoomOffers} from '../lending/room_offers.js';
 import {Room} from '../lending/room.js';
 import type {WorkerClient} from '../lease/worker_client.js';
+import {DEFAULT_REMOTE_FACTOR} from '../placement/default_remote_factor.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {WorkerRegistry} from '../registry/worker_registry.js';
 import {RelayChooser} from '../relay/relay_chooser.js';
@@ -16,9 +17,6 @@
 import type {DispatcherClaim} from './dispatcher_claim.js';
 import type {NodeDirectory} from './node_directory.js';
 
-/** Run-time factor of tasks outside the rack of their data. */
-const REMOTE_FACTOR = 2;
-
 interface CoreDispatchingOptions {
   readonly node: string;
   readonly clock: Clock;
@@ -31,6 +29,8 @@
   readonly leaseMs: number;
   readonly reportAddress: string;
   readonly routing: () => RoutingTable | undefined;
+  /** Slowdown of a task outside the rack of its data; default 2. */
+  readonly remoteFactor?: number | undefined;
   /** Default: no zone is ever evacuated. */
   readonly evacuated?: EvacuatedZones | undefined;
   readonly observer: PoolObserver;
@@ -75,7 +75,7 @@
     });
     this.lending = new CapacityLending({
       ...opts,
-      remoteFactor: REMOTE_FACTOR,
+      remoteFactor: opts.remoteFactor ?? DEFAULT_REMOTE_FACTOR,
       // An older entry node would ignore the redirect.
       canRedirect: owner => directory.isZoned(owner),
       redirect: (owner, id, to) => this.endpoint.redirect(owner, id, to),
