Let the leader dispatch all zones while one is evacuated

Cause: the callers of an evacuated zone depended on what holders lend.

Change: an evacuation withdraws the grants, as an older process does; they return after it. The test failed before: holders remained.

--- a/src/core/pool/zones/zone_grants.ts
+++ b/src/core/pool/zones/zone_grants.ts
@@ -64,10 +64,10 @@
     return changes;
   }
 
-  /** Returns all zones to the leader, for nodes that know no grants. */
-  withdrawAll(): GrantChange[] {
+  /** Returns all zones to the leader. */
+  withdrawAll(reason: string): GrantChange[] {
     const changes = this.all.map(grant => {
-      return {event: 'zone_returned', grant, reason: 'older_node'} as const;
+      return {event: 'zone_returned', grant, reason} as const;
     });
     this.zones.clear();
     return changes;
--- a/src/core/pool/zones/zone_leader.ts
+++ b/src/core/pool/zones/zone_leader.ts
@@ -1,3 +1,4 @@
+import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {FencingToken} from '../lease/fencing_token.js';
@@ -15,6 +16,8 @@
   readonly term: number;
   readonly directory: NodeDirectory;
   readonly registry: WorkerRegistry;
+  /** Default: no zone is ever evacuated. */
+  readonly evacuated?: EvacuatedZones | undefined;
   readonly observer: PoolObserver;
 }
 
@@ -65,9 +68,10 @@
     if (now - confirmedAt >= CONFIRMATION_MAX_AGE_MS) return false;
     const {directory, observer} = this.opts;
     this.isDecided = true;
-    const changes = this.knowAllNodesGrants(now)
-      ? this.zones.update(viewZones(this.opts, now), now)
-      : this.zones.withdrawAll();
+    const obstacle = this.findObstacle(now);
+    const changes = obstacle
+      ? this.zones.withdrawAll(obstacle)
+      : this.zones.update(viewZones(this.opts, now), now);
     for (const {event, grant, reason} of changes) {
       observer.recordStateChange(event, {
         reason,
@@ -84,6 +88,15 @@
     return changes.length > 0 || !isSame;
   }
 
+  /** Why no zone may be granted; undefined if zones may. */
+  private findObstacle(now: number): string | undefined {
+    if (!this.knowAllNodesGrants(now)) return 'older_node';
+    const evacuated = this.opts.evacuated?.all.size ?? 0;
+    // The callers of an evacuated zone need the room of all other zones. Holders
+    // lend only what they have to spare and would refuse many of these jobs.
+    return evacuated > 0 ? 'evacuation' : undefined;
+  }
+
   /** Whether no older process is left, which would ignore the grants. */
   private knowAllNodesGrants(now: number): boolean {
     const {directory, node} = this.opts;
--- a/src/core/pool/zones/zones.test.ts
+++ b/src/core/pool/zones/zones.test.ts
@@ -281,28 +281,23 @@
   await assertServed(bench, since, {x: 900, y: 900, z: 900});
 });
 
+/** Copies an object without some fields, given as words. */
+function omit(value: object, fields: string): object {
+  const omitted = fields.split(' ');
+  const kept = Object.entries(value).filter(([key]) => !omitted.includes(key));
+  return Object.fromEntries(kept);
+}
+
 /** Makes a node send and understand only what an older process does. */
 function makeOld(bench: DeploymentBench, old: string | undefined): void {
   bench.network.translate = (from, to, body) => {
     const message = body as Record<string, unknown>;
     if (message['role'] === undefined) return body;
-    if (from === old) {
-      return {
-        ...message,
-        isZoned: undefined,
-        zoneToken: undefined,
-        startedAt: undefined,
-      };
-    }
+    if (from === old) return omit(message, 'isZoned zoneToken startedAt');
     const lead = message['lead'] as object | undefined;
     if (to !== old || !lead) return body;
-    const fields = {
-      zone: undefined,
-      grants: undefined,
-      unserved: undefined,
-      firstToken: undefined,
-    };
-    return {...message, lead: {...lead, ...fields}};
+    const unknown = 'zone grants unserved firstToken';
+    return {...message, lead: omit(lead, unknown)};
   };
 }
 
@@ -328,6 +323,21 @@
   assert.isEmpty(bench.log.jobsWith('refused'));
 });
 
+// Holders lend what they have to spare, which is too little for a whole zone.
+test('an evacuated zone is served by all others, under one leader', async () => {
+  const bench = await createRunningBench();
+  const since = bench.now;
+  bench.config = {version: 2, evacuated: ['y']};
+  await bench.runLoad(1_000, 50, PATIENT);
+  assert.deepEqual(bench.holders(), {});
+  await bench.runLoad(2_000, 50, PATIENT);
+  bench.config = {version: 3, evacuated: []};
+  await bench.runLoad(3_000, 50, PATIENT);
+  assert.deepEqual(Object.keys(bench.holders()).sort(), ['x', 'y', 'z']);
+  await assertServed(bench, since, {x: 300, y: 300, z: 300});
+  assert.isEmpty(bench.log.jobsWith('refused'));
+});
+
 test('zones with one core node each have their own dispatchers', async () => {
   const bench = new DeploymentBench({coresPerZone: 1});
   await bench.run(6_000);
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -5,6 +5,7 @@
 import {ZonePeers} from '../../../src/core/pool/entry/zone_peers.js';
 import {LeaderService} from '../../../src/core/pool/node/leader_service.js';
 import {NodeDirectory} from '../../../src/core/pool/node/node_directory.js';
+import {EvacuatedZones} from '../../../src/core/routing/evacuated_zones.js';
 import {FakeClock} from '../fake_clock.js';
 import {DeploymentLog} from './deployment_log.js';
 import {FakeElection} from './fake_election.js';
@@ -30,6 +31,8 @@
   readonly service: LeaderService;
 }
 
+type Fields = Record<string, unknown>;
+
 interface BenchOptions {
   readonly zones?: readonly string[];
   readonly coresPerZone?: number;
@@ -52,6 +55,8 @@
   readonly log = new DeploymentLog(this.workers);
   /** Run time of every task, in ms. */
   runMs = 100;
+  /** Configuration in force everywhere, with the evacuated zones. */
+  config: {version: number; evacuated: string[]} = {version: 1, evacuated: []};
   private readonly zoneOf = new Map<string, string>();
   /** Ids of all core nodes. */
   readonly seeds: string[] = [];
@@ -310,6 +315,10 @@
     this.entries.set(id, {clock: common.clock, fallback, gateway, presence});
   }
 
+  private record(node: string, event: string, fields: Fields): void {
+    this.log.events.push({at: this.now, node, event, fields});
+  }
+
   private common(id: string, zone: string) {
     this.zoneOf.set(id, zone);
     const clock = new SuspendableClock(this.clock);
@@ -325,23 +334,12 @@
       directory: new NodeDirectory(id, this.seeds),
       leaseMs: LEASE_MS,
       routing: () => PoolBench.table(),
+      evacuated: new EvacuatedZones(() => this.config),
       observer: {
-        recordJobEvent: (event: string, job: string, fields: object) => {
-          this.log.events.push({
-            at: this.now,
-            node: id,
-            event,
-            fields: {job, ...fields},
-          });
-        },
-        recordStateChange: (event: string, fields: object) => {
-          this.log.events.push({
-            at: this.now,
-            node: id,
-            event,
-            fields: {...fields},
-          });
-        },
+        recordJobEvent: (event: string, job: string, fields: object) =>
+          this.record(id, event, {job, ...fields}),
+        recordStateChange: (event: string, fields: object) =>
+          this.record(id, event, {...fields}),
         recordResponseTime: () => undefined,
         incrementCounter: () => undefined,
       },
