Wait for the runs of a fallback whatever the workers have accepted

Cause: a job of an earlier dispatcher could start as soon as all workers that the successor knew had accepted its token. After a partition a leader has forgotten workers of the zone.

Ruled out: a late order; both runs ended 'done' and were confirmed.

Change: no early start of a job that a fallback had. The test failed before; the expectation of the earlier test was wrong and is replaced by this one.

--- a/src/core/pool/entry/settling.test.ts
+++ b/src/core/pool/entry/settling.test.ts
@@ -19,13 +19,20 @@
   assert.equal(Settling.earlierToken({zone: 'z', from: sole, to}), 1_000);
 });
 
-test('the holder of a zone and its fallback have runs in the zone only', () => {
+test('the holder of a zone has runs in the zone only', () => {
   const to = claim({token: 2_000, term: 2, grants});
   const holder = claim({zone: 'z', token: 1_002});
   assert.equal(Settling.earlierToken({zone: 'z', from: holder, to}), 1_002);
-  const fallback = claim({isFallback: true, token: 1_009});
-  assert.equal(Settling.earlierToken({zone: 'z', from: fallback, to}), 1_009);
-  assert.equal(Settling.durationMs({zone: 'z', from: fallback, to}), 800);
+});
+
+// After a partition the leader has forgotten workers of the zone. All that it
+// knew had accepted its token while a run of the fallback was active on another.
+test('runs of a fallback are waited for in any case', () => {
+  const from = claim({isFallback: true, zone: 'z', token: 1_009});
+  for (const to of [claim({term: 2, token: 2_000}), claim({token: 1_010})]) {
+    assert.equal(Settling.earlierToken({zone: 'z', from, to}), Infinity);
+    assert.equal(Settling.durationMs({zone: 'z', from, to}), 800);
+  }
 });
 
 test('the next leader of all zones waits for nothing, one of some does', () => {
--- a/src/core/pool/entry/settling.ts
+++ b/src/core/pool/entry/settling.ts
@@ -37,8 +37,10 @@
    * known; infinite if `from` may have runs on workers that `to` does not have.
    */
   earlierToken: ({zone, from, to}: Change): number => {
+    // A leader that had no contact with the zone may lack workers of it.
+    if (from.isFallback) return Number.POSITIVE_INFINITY;
     const fromZone = from.zone ?? from.soleZone;
-    const isCovered = from.isFallback || fromZone === zone || servesAll(to);
+    const isCovered = fromZone === zone || servesAll(to);
     return isCovered ? from.token : Number.POSITIVE_INFINITY;
   },
 };
