Prove that a refused job has not run under an earlier dispatcher

Cause: after a change of dispatcher, each refusal became 504, although most of these jobs had reached no worker; and a job that ran under the lost dispatcher and came again at another entry node could be refused as not run.

Change: ends stay on the workers' lists for 0.9 s to 1 s, dispatchers send the core nodes the jobs of which ends were listed (pool.starts, every 0.2 s), and StartProof decides for each takeover whether a job without a trace has not started. Refusals carry isProved; the entry node passes them on only with a proof. Without one, a new dispatcher gives up instead of refusing until 3 s after the last order of its predecessor. A worker that joins is used 1 s later, so that the nodes that may dispatch next know it. The check of the pool has callers whose connection breaks and that send the job again.

The cost of polls is not measured yet.

--- a/src/check/pool/check_pool.ts
+++ b/src/check/pool/check_pool.ts
@@ -8,6 +8,8 @@
   readonly starts: number;
   /** Crashes of workers, counted for each task that they ran. */
   readonly crashes: number;
+  /** Jobs sent again shortly after they had started. */
+  readonly resubmissions: number;
   readonly counterexample:
     | {
         readonly steps: readonly PoolStep[];
@@ -19,18 +21,25 @@
 
 /** Generates histories of the pool and shrinks the first one with a violation. */
 export async function checkPool(seed: number, numRuns: number) {
-  let [runs, starts, crashes] = [0, 0, 0];
+  let [runs, starts, crashes, resubmissions] = [0, 0, 0, 0];
   const property = fc.asyncProperty(poolStepsArbitrary, async steps => {
     const run = new PoolRun();
     await run.run(steps);
     runs += 1;
     starts += run.starts.length;
     crashes += run.crashes;
+    resubmissions += run.resubmissions;
     return run.violations.length === 0;
   });
   const details = await fc.check(property, {seed, numRuns});
   const [steps] = details.counterexample ?? [];
-  const report = {runs, starts, crashes, counterexample: undefined};
+  const report = {
+    runs,
+    starts,
+    crashes,
+    resubmissions,
+    counterexample: undefined,
+  };
   if (!steps) return report satisfies PoolReport;
   const run = new PoolRun();
   await run.run(steps);
--- a/src/check/pool/pool_command.ts
+++ b/src/check/pool/pool_command.ts
@@ -16,7 +16,9 @@
     const report = await checkPool(Number(opts.seed), Number(opts.runs));
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
     console.log(`seed ${opts.seed}: ${report.runs} runs in ${seconds} s`);
-    console.log(`starts: ${report.starts}, crashes: ${report.crashes}`);
+    const {starts, crashes, resubmissions} = report;
+    console.log(`starts: ${starts}, crashes: ${crashes}`);
+    console.log(`resubmissions after a start: ${resubmissions}`);
     const {counterexample} = report;
     console.log(`violations: ${counterexample?.violations.length ?? 0}`);
     if (!counterexample) return;
--- a/src/check/pool/pool_run.ts
+++ b/src/check/pool/pool_run.ts
@@ -15,6 +15,13 @@
 const COUNTED_CRASHES = 3;
 const MAX_FURTHER_STARTS = 2;
 
+/** Time after which a caller whose connection broke sends its job again. */
+const RESEND_MS = 1_300;
+/** Time after a start within which a refusal may not say "not run". */
+const MEMORY_MS = 2_800;
+/** Revision of a configuration that no dispatcher has. */
+const UNKNOWN_REVISION = 99;
+
 /** Of this many callers, one leaves at a takeover. */
 const CALLERS_PER_LEAVE = 4;
 
@@ -49,6 +56,12 @@
   private readonly left = new Set<string>();
   /** Workers that crashed while they ran each task. */
   private readonly crashedUnder = new Map<string, Set<string>>();
+  /** Time of the last start of each job. */
+  private readonly startedAt = new Map<string, number>();
+  /** Jobs that were refused as not run and not submitted again since. */
+  private readonly refused = new Set<string>();
+  /** Resubmissions of jobs that started shortly before. */
+  resubmissions = 0;
   private stopsLostUntil = 0;
   private dispatcher: PoolDispatcher;
   private term = 1;
@@ -63,6 +76,9 @@
       const isCut = (this.cutUntil.get(id) ?? 0) > now;
       return isCut || this.dark.has(id) ? 'order_lost' : 'ok';
     };
+    bench.onAnswer = (id, {kind}) => {
+      if (kind === 'refused') this.checkRefusal(id);
+    };
     this.dispatcher = bench.createDispatcher();
   }
 
@@ -119,14 +135,45 @@
       case 'resubmit': {
         const job = this.jobs[step.job];
         if (job && this.bench.answers.has(job.id)) this.submit(job);
+        return;
+      }
+      case 'reconnect': {
+        const job = this.jobs[step.job % this.jobs.length];
+        if (job) this.reconnect(job);
       }
     }
   }
 
-  private submit(job: Job): void {
+  private submit(job: Job, revision = 0): void {
     const {id, tasks, runMs: estimatedMs} = job;
     const opts = {tasks, estimatedMs, patienceMs: PATIENCE_MS};
-    this.dispatcher.submit('e', PoolBench.submission(id, opts));
+    this.refused.delete(id);
+    const submission = {...PoolBench.submission(id, opts), revision};
+    this.dispatcher.submit('e', submission);
+  }
+
+  /**
+   * Breaks the connection of a caller, which sends the job again to another
+   * entry node; it cannot be served there.
+   */
+  private reconnect(job: Job): void {
+    this.left.add(job.id);
+    this.dispatcher.drop(job.id, 'e', 'caller_gone');
+    this.bench.clock.schedule(RESEND_MS, () => {
+      if (this.hasStartedRecently(job.id)) this.resubmissions += 1;
+      this.submit(job, UNKNOWN_REVISION);
+    });
+  }
+
+  private checkRefusal(id: string): void {
+    this.refused.add(id);
+    if (!this.hasStartedRecently(id)) return;
+    this.violations.push(`${id}: refused as not run after a start`);
+  }
+
+  private hasStartedRecently(id: string): boolean {
+    const startedAt = this.startedAt.get(id) ?? Number.NEGATIVE_INFINITY;
+    return this.bench.clock.now() - startedAt <= MEMORY_MS;
   }
 
   private takeOver(leaves: number): void {
@@ -141,6 +188,7 @@
       const opts = {tasks, estimatedMs, patienceMs: PATIENCE_MS};
       const losses = [...(this.bench.losses.get(id) ?? [])];
       const submission = {...PoolBench.submission(id, opts), losses};
+      this.refused.delete(id);
       this.dispatcher.submit('e', submission);
     }
   }
@@ -169,6 +217,11 @@
   private onStart(worker: FakePoolWorker, task: string): void {
     const {id} = worker.report;
     const crashesBefore = this.crashedUnder.get(task)?.size ?? 0;
+    const job = this.jobOf(task)?.id ?? '';
+    this.startedAt.set(job, this.bench.clock.now());
+    if (this.refused.has(job)) {
+      this.violations.push(`${task}: started after its job was refused`);
+    }
     this.starts.push({task, worker: id, crashesBefore});
     const room = this.countedCapacity(id);
     if (worker.running.size > room) {
--- a/src/check/pool/pool_step.ts
+++ b/src/check/pool/pool_step.ts
@@ -24,4 +24,6 @@
   | {readonly kind: 'take_over'; readonly leaves: number}
   /** A caller sends a job again that was answered. */
   | {readonly kind: 'resubmit'; readonly job: number}
+  /** The connection of a caller breaks, and it sends its job again. */
+  | {readonly kind: 'reconnect'; readonly job: number}
 );
--- a/src/check/pool/pool_steps_arbitrary.ts
+++ b/src/check/pool/pool_steps_arbitrary.ts
@@ -52,6 +52,11 @@
   waitMs,
   job: fc.nat({max: MAX_STEPS - 1}),
 });
+const reconnect = fc.record({
+  kind: fc.constant('reconnect' as const),
+  waitMs,
+  job: fc.nat({max: MAX_STEPS - 1}),
+});
 
 /** Generates the steps of a history. */
 export const poolStepsArbitrary: fc.Arbitrary<PoolStep[]> = fc.array(
@@ -63,6 +68,7 @@
     {weight: 2, arbitrary: resize},
     {weight: 1, arbitrary: takeOver},
     {weight: 1, arbitrary: resubmit},
+    {weight: 4, arbitrary: reconnect},
   ),
   {minLength: 1, maxLength: MAX_STEPS},
 );
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -15,6 +15,9 @@
 import {RunRecorder} from './run_recorder.js';
 import type {RunRefusal} from '../lease/run_refusal.js';
 import {RunTimes} from '../placement/run_times.js';
+import {createStartProof} from '../outcome/create_start_proof.js';
+import {StartedJobs} from '../outcome/started_jobs.js';
+import type {StartProof} from '../outcome/start_proof.js';
 import {StragglerWatch} from '../placement/straggler_watch.js';
 import {Takeover} from './takeover.js';
 import {TaskStarter} from '../placement/task_starter.js';
@@ -34,6 +37,8 @@
  */
 export class PoolDispatcher implements LeaseListener {
   private readonly jobs: PoolJobs;
+  private readonly proof: StartProof;
+  readonly started = new StartedJobs();
   private readonly workers: WorkerFleet;
   private readonly times = new RunTimes();
   private readonly breaker = new WorkerCircuitBreaker();
@@ -54,9 +59,11 @@
 
   constructor(private readonly opts: PoolDispatcherOptions) {
     const now = opts.clock.now();
+    this.proof = createStartProof(opts, now);
     this.jobs = new PoolJobs({
       ...opts,
       infeasible: new InfeasibleJobs(this.times),
+      proof: this.proof,
     });
     const {times, breaker} = this;
     this.starter = new TaskStarter(times, breaker, opts.observer);
@@ -92,9 +99,15 @@
     return this.workers.all.some(w => w.isOutranked);
   }
 
+  /** Whether successors know the workers before anything runs on them. */
+  isSettled(now: number): boolean {
+    return this.workers.isSettled(now);
+  }
+
   /** Raises the token, so that workers taken by other dispatchers accept it. */
   raiseToken(token: number): void {
     this.currentToken = token;
+    this.proof.invalidate(this.opts.clock.now());
     for (const worker of this.workers.all) worker.onTokenRaised();
   }
 
@@ -184,6 +197,7 @@
   tick(now: number): void {
     if (this.isClosed) return;
     this.workers.tick(now);
+    this.proof.update(this.workers.all, now);
     this.stopUnclaimed(now);
     if (now >= this.nextStragglers) {
       this.nextStragglers = now + STRAGGLER_INTERVAL_MS;
@@ -208,7 +222,7 @@
 
   /** Refuses jobs that would be late because of the work ahead of them. */
   private refuseInfeasible(now: number): void {
-    if (now < this.nextForecast) return;
+    if (now < this.nextForecast || this.proof.isOpen) return;
     this.nextForecast = now + FORECAST_INTERVAL_MS;
     const waiting = this.priority.sort(this.jobs.all, now);
     if (waiting.length === 0) return;
@@ -244,6 +258,7 @@
     const now = clock.now();
     const task = this.jobs.taskOf(run.task);
     observer.incrementCounter(`run_${how}`);
+    this.started.record(run.task);
     if (!task || task.run !== run) return this.schedulePass();
     task.run = undefined;
     task.worker = undefined;
@@ -267,7 +282,12 @@
     this.schedulePass();
   }
 
+  onInheritedRunsListed(tasks: Iterable<string>): void {
+    for (const task of tasks) this.jobs.recordStart(this.started.record(task));
+  }
+
   onInheritedRunEnded(name: string, _run: number, how: RunEnd): void {
+    this.jobs.recordStart(this.started.record(name));
     const task = this.jobs.taskOf(name);
     if (!task) {
       this.takeover.recordEnd(name, how);
@@ -317,6 +337,12 @@
       this.jobs.finishIfDone(job, now);
     }
     if (!this.takeover.mayStart(this.workers.all, now)) return;
-    this.starter.startAll(this.priority.sort(jobs, now), this.workers.all, now);
+    if (this.proof.isOpen) {
+      // Refuses what has waited for the workers' replies and is of no more use.
+      this.proof.update(this.workers.all, now);
+      this.jobs.expire(now);
+    }
+    const waiting = this.priority.sort(this.jobs.all, now);
+    this.starter.startAll(waiting, this.workers.all, now);
   }
 }
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -2,6 +2,7 @@
 import type {RoutingTable} from '../../routing/routing_table.js';
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
+import type {Predecessor} from '../outcome/predecessor.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {WorkerRegistry} from '../registry/worker_registry.js';
@@ -19,6 +20,8 @@
   readonly earlierLeasesMs: number;
   /** Whether the registry was up to date when the dispatcher started. */
   readonly isRegistryComplete: boolean;
+  /** What is known of the dispatcher before; absent: nothing. */
+  readonly predecessor?: Predecessor;
   readonly maySendOrders: (now: number) => boolean;
   /** Current queue configuration; undefined before the first one. */
   readonly routing: () => RoutingTable | undefined;
--- a/src/core/pool/dispatcher/worker_fleet.ts
+++ b/src/core/pool/dispatcher/worker_fleet.ts
@@ -12,12 +12,29 @@
   readonly onRemoved: (id: string) => void;
 }
 
+/**
+ * Time for which a worker that joins is not used, so that the nodes that may
+ * dispatch next know it before anything runs there; see StartProof.
+ */
+const ANNOUNCEMENT_MS = 1_000;
+/** In this time after the start, workers that report are used at once. */
+const DISCOVERY_MS = 4_000;
+
 /** Workers of one dispatcher, synchronized with the worker registry. */
 export class WorkerFleet {
   private readonly byId = new Map<string, LeasedWorker>();
   private list: readonly LeasedWorker[] = [];
 
-  constructor(private readonly opts: WorkerFleetOptions) {}
+  private readonly startedAt: number;
+
+  constructor(private readonly opts: WorkerFleetOptions) {
+    this.startedAt = opts.clock.now();
+  }
+
+  /** Whether each worker in use was announced some time before its first run. */
+  isSettled(now: number): boolean {
+    return now - this.startedAt > DISCOVERY_MS + ANNOUNCEMENT_MS;
+  }
 
   get size(): number {
     return this.byId.size;
@@ -28,11 +45,11 @@
   }
 
   tick(now: number): void {
-    this.sync();
+    this.sync(now);
     for (const worker of this.byId.values()) worker.tick(now);
   }
 
-  private sync(): void {
+  private sync(now: number): void {
     const {registry, client, observer, onRemoved} = this.opts;
     let isChanged = false;
     for (const [id, {report, seenAt}] of registry.entries) {
@@ -44,7 +61,11 @@
       }
       isChanged = true;
       known?.close(LossCause.moved);
-      this.byId.set(id, new LeasedWorker(this.opts, report, seenAt));
+      const worker = new LeasedWorker(this.opts, report, seenAt);
+      if (now - this.startedAt > DISCOVERY_MS) {
+        worker.usableFrom = now + ANNOUNCEMENT_MS;
+      }
+      this.byId.set(id, worker);
       const {zone, service, address, bornAt} = report;
       observer.recordStateChange('worker_joined', {
         worker: id,
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -32,6 +32,7 @@
   const clock = new FakeClock();
   const peers = new RecordingPeers(clock);
   const noop = () => undefined;
+  const counters: string[] = [];
   const directory = new NodeDirectory('e', ['c1', 'c2']);
   const gateway = new EntryGateway({
     clock,
@@ -41,7 +42,7 @@
       recordJobEvent: noop,
       recordStateChange: noop,
       recordResponseTime: noop,
-      incrementCounter: noop,
+      incrementCounter: counter => counters.push(counter),
     },
   });
   const answers: PoolAnswer[] = [];
@@ -50,6 +51,7 @@
     clock,
     peers,
     answers,
+    counters,
     submit: () =>
       gateway.submit({host, path, job, patienceMs: 8_000}, answer => {
         answers.push(answer);
@@ -59,6 +61,11 @@
       directory.recordClaim({...claim, node, term, heardAt: clock.now()});
       gateway.tick(clock.now());
     },
+    announceFallback: (node: string, term: number, token: number) => {
+      const claim = {node, term, token, isFallback: true, revision: 1};
+      directory.recordClaim({...claim, heardAt: clock.now()});
+      gateway.tick(clock.now());
+    },
     run: (ms: number) => {
       for (let passed = 0; passed < ms; passed += 50) {
         clock.advance(50);
@@ -110,6 +117,49 @@
   assert.equal(bench.answers[0]?.kind, 'given_up');
 });
 
+const PROVED = {
+  kind: 'refused',
+  reason: 'too_late',
+  retryAfterMs: 1,
+  isProved: true,
+} as const;
+
+test('a proved refusal by a second leader is reported as not run', () => {
+  const bench = createBench();
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  bench.announceLeader('c2', 2);
+  bench.peers.deliver('c2', 'pool.answer', {id: 'j', answer: PROVED});
+  assert.deepEqual(bench.answers, [PROVED]);
+  assert.deepEqual(bench.counters, ['refusals_proved']);
+});
+
+// The proof is of a leader that has not heard yet of the fallback that had the
+// job; the workers obey the fallback.
+test('a proof under a lower token than that of an earlier dispatcher is ignored', () => {
+  const bench = createBench();
+  bench.announceFallback('e2', 1, 1_001);
+  bench.submit();
+  bench.announceLeader('c1', 1);
+  bench.peers.deliver('c1', 'pool.answer', {id: 'j', answer: PROVED});
+  assert.equal(bench.answers[0]?.kind, 'given_up');
+  assert.deepEqual(bench.counters, ['refusals_unproved']);
+});
+
+// A successor knows the starts of its predecessor only some seconds back.
+test('a proof about an old job is ignored', () => {
+  const bench = createBench();
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  for (let waited = 0; waited < 4_200; waited += 300) {
+    bench.run(300);
+    bench.announceLeader('c1', 1);
+  }
+  bench.announceLeader('c2', 2);
+  bench.peers.deliver('c2', 'pool.answer', {id: 'j', answer: PROVED});
+  assert.equal(bench.answers[0]?.kind, 'given_up');
+});
+
 test('a job that is unknown to the leader is resubmitted', () => {
   const bench = createBench();
   bench.announceLeader('c1', 1);
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -8,6 +8,7 @@
 import type {PoolJob} from '../job/pool_job.js';
 import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {OpenJob} from './open_job.js';
+import {isTrueAnswer} from '../outcome/is_true_answer.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {retryAfterMs} from '../admission/retry_after.js';
@@ -107,6 +108,8 @@
       respond,
       assignedTo: undefined,
       submittedAt: 0,
+      firstSubmittedAt: undefined,
+      earlierToken: 0,
       earliestStartAt: 0,
       losses: [],
       wasResubmitted: false,
@@ -250,15 +253,16 @@
   private respondTo(id: string, answer: PoolAnswer): void {
     const job = this.jobs.get(id);
     if (!job) return;
-    // An earlier dispatcher may have started a job that this one turns away.
-    const isTurnedAway =
-      answer.kind === 'refused' || answer.kind === 'no_queue';
-    const isConsistent = !isTurnedAway || !job.wasResubmitted;
     this.jobs.delete(id);
+    const isTrue = isTrueAnswer(answer, job, this.opts.clock.now());
+    if (job.wasResubmitted && answer.kind === 'refused') {
+      const {observer} = this.opts;
+      observer.incrementCounter(
+        isTrue ? 'refusals_proved' : 'refusals_unproved',
+      );
+    }
     job.respond(
-      isConsistent
-        ? answer
-        : {kind: 'given_up', reason: 'the dispatcher changed'},
+      isTrue ? answer : {kind: 'given_up', reason: 'the dispatcher changed'},
     );
   }
 
@@ -268,8 +272,12 @@
     if (!claim) return;
     const {assignedTo: assigned} = job;
     job.wasResubmitted ||= assigned !== undefined;
+    if (assigned && !isSameDispatcher(assigned, claim)) {
+      job.earlierToken = Math.max(job.earlierToken, assigned.token);
+    }
     job.assignedTo = claim;
     job.submittedAt = now;
+    job.firstSubmittedAt ??= now;
     // A new leader polls all workers before it starts anything. A leader that
     // takes a zone back from a fallback does not, so starts must wait.
     if (assigned?.isFallback && !isSameDispatcher(assigned, claim)) {
--- a/src/core/pool/entry/fallback_service.test.ts
+++ b/src/core/pool/entry/fallback_service.test.ts
@@ -137,3 +137,38 @@
   await bench.run(500);
   assert.equal(bench.answerOf('a'), 'completed');
 });
+
+// The leader may have run it on workers of another zone, which the fallback does
+// not see.
+test('a fallback does not refuse a job that the leader had as not run', async () => {
+  const bench = await createRunningBench();
+  for (const worker of bench.workers.values()) worker.runMs = () => 2_000;
+  // The zone has room for one of the jobs only, so the other one is refused.
+  for (const id of ['j', 'k']) {
+    bench.submit('ze1', id, {tasks: 4, estimatedMs: 400});
+  }
+  await bench.run(100);
+  bench.isolate('z');
+  while (bench.dispatching().length === 0) await bench.run(20);
+  await bench.run(500);
+  const answers = ['j', 'k'].flatMap(id => bench.answers.get(id)!);
+  assert.deepEqual(
+    answers.map(a => a.kind),
+    ['given_up'],
+  );
+  assert.notDeepInclude(answers[0], {reason: 'lead_lost'});
+});
+
+// Its caller's connection broke; another entry node does not know that the job
+// was submitted before.
+test('a new fallback does not refuse a job that comes again as not run', async () => {
+  const bench = await createRunningBench();
+  bench.isolate('z');
+  while (bench.dispatching().length === 0) await bench.run(20);
+  for (const worker of bench.workers.values()) worker.runMs = () => 2_000;
+  bench.submit('ze1', 'first', {tasks: 4, estimatedMs: 2_000});
+  await bench.run(100);
+  bench.submit('ze2', 'again', {tasks: 4});
+  await bench.run(500);
+  assert.equal(bench.answerOf('again'), 'given_up');
+});
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -15,6 +15,10 @@
   /** Dispatcher to which the job was last submitted, if any. */
   assignedTo: DispatcherClaim | undefined;
   submittedAt: number;
+  /** When the job was first sent to a dispatcher. */
+  firstSubmittedAt: number | undefined;
+  /** Highest fencing token of the earlier dispatchers that had the job. */
+  earlierToken: number;
   /** Time up to which runs of an earlier dispatcher may be active. */
   earliestStartAt: number;
   /** Workers that dispatchers have lost under tasks of the job. */
--- a/src/core/pool/job/pool_answer.ts
+++ b/src/core/pool/job/pool_answer.ts
@@ -10,6 +10,8 @@
     kind: v.literal('refused'),
     reason: v.string(),
     retryAfterMs: v.number(),
+    /** Whether no earlier dispatcher can have started it; see StartProof. */
+    isProved: v.optional(v.boolean()),
   }),
   /** Tasks of the job may have run; the job is not continued. */
   v.object({kind: v.literal('given_up'), reason: v.string()}),
--- a/src/core/pool/job/pool_jobs.test.ts
+++ b/src/core/pool/job/pool_jobs.test.ts
@@ -17,6 +17,7 @@
     clock,
     infeasible: new InfeasibleJobs(new RunTimes()),
     answer: (_owner, _id, answer) => answers.push(answer),
+    proof: {isOpen: false, isProved: false, isInDoubt: () => false},
     observer: {
       recordJobEvent: noop,
       recordStateChange: noop,
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -3,6 +3,8 @@
 import type {PoolAnswer} from './pool_answer.js';
 import type {ActiveJob} from './active_job.js';
 import type {PoolObserver} from '../pool_observer.js';
+import type {Predecessor} from '../outcome/predecessor.js';
+import type {StartProof} from '../outcome/start_proof.js';
 import type {PoolTask} from './pool_task.js';
 import type {Run} from '../lease/run.js';
 import {RecentStarts} from './recent_starts.js';
@@ -17,6 +19,9 @@
   readonly infeasible: InfeasibleJobs;
   readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
   readonly observer: PoolObserver;
+  /** What is known of the starts of earlier dispatchers. */
+  readonly predecessor?: Predecessor | undefined;
+  readonly proof: Pick<StartProof, 'isOpen' | 'isProved' | 'isInDoubt'>;
 }
 
 /** Jobs of one dispatcher, kept until answered and without active runs. */
@@ -24,7 +29,10 @@
   private readonly byId = new Map<string, ActiveJob>();
   private readonly recentStarts = new RecentStarts();
 
-  constructor(private readonly opts: PoolJobsOptions) {}
+  constructor(private readonly opts: PoolJobsOptions) {
+    const started = opts.predecessor?.startedJobs ?? [];
+    for (const id of started) this.recordStart(id);
+  }
 
   get size(): number {
     return this.byId.size;
@@ -73,13 +81,12 @@
    * until the reason of the refusal no longer applies.
    */
   refuse(owner: string, id: string, reason: string, clearInMs: number): void {
-    const {observer, answer} = this.opts;
-    if (this.recentStarts.has(id)) {
-      // The caller has sent the job before and not received the answer.
-      observer.recordJobEvent('job_given_up', id, {owner, reason});
-      answer(owner, id, {kind: 'given_up', reason: 'may have run before'});
-      return;
+    const {observer, answer, proof} = this.opts;
+    const isKnown = this.recentStarts.has(id);
+    if (isKnown || proof.isInDoubt(this.opts.clock.now())) {
+      return this.giveUp(owner, id, {reason, proved: isKnown});
     }
+    const {isProved} = proof;
     const retryMs = retryAfterMs(id, clearInMs);
     observer.recordJobEvent('job_refused', id, {
       owner,
@@ -87,9 +94,32 @@
       open: this.size,
       clear_in_ms: Math.round(clearInMs),
       retry_after_ms: retryMs,
+      proved: isProved,
     });
     observer.incrementCounter(`refused_${reason}`);
-    answer(owner, id, {kind: 'refused', reason, retryAfterMs: retryMs});
+    const retryAfter = {retryAfterMs: retryMs, isProved};
+    answer(owner, id, {kind: 'refused', reason, ...retryAfter});
+  }
+
+  /** Records that a task of the job was started, here or by another dispatcher. */
+  recordStart(id: string): void {
+    this.recentStarts.record(id, this.opts.clock.now());
+  }
+
+  /**
+   * Gives up a job instead of turning it away: it may have run before, since its
+   * caller has sent it again or its entry node has changed the dispatcher.
+   */
+  private giveUp(
+    owner: string,
+    id: string,
+    fields: {readonly reason: string; readonly proved: boolean},
+  ): void {
+    // A resubmission after this answer is as doubtful.
+    this.recordStart(id);
+    this.opts.observer.recordJobEvent('job_given_up', id, {owner, ...fields});
+    const reason = 'may have run before';
+    this.opts.answer(owner, id, {kind: 'given_up', reason});
   }
 
   /** Refuses a job that has not started and would be answered too late. */
@@ -120,8 +150,11 @@
   /** Refuses infeasible jobs and ends jobs whose deadline has passed. */
   expire(now: number): void {
     this.recentStarts.expire(now);
-    for (const job of this.opts.infeasible.find(this.all, now)) {
-      this.refuseLate(job, LATE_RETRY_MS);
+    // The workers' replies decide what a refusal can say.
+    if (!this.opts.proof.isOpen) {
+      for (const job of this.opts.infeasible.find(this.all, now)) {
+        this.refuseLate(job, LATE_RETRY_MS);
+      }
     }
     for (const job of [...this.all]) {
       if (job.isAbandoned || now < job.deadlineAt) continue;
@@ -137,9 +170,7 @@
 
   private removeIfFinished(job: ActiveJob): void {
     if (!job.isAbandoned || job.hasRuns) return;
-    if (job.hasStarted) {
-      this.recentStarts.record(job.spec.id, this.opts.clock.now());
-    }
+    if (job.hasStarted) this.recordStart(job.spec.id);
     this.byId.delete(job.spec.id);
   }
 
--- a/src/core/pool/job/recent_starts.ts
+++ b/src/core/pool/job/recent_starts.ts
@@ -8,6 +8,10 @@
 export class RecentStarts {
   private readonly byId = new Map<string, number>();
 
+  get ids(): Iterable<string> {
+    return this.byId.keys();
+  }
+
   record(id: string, now: number): void {
     // Keeps the entries in the order of their times.
     this.byId.delete(id);
--- a/src/core/pool/lease/lease_listener.ts
+++ b/src/core/pool/lease/lease_listener.ts
@@ -20,6 +20,8 @@
   ): void;
   /** Called when a run has not started and never will. */
   onRunRefused(worker: LeasedWorker, run: Run, reason: RunRefusal): void;
+  /** Called when a worker lists active runs that another dispatcher started. */
+  onInheritedRunsListed(tasks: Iterable<string>): void;
   /** Called when a run that another dispatcher started has ended. */
   onInheritedRunEnded(task: string, run: number, how: RunEnd): void;
   /** Called when the worker may have become usable or unusable. */
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -27,7 +27,10 @@
 export class LeasedWorker {
   private readonly ledger = new RunLedger();
   private readonly lease: WorkerLease;
-  private readonly instance = new ProcessInstance();
+  /** Process instance that replies. */
+  readonly instance = new ProcessInstance();
+  /** No run is started before this time. */
+  usableFrom = 0;
   private readonly fence: WorkerFence;
   private readonly acks = new EndAcknowledgements();
   private readonly orders: WorkerOrders;
@@ -91,7 +94,7 @@
       !this.isSilent &&
       !this.report.isDraining &&
       this.ledger.isAccountedFor &&
-      now >= this.backoffUntil
+      now >= Math.max(this.backoffUntil, this.usableFrom)
     );
   }
 
@@ -156,7 +159,7 @@
 
   private poll(waitMs: number, now: number): void {
     const {token} = this.orders;
-    const acknowledged = this.acks.take();
+    const acknowledged = this.acks.take(now);
     // An unanswered poll may still renew the lease; without this check, the runs
     // of a worker whose replies are lost would never end.
     const mayExtend = this.lease.isClockKnown && !this.isSilent;
@@ -209,8 +212,7 @@
     if (reason === RunRefusal.unhealthy || reason === RunRefusal.invalid) {
       this.backoffUntil = now + 500;
     }
-    this.ledger.remove(run);
-    this.opts.listener.onRunRefused(this, run, reason);
+    this.rejectRun(run, reason);
     this.onRefusal(reason, token);
   }
 
@@ -258,7 +260,9 @@
     }
     const reported = new Map(status.running.map(r => [r.task, r.run]));
     this.ledger.updateInherited(reported, now);
+    this.opts.listener.onInheritedRunsListed(this.inherited.keys());
     if (status.isPartial) return;
+    this.instance.isListed = true;
     const lost: Run[] = [];
     for (const run of [...this.runs.values()]) {
       if (reported.get(run.task) === run.number) run.confirmedAt ??= now;
@@ -271,10 +275,7 @@
 
   private onListedEnd(task: string, number: number, how: RunEnd): void {
     const run = this.runs.get(task);
-    if (run && run.number === number) {
-      this.endRun(run, how);
-      return;
-    }
+    if (run?.number === number) return this.endRun(run, how);
     if (this.inherited.get(task) === number) this.ledger.inherited.delete(task);
     this.opts.listener.onInheritedRunEnded(task, number, how);
   }
--- a/src/core/pool/lease/process_instance.ts
+++ b/src/core/pool/lease/process_instance.ts
@@ -5,6 +5,8 @@
   private current: number | undefined;
   private previous = 0;
   private changedAt = Number.NEGATIVE_INFINITY;
+  /** Whether the worker has listed all its runs to this dispatcher. */
+  isListed = false;
 
   /** Start time in ms since the Unix epoch, if a reply has shown it. */
   get bornAt(): number | undefined {
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -10,6 +10,7 @@
 import type {PoolObserver} from '../pool_observer.js';
 import {WorkerRegistry} from '../registry/worker_registry.js';
 import {WorkerRegistrySender} from '../registry/worker_registry_sender.js';
+import {StartReplicator} from '../outcome/start_replicator.js';
 import {RelayChooser} from '../relay/relay_chooser.js';
 import {RelayedWorkerClient} from '../relay/relayed_worker_client.js';
 import {WorkerRelay} from '../relay/worker_relay.js';
@@ -72,6 +73,7 @@
   /** Reports of workers, which any core node takes. */
   readonly reports: WorkerReportService;
   private readonly endpoint: DispatcherEndpoint;
+  private readonly starts: StartReplicator;
   private readonly relayChooser: RelayChooser;
   private readonly client: WorkerClient;
   private term = 0;
@@ -91,6 +93,7 @@
       direct,
       chooser: this.relayChooser,
     });
+    this.starts = new StartReplicator({...opts, registry: this.registry});
     this.registrySender = new WorkerRegistrySender({
       ...opts,
       registry: this.registry,
@@ -123,6 +126,7 @@
     this.raiseToken();
     if (this.isLeading) this.relayChooser.setWorkers(this.registry.reports);
     this.endpoint.tick(now);
+    this.starts.tick(this.endpoint.dispatcher, now);
     if (now >= this.nextPresence) this.sendPresence(now);
     this.reports.tick(now);
     if (this.isLeading) this.registrySender.tick(now);
@@ -172,6 +176,7 @@
       registry: this.registry,
       token: FencingToken.ofTerm(term),
       isRegistryComplete,
+      predecessor: this.starts.predecessor(this.opts.clock.now()),
       // An earlier leader may have granted its last lease when its confirmation
       // became too old.
       earlierLeasesMs: CONFIRMATION_MAX_AGE_MS + leaseMs - quietMs,
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -43,6 +43,14 @@
   answer: v.object({id: v.string(), answer: PoolAnswer}),
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
+  /** Jobs that a dispatcher has started, for its successor; see StartHistory. */
+  starts: v.object({
+    token: count,
+    number: count,
+    jobs: ids,
+    workers: count,
+    isSettled: v.boolean(),
+  }),
   /** Reports of workers, replicated to nodes that may dispatch next. */
   book: v.object({reports: v.array(WorkerReport), isWhole: v.boolean()}),
   /** Reports without news that another core node has taken. */
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -1,6 +1,7 @@
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
 import {FencingToken} from '../../../src/core/pool/lease/fencing_token.js';
 import {PoolDispatcher} from '../../../src/core/pool/dispatcher/pool_dispatcher.js';
+import type {Predecessor} from '../../../src/core/pool/outcome/predecessor.js';
 import type {WorkerLoss} from '../../../src/core/pool/crashes/worker_loss.js';
 import type {PoolSubmission} from '../../../src/core/pool/job/pool_submission.js';
 import {WorkerRegistry} from '../../../src/core/pool/registry/worker_registry.js';
@@ -12,12 +13,18 @@
 
 const LEASE_MS = 1_000;
 const TICK_MS = 20;
+/** Interval at which a successor learns which jobs have started. */
+const RECORD_MS = 200;
+/** Age of that record up to which it is complete; see StartHistory. */
+const RECORD_AGE_MS = 750;
 
 interface DispatcherOptions {
   readonly term?: number;
   readonly isRegistryComplete?: boolean;
   /** Default: the lease duration. */
   readonly earlierLeasesMs?: number;
+  /** Default: what the run of the dispatcher before has recorded. */
+  readonly predecessor?: Predecessor;
   /** Default: the client of the fake workers. */
   readonly client?: WorkerClient;
 }
@@ -29,6 +36,12 @@
   readonly client = new FakeWorkerClient(this.clock, this.workers);
   readonly answers = new Map<string, PoolAnswer>();
   readonly answeredAt = new Map<string, number>();
+  /** Called with each answer of a dispatcher. */
+  onAnswer: (id: string, answer: PoolAnswer) => void = () => undefined;
+  /** Jobs that a successor knows as started. */
+  private readonly startedJobs = new Set<string>();
+  /** When that record was last updated; the first dispatcher has no other before. */
+  private recordedAt = Number.POSITIVE_INFINITY;
   /** Latest losses of each job, as its entry node would know them. */
   readonly losses = new Map<string, readonly WorkerLoss[]>();
   /** Tasks and the workers that crashed when they started them. */
@@ -112,6 +125,7 @@
     const {earlierLeasesMs = LEASE_MS} = opts;
     const {clock, registry} = this;
     const {client = this.client} = opts;
+    const {predecessor = this.predecessor} = opts;
     const dispatcher = new PoolDispatcher({
       clock,
       client,
@@ -119,12 +133,14 @@
       token: FencingToken.ofTerm(term),
       leaseMs: LEASE_MS,
       isRegistryComplete,
+      predecessor,
       earlierLeasesMs,
       maySendOrders: () => this.isConfirmed,
       routing: () => PoolBench.table(),
       answer: (_owner, id, answer) => {
         this.answers.set(id, answer);
         this.answeredAt.set(id, clock.now());
+        this.onAnswer(id, answer);
       },
       reportLosses: (_owner, id, losses) => this.losses.set(id, losses),
       observer: {
@@ -146,6 +162,20 @@
         for (const id of this.workers.keys()) this.report(id);
         for (const dispatcher of dispatchers) dispatcher.tick(this.clock.now());
       }
+      if (passed % RECORD_MS === 0) this.record(dispatchers);
+    }
+  }
+
+  /** What a dispatcher that starts now knows of the one before it. */
+  private get predecessor(): Predecessor {
+    const recordCompleteUntil = this.recordedAt + RECORD_AGE_MS;
+    return {startedJobs: [...this.startedJobs], recordCompleteUntil};
+  }
+
+  private record(dispatchers: readonly PoolDispatcher[]): void {
+    for (const {started} of dispatchers) {
+      for (const id of started.take()) this.startedJobs.add(id);
+      this.recordedAt = this.clock.now();
     }
   }
 
