Withdraw full entry nodes from the balancer

Cause: entry VMs differ three to one in their processor share, and callers are spread over them by a hash. A small node is full while others idle.

Change: NodePressure from the use of the processor share (limits.cpu_share) and the delay of the tick; ReadinessPolicy withdraws a node that is full for 1 s if others of its zone have room and at most a third is withdrawn. Presence messages carry pressure and isRelieved; GET /ready answers 503.

Not measured with real processes.

--- a/src/core/pool/entry/entry_presence.ts
+++ b/src/core/pool/entry/entry_presence.ts
@@ -3,6 +3,7 @@
 import type {FallbackService} from './fallback_service.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import {PoolMessage} from '../node/pool_message.js';
+import type {ReliefService} from '../pressure/relief_service.js';
 import type {ZonePeers} from './zone_peers.js';
 
 const PRESENCE_MS = 1_000;
@@ -12,6 +13,14 @@
 const DISCOVERY_MS = 150;
 /** Interval of messages to the zone's entry nodes while there is no leader. */
 const ZONE_PRESENCE_MS = 200;
+/**
+ * Interval of messages to the zone's entry nodes while there is a leader. They
+ * tell the pressure, which the others need soon only if it is high.
+ */
+const PRESSURE_MS = 500;
+const LOW_PRESSURE_MS = 2_500;
+/** Pressure from which the node's state may soon change. */
+const NOTABLE_PRESSURE = 0.5;
 
 interface EntryPresenceOptions {
   readonly node: string;
@@ -20,6 +29,7 @@
   readonly directory: NodeDirectory;
   readonly zonePeers: ZonePeers;
   readonly fallback: FallbackService;
+  readonly relief: ReliefService;
   /** Called when a claim to dispatch has been received. */
   readonly onDispatcher: (now: number) => void;
 }
@@ -29,6 +39,7 @@
   private nextCores = 0;
   private nextFollowers = 0;
   private nextZone = 0;
+  private nextPressure = 0;
   private hadLeader = false;
   private wasDispatching = false;
   private isDraining = false;
@@ -56,12 +67,29 @@
       this.nextZone = now + ZONE_PRESENCE_MS;
       this.send(this.zonePeerIds(now), now);
     }
+    if (hasLeader && now >= this.nextPressure) this.sendPressure(now);
+  }
+
+  /** Makes the next tick inform the zone's entry nodes. */
+  makePressureDue(): void {
+    this.nextPressure = 0;
   }
 
   /** Announces a shutdown, so that the leader stops relaying through this node. */
   announceDrain(): void {
     this.isDraining = true;
-    this.nextCores = this.nextFollowers = 0;
+    this.nextCores = this.nextFollowers = this.nextPressure = 0;
+  }
+
+  private sendPressure(now: number): void {
+    const {relief, peers} = this.opts;
+    const isNotable = relief.isRelieved || relief.pressure >= NOTABLE_PRESSURE;
+    this.nextPressure = now + (isNotable ? PRESSURE_MS : LOW_PRESSURE_MS);
+    // The leader names the other nodes.
+    const body = {...this.createBody(now), cores: [], entries: []};
+    for (const id of this.zonePeerIds(now)) {
+      peers.send(id, 'pool.presence', body);
+    }
   }
 
   /** Core nodes to which a message is due. */
@@ -87,10 +115,18 @@
   }
 
   private send(nodes: readonly string[], now: number): void {
-    const {directory, fallback, node, peers, zone} = this.opts;
+    const {node, peers} = this.opts;
+    const body = this.createBody(now);
+    for (const id of nodes) {
+      if (id !== node) peers.send(id, 'pool.presence', body);
+    }
+  }
+
+  private createBody(now: number) {
+    const {directory, fallback, relief, zone} = this.opts;
     const claim = fallback.claim(now);
     if (claim) directory.recordClaim(claim);
-    const body = {
+    return {
       role: 'entry',
       zone,
       cores: directory.seenIds('core', now),
@@ -99,11 +135,10 @@
       hasLead: this.hasLeader(now),
       relays: !this.isDraining,
       mayFallBack: fallback.canFallBack,
+      pressure: relief.pressure,
+      isRelieved: relief.isRelieved,
       ...(claim ? {lead: claim} : {}),
     };
-    for (const id of nodes) {
-      if (id !== node) peers.send(id, 'pool.presence', body);
-    }
   }
 
   private onPresence(from: string, body: unknown, now: number): void {
@@ -128,11 +163,21 @@
       readonly zone?: string | undefined;
       readonly hasLead: boolean;
       readonly mayFallBack: boolean;
+      readonly relays: boolean;
+      readonly pressure?: number | undefined;
+      readonly isRelieved: boolean;
     },
     now: number,
   ): void {
     if (status.zone !== this.opts.zone) return;
     this.opts.zonePeers.update(from, status, now);
+    const {relief} = this.opts;
+    const {relays, pressure, isRelieved} = status;
+    // A node that shuts down passes on no orders and takes no connections.
+    if (!relays) relief.removePeer(from);
+    else if (pressure !== undefined) {
+      relief.recordPeer({node: from, pressure, isRelieved}, now);
+    }
     // Informs a node without a leader that the zone has contact with one.
     if (!status.hasLead && this.hasLeader(now)) this.send([from], now);
   }
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -34,6 +34,10 @@
     relays: v.optional(v.boolean(), false),
     /** Whether an entry node can act as fallback dispatcher of its zone. */
     mayFallBack: v.optional(v.boolean(), false),
+    /** Pressure of an entry node, from 0 to 1; see NodePressure. */
+    pressure: v.optional(v.pipe(v.number(), v.minValue(0), v.maxValue(1))),
+    /** Whether an entry node is withdrawn because of its pressure. */
+    isRelieved: v.optional(v.boolean(), false),
   }),
   /** Open jobs of an entry node, to ask for their answers. */
   poll: v.object({ids}),
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -1,8 +1,10 @@
 import {HttpServer} from '../adapter/http/http_server.js';
+import {ProcessorUsage} from '../adapter/processor_usage.js';
 import {SystemRandom} from '../adapter/system_random.js';
 import {EntryGateway} from '../core/pool/entry/entry_gateway.js';
 import {EntryPresence} from '../core/pool/entry/entry_presence.js';
 import {FallbackService} from '../core/pool/entry/fallback_service.js';
+import {ReliefService} from '../core/pool/pressure/relief_service.js';
 import {WorkerRelay} from '../core/pool/relay/worker_relay.js';
 import {ZonePeers} from '../core/pool/entry/zone_peers.js';
 import {ConfigService} from '../daemon/config/config_service.js';
@@ -46,10 +48,14 @@
   private readonly client: HttpWorkerClient;
   private readonly fallback: FallbackService;
   private readonly presence: EntryPresence;
+  private readonly relief: ReliefService;
+  private readonly usage = new ProcessorUsage();
   private readonly gateway: EntryGateway;
   private readonly frontend: CallerFrontend;
   private readonly readiness: HttpServer;
   private isDraining = false;
+  private tickDueAt: number;
+  private lastTickAt: number;
   private leaderSeenAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly node: PlatformNode) {
@@ -89,6 +95,9 @@
       routing: () => routing.get(),
       observer,
     });
+    this.tickDueAt = this.lastTickAt = clock.now();
+    const share = settings.processorShare;
+    this.relief = new ReliefService({node: ip, share, observer});
     this.presence = new EntryPresence({
       node: ip,
       zone,
@@ -96,6 +105,7 @@
       directory,
       zonePeers,
       fallback: this.fallback,
+      relief: this.relief,
       onDispatcher: now => this.gateway.tick(now),
     });
     this.gateway = new EntryGateway({
@@ -121,6 +131,16 @@
     observer.addGauge('open_jobs', 'Jobs whose callers wait here', () => {
       return this.gateway.openJobs;
     });
+    observer.addGauge(
+      'pressure',
+      'Use of the thread of this node, 0 to 1',
+      () => {
+        return this.relief.pressure;
+      },
+    );
+    observer.addGauge('is_relieved', 'Whether it asks for no connections', () =>
+      Number(this.relief.isRelieved),
+    );
   }
 
   override async start(): Promise<void> {
@@ -177,18 +197,31 @@
 
   private isReady(): boolean {
     const now = this.node.opts.clock.now();
-    return !this.isDraining && now - this.leaderSeenAt < LEADER_LOSS_MS;
+    if (this.isDraining || this.relief.isRelieved) return false;
+    return now - this.leaderSeenAt < LEADER_LOSS_MS;
   }
 
   private tick(): void {
     const {clock} = this.node.opts;
     const now = clock.now();
     if (this.gateway.hasDispatcher) this.leaderSeenAt = now;
+    this.updatePressure(now);
     this.fallback.tick(now);
     this.presence.tick(now);
     this.gateway.tick(now);
     const {isDispatching} = this.fallback;
     const delayMs = isDispatching ? FALLBACK_TICK_MS : TICK_MS;
+    this.tickDueAt = clock.now() + delayMs;
     clock.schedule(delayMs, () => this.tick());
   }
+
+  private updatePressure(now: number): void {
+    const sample = {
+      elapsedMs: now - this.lastTickAt,
+      usedMs: this.usage.take(),
+      delayMs: Math.max(0, now - this.tickDueAt),
+    };
+    this.lastTickAt = now;
+    if (this.relief.update(sample, now)) this.presence.makePressureDue();
+  }
 }
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -24,4 +24,6 @@
   readonly leaseMs: number;
   /** Time from SIGTERM to SIGKILL, in ms. */
   readonly graceMs: number;
+  /** Fraction of a processor that the process may use. */
+  readonly processorShare: number;
 }
--- a/src/platform/read_platform_settings.test.ts
+++ b/src/platform/read_platform_settings.test.ts
@@ -17,6 +17,7 @@
   'fault_tolerance.machines=2',
   'bounds.max_hold_ms=1000',
   'bounds.grace_s=6',
+  'limits.cpu_share=0.324',
   'bounds.not_known_yet=x=y',
 ];
 
@@ -47,6 +48,7 @@
     lostDisks: 2,
     leaseMs: 1_000,
     graceMs: 6_000,
+    processorShare: 0.324,
   });
 });
 
@@ -56,6 +58,9 @@
   assert.include(noIp.isErr ? noIp.error : '', 'ip');
   const noNumber = read([...without('bounds.grace_s'), 'bounds.grace_s=six']);
   assert.include(noNumber.isErr ? noNumber.error : '', 'bounds.grace_s');
+  // A use of the processor relative to nothing would be infinite.
+  const noShare = read([...without('limits.'), 'limits.cpu_share=0']);
+  assert.include(noShare.isErr ? noShare.error : '', 'limits.cpu_share');
 });
 
 test('a missing file is reported as an error and does not throw', () => {
--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -34,6 +34,8 @@
   'bounds.max_hold_ms': v.optional(numberText, '1000'),
   /** Time from SIGTERM to SIGKILL. */
   'bounds.grace_s': v.optional(numberText, '6'),
+  /** Fraction of a processor that the VM has. */
+  'limits.cpu_share': v.optional(v.pipe(numberText, v.gtValue(0)), '1'),
 });
 
 /**
@@ -75,5 +77,6 @@
     lostDisks: file['fault_tolerance.machines'],
     leaseMs: file['bounds.max_hold_ms'],
     graceMs: file['bounds.grace_s'] * 1_000,
+    processorShare: file['limits.cpu_share'],
   });
 }
--- a/test-support/fakes/pool/zone_pool_bench.ts
+++ b/test-support/fakes/pool/zone_pool_bench.ts
@@ -4,6 +4,8 @@
 import {LeaderService} from '../../../src/core/pool/node/leader_service.js';
 import {NodeDirectory} from '../../../src/core/pool/node/node_directory.js';
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
+import type {PeerPressure} from '../../../src/core/pool/pressure/peer_pressure.js';
+import {ReliefService} from '../../../src/core/pool/pressure/relief_service.js';
 import {ZonePeers} from '../../../src/core/pool/entry/zone_peers.js';
 import {FakeClock} from '../fake_clock.js';
 import {LossyPeers} from '../lossy_peers.js';
@@ -17,10 +19,13 @@
 const CORE = 'c1';
 const REPORT_MS = 1_500;
 
+type HeardPressure = PeerPressure & {readonly isGone: boolean};
+
 interface EntryNode {
   readonly fallback: FallbackService;
   readonly gateway: EntryGateway;
   readonly presence: EntryPresence;
+  readonly relief: ReliefService;
 }
 
 /** Test bench with a core node, entry nodes and workers in zones `y` and `z`. */
@@ -82,6 +87,17 @@
       .gateway.submit({host, path, job, patienceMs}, a => answers.push(a));
   }
 
+  /** Returns what an entry node hears of the pressure of others from now on. */
+  recordPressure(entry: string): HeardPressure[] {
+    const heard: HeardPressure[] = [];
+    const {relief} = this.entries.get(entry)!;
+    relief.recordPeer = peer => void heard.push({...peer, isGone: false});
+    relief.removePeer = node => {
+      heard.push({node, pressure: 0, isRelieved: false, isGone: true});
+    };
+    return heard;
+  }
+
   async run(ms: number): Promise<void> {
     for (let passed = 0; passed < ms; passed += 1) {
       this.clock.advance(1);
@@ -171,8 +187,14 @@
     const fallback = new FallbackService(options);
     const gateway = new EntryGateway(options);
     const onDispatcher = (now: number) => gateway.tick(now);
-    const presence = new EntryPresence({...options, fallback, onDispatcher});
-    this.entries.set(id, {fallback, gateway, presence});
+    const relief = new ReliefService({...options, share: 1});
+    const presence = new EntryPresence({
+      ...options,
+      fallback,
+      relief,
+      onDispatcher,
+    });
+    this.entries.set(id, {fallback, gateway, presence, relief});
   }
 
   private common(id: string, zone: string) {
