Hold run ends until their record is confirmed, not for 0.9 s

Cause: a worker replies at once while an end is unacknowledged.

An end is acknowledged when all core nodes that reply have confirmed it, 1 s after it was listed at the latest; polls of its worker pause until then, 60 ms at most. A message says whether its receiver is waited for; only then does it count for a proof.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -83,6 +83,7 @@
     const lease = {...opts, currentToken, listener: this};
     this.workers = new WorkerFleet({...lease, onRemoved});
     this.workers.tick(now);
+    this.started.onRecorded = at => this.workers.onRecorded(at);
   }
 
   get openJobs(): number {
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -22,6 +22,8 @@
   readonly isRegistryComplete: boolean;
   /** What is known of the dispatcher before; absent: nothing. */
   readonly predecessor?: Predecessor;
+  /** See LeaseOptions. */
+  readonly recordedUntil?: () => number;
   readonly maySendOrders: (now: number) => boolean;
   /** Current queue configuration; undefined before the first one. */
   readonly routing: () => RoutingTable | undefined;
--- a/src/core/pool/dispatcher/worker_fleet.ts
+++ b/src/core/pool/dispatcher/worker_fleet.ts
@@ -49,6 +49,13 @@
     for (const worker of this.byId.values()) worker.tick(now);
   }
 
+  /** Continues to poll the workers whose ends waited for their record. */
+  onRecorded(now: number): void {
+    for (const worker of this.list) {
+      if (worker.acks.isHolding) worker.tick(now);
+    }
+  }
+
   private sync(now: number): void {
     const {registry, client, observer, onRemoved} = this.opts;
     let isChanged = false;
--- a/src/core/pool/lease/lease_options.ts
+++ b/src/core/pool/lease/lease_options.ts
@@ -13,4 +13,9 @@
   readonly leaseMs: number;
   /** Whether leadership was confirmed recently enough to send orders. */
   readonly maySendOrders: (now: number) => boolean;
+  /**
+   * Time up to which the ends that workers have listed are recorded at the nodes
+   * that may dispatch next; default: they need no record.
+   */
+  readonly recordedUntil?: (() => number) | undefined;
 }
--- a/src/core/pool/lease/lease_timing.ts
+++ b/src/core/pool/lease/lease_timing.ts
@@ -11,16 +11,14 @@
   /** Number of timeouts after which SLOW_PROBE_INTERVAL_MS applies. */
   FAST_PROBES: 3,
   SLOW_PROBE_INTERVAL_MS: 500,
+  /** Delay after which ended runs of an idle worker are acknowledged. */
+  IDLE_ACK_MS: 150,
   /**
-   * Time for which an end stays on the list of its worker before a poll may
-   * acknowledge it. The next dispatcher learns from the lists which jobs have
-   * run; see StartProof.
-   */
-  MIN_END_HOLD_MS: 900,
-  /**
-   * Time after which the oldest end of an idle worker is acknowledged by a poll
-   * of its own. Longer than the minimum, so that one poll covers several ends.
-   * Workers list up to 500 ends, and ends must not stay unacknowledged for long.
+   * Time after which an end is acknowledged although successors have not recorded
+   * it. Workers list up to 500 ends, and ends must not stay unacknowledged for
+   * long.
    */
   MAX_END_HOLD_MS: 1_000,
+  /** Interval of polls to a worker with ends that are not recorded yet. */
+  HELD_POLL_MS: 60,
 } as const;
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -12,6 +12,7 @@
 import type {RunLoss} from './run_loss.js';
 import {RunRefusal} from './run_refusal.js';
 import type {WorkerClient} from './worker_client.js';
+import {startBackoffMs} from './start_backoff_ms.js';
 import {WorkerFence} from './worker_fence.js';
 import {WorkerLease} from './worker_lease.js';
 import {WorkerOrders} from './worker_orders.js';
@@ -32,7 +33,7 @@
   /** No run is started before this time. */
   usableFrom = 0;
   private readonly fence: WorkerFence;
-  private readonly acks = new EndAcknowledgements();
+  readonly acks: EndAcknowledgements;
   private readonly orders: WorkerOrders;
   private pendingPolls = 0;
   private readonly probes = new ProbeBackoff();
@@ -47,6 +48,7 @@
     this.lease = new WorkerLease(opts.leaseMs);
     this.orders = new WorkerOrders(opts);
     this.fence = new WorkerFence(opts.currentToken);
+    this.acks = new EndAcknowledgements(opts.recordedUntil);
   }
 
   /** Runs of this dispatcher that may be active, by task. */
@@ -152,7 +154,7 @@
   private pollIfDue(now: number): void {
     if (this.isSilent || !this.isFenced) {
       if (this.probes.takeIfDue(now)) this.poll(0, now);
-    } else if (!this.isIdle) {
+    } else if (!this.isIdle && this.acks.mayPoll(now)) {
       this.poll(LeaseTiming.POLL_WAIT_MS, now);
     } else if (this.acks.isDue(now)) this.poll(0, now);
   }
@@ -208,10 +210,8 @@
     now: number,
     token: number,
   ): void {
-    if (reason === RunRefusal.noRoom) this.backoffUntil = now + 100;
-    if (reason === RunRefusal.unhealthy || reason === RunRefusal.invalid) {
-      this.backoffUntil = now + 500;
-    }
+    const backoffMs = startBackoffMs(reason);
+    if (backoffMs > 0) this.backoffUntil = now + backoffMs;
     this.rejectRun(run, reason);
     this.onRefusal(reason, token);
   }
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -176,6 +176,7 @@
       registry: this.registry,
       token: FencingToken.ofTerm(term),
       isRegistryComplete,
+      recordedUntil: () => this.starts.recordedUntil,
       predecessor: this.starts.predecessor(this.opts.clock.now()),
       // An earlier leader may have granted its last lease when its confirmation
       // became too old.
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -54,7 +54,10 @@
     jobs: ids,
     workers: count,
     isSettled: v.boolean(),
+    isAwaited: v.boolean(),
   }),
+  /** Confirms that a message `pool.starts` was recorded. */
+  started: v.object({token: count, number: count}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
   book: v.object({reports: v.array(WorkerReport), isWhole: v.boolean()}),
   /** Reports without news that another core node has taken. */
