Choose workers by one cost, among those with room

Cause: each start scanned all workers of the service and each pass sorted all open jobs; among equally fast workers the one with the fewest runs was taken, so that tasks of 12 cores found no room. Change: TaskPlacement adds the named costs speed, distance, crash risk, fit (usual tasks that lose their room), spread and health. Jobs are taken from a heap only while a worker has room. A run is moved only where 4% of the workers have room, since the next task would take the place on the slow worker. Slow workers are tried again at 0.75 to 10 s in place of 4 s at most.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -17,6 +17,7 @@
 import {RunTimes} from '../placement/run_times.js';
 import {StragglerWatch} from '../placement/straggler_watch.js';
 import {Takeover} from './takeover.js';
+import {TaskPlacement} from '../placement/task_placement.js';
 import {TaskStarter} from '../placement/task_starter.js';
 import {WorkerFleet} from './worker_fleet.js';
 import {WorkerCircuitBreaker} from '../placement/worker_circuit_breaker.js';
@@ -43,6 +44,7 @@
   private readonly admission = new PoolAdmission();
   private readonly forecast = new BacklogForecast(this.times);
   private readonly stragglers: StragglerWatch;
+  private readonly placement: TaskPlacement;
   private readonly starter: TaskStarter;
   private readonly recorder: RunRecorder;
   private readonly takeover: Takeover;
@@ -62,7 +64,8 @@
     });
     const {times, breaker} = this;
     const {remoteFactor = DEFAULT_REMOTE_FACTOR} = opts;
-    this.starter = new TaskStarter(times, breaker, opts.observer, remoteFactor);
+    this.placement = new TaskPlacement({times, breaker, remoteFactor});
+    this.starter = new TaskStarter(this.placement, opts.observer);
     this.stragglers = new StragglerWatch({
       times,
       observer: opts.observer,
@@ -254,6 +257,7 @@
     const {clock, observer} = this.opts;
     const now = clock.now();
     const task = this.jobs.taskOf(run.task);
+    this.placement.refresh(worker);
     observer.incrementCounter(`run_${how}`);
     if (!task || task.run !== run) return this.schedulePass();
     task.run = undefined;
@@ -268,6 +272,7 @@
 
   onRunRefused(worker: LeasedWorker, run: Run, reason: RunRefusal): void {
     const task = this.jobs.taskOf(run.task);
+    this.placement.refresh(worker);
     this.opts.observer.incrementCounter(`start_refused_${reason}`);
     if (!task || task.run !== run) return;
     task.run = undefined;
@@ -292,6 +297,7 @@
   onChange(worker: LeasedWorker): void {
     const {report, isFenced, isOutranked, isSilent} = worker;
     const fields = {worker: report.id, isFenced, isOutranked, isSilent};
+    this.placement.refresh(worker);
     this.opts.observer.recordStateChange('worker_changed', fields);
     this.schedulePass();
   }
@@ -328,6 +334,8 @@
       this.jobs.finishIfDone(job, now);
     }
     if (!this.takeover.mayStart(this.workers.all, now)) return;
-    this.starter.startAll(this.priority.sort(jobs, now), this.workers.all, now);
+    const waiting = this.priority.findWaiting(jobs, now);
+    const ordered = this.priority.inOrder(waiting.jobs, now);
+    this.starter.startAll(ordered, this.workers.all, waiting.minCpu, now);
   }
 }
--- a/src/core/pool/placement/spare_workers.ts
+++ b/src/core/pool/placement/spare_workers.ts
@@ -3,6 +3,11 @@
 import {Resources} from '../registry/resources.js';
 import {canRun} from './can_run.js';
 
+/** Share of the workers that must have room before runs are moved. */
+const AMPLE_SHARE = 0.04;
+/** Slowness of workers whose room does not count. */
+const SLOW = 2;
+
 interface SpareWorkersOptions {
   readonly workers: readonly LeasedWorker[];
   readonly slownessOf: (id: string) => number;
@@ -35,6 +40,7 @@
   find(task: PoolTask): Place | undefined {
     const {remoteFactor} = this.opts;
     const {dataRack} = task.job.spec.steps[task.step]!;
+    if (!this.hasAmpleRoom(task)) return undefined;
     let best: Spare | undefined;
     let factor = Number.POSITIVE_INFINITY;
     for (const spare of this.all()) {
@@ -59,6 +65,22 @@
     return {factor, take};
   }
 
+  /**
+   * Whether the fleet has room to move runs. In a full one, the next task would
+   * take the place that becomes free on the slow worker.
+   */
+  private hasAmpleRoom(task: PoolTask): boolean {
+    const {demand} = task.job.spec.steps[task.step]!;
+    const all = this.all();
+    const minimum = AMPLE_SHARE * all.length;
+    let places = 0;
+    for (const {slowness, free} of all) {
+      if (slowness >= SLOW || places >= minimum) break;
+      if (free.cpu >= demand.cpu) places += 1;
+    }
+    return places >= minimum;
+  }
+
   /** Computed when the first run is to be moved, which is rare. */
   private all(): readonly Spare[] {
     const {workers, slownessOf, isUsable} = this.opts;
--- a/src/core/pool/placement/worker_speed.ts
+++ b/src/core/pool/placement/worker_speed.ts
@@ -14,10 +14,11 @@
 const CHANGE_FACTOR = 1.6;
 /** A run is overdue from this multiple of its usual run time on its worker. */
 const OVERDUE_FACTOR = 1.5;
-/** Time without runs after which a slow worker is tried; doubles each time. */
+/** Time without runs after which a slow worker is tried; grows each time. */
 const PROBE_MS = 250;
+const PROBE_GROWTH = 3;
 /** A task that tries a slow worker is late; shorter waits cost more jobs. */
-const MAX_PROBE_MS = 4_000;
+const MAX_PROBE_MS = 10_000;
 /** Slow runs as which a run counts that is too long to be a long task. */
 const TELLING_SLOW_RUNS = 4;
 const MIN_SLOWNESS = 0.2;
@@ -118,7 +119,10 @@
    * after a normal run, and at growing intervals after slow ones.
    */
   slownessWhenIdle(now: number): number {
-    const waitMs = Math.min(MAX_PROBE_MS, PROBE_MS * 2 ** this.slowRuns);
+    const waitMs = Math.min(
+      MAX_PROBE_MS,
+      PROBE_MS * PROBE_GROWTH ** this.slowRuns,
+    );
     const mayProbe = this.slowRuns === 0 || now - this.lastAt >= waitMs;
     const slowness = this.slowness(now);
     return mayProbe ? Math.min(slowness, this.usualRatio) : slowness;
--- a/src/measure/placement/placement_measurement.ts
+++ b/src/measure/placement/placement_measurement.ts
@@ -1,9 +1,12 @@
 import {Measurement} from '../measurement.js';
 import {FLEET_FAULTS} from './fleet_faults.js';
 import {FleetRun} from './fleet_run.js';
+import {startCost} from './start_cost.js';
 import {FLEET_WORKLOADS} from './fleet_workloads.js';
 
 const WORKERS = 245;
+/** Fleets at which the processor time of a start is measured. */
+const FLEET_SIZES = [30, 100, 300, 1_000];
 
 /** Measures the share of jobs on time with slow, failing and hanging workers. */
 export class PlacementMeasurement extends Measurement {
@@ -23,7 +26,11 @@
         figures[`${workload.name} ${fault.name}`] = meanOf(runs);
       }
     }
-    return {figures};
+    const startUs: Record<string, number> = {};
+    for (const workers of FLEET_SIZES) {
+      startUs[workers] = Math.round((await startCost(workers)) * 10) / 10;
+    }
+    return {figures, start_us_by_workers: startUs};
   }
 }
 
