Take load from failing workers in steps and give it back in steps

Cause: a worker with a failure rate above 0.45 got nothing for 3 s, any other got all; if a zone failed together, all its workers were given up. Change: WorkerHealth with four levels in place of WorkerCircuitBreaker; three successes in a row lower the level by one. Workers of a zone or label of which more than half are bad keep half of their load. Event worker_health.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -20,7 +20,7 @@
 import {TaskPlacement} from '../placement/task_placement.js';
 import {TaskStarter} from '../placement/task_starter.js';
 import {WorkerFleet} from './worker_fleet.js';
-import {WorkerCircuitBreaker} from '../placement/worker_circuit_breaker.js';
+import {WorkerHealth} from '../placement/worker_health.js';
 
 /** Run ends within this time share one pass; far shorter than any task. */
 const PASS_INTERVAL_MS = 2;
@@ -39,7 +39,7 @@
   private readonly jobs: PoolJobs;
   private readonly workers: WorkerFleet;
   private readonly times = new RunTimes();
-  private readonly breaker = new WorkerCircuitBreaker();
+  private readonly health: WorkerHealth;
   private readonly priority = new JobPrioritizer(this.times);
   private readonly admission = new PoolAdmission();
   private readonly forecast = new BacklogForecast(this.times);
@@ -62,18 +62,19 @@
       ...opts,
       infeasible: new InfeasibleJobs(this.times),
     });
-    const {times, breaker} = this;
+    this.health = new WorkerHealth(opts.observer);
+    const {times, health} = this;
     const {remoteFactor = DEFAULT_REMOTE_FACTOR} = opts;
-    this.placement = new TaskPlacement({times, breaker, remoteFactor});
+    this.placement = new TaskPlacement({times, health, remoteFactor});
     this.starter = new TaskStarter(this.placement, opts.observer);
     this.stragglers = new StragglerWatch({
       times,
       observer: opts.observer,
       remoteFactor,
       mayStartOn: (worker, at) =>
-        worker.isUsable(at) && breaker.allows(worker, at),
+        worker.isUsable(at) && health.allows(worker, at),
     });
-    this.recorder = new RunRecorder(times, breaker, opts.observer);
+    this.recorder = new RunRecorder(times, health, opts.observer);
     this.crashes = new CrashWatch(opts);
     this.takeover = new Takeover(
       now,
@@ -82,7 +83,7 @@
     );
     const onRemoved = (id: string) => {
       this.times.removeWorker(id);
-      this.breaker.remove(id);
+      this.health.remove(id);
     };
     this.currentToken = opts.token;
     const currentToken = () => this.currentToken;
--- a/src/core/pool/dispatcher/run_recorder.ts
+++ b/src/core/pool/dispatcher/run_recorder.ts
@@ -6,7 +6,7 @@
 import type {RunLoss} from '../lease/run_loss.js';
 import type {RunRefusal} from '../lease/run_refusal.js';
 import type {RunTimes} from '../placement/run_times.js';
-import type {WorkerCircuitBreaker} from '../placement/worker_circuit_breaker.js';
+import type {WorkerHealth} from '../placement/worker_health.js';
 
 /** Ended run of a task, and how it ended. */
 interface EndedRun {
@@ -21,7 +21,7 @@
 export class RunRecorder {
   constructor(
     private readonly times: RunTimes,
-    private readonly breaker: WorkerCircuitBreaker,
+    private readonly health: WorkerHealth,
     private readonly observer: PoolObserver,
   ) {}
 
@@ -35,11 +35,11 @@
       else if (how === RunEnd.stopped) this.times.recordStopped(ended);
     }
     if (how === RunEnd.done) {
-      this.breaker.recordEnd(id, false, now);
+      this.health.recordEnd(worker.report, false, now);
       return;
     }
     const isWorkerFault = how === RunEnd.failed || how === RunEnd.lost;
-    if (isWorkerFault) this.breaker.recordEnd(id, true, now);
+    if (isWorkerFault) this.health.recordEnd(worker.report, true, now);
     this.observer.recordJobEvent('run_ended', task.job.spec.id, {
       task: run.task,
       run: run.number,
--- a/src/core/pool/placement/task_placement.test.ts
+++ b/src/core/pool/placement/task_placement.test.ts
@@ -1,15 +1,16 @@
 import {assert} from 'chai';
 import {poolTaskOf} from '../../../../test-support/fakes/pool/pool_task_of.js';
+import {SILENT_OBSERVER} from '../../../../test-support/fakes/pool/silent_observer.js';
 import {usableWorker} from '../../../../test-support/fakes/pool/usable_worker.js';
 import {Run} from '../lease/run.js';
 import {RunTimes} from './run_times.js';
 import {TaskPlacement} from './task_placement.js';
-import {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
+import {WorkerHealth} from './worker_health.js';
 
 function createPlacement(): TaskPlacement {
   return new TaskPlacement({
     times: new RunTimes(),
-    breaker: new WorkerCircuitBreaker(),
+    health: new WorkerHealth(SILENT_OBSERVER),
     remoteFactor: 2,
   });
 }
@@ -29,7 +30,7 @@
   const chosenWith = (remoteFactor: number) => {
     const placement = new TaskPlacement({
       times,
-      breaker: new WorkerCircuitBreaker(),
+      health: new WorkerHealth(SILENT_OBSERVER),
       remoteFactor,
     });
     let chosen = '';
@@ -96,8 +97,8 @@
     times.record({...run, worker: 'normal', ranMs: 100});
     if (n % 8 === 0) times.record({...run, worker: 'slow', ranMs: 800});
   }
-  const breaker = new WorkerCircuitBreaker();
-  const placement = new TaskPlacement({times, breaker, remoteFactor: 2});
+  const health = new WorkerHealth(SILENT_OBSERVER);
+  const placement = new TaskPlacement({times, health, remoteFactor: 2});
   const task = poolTaskOf('j', {}, 500);
   const place = () => {
     placement.begin([usableWorker('slow')], 500);
--- a/src/core/pool/placement/task_placement.ts
+++ b/src/core/pool/placement/task_placement.ts
@@ -7,7 +7,7 @@
 import type {RunTimes} from './run_times.js';
 import {WorkerIndex} from './worker_index.js';
 import type {IndexedWorker} from './indexed_worker.js';
-import type {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
+import type {WorkerHealth} from './worker_health.js';
 
 /**
  * Age from which the index is built anew: a worker may become usable, or its
@@ -17,7 +17,7 @@
 
 interface TaskPlacementOptions {
   readonly times: RunTimes;
-  readonly breaker: WorkerCircuitBreaker;
+  readonly health: WorkerHealth;
   /** Slowdown of a task that runs outside the rack of its data. */
   readonly remoteFactor: number;
 }
@@ -138,14 +138,18 @@
   private stateOf(worker: LeasedWorker) {
     if (!this.isAllowed(worker)) return undefined;
     const {report, runs, freeCapacity} = worker;
-    const {times} = this.opts;
+    const {times, health} = this.opts;
     const slowness = times.slownessForStart(report.id, runs.size, this.now);
-    return {freeCpu: freeCapacity.cpu, slowness, healthCost: 0};
+    return {
+      freeCpu: freeCapacity.cpu,
+      slowness,
+      healthCost: health.costOf(report.id),
+    };
   }
 
   private isAllowed(worker: LeasedWorker): boolean {
-    const {breaker} = this.opts;
-    return worker.isUsable(this.now) && breaker.allows(worker, this.now);
+    const {health} = this.opts;
+    return worker.isUsable(this.now) && health.allows(worker, this.now);
   }
 
   private distanceFactor(task: PoolTask, {report}: LeasedWorker): number {
