--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -31,8 +31,9 @@
 const CLAIM_MS = 1_000;
 
 /**
- * Dispatches jobs for one term of a leader or one period of a fallback: queues
- * tasks, starts them on leased workers and answers each job when it has ended.
+ * Dispatches jobs for a fixed set of zones, as a leader, as the holder of a zone
+ * or as a fallback: queues tasks, starts them on leased workers and answers each
+ * job when it has ended.
  */
 export class PoolDispatcher implements LeaseListener {
   private readonly jobs: PoolJobs;
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -233,7 +233,7 @@
     if (!leader.isReady || this.dispatching.isLeading(term, excluded)) return;
     const {observer, leaseMs, leadership} = this.opts;
     const isFirst = !this.dispatching.isLeadingTerm(term);
-    // Holders have not waited for the leader, whose silence tells nothing then.
+    // Holders go on without a leader, so its silence does not bound their leases.
     const mayDeduct = isFirst && !this.opts.directory.claims.hasHolders;
     const quietMs = state.silentMs < FALLBACK_EARLIEST_MS ? state.silentMs : 0;
     const token = leader.nextToken();
--- a/src/core/pool/zones/resume_guard.ts
+++ b/src/core/pool/zones/resume_guard.ts
@@ -8,8 +8,8 @@
 const LISTEN_MS = 300;
 
 /**
- * Detects that this node was suspended. What it knows is then outdated until it
- * has processed the messages that have arrived meanwhile.
+ * Detects that this node was suspended. Its view of the other nodes is then
+ * outdated until it has processed the messages that arrived meanwhile.
  */
 export class ResumeGuard {
   private lastTick: number | undefined;
