Remember the revision of lost dispatchers on entry nodes

Cause, read in the code: the highest known revision, which an entry node sends with each job, was computed from the claims in force. The claim of a lost holder was forgotten, so that a successor with an older configuration took jobs. Change: the highest revision is kept.

--- a/src/core/pool/node/dispatcher_claims.test.ts
+++ b/src/core/pool/node/dispatcher_claims.test.ts
@@ -82,3 +82,12 @@
   const isOver = 700 + DISTANT_LEADER_TIMEOUT_MS;
   assert.isUndefined(claims.remoteDispatcherOf('z', isOver));
 });
+
+// A holder with an older configuration served jobs after one with a newer.
+test('the revision of a lost holder is remembered', () => {
+  const claims = new DispatcherClaims();
+  claims.record(holderClaim({revision: 9}));
+  claims.record(holderClaim({node: 'g', token: 1_005, revision: 3}));
+  claims.clear('h');
+  assert.equal(claims.revision, 9);
+});
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -13,10 +13,14 @@
   /** Highest token known for a zone; tokens of the leader are not included. */
   private readonly zoneTokens = new Map<string, number>();
   private maxToken = 0;
+  private maxRevision = 0;
 
   /** Records a claim; one with an outdated term or token is ignored. */
   record(claim: DispatcherClaim): void {
     this.recordToken(claim.token);
+    if (!claim.isFallback) {
+      this.maxRevision = Math.max(this.maxRevision, claim.revision);
+    }
     if (claim.isFallback) this.recordFallback(claim);
     else if (claim.zone === undefined) this.recordLeader(claim);
     else this.recordHolder(claim, claim.zone);
@@ -143,13 +147,12 @@
     }
   }
 
-  /** Highest configuration revision that a leader or holder last stated. */
+  /**
+   * Highest configuration revision that a leader or holder has stated. Those of
+   * lost ones count as well: their successors must not fall behind them.
+   */
   get revision(): number {
-    let revision = this.leaderClaim?.revision ?? 0;
-    for (const holder of this.holders.values()) {
-      revision = Math.max(revision, holder.revision);
-    }
-    return revision;
+    return this.maxRevision;
   }
 
   /** Highest configuration version that a leader or holder last stated. */
