Count contact with entry nodes from the claims that they have heard

What callers could see: a task runs at two workers at the same time.

Cause: exclusion by time rested on when a message was handled. A dispatcher drops the jobs of an entry node 1.2 s after it has handled the last poll; the fallback of a cut-off zone starts them 1.7 s after the last contact with the leader. A leader that was behind by half a second, or whose link was, handled polls late, and went on prolonging the leases of the jobs' runs in other zones while the fallback ran their tasks again.

Change: a claim says when it was stated, on the dispatcher's clock. Entry nodes send that time back with polls and submissions, and it counts as the time of the contact, so that late messages prolong nothing. A dispatcher whose ticks are more than 200 ms late sends no orders before it has dropped the jobs of lost entry nodes. A submission that is read after that time is left to the next poll.

Ruled out: a lease that ends too early (leases are times on the worker's clock), and late start orders (the runs were confirmed and prolonged by polls).

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -4,10 +4,10 @@
 import type {RoutingTable} from '../../routing/routing_table.js';
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import {AnswerCache} from '../job/answer_cache.js';
-import {FailoverTiming} from '../node/failover_timing.js';
 import type {ZoneGrant} from '../zones/zone_grant.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {EarlySubmissions} from './early_submissions.js';
+import {OwnerContacts} from './owner_contacts.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from '../node/pool_message.js';
 import {PoolSubmission} from '../job/pool_submission.js';
@@ -27,7 +27,7 @@
  */
 export class DispatcherEndpoint {
   private current: PoolDispatcher | undefined;
-  private readonly ownerSeenAt = new Map<string, number>();
+  private readonly contacts = new OwnerContacts();
   private readonly answers = new AnswerCache();
   /** Jobs that may have run under any dispatcher of the deployment. */
   private readonly unclear = new RecentStarts();
@@ -71,7 +71,7 @@
   attach(dispatcher: PoolDispatcher): void {
     this.current = dispatcher;
     this.answers.clear();
-    this.ownerSeenAt.clear();
+    this.contacts.clear();
   }
 
   close(): void {
@@ -83,10 +83,7 @@
   tick(now: number): void {
     const {current} = this;
     if (!current) return;
-    current.dropJobsOfOwners(owner => {
-      const seenAt = this.ownerSeenAt.get(owner) ?? 0;
-      return now - seenAt > FailoverTiming.OWNER_TIMEOUT_MS;
-    });
+    current.dropJobsOfOwners(owner => this.contacts.isLost(owner, now));
     for (const [owner, submission] of this.early.take(this.revision, now)) {
       current.submit(owner, submission);
     }
@@ -113,7 +110,9 @@
   private onSubmit(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolSubmission, body)) return;
-    this.ownerSeenAt.set(from, now);
+    this.contacts.record(from, body.claimStatedAt, now);
+    // Read only now; if the entry node still waits, its next poll brings the job.
+    if (this.contacts.isLost(from, now)) return;
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(body.job.id);
     const isEarly = this.revision < (body.revision ?? 0);
@@ -129,7 +128,7 @@
   private onPoll(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolMessage.poll, body)) return;
-    this.ownerSeenAt.set(from, now);
+    this.contacts.record(from, body.claimStatedAt, now);
     const unknown: string[] = [];
     for (const id of body.ids) {
       const known = this.answers.get(id);
--- /dev/null
+++ b/src/core/pool/dispatcher/owner_contacts.ts
@@ -0,0 +1,31 @@
+import {FailoverTiming} from '../node/failover_timing.js';
+
+/**
+ * Last contact with the entry nodes that own jobs. An entry node sends back when
+ * the last claim that it has received was stated, and that time counts: a message
+ * that arrives or is handled late does not prolong the contact. The entry node can
+ * thus tell from its own last contact when its jobs have been dropped.
+ */
+export class OwnerContacts {
+  private readonly contactAt = new Map<string, number>();
+
+  /**
+   * Records a message from an entry node. `claimStatedAt` is on this node's clock;
+   * older entry nodes omit it, and one that is ahead is of an earlier process.
+   */
+  record(owner: string, claimStatedAt: number | undefined, now: number): void {
+    const at =
+      claimStatedAt === undefined || claimStatedAt > now ? now : claimStatedAt;
+    this.contactAt.set(owner, Math.max(at, this.contactAt.get(owner) ?? at));
+  }
+
+  /** Whether the jobs of an entry node are to be dropped. */
+  isLost(owner: string, now: number): boolean {
+    const at = this.contactAt.get(owner) ?? Number.NEGATIVE_INFINITY;
+    return now - at > FailoverTiming.OWNER_TIMEOUT_MS;
+  }
+
+  clear(): void {
+    this.contactAt.clear();
+  }
+}
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -6,6 +6,7 @@
 import {JobIntake} from './job_intake.js';
 import {PoolJobs} from '../job/pool_jobs.js';
 import {DispatcherLending} from '../lending/dispatcher_lending.js';
+import {FailoverTiming} from '../node/failover_timing.js';
 import {JobPrioritizer} from '../admission/job_prioritizer.js';
 import type {PoolDispatcherOptions} from './pool_dispatcher_options.js';
 import type {PoolSubmission} from '../job/pool_submission.js';
@@ -55,10 +56,12 @@
   private lastPassAt = Number.NEGATIVE_INFINITY;
   private nextStragglers = 0;
   private nextForecast = 0;
+  private tickedAt: number;
   private isClosed = false;
 
   constructor(private readonly opts: PoolDispatcherOptions) {
     const now = opts.clock.now();
+    this.tickedAt = now;
     this.jobs = new PoolJobs({
       ...opts,
       infeasible: new InfeasibleJobs(this.times),
@@ -91,7 +94,9 @@
     this.currentToken = opts.token;
     const currentToken = () => this.currentToken;
     const {servesZone = () => true} = opts;
-    const lease = {...opts, currentToken, listener: this, servesZone};
+    const maySendOrders = (at: number) => this.maySendOrders(at);
+    const rules = {currentToken, listener: this, servesZone, maySendOrders};
+    const lease = {...opts, ...rules};
     this.workers = new WorkerFleet({...lease, onRemoved});
     const {workers, crashes, startable} = this;
     const parts = {jobs, takeover, crashes, startable, workers};
@@ -188,6 +193,7 @@
 
   tick(now: number): void {
     if (this.isClosed) return;
+    this.tickedAt = now;
     this.workers.tick(now);
     this.startable.tick(this.workers.all);
     this.stopUnclaimed(now);
@@ -285,6 +291,15 @@
     this.schedulePass();
   }
 
+  /**
+   * Late ticks stop the orders: the jobs of lost entry nodes may not have been
+   * dropped, and each poll would prolong the leases of their runs.
+   */
+  private maySendOrders(now: number): boolean {
+    const isLate = now - this.tickedAt > FailoverTiming.MAX_TICK_GAP_MS;
+    return !isLate && this.opts.maySendOrders(now);
+  }
+
   /** Stops inherited runs that no job has claimed in time. */
   private stopUnclaimed(now: number): void {
     const isTakeoverComplete = this.takeover.completeIfDue(now);
@@ -310,7 +325,7 @@
 
   /** Adopts inherited runs, then starts as many waiting tasks as fit. */
   private pass(now: number): void {
-    if (!this.opts.maySendOrders(now)) return;
+    if (!this.maySendOrders(now)) return;
     const jobs = [...this.jobs.all];
     for (const job of this.takeover.adopt(jobs, this.workers.all, now)) {
       job.unblock();
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {criticalPathMs} from '../job/critical_path_ms.js';
@@ -268,6 +269,7 @@
         ? {earlierToken: job.earlierToken}
         : {}),
       losses: job.losses,
+      claimStatedAt: claim.statedAt,
       ...(job.isLent ? {isLent: true} : {}),
       // The leader has every committed configuration.
       revision: isLeader ? 0 : claims.revision,
@@ -306,18 +308,18 @@
   /** Asks each dispatcher about the jobs that it has. */
   private poll(now: number): void {
     this.nextPoll = now + POLL_MS;
-    const byNode = new Map<string, string[]>();
+    const idsByClaim = new Map<DispatcherClaim, string[]>();
     for (const job of this.jobs.values()) {
       const {claim} = this.contacts.of(job.zone);
       if (!claim || claim.node !== job.assignedTo?.node) continue;
       if (now - claim.heardAt >= pollCutoffMs(job)) continue;
       if (now - job.submittedAt < IN_FLIGHT_MS) continue;
-      const ids = byNode.get(claim.node) ?? [];
+      const ids = idsByClaim.get(claim) ?? [];
       ids.push(job.id);
-      byNode.set(claim.node, ids);
+      idsByClaim.set(claim, ids);
     }
-    for (const [node, ids] of byNode) {
-      this.opts.peers.send(node, 'pool.poll', {ids});
+    for (const [{node, statedAt}, ids] of idsByClaim) {
+      this.opts.peers.send(node, 'pool.poll', {ids, claimStatedAt: statedAt});
     }
   }
 
--- a/src/core/pool/job/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -27,6 +27,8 @@
   earlierToken: v.optional(count),
   /** Workers that earlier dispatchers lost under tasks of the job. */
   losses: v.optional(v.pipe(v.array(WorkerLoss), v.readonly()), []),
+  /** `statedAt` of the last claim that the entry node has received. */
+  claimStatedAt: v.optional(v.number()),
   /** Lowest configuration revision that may be used to find its queue. */
   revision: v.optional(count, 0),
   /**
--- a/src/core/pool/node/dispatcher_claim.ts
+++ b/src/core/pool/node/dispatcher_claim.ts
@@ -34,6 +34,11 @@
   readonly revision: number;
   /** Version of the configuration in force at the node. Default 0. */
   readonly version?: number | undefined;
+  /**
+   * When the node stated the claim, on the clock of its process; entry nodes send
+   * it back, see OwnerContacts. Older nodes omit it.
+   */
+  readonly statedAt?: number | undefined;
   /** When the claim was last received. */
   readonly heardAt: number;
 }
--- a/src/core/pool/node/failover_timing.ts
+++ b/src/core/pool/node/failover_timing.ts
@@ -9,16 +9,23 @@
   DISTANT_LEADER_TIMEOUT_MS: 2_500,
   /**
    * An entry node that has received nothing from the dispatcher for this long
-   * stops polling. If the link fails in one direction only, the dispatcher then
-   * sees no polls either and drops the jobs of the node.
+   * stops polling.
    */
   POLL_CUTOFF_MS: 300,
-  /** A dispatcher drops the jobs of an entry node after this silence. */
+  /**
+   * A dispatcher drops the jobs of an entry node this long after the statement of
+   * the last claim that the node has received.
+   */
   OWNER_TIMEOUT_MS: 1_200,
+  /**
+   * A dispatcher whose event loop is behind by more than this sends no orders
+   * before it has dropped the jobs of the entry nodes that it has lost.
+   */
+  MAX_TICK_GAP_MS: 200,
   /**
    * Time since the last contact with the leader after which none of its runs
    * for an entry node is active: the leader has dropped the jobs of the node
-   * after POLL_CUTOFF_MS and OWNER_TIMEOUT_MS, and their runs are stopped.
+   * after OWNER_TIMEOUT_MS and MAX_TICK_GAP_MS, and their runs are stopped.
    */
   LEADER_RUNS_ENDED_MS: 1_700,
 } as const;
