Let the emulated workers listen on a free port

The fixed port 8080 made `measure cost` fail with EADDRINUSE on a machine where another program listens on it. The heartbeats carry the address and port of each worker, so any free port serves.

--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -19,7 +19,6 @@
   new URL('../../../../target/pimentoyoke.cjs', import.meta.url),
 );
 const PORTS = {callers: 8_161, readiness: 8_167, control: 8_166, peers: 7_720};
-const WORKER_PORT = 8_080;
 const HEARTBEAT_MS = 1_500;
 const RETRY_MS = 200;
 const SERVICE = 'emulated';
@@ -68,13 +67,13 @@
   /** Starts all processes and waits until every entry process is ready. */
   async start(): Promise<void> {
     const {cores, entries, workers} = this.opts;
-    await this.workers.listen(WORKER_PORT);
+    const workerPort = await this.workers.listen();
     this.processes = [
       ...Array.from({length: cores}, (_, n) => this.spawn('core', n)),
       ...Array.from({length: entries}, (_, n) => this.spawn('entry', n)),
     ];
     await this.retry(() => this.publishConfig());
-    for (let n = 0; n < workers; n += 1) void this.announceWorker(n);
+    for (let n = 0; n < workers; n += 1) void this.announceWorker(n, workerPort);
     for (const {role, address} of this.processes) {
       if (role !== 'entry') continue;
       const url = `http://${address}:${PORTS.readiness}/ready`;
@@ -181,11 +180,11 @@
     return this.postControl('/Config.Put', body);
   }
 
-  private async announceWorker(n: number): Promise<void> {
+  private async announceWorker(n: number, port: number): Promise<void> {
     for (let seq = 1; !this.isStopped; seq += 1) {
       const heartbeat = {
         backend: SERVICE,
-        address: `${this.addressOf(3, n)}:${WORKER_PORT}`,
+        address: `${this.addressOf(3, n)}:${port}`,
         zone: zoneName(n % this.opts.zones),
         state: 'ready',
         capacity: {cpu: 32_000, mem_mb: 64_000, gpu: 0},
--- a/src/platform/emulator/emulated_workers.ts
+++ b/src/platform/emulator/emulated_workers.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import type {Clock} from '../../core/clock/clock.js';
 
 type EndedRun = [number, string, number, string, string];
@@ -54,9 +55,11 @@
     return this.startCount;
   }
 
-  async listen(port: number): Promise<void> {
-    this.server.listen(port);
+  /** Listens on all addresses; returns the port, which is a free one. */
+  async listen(): Promise<number> {
+    this.server.listen();
     await once(this.server, 'listening');
+    return (this.server.address() as AddressInfo).port;
   }
 
   close(): void {
