Let the holder of a zone call its workers itself

A holder of a zone finds no other core node in it, so it relayed every poll and start through the zone's entry nodes, although the comment on setWorkers says that it contacts its workers itself. At 76 workers and 630 starts/s a zone these are about 65 calls a second and entry process, in 97 processes, next to 9 jobs/s.

Ruled out as the cause of the late jobs: a lack of capacity or the order of jobs.

Change: the holder relays through entry nodes only from 128 workers on, core nodes of its zone first as before. The leader's choices stay. The new test failed before ('expected e1 to equal undefined').

--- a/src/core/pool/relay/relay.test.ts
+++ b/src/core/pool/relay/relay.test.ts
@@ -173,6 +173,28 @@
   assert.deepEqual([...relaysOf()], ['k']);
 });
 
+// Guards against the calls of a zone, some 65 a second and entry node on a large
+// deployment, being made by entry processes, which they cost most of their time.
+test('the holder of a zone calls its workers itself', () => {
+  const {chooser, directory, bench} = createBench();
+  const {report} = [...bench.workers.values()][0]!;
+  const hold = (count: number) => {
+    const workers = Array.from({length: count}, (_, n) => {
+      return {...report, id: `w${n}`};
+    });
+    chooser.setWorkers(workers, {mayLeaveZone: false});
+    bench.clock.advance(300);
+    return chooser.choose('w0');
+  };
+  assert.isUndefined(hold(76));
+  assert.isUndefined(hold(127));
+  // A zone this large would overload its holder.
+  assert.include(NODES, hold(128));
+  directory.recordSeen('k', 'core', bench.clock.now(), 'z');
+  directory.setRelay('k', true);
+  assert.equal(hold(76), 'k');
+});
+
 // If all relays of a zone are slow for a moment, the leader must not make the
 // calls of the whole zone itself: it would be slow for all zones.
 test('core nodes of other zones relay before the leader calls workers itself', () => {
--- a/src/core/pool/relay/relay_chooser.ts
+++ b/src/core/pool/relay/relay_chooser.ts
@@ -4,6 +4,12 @@
 
 /** Workers of smaller fleets are contacted directly, which saves a hop. */
 const MIN_WORKERS = 64;
+/**
+ * The same for the holder of a zone and its entry nodes. A call costs a process
+ * that makes few of them several times what it costs the holder, and a zone has
+ * some twenty entry processes; only large zones would overload their holder.
+ */
+const MIN_WORKERS_HELD = 128;
 /** A node that has not been seen for this long is not used as relay. */
 const RELAY_TIMEOUT_MS = 1_800;
 /** Time for which a node that did not reply is not used as relay. */
@@ -31,7 +37,8 @@
 
   /**
    * Replaces the set of known workers. `mayLeaveZone` tells whether core nodes of
-   * other zones may relay; the holder of a zone contacts its workers itself.
+   * other zones may relay. They may not for the holder of a zone, which contacts
+   * its workers itself unless they are many.
    */
   setWorkers(
     workers: Iterable<{readonly id: string; readonly zone: string}>,
@@ -64,10 +71,13 @@
   }
 
   private find(worker: string, zone: string, now: number): string | undefined {
-    const inZone =
-      this.findAmong('core', worker, zone, now) ??
-      this.findAmong('entry', worker, zone, now);
-    if (inZone !== undefined || !this.mayLeaveZone) return inZone;
+    const core = this.findAmong('core', worker, zone, now);
+    if (core !== undefined) return core;
+    if (!this.mayLeaveZone && this.zones.size < MIN_WORKERS_HELD) {
+      return undefined;
+    }
+    const entry = this.findAmong('entry', worker, zone, now);
+    if (entry !== undefined || !this.mayLeaveZone) return entry;
     // The calls of a whole zone would overload the leader.
     return this.findAmong('core', worker, undefined, now);
   }
--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -73,7 +73,9 @@
       ...Array.from({length: entries}, (_, n) => this.spawn('entry', n)),
     ];
     await this.retry(() => this.publishConfig());
-    for (let n = 0; n < workers; n += 1) void this.announceWorker(n, workerPort);
+    for (let n = 0; n < workers; n += 1) {
+      void this.announceWorker(n, workerPort);
+    }
     for (const {role, address} of this.processes) {
       if (role !== 'entry') continue;
       const url = `http://${address}:${PORTS.readiness}/ready`;
