Claim runs that are being stopped for a job that is sent again

A caller saw nothing unusual, but a task ran twice at the same time: its entry node was lost together with the leader, the new leader stopped the run that nobody had claimed about a second later, and in that moment the caller sent the job again to another entry node. Such a job is a new one there and names no earlier dispatcher, so it did not settle, and only jobs that settle waited for runs that were being stopped. Its task started on another worker while the stop was on its way or took effect (up to 50 ms on some sites, longer if it was lost).

Ruled out: runs that have not been claimed yet were adopted before as well, and runs of the same dispatcher keep their job until they have ended.

A job now claims a run of its tasks also while that is being stopped, and starts the task again when its end is known. Jobs that settle need no rule of their own any more. Nothing waits without such a run.

The test failed before: two runs of j.0.0.0 overlapped. The fake worker can now take time for a stop.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -318,7 +318,7 @@
     }
     const workers = this.workers.all;
     if (!this.takeover.mayStart(workers, now)) return;
-    this.takeover.settle(jobs, this.workers, now);
+    this.takeover.settle(jobs, workers, now);
     const startable = this.startable.select(workers, now);
     const waiting = this.priority.sort(jobs, now);
     const staying = this.lending.moveLate(waiting, startable, now);
--- a/src/core/pool/dispatcher/takeover.test.ts
+++ b/src/core/pool/dispatcher/takeover.test.ts
@@ -163,3 +163,26 @@
   assert.isEmpty(bench.overlaps());
   assert.equal(bench.answers.get('j')?.kind, 'completed');
 });
+
+// Guards against two runs at once of a job whose first entry node was lost: its
+// caller sends it again elsewhere while the run that nobody claimed is stopped.
+test('a job sent again by its caller does not start beside its own run', async () => {
+  const bench = new PoolBench(2);
+  for (const worker of bench.workers.values()) {
+    worker.runMs = () => 3_000;
+    worker.stopMs = 50;
+  }
+  const first = bench.createDispatcher({term: 1});
+  await bench.run(50, first);
+  first.submit('e', PoolBench.submission('j', {estimatedMs: 3_000}));
+  await bench.run(50, first);
+  first.close();
+  const second = bench.createDispatcher({term: 2, earlierLeasesMs: 0});
+  while (bench.client.calls.every(c => c.call !== 'stop')) {
+    await bench.run(1, second);
+  }
+  second.submit('f', PoolBench.submission('j', {estimatedMs: 3_000}));
+  await bench.run(4_000, second);
+  assert.isEmpty(bench.overlaps());
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+});
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -2,7 +2,6 @@
 import type {ActiveJob} from '../job/active_job.js';
 import {Run} from '../lease/run.js';
 import {RunEnd} from '../lease/run_end.js';
-import type {WorkerFleet} from './worker_fleet.js';
 import type {PoolTask} from '../job/pool_task.js';
 
 /** Tolerance for slow clocks of workers and timers that fire late. */
@@ -47,15 +46,15 @@
   }
 
   /** Ends the wait of jobs whose runs under earlier dispatchers are known. */
-  settle(jobs: readonly ActiveJob[], fleet: WorkerFleet, now: number): void {
+  settle(
+    jobs: readonly ActiveJob[],
+    workers: readonly LeasedWorker[],
+    now: number,
+  ): void {
     const settling = jobs.filter(job => job.isSettling);
     if (settling.length === 0) return;
-    const token = this.acceptedToken(fleet.all, now);
-    const unclaimed = fleet.unclaimedTasks;
-    for (const job of settling) {
-      const isUnclaimed = job.tasks.some(t => !t.run && unclaimed.has(t.name));
-      if (!isUnclaimed) job.settle(token, now);
-    }
+    const token = this.acceptedToken(workers, now);
+    for (const job of settling) job.settle(token, now);
   }
 
   /**
@@ -92,15 +91,18 @@
 
   /**
    * Assigns runs and ends from earlier dispatchers to their jobs, which may be
-   * resubmitted before or after the worker reports the runs. Returns the jobs
-   * with tasks that are now running or done.
+   * resubmitted before or after the worker reports the runs, and also while a run
+   * is being stopped that no job has claimed in time. Returns the jobs with tasks
+   * that are now running or done.
    */
   adopt(
     jobs: Iterable<ActiveJob>,
     workers: readonly LeasedWorker[],
     now: number,
   ): ActiveJob[] {
-    const workersWithRuns = workers.filter(w => w.inherited.size > 0);
+    const workersWithRuns = workers.filter(
+      w => w.inherited.size > 0 || w.unclaimed.size > 0,
+    );
     if (workersWithRuns.length === 0 && this.ends.size === 0) return [];
     const changed: ActiveJob[] = [];
     for (const job of jobs) {
@@ -122,11 +124,15 @@
       return;
     }
     for (const worker of workersWithRuns) {
-      const number = worker.inherited.get(task.name);
+      const unclaimed = worker.unclaimed.get(task.name);
+      const number = unclaimed?.number ?? worker.inherited.get(task.name);
       if (number === undefined) continue;
       task.job.recordStart();
       task.nextRunNumber = Math.max(task.nextRunNumber, number + 1);
-      if (!task.run) adoptRun(task, worker, number, now);
+      if (task.run) continue;
+      task.run = unclaimed ?? adoptRun(task, worker, number, now);
+      task.worker = worker;
+      task.state = 'running';
     }
   }
 }
@@ -136,13 +142,11 @@
   worker: LeasedWorker,
   number: number,
   now: number,
-): void {
+): Run {
   const {spec, queue} = task.job;
   const {demand, estimatedMs} = spec.steps[task.step]!;
   const run = Run.adopted(task.name, number, demand, now);
   run.workload = {queue: queue.name, estimatedMs, distanceFactor: 1};
-  task.run = run;
-  task.worker = worker;
-  task.state = 'running';
   worker.adopt(run);
+  return run;
 }
--- a/src/core/pool/dispatcher/worker_fleet.ts
+++ b/src/core/pool/dispatcher/worker_fleet.ts
@@ -29,17 +29,6 @@
     return this.list;
   }
 
-  /** Tasks of runs that are being stopped because no job claimed them. */
-  get unclaimedTasks(): ReadonlySet<string> {
-    const tasks = new Set<string>();
-    for (const {runs} of this.list) {
-      for (const {task, isUnclaimed} of runs.values()) {
-        if (isUnclaimed) tasks.add(task);
-      }
-    }
-    return tasks;
-  }
-
   tick(now: number): void {
     this.sync();
     for (const worker of this.byId.values()) worker.tick(now);
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -26,6 +26,10 @@
  */
 export class LeasedWorker {
   private readonly ledger = new RunLedger();
+  /** Run numbers of runs that another dispatcher started, by task. */
+  readonly inherited: ReadonlyMap<string, number> = this.ledger.inherited;
+  /** Runs that are stopped since no job has claimed them in time, by task. */
+  readonly unclaimed: ReadonlyMap<string, Run> = this.ledger.unclaimed;
   private readonly lease: WorkerLease;
   private readonly instance = new ProcessInstance();
   readonly fence: WorkerFence;
@@ -51,11 +55,6 @@
     return this.ledger.runs;
   }
 
-  /** Run numbers of runs that another dispatcher started, by task. */
-  get inherited(): ReadonlyMap<string, number> {
-    return this.ledger.inherited;
-  }
-
   /** Whether the worker has replied to an order with the current token. */
   get isFenced(): boolean {
     return this.fence.isAccepted;
--- a/src/core/pool/lease/run.ts
+++ b/src/core/pool/lease/run.ts
@@ -17,8 +17,6 @@
   isStartRefused = false;
   /** Whether the task may crash its worker; see CrashPolicy. */
   isSuspect = false;
-  /** Whether it is stopped because no job has claimed it from a predecessor. */
-  isUnclaimed = false;
   /** When a stop was requested; undefined if none was. */
   stopRequestedAt: number | undefined;
   /** When the worker confirmed the stop. */
--- a/src/core/pool/lease/run_ledger.ts
+++ b/src/core/pool/lease/run_ledger.ts
@@ -11,6 +11,8 @@
   readonly runs = new Map<string, Run>();
   /** Run numbers of runs that another dispatcher started, by task. */
   readonly inherited = new Map<string, number>();
+  /** Runs that are stopped since no job has claimed them, by task. */
+  readonly unclaimed = new Map<string, Run>();
   private sum = NOTHING;
   private firstReportedAt = Number.POSITIVE_INFINITY;
 
@@ -54,6 +56,7 @@
   remove(run: Run): void {
     if (this.runs.get(run.task) !== run) return;
     this.runs.delete(run.task);
+    if (this.unclaimed.get(run.task) === run) this.unclaimed.delete(run.task);
     this.sum = Resources.minus(this.sum, run.demand);
   }
 
@@ -72,8 +75,8 @@
   takeInherited(now: number): Run[] {
     return [...this.inherited].map(([task, number]) => {
       const run = Run.adopted(task, number, UNKNOWN, now);
-      run.isUnclaimed = true;
       this.add(run);
+      this.unclaimed.set(task, run);
       return run;
     });
   }
--- a/test-support/fakes/pool/fake_pool_worker.ts
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -5,8 +5,9 @@
 
 interface Running {
   readonly run: number;
-  readonly endsAt: number;
-  readonly how: RunEnd;
+  readonly startedAt: number;
+  endsAt: number;
+  how: RunEnd;
 }
 
 interface End {
@@ -29,6 +30,8 @@
   /** Run time of a task, in ms, by task name. */
   runMs: (task: string) => number = () => 100;
   endOf: (task: string) => RunEnd = () => RunEnd.done;
+  /** Time that a stop takes, in ms. */
+  stopMs = 0;
   /** Whether starts beyond the capacity are refused. */
   guardsCapacity = true;
   /** Called with the task of each run that starts. */
@@ -40,7 +43,7 @@
   private token = 0;
   private leaseEnd = 0;
   private endCount = 0;
-  private readonly bootedAt: number;
+  private bootedAt: number;
 
   constructor(
     public report: WorkerReport,
@@ -83,7 +86,8 @@
       return RunRefusal.noRoom;
     }
     const endsAt = this.clockMs + this.runMs(task);
-    this.running.set(task, {run, endsAt, how: this.endOf(task)});
+    const startedAt = this.clockMs;
+    this.running.set(task, {run, startedAt, endsAt, how: this.endOf(task)});
     this.onStart(task);
     return undefined;
   }
@@ -97,8 +101,11 @@
     if (order.token < this.token) return RunRefusal.fenced;
     const {task, run} = order;
     this.recordRun(task, run);
-    if (this.running.get(task)?.run === run) {
-      this.end(task, run, RunEnd.stopped, this.clockMs);
+    const running = this.running.get(task);
+    if (running?.run === run && running.how !== RunEnd.stopped) {
+      running.endsAt = Math.min(running.endsAt, this.clockMs + this.stopMs);
+      running.how = RunEnd.stopped;
+      this.processDueEnds();
     }
     return undefined;
   }
@@ -138,12 +145,25 @@
   }
 
   private end(task: string, run: number, how: RunEnd, at: number): void {
-    const {endsAt} = this.running.get(task)!;
+    const {startedAt} = this.running.get(task)!;
     this.running.delete(task);
     this.recordRun(task, run);
     this.endCount += 1;
     this.ends.push({number: this.endCount, task, run, how});
-    const from = this.bootedAt + endsAt - this.runMs(task);
+    const from = this.bootedAt + startedAt;
     this.history.push({task, run, from, to: this.bootedAt + at});
   }
+
+  /** Ends the process and all runs; another process starts under the same id. */
+  restart(): void {
+    this.processDueEnds();
+    for (const [task, {run}] of [...this.running]) {
+      this.end(task, run, RunEnd.lost, this.clockMs);
+    }
+    this.ends.length = 0;
+    this.highestRun.clear();
+    this.token = this.leaseEnd = this.endCount = 0;
+    this.bootedAt = this.clock.now();
+    this.report = {...this.report, bornAt: this.report.bornAt + 1};
+  }
 }
