Soak the processes that run on the platform

`npm run check -- platform` starts real core and entry processes and emulated workers on loopback, injects faults of processes, links and workers that overlap, and checks what callers and workers see: TWICE, REFUSED, LIMIT, MIXED, TOKEN, LOST, ANSWER, RECOVER, EXIT.

The emulated workers honour leases, fencing tokens, run numbers, stops, capacity and lists. Each process is told a port of its own for messages between nodes, so that a relay can stand between each pair. TcpRelay cuts, delays, resets and refuses. OpenRequests can keep connections open.

Two of the soak's own checks were wrong in trials and were corrected: a suspended process reads a request only when it runs again, so its deadline begins then; 408 on a connection that was idle is not an answer to a job.

--- a/src/check/main.ts
+++ b/src/check/main.ts
@@ -2,6 +2,7 @@
 import {Command} from 'commander';
 import {createConfigCommand} from './config/create_config_command.js';
 import {jobsCommand} from './jobs/jobs_command.js';
+import {platformCommand} from './platform/platform_command.js';
 import {poolCommand} from './pool/pool_command.js';
 import {processesCommand} from './processes/processes_command.js';
 
@@ -11,4 +12,5 @@
   .addCommand(createConfigCommand())
   .addCommand(poolCommand)
   .addCommand(processesCommand)
+  .addCommand(platformCommand)
   .parseAsync();
--- a/src/platform/emulator/cost_command.ts
+++ b/src/platform/emulator/cost_command.ts
@@ -1,9 +1,12 @@
 import {Command, InvalidArgumentError} from 'commander';
 import {SteadyClock} from '../../adapter/steady_clock.js';
+import {request} from 'undici';
 import {EmulatedDeployment} from './emulated_deployment.js';
+import {EmulatedJob} from './emulated_job.js';
 
 /** Time after readiness in which all nodes and workers become known. */
 const SETTLE_MS = 4_000;
+const RUN_MS = 200;
 
 interface Options {
   readonly zones: number;
@@ -41,15 +44,14 @@
   const sleep = (ms: number) =>
     new Promise<void>(resolve => void clock.schedule(ms, resolve));
   const profileDir = opts.profile;
+  let starts = 0;
+  const onStart = () => void (starts += 1);
   const deployment = new EmulatedDeployment({
-    ...opts,
-    clock,
-    runMs: 200,
-    profileDir,
+    ...{...opts, clock, profileDir, onStart},
   });
   const read = () => ({
-    entry: deployment.processorSeconds('entry'),
-    core: deployment.processorSeconds('core'),
+    entry: deployment.ofRole('entry').map(each => each.processorSeconds()),
+    core: deployment.ofRole('core').map(each => each.processorSeconds()),
   });
   const startedAt = clock.now();
   await deployment.start();
@@ -66,14 +68,13 @@
   while (clock.now() - loadStartedAt < opts.seconds * 1_000) {
     const due = ((clock.now() - loadStartedAt) / 1_000) * opts.jobs;
     for (; submitted < due; submitted += 1) {
-      const reply = deployment.submit(submitted, opts.tasks);
+      const reply = submit(deployment, submitted, opts.tasks);
       replies.push(reply.then(ok => void (completed += Number(ok))));
     }
     await sleep(5);
   }
   await Promise.all(replies);
   const end = read();
-  const {starts} = deployment.workers;
   await deployment.stop();
   const loadSeconds = opts.seconds;
   return {
@@ -90,6 +91,30 @@
   };
 }
 
+/** Submits the job `n`; true if it was completed. */
+async function submit(
+  deployment: EmulatedDeployment,
+  n: number,
+  tasks: number,
+): Promise<boolean> {
+  const entries = deployment.ofRole('entry');
+  const step = {tasks, cpu: 1_000, memoryMb: 64, runMs: RUN_MS};
+  const job = new EmulatedJob((n + 1).toString(16).padStart(16, '0'), [step]);
+  const entry = entries[n % entries.length]!;
+  const {url, method, headers, body} = deployment.submission(entry, job);
+  try {
+    const res = await request(url, {
+      method,
+      headers: {...headers, 'content-type': 'application/json'},
+      body: JSON.stringify(body),
+    });
+    await res.body.dump();
+    return res.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
 type Seconds = Readonly<Record<'entry' | 'core', readonly number[]>>;
 
 function perSecond(from: Seconds, to: Seconds, seconds: number): Seconds {
--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -1,38 +1,24 @@
-import {spawn} from 'node:child_process';
-import type {ChildProcess} from 'node:child_process';
-import {
-  mkdirSync,
-  mkdtempSync,
-  readFileSync,
-  readdirSync,
-  rmSync,
-  writeFileSync,
-} from 'node:fs';
+import {mkdirSync, mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import type {Clock} from '../../core/clock/clock.js';
-import {EmulatedWorkers} from './emulated_workers.js';
+import {EmulatedFleet} from './emulated_fleet.js';
+import type {EmulatedJob} from './emulated_job.js';
+import {EmulatedLinks} from './emulated_links.js';
+import {EmulatedProcess} from './emulated_process.js';
+import type {EmulatedRun} from './emulated_run.js';
+import {postJson} from './post_json.js';
 
-const MAIN = fileURLToPath(
-  new URL('../../../../target/pimentoyoke.cjs', import.meta.url),
-);
 const PORTS = {callers: 8_161, readiness: 8_167, control: 8_166, peers: 7_720};
-const WORKER_PORT = 8_080;
-const HEARTBEAT_MS = 1_500;
 const RETRY_MS = 200;
-const SERVICE = 'emulated';
+const DEFAULT_WORKER_CPU = 32_000;
+/** Service whose workers refuse runs beyond their capacity, and another one. */
+const SERVICES = ['guarded', 'unguarded'] as const;
 const HOST = 'emulated.example';
-const PREFIX = '/emulated/';
 
 type Role = 'core' | 'entry';
-
-interface EmulatedProcess {
-  readonly role: Role;
-  readonly address: string;
-  readonly child: ChildProcess;
-}
+type Service = (typeof SERVICES)[number];
 
 interface EmulatedDeploymentOptions {
   readonly clock: Clock;
@@ -40,8 +26,18 @@
   readonly cores: number;
   readonly entries: number;
   readonly workers: number;
-  /** Run time of each task, in ms. */
-  readonly runMs: number;
+  /** Capacity of each worker, in thousandths of a core. Default 32,000. */
+  readonly workerCpu?: number;
+  /** Whether every second worker of a zone does not guard its capacity. */
+  readonly hasUnguarded?: boolean;
+  /** Whether links between processes and to workers pass through relays. */
+  readonly usesRelays?: boolean;
+  /** Whether the output of processes is kept in files of `dir`. */
+  readonly keepsLogs?: boolean;
+  /** Called with each run that a worker starts. */
+  readonly onStart?: (run: EmulatedRun) => void;
+  /** Called with the process and its exit code or signal. */
+  readonly onUnexpectedExit?: (process: EmulatedProcess, code: string) => void;
   /** Options of the JavaScript engine. */
   readonly nodeOptions?: readonly string[] | undefined;
   /** Folder for a processor profile of each process; none without it. */
@@ -53,82 +49,126 @@
  * emulated workers that send heartbeats.
  */
 export class EmulatedDeployment {
-  readonly workers: EmulatedWorkers;
-  private readonly dir = mkdtempSync(join(tmpdir(), 'pimentoyoke-'));
+  readonly fleet: EmulatedFleet;
+  readonly links = new EmulatedLinks();
+  /** Folder of settings, disks and logs. */
+  readonly dir = mkdtempSync(join(tmpdir(), 'pimentoyoke-'));
+  readonly processes: readonly EmulatedProcess[];
   /** Distinguishes concurrent deployments on one machine. */
   private readonly net = `127.${1 + (process.pid % 250)}`;
-  private processes: readonly EmulatedProcess[] = [];
-  private isStopped = false;
-  private nextJob = 0;
+  private revision = 0;
 
   constructor(private readonly opts: EmulatedDeploymentOptions) {
-    this.workers = new EmulatedWorkers(opts);
+    const {clock, cores, entries, workers, usesRelays = false} = opts;
+    const count = (n: number) => Array.from({length: n}, (_, at) => at);
+    this.processes = [
+      ...count(cores).map(n => this.create('core', n)),
+      ...count(entries).map(n => this.create('entry', n)),
+    ];
+    this.fleet = new EmulatedFleet({
+      clock,
+      usesRelays,
+      cpu: opts.workerCpu ?? DEFAULT_WORKER_CPU,
+      control: this.ofRole('core').map(({opts}) => controlOf(opts.address)),
+      onStart: opts.onStart ?? (() => undefined),
+      places: count(workers).map(n => {
+        const isOdd = Math.floor(n / opts.zones) % 2 === 1;
+        const service = SERVICES[opts.hasUnguarded && isOdd ? 1 : 0];
+        return {
+          address: this.addressOf(3, n),
+          zone: this.zoneName(n),
+          service,
+          guardsCapacity: service === 'guarded',
+        };
+      }),
+    });
   }
 
   /** Starts all processes and waits until every entry process is ready. */
   async start(): Promise<void> {
-    const {cores, entries, workers} = this.opts;
-    await this.workers.listen(WORKER_PORT);
-    this.processes = [
-      ...Array.from({length: cores}, (_, n) => this.spawn('core', n)),
-      ...Array.from({length: entries}, (_, n) => this.spawn('entry', n)),
-    ];
+    await this.fleet.start();
+    if (this.opts.usesRelays) await this.createLinks();
+    for (const each of this.processes) each.start();
     await this.retry(() => this.publishConfig());
-    for (let n = 0; n < workers; n += 1) void this.announceWorker(n);
-    for (const {role, address} of this.processes) {
-      if (role !== 'entry') continue;
-      const url = `http://${address}:${PORTS.readiness}/ready`;
-      await this.retry(() => isOk(request(url)));
+    for (const each of this.ofRole('entry')) {
+      await this.retry(() => this.isReady(each));
     }
   }
 
-  /** Processor time of all processes of a role since their start, in seconds. */
-  processorSeconds(role: Role): number[] {
-    return this.processes
-      .filter(each => each.role === role)
-      .map(({child}) => readProcessorSeconds(child.pid!));
+  ofRole(role: Role): EmulatedProcess[] {
+    return this.processes.filter(({opts}) => opts.role === role);
   }
 
-  /** Submits a job to the entry process `n`; true if it was completed. */
-  submit(n: number, tasks: number): Promise<boolean> {
-    const entries = this.processes.filter(({role}) => role === 'entry');
-    const {address} = entries[n % entries.length]!;
-    this.nextJob += 1;
-    const id = this.nextJob.toString(16).padStart(16, '0');
-    const step = {
-      count: tasks,
-      cpu: 1_000,
-      mem_mb: 64,
-      estimated_ms: this.opts.runMs,
+  /** Whether an entry process asks for connections. */
+  async isReady({opts: {address}}: EmulatedProcess): Promise<boolean> {
+    try {
+      const url = `http://${address}:${PORTS.readiness}/ready`;
+      const {statusCode, body} = await request(url);
+      await body.dump();
+      return statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Request that submits a job to an entry process. */
+  submission(
+    {opts: {address}}: EmulatedProcess,
+    job: EmulatedJob,
+    options: {service?: Service; deadlineMs?: number} = {},
+  ) {
+    const {service = 'guarded', deadlineMs} = options;
+    return {
+      node: address,
+      method: 'POST' as const,
+      url: `http://${address}:${PORTS.callers}/${service}/${job.id}`,
+      headers: {
+        host: HOST,
+        ...(deadlineMs ? {'x-deadline-ms': String(deadlineMs)} : {}),
+      },
+      body: job.toBody(),
     };
-    return isOk(
-      request(`http://${address}:${PORTS.callers}${PREFIX}${id}`, {
-        method: 'POST',
-        headers: {'content-type': 'application/json', host: HOST},
-        body: JSON.stringify({spec: 'x', best_effort: true, steps: [step]}),
-      }),
-    );
   }
 
-  async stop(): Promise<void> {
-    this.isStopped = true;
-    const signal = this.opts.profileDir ? 'SIGTERM' : 'SIGKILL';
-    const exits = this.processes.map(
-      ({child}) => new Promise(resolve => child.once('exit', resolve)),
+  /** Publishes the next version of the configuration; true if acknowledged. */
+  async publishConfig(): Promise<boolean> {
+    this.revision += 1;
+    const routes = SERVICES.map(service => ({
+      name: service,
+      host: HOST,
+      path_prefix: `/${service}/`,
+      target_duration_ms: 1_000,
+      timeout_ms: 5_000,
+      max_attempts: 4,
+      backend: service,
+    }));
+    const backends = SERVICES.map(name => ({
+      name,
+      enforces_capacity: name === 'guarded',
+    }));
+    const body = {version: this.revision, routes, backends};
+    const cores = this.ofRole('core');
+    const {address} = cores[this.revision % cores.length]!.opts;
+    const url = `http://${controlOf(address)}/Config.Put`;
+    return (await postJson(url, body)) !== undefined;
+  }
+
+  /** Stops all processes; keeps the folder if `keepsDir`. */
+  async stop({keepsDir = false} = {}): Promise<void> {
+    const isGraceful = this.opts.profileDir !== undefined;
+    await Promise.all(
+      this.processes.map(each => (isGraceful ? each.stop() : each.kill())),
     );
-    for (const {child} of this.processes) child.kill(signal);
-    await Promise.all(exits);
-    this.workers.close();
-    rmSync(this.dir, {recursive: true, force: true});
+    await this.fleet.close();
+    await this.links.close();
+    if (!keepsDir) rmSync(this.dir, {recursive: true, force: true});
   }
 
-  private spawn(role: Role, n: number): EmulatedProcess {
+  private create(role: Role, n: number): EmulatedProcess {
     const address = this.addressOf(role === 'core' ? 1 : 2, n);
-    const file = join(this.dir, `${address}.conf`);
     const dataDir = join(this.dir, address);
     mkdirSync(dataDir);
-    writeFileSync(file, this.formatSettings(address, n, dataDir));
-    const {profileDir, nodeOptions = []} = this.opts;
+    const {clock, keepsLogs, profileDir, nodeOptions = []} = this.opts;
     const profile = profileDir
       ? [
           '--cpu-prof',
@@ -136,76 +176,57 @@
           `--cpu-prof-name=${role}-${n}.cpuprofile`,
         ]
       : [];
-    const child = spawn(
-      process.execPath,
-      [...nodeOptions, ...profile, MAIN, role],
-      {
-        env: {...process.env, PIMENTOYOKE_SETTINGS: file},
-        stdio: ['ignore', 'ignore', 'inherit'],
-      },
-    );
-    return {role, address, child};
+    return new EmulatedProcess({
+      ...{clock, role, address},
+      zone: this.zoneName(n),
+      settingsFile: join(this.dir, `${address}.conf`),
+      settings: this.settingsOf(role, n, dataDir),
+      logFile: keepsLogs ? join(this.dir, `${role}-${n}.log`) : undefined,
+      nodeOptions: [...nodeOptions, ...profile],
+      onUnexpectedExit: this.opts.onUnexpectedExit ?? (() => undefined),
+    });
   }
 
-  private formatSettings(address: string, n: number, dataDir: string): string {
+  private settingsOf(role: Role, n: number, dataDir: string): string[] {
     const {zones, cores} = this.opts;
-    const seeds = Array.from({length: Math.min(3, cores)}, (_, seed) => {
-      return `${this.addressOf(1, seed)}:${PORTS.control}`;
-    });
+    const address = this.addressOf(role === 'core' ? 1 : 2, n);
+    const seeds = Array.from({length: Math.min(3, cores)}, (_, seed) =>
+      controlOf(this.addressOf(1, seed)),
+    );
+    const port = this.peerPort(role, n);
     return [
       `node_name=${address}`,
       `ip=${address}`,
-      `zone=${zoneName(n % zones)}`,
+      `zone=${this.zoneName(n)}`,
+      ...Array.from({length: zones}, (_, n) => `zones.${this.zoneName(n)}=r`),
       `listen.frontend=${address}:${PORTS.callers}`,
       `listen.readiness=${address}:${PORTS.readiness}`,
-      `listen.control=${address}:${PORTS.control}`,
-      `internal_port_range=${PORTS.peers},${PORTS.peers}`,
+      `listen.control=${controlOf(address)}`,
+      `internal_port_range=${port},${port}`,
       `seeds=${seeds.join(',')}`,
-      'bootstrap=true',
       `data_dir=${dataDir}`,
       'bounds.max_hold_ms=1000',
       'bounds.grace_s=6',
-    ].join('\n');
+    ];
   }
 
-  private publishConfig(): Promise<boolean> {
-    const route = {
-      name: 'emulated',
-      host: HOST,
-      path_prefix: PREFIX,
-      target_duration_ms: 1_000,
-      timeout_ms: 5_000,
-      backend: SERVICE,
-    };
-    const body = {version: 1, routes: [route], backends: [{name: SERVICE}]};
-    return this.postControl('/Config.Put', body);
+  /** The same for all processes, unless relays need one of each. */
+  private peerPort(role: Role, n: number): number {
+    if (!this.opts.usesRelays) return PORTS.peers;
+    return PORTS.peers + n + (role === 'core' ? 0 : this.opts.cores);
   }
 
-  private async announceWorker(n: number): Promise<void> {
-    for (let seq = 1; !this.isStopped; seq += 1) {
-      const heartbeat = {
-        backend: SERVICE,
-        address: `${this.addressOf(3, n)}:${WORKER_PORT}`,
-        zone: zoneName(n % this.opts.zones),
-        state: 'ready',
-        capacity: {cpu: 32_000, mem_mb: 64_000, gpu: 0},
-        labels: ['a', `r-${n >> 3}`],
-        seq,
-        born: 1,
-      };
-      await this.postControl(`/Instances.Heartbeat/w-${n}`, heartbeat);
-      await this.sleep(HEARTBEAT_MS);
+  private async createLinks(): Promise<void> {
+    const nodes = this.processes.map(({opts: {address}}, at) => {
+      return {address, port: PORTS.peers + at};
+    });
+    for (const from of nodes) {
+      for (const to of nodes) if (from !== to) await this.links.add(from, to);
     }
   }
 
-  private postControl(path: string, body: object): Promise<boolean> {
-    return isOk(
-      request(`http://${this.addressOf(1, 0)}:${PORTS.control}${path}`, {
-        method: 'POST',
-        headers: {'content-type': 'application/json'},
-        body: JSON.stringify(body),
-      }),
-    );
+  private zoneName(n: number): string {
+    return `z${n % this.opts.zones}`;
   }
 
   private addressOf(group: number, n: number): string {
@@ -213,33 +234,14 @@
   }
 
   private async retry(attempt: () => Promise<boolean>): Promise<void> {
-    while (!(await attempt())) await this.sleep(RETRY_MS);
-  }
-
-  private sleep(ms: number): Promise<void> {
-    return new Promise(resolve => void this.opts.clock.schedule(ms, resolve));
+    while (!(await attempt())) {
+      await new Promise<void>(resolve => {
+        this.opts.clock.schedule(RETRY_MS, resolve);
+      });
+    }
   }
 }
 
-function zoneName(n: number): string {
-  return `z${n}`;
-}
-
-function isOk(res: ReturnType<typeof request>): Promise<boolean> {
-  return res.then(
-    async ({statusCode, body}) => {
-      await body.text();
-      return statusCode === 200;
-    },
-    () => false,
-  );
-}
-
-function readProcessorSeconds(pid: number): number {
-  let nanoseconds = 0;
-  for (const thread of readdirSync(`/proc/${pid}/task`)) {
-    const path = `/proc/${pid}/task/${thread}/schedstat`;
-    nanoseconds += Number(readFileSync(path, 'utf8').split(' ')[0]);
-  }
-  return nanoseconds / 1e9;
+function controlOf(address: string): string {
+  return `${address}:${PORTS.control}`;
 }
--- a/src/platform/emulator/emulated_workers.ts
+++ b/src/platform/emulator/emulated_workers.ts
@@ -1,112 +1,137 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
-import type {IncomingMessage, Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import type {Clock} from '../../core/clock/clock.js';
+import type {EmulatedWorker} from './emulated_worker.js';
 
-type EndedRun = [number, string, number, string, string];
+const ANY_IPV4_ADDRESS = '0.0.0.0';
 
-interface Order {
-  readonly task?: string;
-  readonly run?: number;
-  readonly acked_upto?: number;
-  readonly wait_ms?: number;
-}
-
-interface WorkerState {
-  readonly running: Map<string, number>;
-  ended: EndedRun[];
-  endCount: number;
-  /** Replies to polls that wait for the next end. */
-  waiting: Array<() => void>;
-}
+type StartOrder = Parameters<EmulatedWorker['start']>[0];
+type HoldOrder = Parameters<EmulatedWorker['hold']>[0];
+type Order = StartOrder & HoldOrder & {readonly wait_ms?: number};
 
-interface EmulatedWorkersOptions {
-  readonly clock: Clock;
-  /** Run time of each task, in ms. */
-  readonly runMs: number;
+interface WorkerFault {
+  readonly kind: 'unhealthy' | 'late';
+  /** Delay after which an order is executed, without a reply, in ms. */
+  readonly delayMs: () => number;
 }
 
 /**
- * Emulates the HTTP API of many workers in one process: each loopback address on
- * which a request arrives is a worker of its own. Tasks end after a fixed time;
- * leases and capacity are not checked.
+ * HTTP API of many workers in one process: each loopback address on which a
+ * request arrives is a worker of its own.
  */
 export class EmulatedWorkers {
   private readonly server: Server;
-  private readonly states = new Map<string, WorkerState>();
-  private startCount = 0;
+  /** Workers by IP address. */
+  private readonly workers = new Map<string, EmulatedWorker>();
+  private readonly faults = new Map<string, WorkerFault>();
 
-  constructor(private readonly opts: EmulatedWorkersOptions) {
+  constructor(private readonly clock: Clock) {
     this.server = createServer((req, res) => {
-      const state = this.stateOf(req.socket.localAddress ?? '');
-      readJson(req, order => {
-        const reply = () => res.end(JSON.stringify(this.statusOf(state)));
-        if (req.url === '/run-start') this.start(state, order);
-        if (req.url === '/hold') this.hold(state, order, reply);
-        else reply();
-      });
+      const address = req.socket.localAddress ?? '';
+      const worker = this.workers.get(address);
+      // The worker has crashed.
+      if (!worker) return void req.socket.destroy();
+      readJson(req, order => this.handle(address, worker, req, res, order));
     });
     this.server.keepAliveTimeout = 120_000;
   }
 
-  /** Number of tasks that were started. */
-  get starts(): number {
-    return this.startCount;
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
   }
 
-  async listen(port: number): Promise<void> {
-    this.server.listen(port);
+  async listen(): Promise<void> {
+    this.server.listen(0, ANY_IPV4_ADDRESS);
     await once(this.server, 'listening');
   }
 
+  get(address: string): EmulatedWorker | undefined {
+    return this.workers.get(address);
+  }
+
+  add(address: string, worker: EmulatedWorker): void {
+    this.workers.set(address, worker);
+  }
+
+  crash(address: string): void {
+    this.workers.get(address)?.crash();
+    this.workers.delete(address);
+  }
+
+  /** Sets the fault of a worker; undefined for none. */
+  setFault(address: string, fault: WorkerFault | undefined): void {
+    if (fault) this.faults.set(address, fault);
+    else this.faults.delete(address);
+  }
+
   close(): void {
+    for (const worker of this.workers.values()) worker.crash();
     this.server.close();
     this.server.closeAllConnections();
   }
 
-  private start(state: WorkerState, {task = '', run = 0}: Order): void {
-    this.startCount += 1;
-    state.running.set(task, run);
-    this.opts.clock.schedule(this.opts.runMs, () => {
-      state.running.delete(task);
-      state.endCount += 1;
-      state.ended.push([state.endCount, task, run, 'done', '']);
-      for (const reply of state.waiting.splice(0)) reply();
-    });
+  private handle(
+    address: string,
+    worker: EmulatedWorker,
+    {url, headers, socket}: IncomingMessage,
+    res: ServerResponse,
+    order: Order,
+  ): void {
+    const expected = headers['x-expect-instance'];
+    if (expected !== undefined && expected !== worker.opts.id) {
+      return send(res, 421, worker.status());
+    }
+    const fault = this.faults.get(address);
+    if (fault?.kind === 'unhealthy') return send(res, 503, {});
+    if (fault?.kind === 'late') {
+      this.clock.schedule(fault.delayMs(), () => {
+        // A crash loses the orders that were not executed.
+        if (this.workers.get(address) !== worker) return;
+        execute(worker, url, order, true);
+        socket.destroy();
+      });
+      return;
+    }
+    const reason = execute(worker, url, order, false);
+    if (reason) send(res, 409, {...worker.status(), reason});
+    else if (url === '/hold') this.replyToHold(worker, order, res);
+    else send(res, 200, worker.status());
   }
 
-  private hold(state: WorkerState, order: Order, reply: () => void): void {
-    const {acked_upto: acknowledged = 0, wait_ms: waitMs = 0} = order;
-    state.ended = state.ended.filter(([number]) => number > acknowledged);
-    if (waitMs === 0 || state.ended.length > 0) return void reply();
-    let isReplied = false;
-    const replyOnce = () => {
-      if (isReplied) return;
-      isReplied = true;
+  /** Replies at once if an end is listed, else at the next one. */
+  private replyToHold(
+    worker: EmulatedWorker,
+    {wait_ms: waitMs = 0}: Order,
+    res: ServerResponse,
+  ): void {
+    if (waitMs === 0 || worker.hasEnds) return send(res, 200, worker.status());
+    const reply = () => {
+      worker.onEnd.delete(reply);
       timer.cancel();
-      reply();
+      send(res, 200, worker.status());
     };
-    const timer = this.opts.clock.schedule(waitMs, replyOnce);
-    state.waiting.push(replyOnce);
+    const timer = this.clock.schedule(waitMs, reply);
+    worker.onEnd.add(reply);
   }
+}
 
-  private statusOf({running, ended}: WorkerState) {
-    return {
-      clock_ms: Math.floor(this.opts.clock.now()),
-      born: 1,
-      running: [...running].map(([task, run]) => [task, run, '', 50]),
-      finished: ended,
-    };
-  }
+function execute(
+  worker: EmulatedWorker,
+  url: string | undefined,
+  order: Order,
+  isLate: boolean,
+): string | undefined {
+  if (url === '/run-start') return worker.start(order, isLate);
+  if (url === '/run-stop') return worker.stop(order);
+  return worker.hold(order);
+}
 
-  private stateOf(address: string): WorkerState {
-    let state = this.states.get(address);
-    if (!state) {
-      state = {running: new Map(), ended: [], endCount: 0, waiting: []};
-      this.states.set(address, state);
-    }
-    return state;
-  }
+function send(res: ServerResponse, status: number, body: object): void {
+  if (res.destroyed || res.headersSent) return;
+  res.statusCode = status;
+  res.end(JSON.stringify(body));
 }
 
 function readJson(req: IncomingMessage, done: (order: Order) => void): void {
