Log on which grounds a task is started once more

When a task ran twice, the logs told neither which dispatcher had started which run, nor what it knew of the earlier one. The hypotheses (a leader that drops jobs late, two entry nodes with one job, a start order that is executed late, a lease end that is computed too early, runs of a fallback that the next dispatcher does not know of) left the same lines.

Dispatchers now log each start of a task that has or may have run before (run_restarted, with token, grounds and the earlier run), what becomes of runs of earlier dispatchers (run_adopted, run_end_adopted, run_unclaimed, job_settled, starts_allowed, job_left), and what contradicts their view (run_resurfaced, start_unanswered, job_held_twice, owner_silent). Entry nodes log each change of a job's dispatcher (job_reassigned, job_resubmitted) and what its caller does (job_sent_again, caller_gone). The first runs of other tasks have no line. Submissions name the node of the earlier dispatcher, for the log only; older nodes ignore the field.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -10,6 +10,7 @@
 import {EarlySubmissions} from './early_submissions.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from '../node/pool_message.js';
+import type {PoolObserver} from '../pool_observer.js';
 import {PoolSubmission} from '../job/pool_submission.js';
 import {RecentStarts} from '../job/recent_starts.js';
 
@@ -19,6 +20,7 @@
   readonly routing: () => RoutingTable | undefined;
   /** Redirects a job again that was moved before; false if it was not. */
   readonly redirectAgain?: (owner: string, id: string) => boolean;
+  readonly observer: PoolObserver;
 }
 
 /**
@@ -28,6 +30,7 @@
 export class DispatcherEndpoint {
   private current: PoolDispatcher | undefined;
   private readonly ownerSeenAt = new Map<string, number>();
+  private lastTickAt = Number.NEGATIVE_INFINITY;
   private readonly answers = new AnswerCache();
   /** Jobs that may have run under any dispatcher of the deployment. */
   private readonly unclear = new RecentStarts();
@@ -47,10 +50,13 @@
       this.early.delete(body.id);
       this.current?.drop(body.id, from, body.reason);
     });
-    peers.onMessage('pool.unclear', (_from, body, now) => {
+    peers.onMessage('pool.unclear', (from, body, now) => {
       if (!v.is(PoolMessage.unclear, body)) return;
       this.unclear.expire(now);
-      for (const id of body.ids) this.unclear.record(id, now);
+      for (const id of body.ids) {
+        this.unclear.record(id, now);
+        this.current?.recordUnclear(id, from);
+      }
     });
     peers.onRequest('pool.ask', (_from, body) =>
       Promise.resolve(this.onQuery(body)),
@@ -70,6 +76,7 @@
   /** Attaches a dispatcher, which must answer through `answer`. */
   attach(dispatcher: PoolDispatcher): void {
     this.current = dispatcher;
+    this.lastTickAt = this.opts.clock.now();
     this.answers.clear();
     this.ownerSeenAt.clear();
   }
@@ -83,10 +90,8 @@
   tick(now: number): void {
     const {current} = this;
     if (!current) return;
-    current.dropJobsOfOwners(owner => {
-      const seenAt = this.ownerSeenAt.get(owner) ?? 0;
-      return now - seenAt > FailoverTiming.OWNER_TIMEOUT_MS;
-    });
+    this.dropJobsOfSilentOwners(current, now);
+    this.lastTickAt = now;
     for (const [owner, submission] of this.early.take(this.revision, now)) {
       current.submit(owner, submission);
     }
@@ -94,6 +99,27 @@
     this.answers.expire(now);
   }
 
+  private dropJobsOfSilentOwners(current: PoolDispatcher, now: number): void {
+    const jobsByOwner = new Map<string, number>();
+    current.dropJobsOfOwners(owner => {
+      const seenAt = this.ownerSeenAt.get(owner) ?? 0;
+      if (now - seenAt <= FailoverTiming.OWNER_TIMEOUT_MS) return false;
+      jobsByOwner.set(owner, (jobsByOwner.get(owner) ?? 0) + 1);
+      return true;
+    });
+    for (const [owner, jobs] of jobsByOwner) {
+      const seenAt = this.ownerSeenAt.get(owner);
+      this.opts.observer.recordStateChange('owner_silent', {
+        owner,
+        jobs,
+        silent_ms: seenAt === undefined ? undefined : Math.round(now - seenAt),
+        // A late tick or a late message breaks the bound on the silence.
+        since_tick_ms: Math.round(now - this.lastTickAt),
+        token: current.token,
+      });
+    }
+  }
+
   /** Sends the answer of a job to its entry node. */
   answer(owner: string, id: string, answer: PoolAnswer): void {
     this.answers.set(id, answer, this.opts.clock.now());
--- a/src/core/pool/dispatcher/job_intake.ts
+++ b/src/core/pool/dispatcher/job_intake.ts
@@ -25,6 +25,14 @@
   readonly observer: PoolObserver;
 }
 
+/** What applied when a job was accepted. */
+interface AcceptedWith {
+  readonly revision: number;
+  readonly token: number;
+  /** Whether the job may have run before it was sent again. */
+  readonly wasSentAgain: boolean;
+}
+
 /** Turns submissions into jobs of the dispatcher, or answers them at once. */
 export class JobIntake {
   private readonly admission = new PoolAdmission();
@@ -62,9 +70,11 @@
     const job = new ActiveJob(submission, {owner, queue, token, now});
     takeover.adopt([job], workers.all, now);
     crashes.restore(job, submission.losses ?? []);
+    const wasSentAgain = jobs.mayHaveRun(spec.id);
+    job.isTraced ||= wasSentAgain;
     if (!job.hasStarted && this.refuse(job, now)) return undefined;
     jobs.add(job);
-    this.recordAccepted(job, revision);
+    this.recordAccepted(job, {revision, token, wasSentAgain});
     return job;
   }
 
@@ -91,7 +101,10 @@
     });
   }
 
-  private recordAccepted(job: ActiveJob, revision: number): void {
+  private recordAccepted(
+    job: ActiveJob,
+    {revision, token, wasSentAgain}: AcceptedWith,
+  ): void {
     const {jobs, observer} = this.opts;
     const {spec, queue, owner, tasks, isLent} = job;
     if (isLent) observer.incrementCounter('jobs_lent_in');
@@ -101,6 +114,14 @@
       tasks: tasks.length,
       open: jobs.size,
       revision,
+      token,
+      // Left out of the lines of ordinary jobs.
+      ...(job.isTraced && {
+        was_sent_again: wasSentAgain,
+        earlier_node: job.earlierNode,
+        earlier_token: job.earlierToken,
+        settle_ms: Math.round(job.settlesAt - job.acceptedAt),
+      }),
     });
   }
 }
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -14,6 +14,7 @@
 import type {RunLoss} from '../lease/run_loss.js';
 import {RunRecorder} from './run_recorder.js';
 import type {RunRefusal} from '../lease/run_refusal.js';
+import {RunTrace} from '../trace/run_trace.js';
 import {RunTimes} from '../placement/run_times.js';
 import {DEFAULT_REMOTE_FACTOR} from '../placement/default_remote_factor.js';
 import {StartableWorkers} from '../placement/startable_workers.js';
@@ -46,6 +47,7 @@
   private readonly starter: TaskStarter;
   private readonly startable: StartableWorkers;
   private readonly recorder: RunRecorder;
+  private readonly trace: RunTrace;
   private readonly takeover: Takeover;
   private readonly crashes: CrashWatch;
   private readonly lending: DispatcherLending;
@@ -63,9 +65,13 @@
       ...opts,
       infeasible: new InfeasibleJobs(this.times),
     });
-    const {times, breaker} = this;
+    this.currentToken = opts.token;
+    const currentToken = () => this.currentToken;
+    this.trace = new RunTrace(currentToken, opts.observer);
+    const {times, breaker, trace} = this;
     const {remoteFactor = DEFAULT_REMOTE_FACTOR} = opts;
-    this.starter = new TaskStarter(times, breaker, opts.observer, remoteFactor);
+    const starts = {times, breaker, trace, remoteFactor};
+    this.starter = new TaskStarter({...opts, ...starts});
     this.stragglers = new StragglerWatch({
       times,
       observer: opts.observer,
@@ -75,11 +81,8 @@
     });
     this.recorder = new RunRecorder(times, breaker, opts.observer);
     this.crashes = new CrashWatch(opts);
-    this.takeover = new Takeover(
-      now,
-      opts.earlierLeasesMs,
-      opts.isRegistryComplete,
-    );
+    const leasesMs = opts.earlierLeasesMs;
+    this.takeover = new Takeover({...opts, startedAt: now, leasesMs, trace});
     const {jobs, forecast, takeover} = this;
     const known = {jobs, times, forecast, takeover};
     this.lending = new DispatcherLending({...known, lending: opts.lending});
@@ -88,8 +91,6 @@
       this.breaker.remove(id);
     };
     this.startable = new StartableWorkers({...opts, forget: onRemoved});
-    this.currentToken = opts.token;
-    const currentToken = () => this.currentToken;
     const {servesZone = () => true} = opts;
     const lease = {...opts, currentToken, listener: this, servesZone};
     this.workers = new WorkerFleet({...lease, onRemoved});
@@ -130,6 +131,7 @@
     const now = this.opts.clock.now();
     const known = this.jobs.get(submission.job.id);
     if (known) {
+      this.trace.recordSentAgain(known, owner, now);
       known.owner = owner;
       known.isAbandoned = false;
       this.jobs.finishIfDone(known, now);
@@ -142,6 +144,12 @@
     this.schedulePass();
   }
 
+  /** Handles the news that an entry node no longer has a job, which may run. */
+  recordUnclear(id: string, node: string): void {
+    const job = this.jobs.get(id);
+    if (job) this.trace.recordUnclear(job, node, this.opts.clock.now());
+  }
+
   /** Abandons a job whose owner no longer waits for its answer. */
   drop(id: string, owner: string, reason: string): void {
     const job = this.jobs.get(id);
@@ -222,6 +230,8 @@
   /** Stops dispatching; no more orders are sent. */
   close(): void {
     this.isClosed = true;
+    const now = this.opts.clock.now();
+    for (const job of this.jobs.all) this.trace.recordLeft(job, now);
     this.jobs.clear();
   }
 
@@ -262,8 +272,9 @@
     task.run = undefined;
     task.worker = undefined;
     task.state = 'waiting';
-    this.recorder.recordRefusal(task, worker, run, reason);
-    this.jobs.finishIfDone(task.job, this.opts.clock.now());
+    const now = this.opts.clock.now();
+    this.recorder.recordRefusal(task, worker, run, reason, now);
+    this.jobs.finishIfDone(task.job, now);
     this.schedulePass();
   }
 
@@ -273,11 +284,20 @@
       this.takeover.recordEnd(name, how);
     } else if (how === RunEnd.done && !task.run && task.state === 'waiting') {
       task.state = 'done';
+      this.trace.recordAdoptedEnd(task);
       task.job.unblock();
       this.jobs.finishIfDone(task.job, this.opts.clock.now());
     }
   }
 
+  onStartUnanswered(worker: LeasedWorker, run: Run): void {
+    this.trace.recordUnanswered(this.jobs.taskOf(run.task), worker, run);
+  }
+
+  onInheritedRun(worker: LeasedWorker, name: string, run: number): void {
+    this.trace.recordInherited(this.jobs.taskOf(name), worker, run);
+  }
+
   onChange(worker: LeasedWorker): void {
     const {report, isFenced, isOutranked, isSilent} = worker;
     const fields = {worker: report.id, isFenced, isOutranked, isSilent};
@@ -291,7 +311,7 @@
     for (const worker of this.workers.all) {
       const isClaimOverdue = worker.hasInheritedSince(now - CLAIM_MS);
       if (isTakeoverComplete || (this.takeover.isOver && isClaimOverdue)) {
-        worker.stopInherited();
+        this.trace.recordUnclaimed(worker, worker.stopInherited());
       }
     }
   }
@@ -318,6 +338,7 @@
     }
     const workers = this.workers.all;
     if (!this.takeover.mayStart(workers, now)) return;
+    this.takeover.recordFirstStart(workers, now);
     this.takeover.settle(jobs, this.workers, now);
     const startable = this.startable.select(workers, now);
     const waiting = this.priority.sort(jobs, now);
--- a/src/core/pool/dispatcher/run_recorder.ts
+++ b/src/core/pool/dispatcher/run_recorder.ts
@@ -29,6 +29,9 @@
     const {id} = worker.report;
     const ranMs = now - run.sentAt;
     const {workload} = run;
+    const {number, sentAt} = run;
+    const cause = loss?.cause;
+    task.lastRun = {number, worker: id, how, cause, sentAt, endedAt: now};
     if (workload && !run.isAdopted) {
       const ended = {worker: id, task: run.task, workload, ranMs, at: now};
       if (how === RunEnd.done) this.times.record(ended);
@@ -36,18 +39,22 @@
     }
     if (how === RunEnd.done) {
       this.breaker.recordEnd(id, false, now);
-      return;
+      if (!run.isTraced && !task.job.isAbandoned) return;
     }
     const isWorkerFault = how === RunEnd.failed || how === RunEnd.lost;
     if (isWorkerFault) this.breaker.recordEnd(id, true, now);
     this.observer.recordJobEvent('run_ended', task.job.spec.id, {
       task: run.task,
-      run: run.number,
+      run: number,
       worker: id,
       how,
-      cause: loss?.cause,
+      cause,
       refused: loss?.isRefused,
       after_ms: Math.round(ranMs),
+      is_adopted: run.isAdopted || undefined,
+      is_confirmed: loss && run.confirmedAt !== undefined,
+      clock_age_ms: round(loss?.clockAgeMs),
+      lease_left_ms: round(loss?.leaseLeftMs),
     });
   }
 
@@ -56,12 +63,26 @@
     worker: LeasedWorker,
     run: Run,
     reason: RunRefusal,
+    now: number,
   ): void {
+    const {number, sentAt} = run;
+    const {id} = worker.report;
+    if (run.isStartReplyLost) {
+      // Unlike a refusal in a reply, this is concluded from later replies.
+      const past = {number, worker: id, how: reason, cause: undefined};
+      task.lastRun = {...past, sentAt, endedAt: now};
+    }
     this.observer.recordJobEvent('start_refused', task.job.spec.id, {
       task: run.task,
-      run: run.number,
-      worker: worker.report.id,
+      run: number,
+      worker: id,
       reason,
+      is_unanswered: run.isStartReplyLost || undefined,
+      after_ms: Math.round(now - sentAt),
     });
   }
 }
+
+function round(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -4,6 +4,8 @@
 import {RunEnd} from '../lease/run_end.js';
 import type {WorkerFleet} from './worker_fleet.js';
 import type {PoolTask} from '../job/pool_task.js';
+import type {PoolObserver} from '../pool_observer.js';
+import type {RunTrace} from '../trace/run_trace.js';
 
 /** Tolerance for slow clocks of workers and timers that fire late. */
 const LEASE_SLACK_MS = 100;
@@ -12,6 +14,17 @@
 /** Time within which all workers report to a new dispatcher. */
 const WORKER_DISCOVERY_MS = 4_000;
 
+interface TakeoverOptions {
+  readonly startedAt: number;
+  /** Longest time that leases of earlier dispatchers may still last, in ms. */
+  readonly leasesMs: number;
+  readonly isRegistryComplete: boolean;
+  /** Fencing token of the dispatcher when it was opened. */
+  readonly token: number;
+  readonly trace: RunTrace;
+  readonly observer: PoolObserver;
+}
+
 /**
  * Takeover from earlier dispatchers, in the first seconds of a new one. Their
  * runs are adopted by resubmitted jobs or stopped, and nothing is started while
@@ -20,12 +33,9 @@
 export class Takeover {
   private readonly ends = new Map<string, RunEnd>();
   private over = false;
+  private isStartRecorded = false;
 
-  constructor(
-    private readonly startedAt: number,
-    private readonly leasesMs: number,
-    private readonly isRegistryComplete: boolean,
-  ) {}
+  constructor(private readonly opts: TakeoverOptions) {}
 
   /** Whether the takeover is over and unclaimed runs have been stopped. */
   get isOver(): boolean {
@@ -35,26 +45,47 @@
   /** Whether each run of earlier dispatchers is known or has ended. */
   mayStart(workers: readonly LeasedWorker[], now: number): boolean {
     if (this.over) return true;
-    if (now - this.startedAt > this.leasesMs + LEASE_SLACK_MS) return true;
-    if (!this.isRegistryComplete) return false;
+    const {startedAt, leasesMs, isRegistryComplete} = this.opts;
+    if (now - startedAt > leasesMs + LEASE_SLACK_MS) return true;
+    if (!isRegistryComplete) return false;
     return workers.every(w => w.isFenced);
   }
 
   /** Whether the workers have reported each run of earlier dispatchers. */
   areRunsReported(workers: readonly LeasedWorker[]): boolean {
     if (this.over) return true;
-    return this.isRegistryComplete && workers.every(w => w.isFenced);
+    return this.opts.isRegistryComplete && workers.every(w => w.isFenced);
+  }
+
+  /** Logs once on which grounds the dispatcher starts its first task. */
+  recordFirstStart(workers: readonly LeasedWorker[], now: number): void {
+    if (this.isStartRecorded) return;
+    this.isStartRecorded = true;
+    const {token, startedAt, leasesMs, isRegistryComplete} = this.opts;
+    const fenced = workers.filter(w => w.isFenced).length;
+    const areReported = isRegistryComplete && fenced === workers.length;
+    this.opts.observer.recordStateChange('starts_allowed', {
+      token,
+      grounds: areReported ? 'runs_reported' : 'leases_over',
+      after_ms: Math.round(now - startedAt),
+      earlier_leases_ms: Math.round(leasesMs),
+      workers: workers.length,
+      fenced,
+      is_registry_complete: isRegistryComplete,
+    });
   }
 
   /** Ends the wait of jobs whose runs under earlier dispatchers are known. */
   settle(jobs: readonly ActiveJob[], fleet: WorkerFleet, now: number): void {
     const settling = jobs.filter(job => job.isSettling);
     if (settling.length === 0) return;
-    const token = this.acceptedToken(fleet.all, now);
+    const acceptedToken = this.acceptedToken(fleet.all, now);
+    const known = {acceptedToken, workers: fleet.size};
     const unclaimed = fleet.unclaimedTasks;
     for (const job of settling) {
       const isUnclaimed = job.tasks.some(t => !t.run && unclaimed.has(t.name));
-      if (!isUnclaimed) job.settle(token, now);
+      if (!isUnclaimed) job.settle(acceptedToken, now);
+      if (!job.isSettling) this.opts.trace.recordSettled(job, known, now);
     }
   }
 
@@ -63,7 +94,7 @@
    * missing in the registry.
    */
   private acceptedToken(workers: readonly LeasedWorker[], now: number): number {
-    if (!this.isRegistryComplete && !this.areWorkersKnown(now)) return 0;
+    if (!this.opts.isRegistryComplete && !this.areWorkersKnown(now)) return 0;
     let lowest = Number.POSITIVE_INFINITY;
     for (const worker of workers) {
       lowest = Math.min(lowest, worker.fence.acceptedToken);
@@ -73,12 +104,12 @@
 
   /** Whether enough time has passed for all workers to have reported. */
   areWorkersKnown(now: number): boolean {
-    return now - this.startedAt > WORKER_DISCOVERY_MS;
+    return now - this.opts.startedAt > WORKER_DISCOVERY_MS;
   }
 
   /** Returns true once, when the takeover ends and unclaimed runs must stop. */
   completeIfDue(now: number): boolean {
-    const endsAt = this.startedAt + Math.max(CLAIM_MS, this.leasesMs);
+    const endsAt = this.opts.startedAt + Math.max(CLAIM_MS, this.opts.leasesMs);
     if (this.over || now < endsAt + LEASE_SLACK_MS) return false;
     this.over = true;
     this.ends.clear();
@@ -119,6 +150,7 @@
     if (this.ends.get(task.name) === RunEnd.done) {
       task.state = 'done';
       task.job.recordStart();
+      this.opts.trace.recordAdoptedEnd(task);
       return;
     }
     for (const worker of workersWithRuns) {
@@ -126,7 +158,9 @@
       if (number === undefined) continue;
       task.job.recordStart();
       task.nextRunNumber = Math.max(task.nextRunNumber, number + 1);
-      if (!task.run) adoptRun(task, worker, number, now);
+      if (task.run) continue;
+      adoptRun(task, worker, number, now);
+      this.opts.trace.recordAdopted(task, worker, number);
     }
   }
 }
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -1,82 +1,8 @@
 import {assert} from 'chai';
-import {Result} from 'true-myth';
-import {FakeClock} from '../../../../test-support/fakes/fake_clock.js';
-import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
-import {PeerTransport} from '../../peer/peer_transport.js';
-import {EntryGateway} from './entry_gateway.js';
-import {NodeDirectory} from '../node/node_directory.js';
-import type {PoolAnswer} from '../job/pool_answer.js';
-
-/** Records the messages of an entry node and delivers messages to it. */
-class RecordingPeers extends PeerTransport {
-  readonly sent: Array<{node: string; kind: string; body: unknown}> = [];
-
-  constructor(private readonly clock: FakeClock) {
-    super();
-  }
-
-  override send(node: string, kind: string, body: unknown): void {
-    this.sent.push({node, kind, body});
-  }
-
-  override request(): Promise<Result<unknown, never>> {
-    return Promise.resolve(Result.ok(undefined));
-  }
-
-  deliver(from: string, kind: string, body: unknown): void {
-    this.messageHandlers.get(kind)?.(from, body, this.clock.now());
-  }
-}
-
-function createBench() {
-  const clock = new FakeClock();
-  const peers = new RecordingPeers(clock);
-  const noop = () => undefined;
-  const directory = new NodeDirectory('e', ['c1', 'c2']);
-  const gateway = new EntryGateway({
-    zone: 'z',
-    clock,
-    peers,
-    directory,
-    observer: {
-      recordJobEvent: noop,
-      recordStateChange: noop,
-      recordResponseTime: noop,
-      incrementCounter: noop,
-    },
-  });
-  const answers: PoolAnswer[] = [];
-  const {host, path, job} = PoolBench.submission('j');
-  return {
-    clock,
-    peers,
-    directory,
-    answers,
-    submit: () =>
-      gateway.submit({host, path, job, patienceMs: 8_000}, answer => {
-        answers.push(answer);
-      }),
-    announceLeader: (node: string, term: number) => {
-      const claim = {token: term * 1_000, isFallback: false, revision: 1};
-      directory.claims.record({...claim, node, term, heardAt: clock.now()});
-      gateway.tick(clock.now());
-    },
-    announceHolder: (node: string, token: number) => {
-      const claim = {term: 1, token, isFallback: false, revision: 1, zone: 'z'};
-      directory.claims.record({...claim, node, heardAt: clock.now()});
-      gateway.tick(clock.now());
-    },
-    run: (ms: number) => {
-      for (let passed = 0; passed < ms; passed += 50) {
-        clock.advance(50);
-        gateway.tick(clock.now());
-      }
-    },
-  };
-}
+import {createEntryGatewayBench} from '../../../../test-support/fakes/pool/entry_gateway_bench.js';
 
 test('a job is refused early when no dispatcher is known', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.submit();
   bench.run(400);
   assert.equal(bench.answers[0]?.kind, 'refused');
@@ -88,7 +14,7 @@
 
 // The lost leader may have run the job, so "refused" would be wrong.
 test('a job of a lost leader is given up, not refused', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   bench.run(4_000);
@@ -96,7 +22,7 @@
 });
 
 test('an open job is submitted to a new leader immediately', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   bench.announceLeader('c2', 2);
@@ -108,7 +34,7 @@
 });
 
 test('a refusal by a second leader is not reported as not run', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   bench.announceLeader('c2', 2);
@@ -118,7 +44,7 @@
 });
 
 test('a job that is unknown to the leader is resubmitted', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   bench.run(300);
@@ -130,7 +56,7 @@
 // A leader that was suspended wakes with the jobs and the configuration of
 // before, while another leader runs the job.
 test('only the dispatcher that has a job can turn it away', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   bench.announceLeader('c2', 2);
@@ -152,7 +78,7 @@
 // 404 says that nothing has run; the first leader may have run the job before
 // the queue was removed.
 test('a job of a removed queue is given up if another leader had it', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   bench.announceLeader('c2', 2);
@@ -163,7 +89,7 @@
 
 // Guards against a task that crashes two workers under each leader anew.
 test('a job is submitted to the next leader with the workers lost under it', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   const losses = [
     {
       task: 'j.0.0.0',
@@ -187,7 +113,7 @@
 
 // The leader may run the job in a zone whose workers the holder does not know.
 test('a holder waits for the runs of a job that the leader had', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   const {clock, directory, peers} = bench;
@@ -204,7 +130,7 @@
 
 // The home was suspended after it had moved the job, and a fallback has it since.
 test('a job that an earlier dispatcher had is not redirected', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   const {clock, directory, peers} = bench;
   const announce = (node: string, token: number) => {
     const claim = {term: 1, isFallback: false, zone: 'z', revision: 1};
@@ -232,7 +158,7 @@
 });
 
 test('a redirect is followed only from the dispatcher that has the job', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   const {peers} = bench;
   bench.announceLeader('c1', 1);
   bench.submit();
@@ -255,7 +181,7 @@
 });
 
 test('a job of a lost holder is submitted to the next with a time to settle', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceHolder('c1', 1_001);
   bench.submit();
   bench.announceHolder('c2', 1_002);
@@ -270,7 +196,7 @@
 
 // Small deployments wait no longer than before: a new leader polls all workers.
 test('a job of a lost leader needs no time to settle at the next leader', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   bench.announceLeader('c2', 2);
@@ -279,7 +205,7 @@
 });
 
 test('only the dispatcher that has a job is asked about it', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceHolder('c1', 1_001);
   bench.submit();
   for (let n = 0; n < 3; n += 1) {
@@ -295,7 +221,7 @@
 // A suspended dispatcher that resumed took the job from its queue of messages and
 // ran it, while the caller had sent it again to another zone.
 test('an earlier dispatcher is told to drop a job that another one has', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceHolder('c1', 1_001);
   bench.submit();
   bench.announceHolder('c2', 1_002);
@@ -306,7 +232,7 @@
 });
 
 test('a redirected job is submitted to the other zone, once', () => {
-  const bench = createBench();
+  const bench = createEntryGatewayBench();
   bench.announceLeader('l', 1);
   bench.announceHolder('c1', 1_001);
   bench.submit();
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -9,6 +9,7 @@
 import {isSameDispatcher} from './is_same_dispatcher.js';
 import {pollCutoffMs} from './poll_cutoff_ms.js';
 import {queryDispatchers} from './query_dispatchers.js';
+import {recordResubmission} from './record_resubmission.js';
 import {sendUnclear} from './send_unclear.js';
 import {Settling} from './settling.js';
 import {ZoneContacts} from './zone_contacts.js';
@@ -98,6 +99,7 @@
     const {id} = req.job;
     const known = this.jobs.get(id);
     if (known) {
+      this.recordCaller('job_sent_again', known, now);
       known.respond({kind: 'given_up', reason: 'replaced by a resubmission'});
       known.respond = respond;
       return;
@@ -130,6 +132,7 @@
     const job = this.jobs.get(id);
     if (!job || job.respond !== respond) return;
     this.jobs.delete(id);
+    this.recordCaller('caller_gone', job, this.opts.clock.now());
     this.sendDrop(job, 'caller_gone');
     sendUnclear(job, this.opts);
   }
@@ -186,6 +189,15 @@
     this.respondTo(job.id, {kind: 'given_up', reason: 'deadline'});
   }
 
+  /** Logs what the caller of a job did while it was open. */
+  private recordCaller(event: string, job: OpenJob, now: number): void {
+    this.opts.observer.recordJobEvent(event, job.id, {
+      after_ms: Math.round(now - job.arrivedAt),
+      lead: job.assignedTo?.node,
+      token: job.assignedTo?.token,
+    });
+  }
+
   private refuse(job: OpenJob, reason: string): void {
     const {observer, clock} = this.opts;
     const now = clock.now();
@@ -244,6 +256,7 @@
       this.sendDrop(job, 'reassigned');
     }
     job.wasResubmitted ||= assigned !== undefined;
+    const submittedAt = job.submittedAt;
     job.assignedTo = claim;
     job.submittedAt = now;
     if (assigned && !isSameDispatcher(assigned, claim)) {
@@ -257,6 +270,10 @@
     // A holder moves no job that an earlier dispatcher had, also after its runs.
     const minMs = claim.zone !== undefined && job.earliestStartAt > 0 ? 1 : 0;
     const settleMs = Math.max(minMs, job.earliestStartAt - now);
+    if (assigned) {
+      const change = {from: assigned, to: claim, settleMs, submittedAt};
+      recordResubmission(this.opts.observer, job, change, now);
+    }
     peers.send(claim.node, 'pool.submit', {
       host: job.host,
       path: job.path,
@@ -268,6 +285,7 @@
         ? {earlierToken: job.earlierToken}
         : {}),
       losses: job.losses,
+      ...(assigned ? {earlierNode: assigned.node} : {}),
       ...(job.isLent ? {isLent: true} : {}),
       // The leader has every committed configuration.
       revision: isLeader ? 0 : claims.revision,
--- a/src/core/pool/entry/zone_contacts.ts
+++ b/src/core/pool/entry/zone_contacts.ts
@@ -37,6 +37,7 @@
     const {observer, openJobs} = this.opts;
     const contact = this.of(zone);
     const before = contact.claim;
+    const silentMs = Math.round(now - contact.seenAt);
     const claim = this.claimOf(zone, now);
     contact.update(claim, now);
     if (isSameDispatcher(claim, before)) return;
@@ -47,6 +48,8 @@
       token: claim?.token,
       is_fallback: claim?.isFallback,
       is_holder: claim && claim.zone !== undefined,
+      // Time without a dispatcher, as far as this node knew.
+      silent_ms: Number.isFinite(silentMs) ? silentMs : undefined,
       open: openJobs(),
     });
   }
--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -5,6 +5,7 @@
 import type {PoolJob} from './pool_job.js';
 import type {PoolSubmission} from './pool_submission.js';
 import type {PoolTask} from './pool_task.js';
+import {StartGrounds} from '../trace/start_grounds.js';
 
 type Queue = NonNullable<ReturnType<RoutingTable['find']>>;
 
@@ -37,14 +38,22 @@
   /** Whether the dispatcher of another zone has moved the job here. */
   readonly isLent: boolean;
   /** Time by which the runs of an earlier dispatcher have ended. */
-  private readonly settlesAt: number;
+  readonly settlesAt: number;
+  /** When this dispatcher received the job. */
+  readonly acceptedAt: number;
+  /** Node of the dispatcher that had the job before. */
+  readonly earlierNode: string | undefined;
   /** Fencing token of the dispatcher that had the job before, if known. */
-  private readonly earlierToken: number | undefined;
+  readonly earlierToken: number | undefined;
   /**
    * Whether an earlier dispatcher may have runs of the job that have not been
    * reported. Nothing is started meanwhile.
    */
   isSettling: boolean;
+  /** Why the job no longer waits for runs of an earlier dispatcher. */
+  settledBy: StartGrounds | undefined;
+  /** Whether each start is logged, since tasks may have run elsewhere. */
+  isTraced: boolean;
   /** Whether an earlier dispatcher had the job, and may have run it. */
   readonly mayHaveRun: boolean;
   readonly tasks: readonly PoolTask[];
@@ -61,6 +70,7 @@
       settleMs = 0,
       isLent = false,
       earlierToken,
+      earlierNode,
     }: PoolSubmission,
     {owner, queue, token, now}: ActiveJobOptions,
   ) {
@@ -76,9 +86,12 @@
     this.usefulUntil = this.arrivedAt + USEFUL_FACTOR * objectiveMs;
     this.deadlineAt = now + patienceMs;
     this.settlesAt = now + settleMs;
+    this.acceptedAt = now;
     this.earlierToken = earlierToken;
+    this.earlierNode = earlierNode;
     this.isSettling = settleMs > 0;
     this.mayHaveRun = settleMs > 0;
+    this.isTraced = settleMs > 0 || earlierNode !== undefined;
     this.tasks = spec.steps.flatMap((step, at) =>
       Array.from({length: step.count}, (_, index) => ({
         name: `${spec.id}.0.${at}.${index}`,
@@ -87,6 +100,7 @@
         state: step.after.length > 0 ? 'blocked' : 'waiting',
         run: undefined,
         worker: undefined,
+        lastRun: undefined,
         nextRunNumber: FencingToken.firstRun(token),
         failures: 0,
         excusedCrashes: 0,
@@ -114,8 +128,12 @@
   settle(acceptedToken: number, now: number): void {
     if (!this.isSettling) return;
     const {earlierToken = Number.POSITIVE_INFINITY} = this;
-    if (now < this.settlesAt && acceptedToken <= earlierToken) return;
+    const isTimeOver = now >= this.settlesAt;
+    if (!isTimeOver && acceptedToken <= earlierToken) return;
     this.isSettling = false;
+    this.settledBy = isTimeOver
+      ? StartGrounds.settledByTime
+      : StartGrounds.settledByToken;
   }
 
   /**
--- a/src/core/pool/job/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -25,6 +25,8 @@
    * `settleMs`. Older nodes omit it.
    */
   earlierToken: v.optional(count),
+  /** Node of the dispatcher that had the job last, for the log. */
+  earlierNode: v.optional(v.string()),
   /** Workers that earlier dispatchers lost under tasks of the job. */
   losses: v.optional(v.pipe(v.array(WorkerLoss), v.readonly()), []),
   /** Lowest configuration revision that may be used to find its queue. */
--- a/src/core/pool/job/pool_task.ts
+++ b/src/core/pool/job/pool_task.ts
@@ -2,6 +2,7 @@
 import type {ActiveJob} from './active_job.js';
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import type {Run} from '../lease/run.js';
+import type {PastRun} from '../trace/past_run.js';
 
 /** One task of an active job. */
 export interface PoolTask {
@@ -12,6 +13,8 @@
   state: 'blocked' | 'waiting' | 'running' | 'done';
   run: Run | undefined;
   worker: LeasedWorker | undefined;
+  /** Latest run under this dispatcher that counts as over. */
+  lastRun: PastRun | undefined;
   /** Run number of the next start; increases with every start of the task. */
   nextRunNumber: number;
   failures: number;
--- a/src/core/pool/lease/lease_listener.ts
+++ b/src/core/pool/lease/lease_listener.ts
@@ -22,6 +22,10 @@
   onRunRefused(worker: LeasedWorker, run: Run, reason: RunRefusal): void;
   /** Called when a run that another dispatcher started has ended. */
   onInheritedRunEnded(task: string, run: number, how: RunEnd): void;
+  /** Called when no reply to a start order was received. */
+  onStartUnanswered(worker: LeasedWorker, run: Run): void;
+  /** Called when a worker first reports an active run that is not known here. */
+  onInheritedRun(worker: LeasedWorker, task: string, run: number): void;
   /** Called when the worker may have become usable or unusable. */
   onChange(worker: LeasedWorker): void;
 }
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -124,10 +124,12 @@
     this.sendStop(run, this.opts.clock.now());
   }
 
-  /** Stops inherited runs that no job has claimed. */
-  stopInherited(): void {
+  /** Stops inherited runs that no job has claimed, and returns them. */
+  stopInherited(): readonly Run[] {
     const now = this.opts.clock.now();
-    for (const run of this.ledger.takeInherited(now)) this.sendStop(run, now);
+    const runs = this.ledger.takeInherited(now);
+    for (const run of runs) this.sendStop(run, now);
+    return runs;
   }
 
   /** Handles a raised token, which the worker may accept again. */
@@ -194,8 +196,8 @@
         run.isStartRefused = reply.isRefused ?? false;
         this.probes.isRefused ||= run.isStartRefused;
         run.isStartReplyLost = true;
+        this.opts.listener.onStartUnanswered(this, run);
         this.poll(0, now);
-        return;
     }
   }
 
@@ -209,19 +211,14 @@
     if (reason === RunRefusal.unhealthy || reason === RunRefusal.invalid) {
       this.backoffUntil = now + 500;
     }
-    this.ledger.remove(run);
-    this.opts.listener.onRunRefused(this, run, reason);
+    this.rejectRun(run, reason);
     this.onRefusal(reason, token);
   }
 
   /** Handles the refusals that concern the worker and not a single run. */
   private onRefusal(reason: RunRefusal, token: number): void {
     if (reason === RunRefusal.fenced) this.fence.recordFenced(token);
-    if (reason === RunRefusal.otherLife) this.onWorkerRestarted();
-  }
-
-  /** Ends all runs: they ended with the previous process instance. */
-  private onWorkerRestarted(): void {
+    if (reason !== RunRefusal.otherLife) return;
     this.fence.reset();
     this.probes.onTimeout();
     this.close(LossCause.restarted);
@@ -258,7 +255,9 @@
       if (this.acks.receive(number, now)) this.onListedEnd(task, run, how);
     }
     const reported = new Map(status.running.map(r => [r.task, r.run]));
-    this.ledger.updateInherited(reported, now);
+    for (const [task, run] of this.ledger.updateInherited(reported, now)) {
+      this.opts.listener.onInheritedRun(this, task, run);
+    }
     if (status.isPartial) return;
     const lost: Run[] = [];
     for (const run of [...this.runs.values()]) {
@@ -338,7 +337,8 @@
     bornAt = this.instance.bornAt ?? this.report.bornAt,
   ): void {
     if (runs.length === 0) return;
-    const loss = {cause, bornAt, isRefused: this.probes.isRefused};
+    const lease = this.lease.describe(this.opts.clock.now());
+    const loss = {cause, bornAt, isRefused: this.probes.isRefused, ...lease};
     this.opts.listener.onWorkerLost(this, runs, loss);
     for (const run of runs) this.endRun(run, RunEnd.lost, loss);
   }
--- a/src/core/pool/lease/run.ts
+++ b/src/core/pool/lease/run.ts
@@ -19,6 +19,8 @@
   isSuspect = false;
   /** Whether it is stopped because no job has claimed it from a predecessor. */
   isUnclaimed = false;
+  /** Whether its end is logged in any case. */
+  isTraced = false;
   /** When a stop was requested; undefined if none was. */
   stopRequestedAt: number | undefined;
   /** When the worker confirmed the stop. */
@@ -48,6 +50,7 @@
     const run = new Run(task, number, demand, now);
     run.confirmedAt = now;
     run.isAdopted = true;
+    run.isTraced = true;
     return run;
   }
 }
--- a/src/core/pool/lease/run_ledger.ts
+++ b/src/core/pool/lease/run_ledger.ts
@@ -57,15 +57,25 @@
     this.sum = Resources.minus(this.sum, run.demand);
   }
 
-  /** Updates the inherited runs; `reported` maps tasks to active run numbers. */
-  updateInherited(reported: ReadonlyMap<string, number>, now: number): void {
+  /**
+   * Updates the inherited runs; `reported` maps tasks to active run numbers.
+   * Returns those that were not reported before.
+   */
+  updateInherited(
+    reported: ReadonlyMap<string, number>,
+    now: number,
+  ): ReadonlyArray<readonly [task: string, run: number]> {
     const before = this.inheritedSince;
+    const earlier = new Map(this.inherited);
     this.inherited.clear();
     for (const [task, number] of reported) {
       const known = this.runs.get(task);
       if (!known || known.number < number) this.inherited.set(task, number);
     }
     this.firstReportedAt = Math.min(before, now);
+    return [...this.inherited].filter(
+      ([task, number]) => earlier.get(task) !== number,
+    );
   }
 
   /** Adopts all inherited runs; the capacity that they use is unknown. */
--- a/src/core/pool/lease/run_loss.ts
+++ b/src/core/pool/lease/run_loss.ts
@@ -10,4 +10,8 @@
    * process has probably crashed. A silent worker may have been cut off.
    */
   readonly isRefused: boolean;
+  /** Age of the last reading of the worker's clock, if there is one. */
+  readonly clockAgeMs?: number | undefined;
+  /** Lease that was left at that reading. */
+  readonly leaseLeftMs?: number | undefined;
 }
--- a/src/core/pool/lease/worker_lease.ts
+++ b/src/core/pool/lease/worker_lease.ts
@@ -45,6 +45,13 @@
     return end;
   }
 
+  /** What an expiry is based on; empty without a reading of the clock. */
+  describe(now: number): {clockAgeMs?: number; leaseLeftMs?: number} {
+    if (this.workerClockMs === undefined) return {};
+    const leaseLeftMs = Math.max(0, this.end - this.workerClockMs);
+    return {clockAgeMs: now - this.receivedAt, leaseLeftMs};
+  }
+
   /** Whether the lease has certainly expired. */
   isExpired(now: number): boolean {
     if (this.workerClockMs === undefined) return false;
--- a/src/core/pool/placement/task_starter.ts
+++ b/src/core/pool/placement/task_starter.ts
@@ -4,19 +4,23 @@
 import type {PoolObserver} from '../pool_observer.js';
 import type {PoolTask} from '../job/pool_task.js';
 import {Run} from '../lease/run.js';
+import type {RunTrace} from '../trace/run_trace.js';
 import type {RunTimes} from './run_times.js';
 import {StartCandidates} from './start_candidates.js';
 import type {WorkerCircuitBreaker} from './worker_circuit_breaker.js';
 
+interface TaskStarterOptions {
+  readonly times: RunTimes;
+  readonly breaker: WorkerCircuitBreaker;
+  readonly trace: RunTrace;
+  readonly observer: PoolObserver;
+  /** Slowdown of a task that runs outside the rack of its data. */
+  readonly remoteFactor: number;
+}
+
 /** Starts waiting tasks on workers with free capacity. */
 export class TaskStarter {
-  constructor(
-    private readonly times: RunTimes,
-    private readonly breaker: WorkerCircuitBreaker,
-    private readonly observer: PoolObserver,
-    /** Slowdown of a task that runs outside the rack of its data. */
-    private readonly remoteFactor: number,
-  ) {}
+  constructor(private readonly opts: TaskStarterOptions) {}
 
   /** Starts as many tasks as fit, in the order of the jobs. */
   startAll(
@@ -25,7 +29,7 @@
     now: number,
   ): void {
     if (jobs.length === 0) return;
-    const {times, breaker, remoteFactor} = this;
+    const {times, breaker, remoteFactor} = this.opts;
     const candidates = new StartCandidates({
       workers,
       times,
@@ -72,7 +76,8 @@
     task.worker = worker;
     task.state = 'running';
     task.job.recordStart();
-    this.observer.incrementCounter('starts');
+    this.opts.observer.incrementCounter('starts');
+    this.opts.trace.recordStart(task, worker, now);
     worker.start(run, spec.payload);
   }
 }
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -26,6 +26,12 @@
   readonly lending?: CapacityLending;
 }
 
+interface JobEvent {
+  readonly event: string;
+  readonly job: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
 /** Test bench with dispatchers and fake workers, on a fake clock. */
 export class PoolBench {
   readonly workers = new Map<string, FakePoolWorker>();
@@ -49,6 +55,8 @@
   };
   /** State changes that dispatchers have recorded. */
   readonly events: string[] = [];
+  /** Events of jobs that dispatchers have recorded. */
+  readonly jobEvents: JobEvent[] = [];
   readonly evacuated = new EvacuatedZones(() => this.config);
   private readonly registry = new WorkerRegistry();
   private reports = 0;
@@ -151,7 +159,8 @@
       },
       reportLosses: (_owner, id, losses) => this.losses.set(id, losses),
       observer: {
-        recordJobEvent: () => undefined,
+        recordJobEvent: (event, job, fields) =>
+          this.jobEvents.push({event, job, fields}),
         recordStateChange: event => this.events.push(event),
         recordResponseTime: () => undefined,
         incrementCounter: () => undefined,
