--- a/src/core/pool/dispatcher/owner_contacts.ts
+++ b/src/core/pool/dispatcher/owner_contacts.ts
@@ -19,10 +19,16 @@
     this.contactAt.set(owner, Math.max(at, this.contactAt.get(owner) ?? at));
   }
 
+  /** Time since the last contact; undefined if there was none. */
+  silentMs(owner: string, now: number): number | undefined {
+    const at = this.contactAt.get(owner);
+    return at === undefined ? undefined : now - at;
+  }
+
   /** Whether the jobs of an entry node are to be dropped. */
   isLost(owner: string, now: number): boolean {
-    const at = this.contactAt.get(owner) ?? Number.NEGATIVE_INFINITY;
-    return now - at > FailoverTiming.OWNER_TIMEOUT_MS;
+    const silentMs = this.silentMs(owner, now) ?? Number.POSITIVE_INFINITY;
+    return silentMs > FailoverTiming.OWNER_TIMEOUT_MS;
   }
 
   clear(): void {
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -4,6 +4,7 @@
 import {BacklogForecast} from '../admission/backlog_forecast.js';
 import {InfeasibleJobs} from '../admission/infeasible_jobs.js';
 import {JobIntake} from './job_intake.js';
+import {LateJobs} from '../admission/late_jobs.js';
 import {PoolJobs} from '../job/pool_jobs.js';
 import {DispatcherLending} from '../lending/dispatcher_lending.js';
 import {FailoverTiming} from '../node/failover_timing.js';
@@ -15,6 +16,7 @@
 import type {RunLoss} from '../lease/run_loss.js';
 import {RunRecorder} from './run_recorder.js';
 import type {RunRefusal} from '../lease/run_refusal.js';
+import {RunTrace} from '../trace/run_trace.js';
 import {RunTimes} from '../placement/run_times.js';
 import {DEFAULT_REMOTE_FACTOR} from '../placement/default_remote_factor.js';
 import {StartableWorkers} from '../placement/startable_workers.js';
@@ -26,7 +28,6 @@
 
 /** Run ends within this time share one pass; far shorter than any task. */
 const PASS_INTERVAL_MS = 2;
-const FORECAST_INTERVAL_MS = 60;
 const STRAGGLER_INTERVAL_MS = 60;
 /** Time within which jobs of another dispatcher are resubmitted. */
 const CLAIM_MS = 1_000;
@@ -42,20 +43,20 @@
   private readonly times = new RunTimes();
   private readonly breaker = new WorkerCircuitBreaker();
   private readonly priority = new JobPrioritizer(this.times);
-  private readonly forecast = new BacklogForecast(this.times);
   private readonly stragglers: StragglerWatch;
   private readonly starter: TaskStarter;
   private readonly startable: StartableWorkers;
   private readonly recorder: RunRecorder;
+  private readonly trace: RunTrace;
   private readonly takeover: Takeover;
   private readonly crashes: CrashWatch;
   private readonly lending: DispatcherLending;
   private readonly intake: JobIntake;
+  private readonly lateJobs: LateJobs;
   private currentToken: number;
   private isPassScheduled = false;
   private lastPassAt = Number.NEGATIVE_INFINITY;
   private nextStragglers = 0;
-  private nextForecast = 0;
   private tickedAt: number;
   private isClosed = false;
 
@@ -66,9 +67,13 @@
       ...opts,
       infeasible: new InfeasibleJobs(this.times),
     });
-    const {times, breaker} = this;
+    this.currentToken = opts.token;
+    const currentToken = () => this.currentToken;
+    this.trace = new RunTrace(currentToken, opts.observer);
+    const {times, breaker, trace} = this;
     const {remoteFactor = DEFAULT_REMOTE_FACTOR} = opts;
-    this.starter = new TaskStarter(times, breaker, opts.observer, remoteFactor);
+    const starts = {times, breaker, trace, remoteFactor};
+    this.starter = new TaskStarter({...opts, ...starts});
     this.stragglers = new StragglerWatch({
       times,
       observer: opts.observer,
@@ -78,12 +83,10 @@
     });
     this.recorder = new RunRecorder(times, breaker, opts.observer);
     this.crashes = new CrashWatch(opts);
-    this.takeover = new Takeover(
-      now,
-      opts.earlierLeasesMs,
-      opts.isRegistryComplete,
-    );
-    const {jobs, forecast, takeover} = this;
+    const leasesMs = opts.earlierLeasesMs;
+    this.takeover = new Takeover({...opts, startedAt: now, leasesMs, trace});
+    const forecast = new BacklogForecast(times);
+    const {jobs, takeover, priority} = this;
     const known = {jobs, times, forecast, takeover};
     this.lending = new DispatcherLending({...known, lending: opts.lending});
     const onRemoved = (id: string) => {
@@ -91,16 +94,15 @@
       this.breaker.remove(id);
     };
     this.startable = new StartableWorkers({...opts, forget: onRemoved});
-    this.currentToken = opts.token;
-    const currentToken = () => this.currentToken;
     const {servesZone = () => true} = opts;
     const maySendOrders = (at: number) => this.maySendOrders(at);
     const rules = {currentToken, listener: this, servesZone, maySendOrders};
     const lease = {...opts, ...rules};
     this.workers = new WorkerFleet({...lease, onRemoved});
-    const {workers, crashes, startable} = this;
-    const parts = {jobs, takeover, crashes, startable, workers};
-    this.intake = new JobIntake({...opts, ...parts, lending: this.lending});
+    const {workers, crashes, startable, lending} = this;
+    const parts = {jobs, takeover, crashes, startable, workers, lending};
+    this.intake = new JobIntake({...opts, ...parts});
+    this.lateJobs = new LateJobs({...parts, priority, forecast});
     this.workers.tick(now);
   }
 
@@ -135,6 +137,7 @@
     const now = this.opts.clock.now();
     const known = this.jobs.get(submission.job.id);
     if (known) {
+      this.trace.recordSentAgain(known, owner, now);
       known.owner = owner;
       known.isAbandoned = false;
       this.jobs.finishIfDone(known, now);
@@ -147,6 +150,12 @@
     this.schedulePass();
   }
 
+  /** Handles the news that an entry node no longer has a job, which may run. */
+  recordUnclear(id: string, node: string): void {
+    const job = this.jobs.get(id);
+    if (job) this.trace.recordUnclear(job, node, this.opts.clock.now());
+  }
+
   /** Abandons a job whose owner no longer waits for its answer. */
   drop(id: string, owner: string, reason: string): void {
     const job = this.jobs.get(id);
@@ -206,28 +215,15 @@
     for (const job of this.crashes.resolve(this.workers.all, now)) {
       this.jobs.finishIfDone(job, now);
     }
-    this.refuseInfeasible(now);
+    this.lateJobs.refuseIfDue(this.workers.all, now);
     this.schedulePass();
   }
 
-  /** Refuses jobs that would be late because of the work ahead of them. */
-  private refuseInfeasible(now: number): void {
-    if (now < this.nextForecast) return;
-    this.nextForecast = now + FORECAST_INTERVAL_MS;
-    const waiting = this.priority.sort(this.jobs.all, now);
-    if (waiting.length === 0) return;
-    const {all} = this.workers;
-    const startable = this.startable.select(all, now);
-    const found = this.forecast.findInfeasible(waiting, startable, now);
-    for (const {job, clearInMs} of found) {
-      if (this.lending.moveRefused(job, 'too_late', all, now)) continue;
-      this.jobs.refuseLate(job, clearInMs);
-    }
-  }
-
   /** Stops dispatching; no more orders are sent. */
   close(): void {
     this.isClosed = true;
+    const now = this.opts.clock.now();
+    for (const job of this.jobs.all) this.trace.recordLeft(job, now);
     this.jobs.clear();
   }
 
@@ -268,8 +264,9 @@
     task.run = undefined;
     task.worker = undefined;
     task.state = 'waiting';
-    this.recorder.recordRefusal(task, worker, run, reason);
-    this.jobs.finishIfDone(task.job, this.opts.clock.now());
+    const now = this.opts.clock.now();
+    this.recorder.recordRefusal(task, worker, run, reason, now);
+    this.jobs.finishIfDone(task.job, now);
     this.schedulePass();
   }
 
@@ -279,11 +276,20 @@
       this.takeover.recordEnd(name, how);
     } else if (how === RunEnd.done && !task.run && task.state === 'waiting') {
       task.state = 'done';
+      this.trace.recordAdoptedEnd(task);
       task.job.unblock();
       this.jobs.finishIfDone(task.job, this.opts.clock.now());
     }
   }
 
+  onStartUnanswered(worker: LeasedWorker, run: Run): void {
+    this.trace.recordUnanswered(this.jobs.taskOf(run.task), worker, run);
+  }
+
+  onInheritedRun(worker: LeasedWorker, name: string, run: number): void {
+    this.trace.recordInherited(this.jobs.taskOf(name), worker, run);
+  }
+
   onChange(worker: LeasedWorker): void {
     const {report, isFenced, isOutranked, isSilent} = worker;
     const fields = {worker: report.id, isFenced, isOutranked, isSilent};
@@ -306,7 +312,7 @@
     for (const worker of this.workers.all) {
       const isClaimOverdue = worker.hasInheritedSince(now - CLAIM_MS);
       if (isTakeoverComplete || (this.takeover.isOver && isClaimOverdue)) {
-        worker.stopInherited();
+        this.trace.recordUnclaimed(worker, worker.stopInherited());
       }
     }
   }
@@ -333,6 +339,7 @@
     }
     const workers = this.workers.all;
     if (!this.takeover.mayStart(workers, now)) return;
+    this.takeover.recordFirstStart(workers, now);
     this.takeover.settle(jobs, workers, now);
     const startable = this.startable.select(workers, now);
     const waiting = this.priority.sort(jobs, now);
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -4,12 +4,13 @@
 import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
-import {criticalPathMs} from '../job/critical_path_ms.js';
 import type {PoolJob} from '../job/pool_job.js';
 import type {OpenJob} from './open_job.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
+import {maxWaitMs} from './max_wait_ms.js';
 import {pollCutoffMs} from './poll_cutoff_ms.js';
 import {queryDispatchers} from './query_dispatchers.js';
+import {recordResubmission} from './record_resubmission.js';
 import {sendUnclear} from './send_unclear.js';
 import {Settling} from './settling.js';
 import {ZoneContacts} from './zone_contacts.js';
@@ -21,14 +22,6 @@
 const POLL_MS = 300;
 /** Time for which a submission may be in flight. */
 const IN_FLIGHT_MS = 250;
-/**
- * While no dispatcher is known, a job waits for this share of its critical path
- * and EXTRA_WAIT_MS; a later start would be too late for its caller.
- */
-const WAIT_SHARE = 0.9;
-const EXTRA_WAIT_MS = 100;
-/** Upper bound of that wait; a takeover takes less time. */
-const MAX_WAIT_MS = 1_200;
 /** The caller is answered this long before its deadline. */
 const ANSWER_MARGIN_MS = 20;
 /**
@@ -99,6 +92,7 @@
     const {id} = req.job;
     const known = this.jobs.get(id);
     if (known) {
+      this.recordCaller('job_sent_again', known, now);
       known.respond({kind: 'given_up', reason: 'replaced by a resubmission'});
       known.respond = respond;
       return;
@@ -117,10 +111,7 @@
       earlierToken: 0,
       losses: [],
       wasResubmitted: false,
-      maxWaitMs: Math.min(
-        MAX_WAIT_MS,
-        EXTRA_WAIT_MS + WAIT_SHARE * criticalPathMs(req.job.steps),
-      ),
+      maxWaitMs: maxWaitMs(req.job),
     };
     this.jobs.set(id, job);
     this.assign(job, now);
@@ -131,6 +122,7 @@
     const job = this.jobs.get(id);
     if (!job || job.respond !== respond) return;
     this.jobs.delete(id);
+    this.recordCaller('caller_gone', job, this.opts.clock.now());
     this.sendDrop(job, 'caller_gone');
     sendUnclear(job, this.opts);
   }
@@ -187,6 +179,15 @@
     this.respondTo(job.id, {kind: 'given_up', reason: 'deadline'});
   }
 
+  /** Logs what the caller of a job did while it was open. */
+  private recordCaller(event: string, job: OpenJob, now: number): void {
+    this.opts.observer.recordJobEvent(event, job.id, {
+      after_ms: Math.round(now - job.arrivedAt),
+      lead: job.assignedTo?.node,
+      token: job.assignedTo?.token,
+    });
+  }
+
   private refuse(job: OpenJob, reason: string): void {
     const {observer, clock} = this.opts;
     const now = clock.now();
@@ -245,6 +246,7 @@
       this.sendDrop(job, 'reassigned');
     }
     job.wasResubmitted ||= assigned !== undefined;
+    const submittedAt = job.submittedAt;
     job.assignedTo = claim;
     job.submittedAt = now;
     if (assigned && !isSameDispatcher(assigned, claim)) {
@@ -258,6 +260,10 @@
     // A holder moves no job that an earlier dispatcher had, also after its runs.
     const minMs = claim.zone !== undefined && job.earliestStartAt > 0 ? 1 : 0;
     const settleMs = Math.max(minMs, job.earliestStartAt - now);
+    if (assigned) {
+      const change = {from: assigned, to: claim, settleMs, submittedAt};
+      recordResubmission(this.opts.observer, job, change, now);
+    }
     peers.send(claim.node, 'pool.submit', {
       host: job.host,
       path: job.path,
@@ -270,6 +276,7 @@
         : {}),
       losses: job.losses,
       claimStatedAt: claim.statedAt,
+      ...(assigned ? {earlierNode: assigned.node} : {}),
       ...(job.isLent ? {isLent: true} : {}),
       // The leader has every committed configuration.
       revision: isLeader ? 0 : claims.revision,
--- a/src/core/pool/lease/run.ts
+++ b/src/core/pool/lease/run.ts
@@ -17,6 +17,8 @@
   isStartRefused = false;
   /** Whether the task may crash its worker; see CrashPolicy. */
   isSuspect = false;
+  /** Whether its end is logged in any case. */
+  isTraced = false;
   /** When a stop was requested; undefined if none was. */
   stopRequestedAt: number | undefined;
   /** When the worker confirmed the stop. */
@@ -46,6 +48,7 @@
     const run = new Run(task, number, demand, now);
     run.confirmedAt = now;
     run.isAdopted = true;
+    run.isTraced = true;
     return run;
   }
 }
