Wake a quiet peer link only when its next ping is due

Cause: each link woke its process every 400 ms to see whether a ping is due, also while nothing had been sent since the last answered ping. An entry node has a link to each entry node of its zone and to each core node; with twenty entry nodes in a zone these timers were about half of all wakeups of an idle entry process.

Change: a quiet link schedules its heartbeat for its next ping. The first frame sent after that brings the heartbeat forward to the idle interval, so that a dead connection is noticed as early as before.

--- a/src/adapter/peer/peer_link.ts
+++ b/src/adapter/peer/peer_link.ts
@@ -42,6 +42,8 @@
   private unansweredPings = 0;
   private pingedAt = 0;
   private hasSentSincePing = false;
+  /** Whether the heartbeat waits for the longer interval of a quiet link. */
+  private isQuiet = false;
   private nextId = 1;
   private readonly pending = new Map<number, PendingRequest>();
   private heartbeat: Cancellable | undefined;
@@ -66,6 +68,7 @@
     if (writer.unsentBytes > MAX_UNSENT_BYTES) return false;
     this.hasSentSincePing ||= frame.type !== 'ping';
     writer.write(frame);
+    if (this.isQuiet && this.hasSentSincePing) this.restartHeartbeat();
     return true;
   }
 
@@ -110,7 +113,7 @@
       this.send({type: 'hello', node: this.node});
     });
     socket.on('data', chunk => {
-      this.unansweredPings = 0;
+      this.recordAnswer();
       const frames = codec.push(chunk);
       if (frames.isErr) {
         socket.destroy();
@@ -132,9 +135,12 @@
   }
 
   private scheduleHeartbeat(socket: Socket): void {
-    const isIdle = this.pending.size === 0;
-    const delayMs = isIdle ? this.timing.idleMs : this.timing.busyMs;
+    const {busyMs, idleMs} = this.timing;
+    const quietMs = this.remainingQuietMs();
+    this.isQuiet = quietMs > idleMs;
+    const delayMs = this.pending.size > 0 ? busyMs : Math.max(idleMs, quietMs);
     this.heartbeat = this.clock.schedule(delayMs, () => {
+      this.isQuiet = false;
       if (this.socket !== socket) return;
       if (this.unansweredPings >= MAX_UNANSWERED_PINGS) {
         // A reset discards unsent data, which must not be delivered when the
@@ -143,20 +149,31 @@
         this.disconnect(`no reply to ${MAX_UNANSWERED_PINGS} pings`);
         return;
       }
-      if (this.isPingDue()) this.ping();
+      if (this.remainingQuietMs() === 0) this.ping();
       this.scheduleHeartbeat(socket);
     });
   }
 
-  /** A link without traffic since an answered ping needs few further ones. */
-  private isPingDue(): boolean {
+  /**
+   * Time until the next ping of a link without traffic since an answered ping,
+   * which needs few further ones; 0 for any other link.
+   */
+  private remainingQuietMs(): number {
     const {quietMs = 0} = this.timing;
-    return (
+    const hasTraffic =
       this.unansweredPings > 0 ||
       this.hasSentSincePing ||
-      this.pending.size > 0 ||
-      this.clock.now() - this.pingedAt >= quietMs
-    );
+      this.pending.size > 0;
+    if (hasTraffic) return 0;
+    return Math.max(0, this.pingedAt + quietMs - this.clock.now());
+  }
+
+  private recordAnswer(): void {
+    const wasUnanswered = this.unansweredPings > 0;
+    this.unansweredPings = 0;
+    if (wasUnanswered && this.remainingQuietMs() > this.timing.idleMs) {
+      this.restartHeartbeat();
+    }
   }
 
   private ping(): void {
@@ -166,7 +183,7 @@
     this.send({type: 'ping'});
   }
 
-  /** Applies the shorter interval at once when a link stops being idle. */
+  /** Applies another interval at once when the traffic of a link has changed. */
   private restartHeartbeat(): void {
     if (!this.socket) return;
     this.heartbeat?.cancel();
