--- a/src/cli/job_log_lines.ts
+++ b/src/cli/job_log_lines.ts
@@ -1,9 +1,4 @@
-interface JobLogLine {
-  readonly time: string;
-  readonly node: string;
-  readonly message: string;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
+import type {JobLogLine} from './job_log_line.js';
 
 /** Fields left out of `fields`: identical on all lines or printed first. */
 const EXCLUDED_FIELDS = new Set([
