Show where the time of a job goes, and delays of the event loop

When too little of a class was served, the logs and metrics could not tell a slow entry node from a slow dispatcher, a lack of capacity or a takeover.

Jobs now tell how long they took to reach the dispatcher and to start (entry_ms, queued_ms, waited_ms; pimentoyoke_phase_seconds), and answers are counted by queue, kind and reason on dispatchers and entry nodes (pimentoyoke_jobs_total). Handled messages are counted by kind.

--- a/src/adapter/peer/tcp_peer_transport.ts
+++ b/src/adapter/peer/tcp_peer_transport.ts
@@ -26,6 +26,8 @@
   readonly linkTiming?: LinkTiming;
   readonly clock: Clock;
   readonly onError: (detail: string) => void;
+  /** Called with the kind of each message and request that was received. */
+  readonly onHandled?: (kind: string) => void;
 }
 
 /** Peer messages as CBOR frames over one TCP connection per direction. */
@@ -122,6 +124,7 @@
   /** Reports an error of the handler without closing the connection. */
   private deliver(from: string, kind: string, body: unknown): void {
     const handler = this.messageHandlers.get(kind);
+    if (handler) this.opts.onHandled?.(kind);
     try {
       handler?.(from, body, this.opts.clock.now());
     } catch (err) {
@@ -137,6 +140,7 @@
     body: unknown,
   ): Promise<unknown> {
     const handler = this.requestHandlers.get(method);
+    if (handler) this.opts.onHandled?.(method);
     if (!handler) throw new Error(`no handler for method "${method}"`);
     return handler(from, body);
   }
--- a/src/core/pool/crashes/crash_watch.test.ts
+++ b/src/core/pool/crashes/crash_watch.test.ts
@@ -19,6 +19,7 @@
       recordJobEvent: () => undefined,
       recordStateChange: () => undefined,
       recordResponseTime: () => undefined,
+      recordPhase: () => undefined,
       incrementCounter: () => undefined,
     },
     reportLosses: () => undefined,
--- a/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
@@ -19,6 +19,7 @@
       recordJobEvent: noop,
       recordStateChange: (event, fields) => events.push({event, fields}),
       recordResponseTime: noop,
+      recordPhase: noop,
       incrementCounter: noop,
     },
   });
--- a/src/core/pool/dispatcher/job_intake.ts
+++ b/src/core/pool/dispatcher/job_intake.ts
@@ -86,7 +86,7 @@
     const {reason, retryAfterMs} = refusal;
     if (lending.moveRefused(job, reason, workers.all, now)) return true;
     if (job.isLent) observer.incrementCounter('lent_refused');
-    jobs.refuse(job.owner, job.spec.id, reason, retryAfterMs);
+    jobs.refuse(job.owner, job.spec.id, reason, retryAfterMs, job);
     return true;
   }
 
--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -60,6 +60,8 @@
   owner: string;
   /** Whether the answer is no longer awaited; its runs are being stopped. */
   isAbandoned = false;
+  /** When this dispatcher started a task first. */
+  firstStartAt: number | undefined;
   private hasStartedHere = false;
 
   constructor(
@@ -115,9 +117,13 @@
     return this.hasStartedHere || this.isSettling;
   }
 
-  /** Records that a task has started, or that a run of one was adopted. */
-  recordStart(): void {
+  /**
+   * Records that a task has started, or that a run of one was adopted, in which
+   * case the time is not known.
+   */
+  recordStart(now?: number): void {
     this.hasStartedHere = true;
+    this.firstStartAt ??= now;
   }
 
   /**
--- a/src/core/pool/job/pool_jobs.test.ts
+++ b/src/core/pool/job/pool_jobs.test.ts
@@ -21,6 +21,7 @@
       recordJobEvent: noop,
       recordStateChange: noop,
       recordResponseTime: noop,
+      recordPhase: noop,
       incrementCounter: noop,
     },
   });
@@ -88,3 +89,18 @@
   assert.equal(bench.answers.get('j')?.kind, 'completed');
   assert.isEmpty(bench.overlaps());
 });
+
+// Tells a slow entry node from a full zone.
+test('the lines of a job tell how long it took to arrive and to start', async () => {
+  const bench = new PoolBench(1, 1);
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  dispatcher.submit('e', PoolBench.submission('first'));
+  await bench.run(10, dispatcher);
+  dispatcher.submit('e', {...PoolBench.submission('next'), waitedMs: 40});
+  await bench.run(300, dispatcher);
+  const completed = bench.jobEvents.filter(e => e.event === 'job_completed');
+  const [, next] = completed.map(e => e.fields);
+  assert.equal(next!['entry_ms'], 40);
+  assert.approximately(next!['queued_ms'] as number, 95, 15);
+});
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -2,6 +2,7 @@
 import type {InfeasibleJobs} from '../admission/infeasible_jobs.js';
 import type {PoolAnswer} from './pool_answer.js';
 import type {ActiveJob} from './active_job.js';
+import {JobPhase} from './job_phase.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {PoolTask} from './pool_task.js';
 import type {Run} from '../lease/run.js';
@@ -72,25 +73,39 @@
 
   /**
    * Refuses a job of which no task has run. `clearInMs` is the expected time
-   * until the reason of the refusal no longer applies.
+   * until the reason of the refusal no longer applies; `job` is the job, if its
+   * queue is known.
    */
-  refuse(owner: string, id: string, reason: string, clearInMs: number): void {
-    const {observer, answer} = this.opts;
+  refuse(
+    owner: string,
+    id: string,
+    reason: string,
+    clearInMs: number,
+    job?: ActiveJob,
+  ): void {
+    const {observer, answer, clock} = this.opts;
+    const queue = job?.queue.name ?? '';
+    const waitedMs = job ? clock.now() - job.arrivedAt : 0;
     if (this.mayHaveRun(id)) {
       // The caller has sent the job before and not received the answer.
       observer.recordJobEvent('job_given_up', id, {owner, reason});
+      observer.recordResponseTime(queue, 'given_up', waitedMs, reason);
       answer(owner, id, {kind: 'given_up', reason: 'may have run before'});
       return;
     }
     const retryMs = retryAfterMs(id, clearInMs);
     observer.recordJobEvent('job_refused', id, {
       owner,
+      queue: job?.queue.name,
       reason,
       open: this.size,
+      waited_ms: job && Math.round(waitedMs),
+      entry_ms: job && Math.round(job.acceptedAt - job.arrivedAt),
       clear_in_ms: Math.round(clearInMs),
       retry_after_ms: retryMs,
     });
     observer.incrementCounter(`refused_${reason}`);
+    observer.recordResponseTime(queue, 'refused', waitedMs, reason);
     answer(owner, id, {kind: 'refused', reason, retryAfterMs: retryMs});
   }
 
@@ -107,7 +122,7 @@
   /** Refuses a job that has not started and would be answered too late. */
   refuseLate(job: ActiveJob, clearInMs: number): void {
     if (job.isLent) this.opts.observer.incrementCounter('lent_refused');
-    this.refuse(job.owner, job.spec.id, 'too_late', clearInMs);
+    this.refuse(job.owner, job.spec.id, 'too_late', clearInMs, job);
     this.abandon(job);
   }
 
@@ -140,10 +155,18 @@
       if (job.isAbandoned || now < job.deadlineAt) continue;
       const {owner, spec} = job;
       if (job.hasStarted) {
-        this.opts.observer.recordJobEvent('job_expired', spec.id, {owner});
+        const {observer} = this.opts;
         const reason = 'deadline';
+        const queue = job.queue.name;
+        const waitedMs = now - job.arrivedAt;
+        observer.recordJobEvent('job_expired', spec.id, {
+          owner,
+          queue,
+          ...phasesOf(job),
+        });
+        observer.recordResponseTime(queue, 'given_up', waitedMs, reason);
         this.opts.answer(owner, spec.id, {kind: 'given_up', reason});
-      } else this.refuse(owner, spec.id, 'deadline', DEADLINE_RETRY_MS);
+      } else this.refuse(owner, spec.id, 'deadline', DEADLINE_RETRY_MS, job);
       this.abandon(job);
     }
   }
@@ -165,9 +188,30 @@
       reason: isDone ? undefined : job.failureReason,
       took_ms: Math.round(now - arrivedAt),
       late_ms: Math.max(0, Math.round(now - objectiveAt)),
+      ...phasesOf(job),
     });
+    if (isDone) this.recordPhases(job, now);
     observer.recordResponseTime(queue.name, kind, now - arrivedAt);
     answer(owner, spec.id, {kind});
     this.abandon(job);
   }
+  private recordPhases(job: ActiveJob, now: number): void {
+    const {observer} = this.opts;
+    const {acceptedAt, arrivedAt, firstStartAt, queue} = job;
+    observer.recordPhase(queue.name, JobPhase.submit, acceptedAt - arrivedAt);
+    if (firstStartAt === undefined) return;
+    observer.recordPhase(queue.name, JobPhase.queue, firstStartAt - acceptedAt);
+    observer.recordPhase(queue.name, JobPhase.run, now - firstStartAt);
+  }
+}
+
+/** Time from the arrival of a job to its acceptance and to its first start. */
+function phasesOf({acceptedAt, arrivedAt, firstStartAt}: ActiveJob) {
+  return {
+    entry_ms: Math.round(acceptedAt - arrivedAt),
+    queued_ms:
+      firstStartAt === undefined
+        ? undefined
+        : Math.round(firstStartAt - acceptedAt),
+  };
 }
--- a/src/core/pool/placement/startable_workers.test.ts
+++ b/src/core/pool/placement/startable_workers.test.ts
@@ -15,6 +15,7 @@
       recordJobEvent: () => undefined,
       recordStateChange: () => undefined,
       recordResponseTime: () => undefined,
+      recordPhase: () => undefined,
       incrementCounter: () => undefined,
     },
     forget: id => forgotten.push(id),
--- a/src/core/pool/placement/task_starter.ts
+++ b/src/core/pool/placement/task_starter.ts
@@ -75,7 +75,7 @@
     task.run = run;
     task.worker = worker;
     task.state = 'running';
-    task.job.recordStart();
+    task.job.recordStart(now);
     this.opts.observer.incrementCounter('starts');
     this.opts.trace.recordStart(task, worker, now);
     worker.start(run, spec.payload);
--- a/src/core/pool/pool_observer.ts
+++ b/src/core/pool/pool_observer.ts
@@ -1,3 +1,4 @@
+import type {JobPhase} from './job/job_phase.js';
 import type {PoolAnswer} from './job/pool_answer.js';
 
 /** Receives events for logs and metrics. */
@@ -13,7 +14,17 @@
     event: string,
     fields: Readonly<Record<string, unknown>>,
   ): void;
-  /** Records the time from arrival to answer, in ms. */
-  recordResponseTime(queue: string, kind: PoolAnswer['kind'], ms: number): void;
+  /**
+   * Records the answer of a job, the time from arrival to answer, in ms, and why
+   * it was refused or given up.
+   */
+  recordResponseTime(
+    queue: string,
+    kind: PoolAnswer['kind'],
+    ms: number,
+    reason?: string,
+  ): void;
+  /** Records how long one phase of a completed job took, in ms. */
+  recordPhase(queue: string, phase: JobPhase, ms: number): void;
   incrementCounter(counter: string): void;
 }
--- a/src/core/pool/pressure/relief_service.test.ts
+++ b/src/core/pool/pressure/relief_service.test.ts
@@ -13,6 +13,7 @@
       recordJobEvent: noop,
       recordStateChange: (event, fields) => events.push({event, fields}),
       recordResponseTime: noop,
+      recordPhase: noop,
       incrementCounter: noop,
     },
   });
--- a/src/core/pool/registry/worker_report_service.test.ts
+++ b/src/core/pool/registry/worker_report_service.test.ts
@@ -28,6 +28,7 @@
         recordJobEvent: noop,
         recordStateChange: noop,
         recordResponseTime: noop,
+        recordPhase: noop,
         incrementCounter: noop,
       },
     });
--- a/src/core/pool/warm_up/dispatch_warm_up.ts
+++ b/src/core/pool/warm_up/dispatch_warm_up.ts
@@ -47,6 +47,7 @@
         recordJobEvent: noop,
         recordStateChange: noop,
         recordResponseTime: noop,
+        recordPhase: noop,
         incrementCounter: noop,
       },
     });
--- a/src/daemon/pool/pool_telemetry.test.ts
+++ b/src/daemon/pool/pool_telemetry.test.ts
@@ -1,6 +1,7 @@
 import {readFileSync, readdirSync} from 'node:fs';
 import {assert} from 'chai';
 import {FakeClock} from '../../../test-support/fakes/fake_clock.js';
+import {recordedTelemetry} from '../../../test-support/fakes/pool/recorded_telemetry.js';
 import {createLog} from '../log/create_log.js';
 import {PoolTelemetry} from './pool_telemetry.js';
 
@@ -52,3 +53,26 @@
   const text = await telemetry.registry.metrics();
   assert.include(text, 'pimentoyoke_events_total{event="job_accepted"} 200');
 });
+
+test('answers are counted by queue, kind and reason', async () => {
+  const {telemetry} = recordedTelemetry();
+  telemetry.recordResponseTime('q', 'completed', 300);
+  telemetry.recordResponseTime('q', 'refused', 10, 'too_late');
+  telemetry.recordPhase('q', 'queue', 60);
+  const text = await telemetry.registry.metrics();
+  const name = 'pimentoyoke_jobs_total';
+  assert.include(text, `${name}{queue="q",kind="refused",reason="too_late"} 1`);
+  assert.include(text, `${name}{queue="q",kind="completed",reason=""} 1`);
+  const phase = 'pimentoyoke_phase_seconds_count{queue="q",phase="queue"} 1';
+  assert.include(text, phase);
+});
+
+// Totals are kept for the log, so they must not be added at each collection.
+test('events are not counted again when the metrics are fetched again', async () => {
+  const {telemetry} = recordedTelemetry();
+  telemetry.incrementCounter('starts');
+  await telemetry.registry.metrics();
+  telemetry.incrementCounter('starts');
+  const text = await telemetry.registry.metrics();
+  assert.include(text, 'pimentoyoke_events_total{event="starts"} 2');
+});
--- a/src/daemon/pool/pool_telemetry.ts
+++ b/src/daemon/pool/pool_telemetry.ts
@@ -1,6 +1,7 @@
 import type {ConsolaInstance} from 'consola';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {Clock} from '../../core/clock/clock.js';
+import type {JobPhase} from '../../core/pool/job/job_phase.js';
 import type {PoolAnswer} from '../../core/pool/job/pool_answer.js';
 import type {PoolObserver} from '../../core/pool/pool_observer.js';
 
@@ -18,9 +19,11 @@
 /** Writes log lines and metrics about events of jobs and workers. */
 export class PoolTelemetry implements PoolObserver {
   readonly registry = new Registry();
-  /** Events since the last collection; there are several for each task. */
-  private readonly newEvents = new Map<string, number>();
+  /** Number of each event; there are several for each task. */
+  private readonly totals = new Map<string, number>();
   private readonly responses: Histogram;
+  private readonly phases: Histogram;
+  private readonly jobs: Counter;
   private readonly gauges = new Map<string, Gauge>();
   private windowStart = 0;
   private isWindowScheduled = false;
@@ -38,8 +41,8 @@
       labelNames: ['event'],
       registers,
       collect: () => {
-        for (const [event, count] of this.newEvents) events.inc({event}, count);
-        this.newEvents.clear();
+        events.reset();
+        for (const [event, count] of this.totals) events.inc({event}, count);
       },
     });
     this.responses = new Histogram({
@@ -49,6 +52,24 @@
       buckets: BUCKETS_S,
       registers,
     });
+    this.phases = new Histogram({
+      name: 'pimentoyoke_phase_seconds',
+      help: 'Time of completed jobs by phase',
+      labelNames: ['queue', 'phase'],
+      buckets: BUCKETS_S,
+      registers,
+    });
+    this.jobs = new Counter({
+      name: 'pimentoyoke_jobs_total',
+      help: 'Answered jobs by outcome',
+      labelNames: ['queue', 'kind', 'reason'],
+      registers,
+    });
+  }
+
+  /** Number of each event since the start. */
+  get counts(): ReadonlyMap<string, number> {
+    return this.totals;
   }
 
   recordJobEvent(event: string, job: string, fields: Fields): void {
@@ -65,12 +86,18 @@
     queue: string,
     kind: PoolAnswer['kind'],
     ms: number,
+    reason = '',
   ): void {
     this.responses.observe({queue, kind}, ms / 1_000);
+    this.jobs.inc({queue, kind, reason});
+  }
+
+  recordPhase(queue: string, phase: JobPhase, ms: number): void {
+    this.phases.observe({queue, phase}, ms / 1_000);
   }
 
   incrementCounter(event: string): void {
-    this.newEvents.set(event, (this.newEvents.get(event) ?? 0) + 1);
+    this.totals.set(event, (this.totals.get(event) ?? 0) + 1);
   }
 
   /** Adds a gauge whose value is read whenever the metrics are fetched. */
--- a/src/measure/placement/fleet_run.ts
+++ b/src/measure/placement/fleet_run.ts
@@ -105,6 +105,7 @@
         recordJobEvent: noop,
         recordStateChange: noop,
         recordResponseTime: noop,
+        recordPhase: noop,
         incrementCounter: noop,
       },
     });
--- a/src/measure/zones/zone_pools.ts
+++ b/src/measure/zones/zone_pools.ts
@@ -140,6 +140,7 @@
       recordJobEvent: () => undefined,
       recordStateChange: () => undefined,
       recordResponseTime: () => undefined,
+      recordPhase: () => undefined,
       incrementCounter: (counter: string) => {
         if (counter === 'jobs_lent_out') this.moves += 1;
         if (counter === 'lent_refused') this.lentRefusals += 1;
--- a/src/platform/caller_frontend.test.ts
+++ b/src/platform/caller_frontend.test.ts
@@ -28,6 +28,7 @@
     recordJobEvent: noop,
     recordStateChange: noop,
     recordResponseTime: noop,
+    recordPhase: noop,
     incrementCounter: noop,
   };
   const gateway = new EntryGateway({
@@ -40,7 +41,9 @@
   const frontend = new CallerFrontend({
     host: '127.0.0.1',
     port: 0,
+    clock,
     gateway,
+    routing: () => undefined,
     observer,
     onError: noop,
   });
--- a/src/platform/caller_frontend.ts
+++ b/src/platform/caller_frontend.ts
@@ -1,8 +1,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {HttpServer} from '../adapter/http/http_server.js';
+import type {Clock} from '../core/clock/clock.js';
 import type {EntryGateway} from '../core/pool/entry/entry_gateway.js';
 import type {PoolAnswer} from '../core/pool/job/pool_answer.js';
 import type {PoolObserver} from '../core/pool/pool_observer.js';
+import type {RoutingTable} from '../core/routing/routing_table.js';
 import {decodeJob} from './decode_job.js';
 import {sendJson} from './send_json.js';
 import {parseJobPath} from './parse_job_path.js';
@@ -17,7 +19,10 @@
 interface CallerFrontendOptions {
   readonly host: string;
   readonly port: number;
+  readonly clock: Clock;
   readonly gateway: EntryGateway;
+  /** Latest queue configuration known to this node. */
+  readonly routing: () => RoutingTable | undefined;
   readonly observer: PoolObserver;
   readonly onError: (detail: string) => void;
 }
@@ -57,15 +62,33 @@
       return sendJson(res, 503, {detail});
     }
     const patienceMs = getDeadlineMs(req);
-    const respond = (answer: PoolAnswer) => sendJobAnswer(res, answer);
+    const host = getHost(req);
+    const arrivedAt = this.opts.clock.now();
+    const respond = (answer: PoolAnswer) => {
+      this.recordAnswer(host, path, answer, arrivedAt);
+      sendJobAnswer(res, answer);
+    };
     res.once('close', () => {
       // The caller disconnected before its job was answered.
       if (!res.writableFinished) gateway.drop(id, respond);
     });
-    const host = getHost(req);
     gateway.submit({host, path, job: job.value, patienceMs}, respond);
   }
 
+  private recordAnswer(
+    host: string,
+    path: string,
+    answer: PoolAnswer,
+    arrivedAt: number,
+  ): void {
+    const {clock, observer, routing} = this.opts;
+    // Callers choose the path, so other paths share one series.
+    const queue = routing()?.find(host, path)?.name ?? '';
+    const reason = 'reason' in answer ? answer.reason : undefined;
+    const tookMs = clock.now() - arrivedAt;
+    observer.recordResponseTime(queue, answer.kind, tookMs, reason);
+  }
+
   private async get(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const {path, id} = parseJobPath(req.url ?? '/');
     const answer = await this.opts.gateway.query(
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -40,6 +40,7 @@
   private readonly leaderService: LeaderService;
   private readonly frontend: ControlFrontend;
   private isStopping = false;
+  private tickDueAt = Number.POSITIVE_INFINITY;
 
   constructor(private readonly node: PlatformNode) {
     super();
@@ -175,7 +176,11 @@
   private tick(): void {
     if (this.isStopping) return;
     const {clock} = this.node.opts;
-    this.leaderService.tick(clock.now());
+    const now = clock.now();
+    this.node.loop.record(Math.max(0, now - this.tickDueAt), now);
+    this.node.load.tick(now, this.leaderService.openJobs);
+    this.leaderService.tick(now);
+    this.tickDueAt = clock.now() + TICK_MS;
     clock.schedule(TICK_MS, () => this.tick());
   }
 }
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -57,6 +57,7 @@
   private isDraining = false;
   private tickDueAt: number;
   private lastTickAt: number;
+  private withoutDispatcherMs = 0;
   private leaderSeenAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly node: PlatformNode) {
@@ -121,7 +122,9 @@
     const onError = (detail: string) => log.error('request_failed', {detail});
     this.frontend = new CallerFrontend({
       ...parseAddress(settings.callers!),
+      clock,
       gateway: this.gateway,
+      routing: () => routing.get(),
       observer,
       onError,
     });
@@ -132,6 +135,11 @@
     this.readiness.route('GET', '/ready', (_req, res) =>
       sendJson(res, this.isReady() ? 200 : 503, {}),
     );
+    observer.addGauge(
+      'without_dispatcher_seconds',
+      'Time since the start without a known dispatcher',
+      () => this.withoutDispatcherMs / 1_000,
+    );
     observer.addGauge('open_jobs', 'Jobs whose callers wait here', () => {
       return this.gateway.openJobs;
     });
@@ -209,7 +217,9 @@
     const {clock} = this.node.opts;
     const now = clock.now();
     if (this.gateway.hasDispatcher) this.leaderSeenAt = now;
+    else this.withoutDispatcherMs += now - this.lastTickAt;
     this.updatePressure(now);
+    this.node.load.tick(now, this.gateway.openJobs);
     this.fallback.tick(now);
     this.presence.tick(now);
     this.gateway.tick(now);
@@ -226,6 +236,7 @@
       delayMs: Math.max(0, now - this.tickDueAt),
     };
     this.lastTickAt = now;
+    this.node.loop.record(sample.delayMs, now);
     if (this.relief.update(sample, now)) this.presence.makePressureDue();
   }
 }
--- a/src/platform/platform_node.ts
+++ b/src/platform/platform_node.ts
@@ -1,8 +1,11 @@
 import type {ConsolaInstance} from 'consola';
 import {HttpServer} from '../adapter/http/http_server.js';
 import {TcpPeerTransport} from '../adapter/peer/tcp_peer_transport.js';
+import {ProcessorUsage} from '../adapter/processor_usage.js';
 import type {Clock} from '../core/clock/clock.js';
 import {NodeDirectory} from '../core/pool/node/node_directory.js';
+import {LoadSampler} from '../daemon/pool/load_sampler.js';
+import {LoopMonitor} from '../daemon/pool/loop_monitor.js';
 import {PoolTelemetry} from '../daemon/pool/pool_telemetry.js';
 import type {PlatformSettings} from './platform_settings.js';
 
@@ -28,6 +31,8 @@
   readonly peers: TcpPeerTransport;
   readonly directory: NodeDirectory;
   readonly telemetry: PoolTelemetry;
+  readonly loop: LoopMonitor;
+  readonly load: LoadSampler;
   private readonly metrics: HttpServer;
 
   constructor(readonly opts: PlatformNodeOptions) {
@@ -35,6 +40,17 @@
     const {ip, peerPort, seeds} = settings;
     const locate = (node: string) => ({node, host: node, port: peerPort});
     this.telemetry = new PoolTelemetry(log, clock);
+    this.loop = new LoopMonitor(this.telemetry);
+    this.load = new LoadSampler({
+      telemetry: this.telemetry,
+      loop: this.loop,
+      processorMs: () => ProcessorUsage.totalMs(),
+    });
+    this.telemetry.addGauge(
+      'processor_seconds',
+      'Processor time used since the start',
+      () => ProcessorUsage.totalMs() / 1_000,
+    );
     this.directory = new NodeDirectory(ip, seeds);
     this.peers = new TcpPeerTransport({
       node: ip,
@@ -44,6 +60,7 @@
       linkTiming: LINK_TIMING,
       clock,
       onError: detail => log.warn('peer_error', {detail}),
+      onHandled: kind => this.telemetry.incrementCounter(`message_${kind}`),
     });
     this.metrics = this.createMetrics();
   }
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -341,6 +341,7 @@
         recordStateChange: (event: string, fields: object) =>
           this.record(id, event, {...fields}),
         recordResponseTime: () => undefined,
+        recordPhase: () => undefined,
         incrementCounter: () => undefined,
       },
     };
--- a/test-support/fakes/pool/entry_gateway_bench.ts
+++ b/test-support/fakes/pool/entry_gateway_bench.ts
@@ -21,6 +21,7 @@
       recordJobEvent: (event, _job, fields) => events.push({event, fields}),
       recordStateChange: noop,
       recordResponseTime: noop,
+      recordPhase: noop,
       incrementCounter: noop,
     },
   });
--- a/test-support/fakes/pool/lending_bench.ts
+++ b/test-support/fakes/pool/lending_bench.ts
@@ -50,6 +50,7 @@
           recordJobEvent: count,
           recordStateChange: count,
           recordResponseTime: () => undefined,
+          recordPhase: () => undefined,
           incrementCounter: count,
         },
       });
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -163,6 +163,7 @@
           this.jobEvents.push({event, job, fields}),
         recordStateChange: event => this.events.push(event),
         recordResponseTime: () => undefined,
+        recordPhase: () => undefined,
         incrementCounter: () => undefined,
       },
     });
--- a/test-support/fakes/pool/zone_pool_bench.ts
+++ b/test-support/fakes/pool/zone_pool_bench.ts
@@ -235,6 +235,7 @@
         recordJobEvent: record,
         recordStateChange: record,
         recordResponseTime: () => undefined,
+        recordPhase: () => undefined,
         incrementCounter: () => undefined,
       },
     };
