Prolong no lease without permission to send orders

Cause: the poll that follows a lost reply or a stop did not ask whether the dispatcher may send orders. One that was closed, late or not confirmed so prolonged the leases of its runs, for longer than its successor waits; a closed one went on polling with each reply. Change: such a poll still shows what runs, but carries no lease end, and a closed dispatcher has no permission. The two new tests failed before: the run was still active one lease after the last order.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -303,7 +303,7 @@
    */
   private maySendOrders(now: number): boolean {
     const isLate = now - this.tickedAt > FailoverTiming.MAX_TICK_GAP_MS;
-    return !isLate && this.opts.maySendOrders(now);
+    return !this.isClosed && !isLate && this.opts.maySendOrders(now);
   }
 
   /** Stops inherited runs that no job has claimed in time. */
--- a/src/core/pool/lease/leased_worker.test.ts
+++ b/src/core/pool/lease/leased_worker.test.ts
@@ -162,3 +162,23 @@
   await bench.run(1_500, second);
   assert.equal(bench.answers.get('k')?.kind, 'completed');
 });
+
+// A dispatcher that was closed, or not confirmed, polled after a lost reply and so
+// prolonged its runs for longer than its successor waits.
+for (const isClosed of [true, false]) {
+  test(`a lost reply prolongs no lease without permission (closed: ${isClosed})`, async () => {
+    const bench = new PoolBench(1);
+    for (const worker of bench.workers.values()) worker.runMs = () => 60_000;
+    const dispatcher = bench.createDispatcher();
+    await bench.run(50, dispatcher);
+    bench.client.faultOf = call => (call === 'start' ? 'answer_lost' : 'ok');
+    dispatcher.submit('e', PoolBench.submission('j', {estimatedMs: 60_000}));
+    await bench.run(20, dispatcher);
+    if (isClosed) dispatcher.close();
+    else bench.isConfirmed = false;
+    await bench.run(1_100, dispatcher);
+    for (const worker of bench.workers.values()) worker.processDueEnds();
+    const [run] = [...bench.workers.values()].flatMap(w => w.history);
+    assert.isDefined(run);
+  });
+}
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -160,7 +160,8 @@
     const acknowledged = this.acks.take();
     // An unanswered poll may still renew the lease; without this check, the runs
     // of a worker whose replies are lost would never end.
-    const mayExtend = this.lease.isClockKnown && !this.isSilent;
+    const mayExtend =
+      this.lease.isClockKnown && !this.isSilent && this.opts.maySendOrders(now);
     const leaseEnd = mayExtend ? this.lease.extend(now) : undefined;
     this.pendingPolls += 1;
     void this.orders
