Bound the runs of an earlier dispatcher by what that dispatcher enforces

Cause: the wait for the runs of an earlier dispatcher was 1.7 or 1.8 s, and 0.8 s for a fallback. Its parts add up to more: 1.2 s until the jobs of a silent entry node are dropped, 0.2 s for late ticks, and a lease of 0.6 s on a slow clock if the stop is lost; a fallback that reads late that its zone has a leader again goes on for as long as any other. Change: jobs are dropped after 1.0 s and late ticks stop orders after 0.1 s, so that 1.8 s covers all parts, also for fallbacks (RUNS_ENDED_MS). An entry node that was behind polls again as soon as it has read the newer claims, which keeps its jobs through a delay of 0.6 s as before. A job that waited for its configuration is not submitted once its entry node is lost. A fallback that ends sends its list of workers to the leader again, which may have forgotten them.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -93,7 +93,8 @@
     this.dropJobsOfSilentOwners(current, now);
     this.lastTickAt = now;
     for (const [owner, submission] of this.early.take(this.revision, now)) {
-      current.submit(owner, submission);
+      // The jobs of a lost entry node have just been dropped.
+      if (!this.contacts.isLost(owner, now)) current.submit(owner, submission);
     }
     current.tick(now);
     this.answers.expire(now);
@@ -139,7 +140,8 @@
     const {current} = this;
     if (!current || !v.is(PoolSubmission, body)) return;
     this.contacts.record(from, body.claimStatedAt, now);
-    // Read only now; if the entry node still waits, its next poll brings the job.
+    // The message was late. An entry node that still waits submits the job again,
+    // since its next poll finds that it is unknown.
     if (this.contacts.isLost(from, now)) return;
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(body.job.id);
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -314,17 +314,22 @@
 
   /** Asks each dispatcher about the jobs that it has. */
   private poll(now: number): void {
-    this.nextPoll = now + POLL_MS;
+    let isBehind = false;
     const idsByClaim = new Map<DispatcherClaim, string[]>();
     for (const job of this.jobs.values()) {
       const {claim} = this.contacts.of(job.zone);
       if (!claim || claim.node !== job.assignedTo?.node) continue;
-      if (now - claim.heardAt >= pollCutoffMs(job)) continue;
+      if (now - claim.heardAt >= pollCutoffMs(job)) {
+        isBehind = true;
+        continue;
+      }
       if (now - job.submittedAt < IN_FLIGHT_MS) continue;
       const ids = idsByClaim.get(claim) ?? [];
       ids.push(job.id);
       idsByClaim.set(claim, ids);
     }
+    // After a delay of this node, newer claims wait to be read.
+    this.nextPoll = isBehind ? now : now + POLL_MS;
     for (const [{node, statedAt}, ids] of idsByClaim) {
       this.opts.peers.send(node, 'pool.poll', {ids, claimStatedAt: statedAt});
     }
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -120,7 +120,10 @@
     return directory.claims.dispatcherOf(zone, now);
   }
 
-  /** Sends the zone's worker reports to a new leader, which may lack them. */
+  /**
+   * Sends the zone's worker reports to a leader that may lack them: a new one, or
+   * one that has forgotten them while the zone was cut off.
+   */
   private sendReports({node, term}: DispatcherClaim): void {
     if (term === this.reportedTerm) return;
     this.reportedTerm = term;
@@ -151,6 +154,7 @@
       open: this.endpoint.dispatcher.openJobs,
     });
     this.endpoint.close();
+    this.reportedTerm = -1;
   }
 
   private mayStart(now: number): boolean {
@@ -158,7 +162,7 @@
     return (
       !this.isProbing &&
       now >= this.nextProbe &&
-      now - this.leaderSeenAt >= FailoverTiming.LEADER_RUNS_ENDED_MS &&
+      now - this.leaderSeenAt >= FailoverTiming.RUNS_ENDED_MS &&
       this.currentClaim(now) === undefined &&
       this.canFallBack &&
       !zonePeers.haveLeaderContact(now) &&
--- a/src/core/pool/entry/settling.test.ts
+++ b/src/core/pool/entry/settling.test.ts
@@ -31,7 +31,7 @@
   const from = claim({isFallback: true, zone: 'z', token: 1_009});
   for (const to of [claim({term: 2, token: 2_000}), claim({token: 1_010})]) {
     assert.equal(Settling.earlierToken({zone: 'z', from, to}), Infinity);
-    assert.equal(Settling.durationMs({zone: 'z', from, to}), 800);
+    assert.equal(Settling.durationMs({zone: 'z', from, to}), 1_800);
   }
 });
 
--- a/src/core/pool/entry/settling.ts
+++ b/src/core/pool/entry/settling.ts
@@ -1,15 +1,5 @@
 import type {DispatcherClaim} from '../node/dispatcher_claim.js';
-
-/**
- * Time for which runs of a fallback may be active after another dispatcher has
- * taken over its workers: one lease on a slow clock.
- */
-const FALLBACK_RUNS_MS = 800;
-/**
- * Time after which no run is active of a dispatcher that this node no longer
- * polls: it drops the job after OWNER_TIMEOUT_MS, and its leases end.
- */
-const EARLIER_RUNS_MS = 1_800;
+import {FailoverTiming} from '../node/failover_timing.js';
 
 interface Change {
   /** Zone of the job. */
@@ -22,14 +12,14 @@
 export const Settling = {
   /** Time for which runs of `from` may be active that `to` does not know, in ms. */
   durationMs: ({from, to}: Change): number => {
-    if (from.isFallback) return FALLBACK_RUNS_MS;
+    if (from.isFallback) return FailoverTiming.RUNS_ENDED_MS;
     // The runs of a lost dispatcher have ended before a fallback starts.
     if (to.isFallback) return 0;
     const areLeaders = from.zone === undefined && to.zone === undefined;
     const isNewTerm = areLeaders && from.term !== to.term;
     // A new leader of all zones polls all workers before it starts anything, and
     // its predecessor cannot have sent orders since.
-    return isNewTerm && servesAll(to) ? 0 : EARLIER_RUNS_MS;
+    return isNewTerm && servesAll(to) ? 0 : FailoverTiming.RUNS_ENDED_MS;
   },
 
   /**
--- a/src/core/pool/entry/zone_contact.ts
+++ b/src/core/pool/entry/zone_contact.ts
@@ -29,6 +29,6 @@
   mayReassign(from: DispatcherClaim | undefined, now: number): boolean {
     if (!from || from.isFallback || !this.current?.isFallback) return true;
     // A fallback cannot see runs in other zones, so those must have ended first.
-    return now - this.leaderSeenAt >= FailoverTiming.LEADER_RUNS_ENDED_MS;
+    return now - this.leaderSeenAt >= FailoverTiming.RUNS_ENDED_MS;
   }
 }
--- a/src/core/pool/node/failover_timing.ts
+++ b/src/core/pool/node/failover_timing.ts
@@ -16,16 +16,16 @@
    * A dispatcher drops the jobs of an entry node this long after the statement of
    * the last claim that the node has received.
    */
-  OWNER_TIMEOUT_MS: 1_200,
+  OWNER_TIMEOUT_MS: 1_000,
   /**
    * A dispatcher whose event loop is behind by more than this sends no orders
    * before it has dropped the jobs of the entry nodes that it has lost.
    */
-  MAX_TICK_GAP_MS: 200,
+  MAX_TICK_GAP_MS: 100,
   /**
-   * Time since the last contact with the leader after which none of its runs
-   * for an entry node is active: the leader has dropped the jobs of the node
-   * after OWNER_TIMEOUT_MS and MAX_TICK_GAP_MS, and their runs are stopped.
+   * Time since the last contact with a dispatcher after which none of its runs for
+   * an entry node is active: OWNER_TIMEOUT_MS, MAX_TICK_GAP_MS and a lease on a
+   * clock that is 2% slow.
    */
-  LEADER_RUNS_ENDED_MS: 1_700,
+  RUNS_ENDED_MS: 1_800,
 } as const;
