Keep no record of runs that end as expected

Only runs that did not end well or that are traced are needed to explain the next start of their task. Replies of workers without inherited runs allocate nothing for them any more.

--- a/src/core/pool/dispatcher/run_recorder.ts
+++ b/src/core/pool/dispatcher/run_recorder.ts
@@ -31,7 +31,6 @@
     const {workload} = run;
     const {number, sentAt} = run;
     const cause = loss?.cause;
-    task.lastRun = {number, worker: id, how, cause, sentAt, endedAt: now};
     if (workload && !run.isAdopted) {
       const ended = {worker: id, task: run.task, workload, ranMs, at: now};
       if (how === RunEnd.done) this.times.record(ended);
@@ -41,6 +40,7 @@
       this.breaker.recordEnd(id, false, now);
       if (!run.isTraced && !task.job.isAbandoned) return;
     }
+    task.lastRun = {number, worker: id, how, cause, sentAt, endedAt: now};
     const isWorkerFault = how === RunEnd.failed || how === RunEnd.lost;
     if (isWorkerFault) this.breaker.recordEnd(id, true, now);
     this.observer.recordJobEvent('run_ended', task.job.spec.id, {
--- a/src/core/pool/lease/run_ledger.ts
+++ b/src/core/pool/lease/run_ledger.ts
@@ -66,15 +66,18 @@
     now: number,
   ): ReadonlyArray<readonly [task: string, run: number]> {
     const before = this.inheritedSince;
-    const earlier = new Map(this.inherited);
+    // Called for each reply of a worker, nearly always without inherited runs.
+    const earlier =
+      this.inherited.size > 0 ? new Map(this.inherited) : undefined;
     this.inherited.clear();
     for (const [task, number] of reported) {
       const known = this.runs.get(task);
       if (!known || known.number < number) this.inherited.set(task, number);
     }
     this.firstReportedAt = Math.min(before, now);
+    if (this.inherited.size === 0) return [];
     return [...this.inherited].filter(
-      ([task, number]) => earlier.get(task) !== number,
+      ([task, number]) => earlier?.get(task) !== number,
     );
   }
 
--- a/src/core/pool/trace/run_trace.ts
+++ b/src/core/pool/trace/run_trace.ts
@@ -113,7 +113,9 @@
     {report}: LeasedWorker,
     run: number,
   ): void {
-    if (!task?.run && !task?.lastRun) return;
+    if (!task) return;
+    const hasRun = task.run || task.lastRun || task.state === 'done';
+    if (!hasRun) return;
     const {run: current, worker, lastRun, job} = task;
     this.observer.recordJobEvent('run_resurfaced', job.spec.id, {
       task: task.name,
