Give the fallbacks of a zone fencing tokens of their own

Workers obey equal tokens, so both dispatched on the same workers, beyond the capacity of those that do not guard it; run numbers were equal as well.

Cause: a fallback took the highest known token plus one, as did the leader. Now core nodes and each of the three possible fallbacks of a zone have every fourth token; the leader sends the rank with the list of workers. Of two that do not hear each other, the one with the higher token fences the other.

The test failed before (two nodes with one token) and passes now. Remains: ranks may be stale at a node that the leader has not reached since they changed.

--- a/src/core/pool/entry/fallback_service.test.ts
+++ b/src/core/pool/entry/fallback_service.test.ts
@@ -180,3 +180,28 @@
   await bench.run(1_000);
   assert.equal(count(), before);
 });
+
+// Guards against two fallbacks of a zone that workers cannot tell apart, after
+// which both start runs on the same workers.
+test('two fallbacks that do not hear each other use different tokens', async () => {
+  for (const [from, to] of [
+    ['ze1', 'ze2'],
+    ['ze2', 'ze1'],
+  ] as const) {
+    const bench = await createRunningBench();
+    bench.peers.cut(from, to);
+    bench.term = undefined;
+    const nodes = new Map<number, Set<string>>();
+    for (let n = 0; n < 250; n += 1) {
+      await bench.run(20);
+      for (const id of bench.dispatching()) {
+        const {fallback} = bench.entries.get(id)!;
+        const {token, zone} = fallback.claim(bench.clock.now())!;
+        if (zone !== 'z') continue;
+        nodes.set(token, (nodes.get(token) ?? new Set()).add(id));
+      }
+    }
+    assert.isAbove(nodes.size, 0);
+    for (const ids of nodes.values()) assert.lengthOf([...ids], 1);
+  }
+});
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -4,6 +4,7 @@
 import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
+import {FencingToken} from '../lease/fencing_token.js';
 import {FailoverTiming} from '../node/failover_timing.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import {PoolDispatcher} from '../dispatcher/pool_dispatcher.js';
@@ -53,6 +54,8 @@
   private nextProbe = 0;
   /** Term of the last leader that was sent the reports of the zone's workers. */
   private reportedTerm = -1;
+  /** Rank of this node among the fallbacks of its zone. */
+  private rank = 0;
 
   constructor(private readonly opts: FallbackServiceOptions) {
     const {peers} = opts;
@@ -208,7 +211,8 @@
 
   private start(now: number): void {
     const {directory, observer, zone} = this.opts;
-    const token = directory.claims.highestToken + 1;
+    const {highestToken} = directory.claims;
+    const token = FencingToken.nextOfFallback(highestToken, this.rank);
     const dispatcher = new PoolDispatcher({
       ...this.opts,
       registry: this.registry,
@@ -238,7 +242,8 @@
 
   private onRegistryUpdate(body: unknown, now: number): void {
     if (this.isDispatching || !v.is(PoolMessage.book, body)) return;
-    const {reports, isWhole} = body;
+    const {reports, isWhole, rank = this.rank} = body;
+    this.rank = rank;
     for (const report of reports) {
       if (report.zone === this.opts.zone) this.registry.update(report, now);
     }
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -207,7 +207,7 @@
       zone => serves(scope, zone) && claims.tokenOf(zone) > dispatcher.token,
     );
     if (!isContested) return;
-    dispatcher.raiseToken(claims.highestToken + 1);
+    dispatcher.raiseToken(FencingToken.nextOfCore(claims.highestToken));
     claims.recordToken(dispatcher.token);
     opts.observer.recordStateChange('token_raised', {
       term: scope.term,
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -3,6 +3,7 @@
 import {PoolAnswer} from '../job/pool_answer.js';
 import {Room} from '../lending/room.js';
 import {WorkerReport} from '../registry/worker_report.js';
+import {ZoneFallbacks} from '../registry/zone_fallbacks.js';
 import {ZoneGrant} from '../zones/zone_grant.js';
 
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
@@ -76,7 +77,12 @@
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
-  book: v.object({reports: v.array(WorkerReport), isWhole: v.boolean()}),
+  book: v.object({
+    reports: v.array(WorkerReport),
+    isWhole: v.boolean(),
+    /** Rank of the receiving entry node among the fallbacks of its zone. */
+    rank: v.optional(v.pipe(count, v.maxValue(ZoneFallbacks.MAX - 1))),
+  }),
   /** Reports without news that another core node has taken. */
   reports: v.object({reports: v.array(WorkerReport)}),
   left: v.object({
--- a/src/core/pool/registry/worker_registry_sender.ts
+++ b/src/core/pool/registry/worker_registry_sender.ts
@@ -2,13 +2,12 @@
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {WorkerRegistry} from './worker_registry.js';
 import type {WorkerReport} from './worker_report.js';
+import {ZoneFallbacks} from './zone_fallbacks.js';
 
 /** Interval at which core nodes receive the full registry. */
 const CORE_INTERVAL_MS = 2_000;
 /** Interval at which entry nodes receive the workers of their zone. */
 const ENTRY_INTERVAL_MS = 4_000;
-/** Number of entry nodes per zone that receive the reports for fallback. */
-const FALLBACKS_PER_ZONE = 3;
 
 interface WorkerRegistrySenderOptions {
   readonly node: string;
@@ -46,14 +45,14 @@
       byZone.set(report.zone, reports);
     }
     for (const [zone, reports] of byZone) {
-      this.send(this.fallbackIds(zone, now), reports, true);
+      this.sendToFallbacks(zone, reports, true, now);
     }
   }
 
   /** Sends the report of one worker immediately. */
   sendUpdate(report: WorkerReport, now: number): void {
-    const nodes = [...this.coreIds(now), ...this.fallbackIds(report.zone, now)];
-    this.send(nodes, [report], false);
+    this.send(this.coreIds(now), [report], false);
+    this.sendToFallbacks(report.zone, [report], false, now);
   }
 
   private coreIds(now: number): string[] {
@@ -67,7 +66,19 @@
       .seenIds('entry', now)
       .filter(id => directory.zoneOf(id) === zone)
       .sort()
-      .slice(0, FALLBACKS_PER_ZONE);
+      .slice(0, ZoneFallbacks.MAX);
+  }
+
+  /** Each of them gets a rank, which its fencing tokens depend on. */
+  private sendToFallbacks(
+    zone: string,
+    reports: readonly WorkerReport[],
+    isWhole: boolean,
+    now: number,
+  ): void {
+    for (const [rank, id] of this.fallbackIds(zone, now).entries()) {
+      this.opts.peers.send(id, 'pool.book', {reports, isWhole, rank});
+    }
   }
 
   private send(
--- a/src/core/pool/zones/zone_leader.ts
+++ b/src/core/pool/zones/zone_leader.ts
@@ -58,7 +58,8 @@
   nextToken(): number {
     const {claims} = this.opts.directory;
     const first = FencingToken.ofTerm(this.term);
-    const token = Math.max(first, claims.highestToken + 1);
+    const next = FencingToken.nextOfCore(claims.highestToken);
+    const token = Math.max(first, next);
     claims.recordToken(token);
     return token;
   }
