--- a/src/check/platform/soak_history.ts
+++ b/src/check/platform/soak_history.ts
@@ -44,7 +44,9 @@
       this.report('TOKEN', 'a start under a lower token', record, run.task);
     }
     if (!worker.opts.guardsCapacity && worker.isOverloaded) {
-      this.report('LIMIT', `${worker.opts.id} is over`, record, run.task);
+      const runs = this.findRuns(worker).join(', ');
+      const detail = `${worker.opts.id} is over its capacity with ${runs}`;
+      this.report('LIMIT', detail, record, run.task);
     }
     this.checkRefused(record);
   }
@@ -79,6 +81,14 @@
     this.violations.push(lines.join('\n'));
   }
 
+  /** Tasks that run on a worker, with the tokens of their dispatchers. */
+  private findRuns(worker: EmulatedRun['worker']): string[] {
+    return [...this.jobs.values()]
+      .flatMap(({runs}) => runs)
+      .filter(run => run.worker === worker && run.endedAt === undefined)
+      .map(({task, token}) => `${task} (token ${token})`);
+  }
+
   private checkRefused(record: SoakJob): void {
     const {attempts, runs} = record;
     if (runs.length === 0 || attempts.length === 0) return;
