Drop the jobs of an entry node by the last claim that it has heard

Callers saw nothing; a task of their job ran twice at the same time, on workers of two zones. An entry node of a zone whose incoming links were cut heard no claim of the leader, while its own messages still arrived. It moved its jobs to the fallback 1.7 s after the last claim. The leader dropped them 1.2 s after the last message of the node that it had processed, and that was late for two reasons: an entry node stops polling after 300 ms without a claim, but submits new jobs for 600 ms, and each submission counted as well; and a leader with too little of a processor handles messages when it gets to run. Both runs were sound for their own dispatcher, and no token was shared, since the workers belonged to different zones.

Ruled out: the probe of the fallback covers only the workers of its zone; the reassignment drop reached the leader, but after the start.

A claim now carries the time at which it was sent, and entry nodes return it with their jobs and polls. The leader counts OWNER_TIMEOUT_MS from that time, on one clock, however long messages take in either direction: the jobs are dropped 1.2 s after the last claim that the node received, half a second before a fallback may start. What older nodes send without that time counts as before. Nothing waits longer, and no timeout changes.

The fakes of a deployment can starve a node of its processor, delay links, break the connections of callers and carry out orders late.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -110,10 +110,20 @@
     this.opts.peers.send(owner, 'pool.redirect', {id, ...to});
   }
 
+  /**
+   * Records a message of an entry node. The claim counts that the node has received
+   * last, not the arrival here: the node moves its jobs to a fallback a certain
+   * time after that claim, however long its own messages take.
+   */
+  private recordOwner(node: string, claimAt = Infinity, now: number): void {
+    const seenAt = this.ownerSeenAt.get(node) ?? 0;
+    this.ownerSeenAt.set(node, Math.max(seenAt, Math.min(claimAt, now)));
+  }
+
   private onSubmit(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolSubmission, body)) return;
-    this.ownerSeenAt.set(from, now);
+    this.recordOwner(from, body.claimAt, now);
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(body.job.id);
     const isEarly = this.revision < (body.revision ?? 0);
@@ -129,7 +139,7 @@
   private onPoll(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolMessage.poll, body)) return;
-    this.ownerSeenAt.set(from, now);
+    this.recordOwner(from, body.claimAt, now);
     const unknown: string[] = [];
     for (const id of body.ids) {
       const known = this.answers.get(id);
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -6,6 +6,7 @@
 import {criticalPathMs} from '../job/critical_path_ms.js';
 import type {PoolJob} from '../job/pool_job.js';
 import type {OpenJob} from './open_job.js';
+import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
 import {pollCutoffMs} from './poll_cutoff_ms.js';
 import {queryDispatchers} from './query_dispatchers.js';
@@ -264,6 +265,7 @@
       waitedMs: now - job.arrivedAt,
       patienceMs: Math.max(0, job.deadlineAt - now),
       settleMs,
+      claimAt: claim.sentAt,
       ...(settleMs > 0 && Number.isFinite(job.earlierToken)
         ? {earlierToken: job.earlierToken}
         : {}),
@@ -306,18 +308,18 @@
   /** Asks each dispatcher about the jobs that it has. */
   private poll(now: number): void {
     this.nextPoll = now + POLL_MS;
-    const byNode = new Map<string, string[]>();
+    const byClaim = new Map<DispatcherClaim, string[]>();
     for (const job of this.jobs.values()) {
       const {claim} = this.contacts.of(job.zone);
       if (!claim || claim.node !== job.assignedTo?.node) continue;
       if (now - claim.heardAt >= pollCutoffMs(job)) continue;
       if (now - job.submittedAt < IN_FLIGHT_MS) continue;
-      const ids = byNode.get(claim.node) ?? [];
+      const ids = byClaim.get(claim) ?? [];
       ids.push(job.id);
-      byNode.set(claim.node, ids);
+      byClaim.set(claim, ids);
     }
-    for (const [node, ids] of byNode) {
-      this.opts.peers.send(node, 'pool.poll', {ids});
+    for (const [{node, sentAt}, ids] of byClaim) {
+      this.opts.peers.send(node, 'pool.poll', {ids, claimAt: sentAt});
     }
   }
 
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -80,6 +80,7 @@
       zone: this.opts.zone,
       revision: this.revision,
       version: this.opts.evacuated?.version,
+      sentAt: now,
       heardAt: now,
     };
   }
--- a/src/core/pool/job/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -25,6 +25,8 @@
    * `settleMs`. Older nodes omit it.
    */
   earlierToken: v.optional(count),
+  /** When the dispatcher sent the last claim that the entry node received. */
+  claimAt: v.optional(v.number()),
   /** Workers that earlier dispatchers lost under tasks of the job. */
   losses: v.optional(v.pipe(v.array(WorkerLoss), v.readonly()), []),
   /** Lowest configuration revision that may be used to find its queue. */
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -154,6 +154,7 @@
       reportAddress,
       revision: routing()?.content.revision ?? 0,
       version: opts.evacuated?.version,
+      sentAt: now,
       heardAt: now,
     };
   }
--- a/src/core/pool/node/dispatcher_claim.ts
+++ b/src/core/pool/node/dispatcher_claim.ts
@@ -34,6 +34,11 @@
   readonly revision: number;
   /** Version of the configuration in force at the node. Default 0. */
   readonly version?: number | undefined;
+  /**
+   * When the node sent the claim, on its own clock; older nodes omit it. An entry
+   * node returns it with its jobs and polls.
+   */
+  readonly sentAt?: number | undefined;
   /** When the claim was last received. */
   readonly heardAt: number;
 }
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -141,7 +141,9 @@
   recordReferral(grant: ZoneGrant, now: number): void {
     const leader = this.leaderClaim;
     if (leader?.node === grant.node) {
-      this.leaderClaim = {...leader, heardAt: Math.max(leader.heardAt, now)};
+      const heardAt = Math.max(leader.heardAt, now);
+      // Its last claim may have been sent long before.
+      this.leaderClaim = {...leader, heardAt, sentAt: undefined};
     } else if (leader) {
       this.record({...toClaim(grant, leader), heardAt: now});
     }
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -41,6 +41,8 @@
         reportAddress: v.optional(v.string()),
         revision: count,
         version: v.optional(count),
+        /** Time of the sender's clock. */
+        sentAt: v.optional(v.number()),
       }),
     ),
     /** Highest fencing token of the sender's zone; older nodes omit it. */
@@ -61,7 +63,11 @@
     isRelieved: v.optional(v.boolean(), false),
   }),
   /** Open jobs of an entry node, to ask for their answers. */
-  poll: v.object({ids}),
+  poll: v.object({
+    ids,
+    /** When the dispatcher sent the last claim that the entry node received. */
+    claimAt: v.optional(v.number()),
+  }),
   /** Jobs of a poll that the dispatcher does not know. */
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -5,15 +5,19 @@
 import {ZonePeers} from '../../../src/core/pool/entry/zone_peers.js';
 import {LeaderService} from '../../../src/core/pool/node/leader_service.js';
 import {NodeDirectory} from '../../../src/core/pool/node/node_directory.js';
+import {WorkerRelay} from '../../../src/core/pool/relay/worker_relay.js';
 import {EvacuatedZones} from '../../../src/core/routing/evacuated_zones.js';
 import {FakeClock} from '../fake_clock.js';
+import {DeploymentLinks} from './deployment_links.js';
 import {DeploymentLog} from './deployment_log.js';
 import {FakeElection} from './fake_election.js';
 import {FakePoolWorker} from './fake_pool_worker.js';
 import {FakeWorkerClient} from './fake_worker_client.js';
 import {PoolBench} from './pool_bench.js';
+import {POOL_WORKER_REPORT} from './pool_worker_report.js';
 import {PoolNetwork} from './pool_network.js';
 import {SuspendableClock} from './suspendable_clock.js';
+import {WaitingCallers} from './waiting_callers.js';
 
 const LEASE_MS = 600;
 const TICK_MS = {core: 20, entry: 50};
@@ -27,12 +31,11 @@
 }
 
 interface Core {
+  readonly id: string;
   readonly clock: SuspendableClock;
   readonly service: LeaderService;
 }
 
-type Fields = Record<string, unknown>;
-
 interface BenchOptions {
   readonly zones?: readonly string[];
   readonly coresPerZone?: number;
@@ -45,7 +48,7 @@
  * fake clock, whose nodes can be stopped, suspended and cut off. Node `xc1` is the
  * first core node of zone `x`, `xe1` its first entry node and `xw1` a worker.
  */
-export class DeploymentBench {
+export class DeploymentBench extends DeploymentLinks {
   readonly clock = new FakeClock();
   readonly network = new PoolNetwork();
   readonly election: FakeElection;
@@ -57,19 +60,22 @@
   runMs = 100;
   /** Configuration in force everywhere, with the evacuated zones. */
   config: {version: number; evacuated: string[]} = {version: 1, evacuated: []};
-  private readonly zoneOf = new Map<string, string>();
   /** Ids of all core nodes. */
   readonly seeds: string[] = [];
-  private readonly cut = new Set<string>();
+  /** Chooses the fault of an order to a worker that is not cut off. */
+  orderFault: FakeWorkerClient['faultOf'] = () => 'ok';
+  /** Callers that wait for an answer. */
+  readonly callers = new WaitingCallers();
   private readonly closed = new Set<string>();
   private sequence = 0;
   private readonly startedAt = this.clock.now();
-  private workerNumber = 0;
 
   constructor(opts: BenchOptions = {}) {
+    super();
     const {zones = ['x', 'y', 'z'], coresPerZone = 2} = opts;
     const {entriesPerZone = 2, workersPerZone = 50} = opts;
     this.network.isConnected = (a, b) => !this.isCut(a, b);
+    this.network.delayMs = (a, b) => this.delayMs(a, b);
     this.election = new FakeElection(this.clock, () => this.votes());
     for (const zone of zones) {
       for (let n = 1; n <= coresPerZone; n += 1) {
@@ -78,7 +84,9 @@
     }
     for (const id of this.seeds) this.startCore(id);
     for (const zone of zones) {
-      for (let n = 1; n <= entriesPerZone; n += 1) this.addEntry(zone, n);
+      for (let n = 1; n <= entriesPerZone; n += 1) {
+        this.startEntry(`${zone}e${n}`);
+      }
       for (let n = 1; n <= workersPerZone; n += 1) this.addWorker(zone, n);
     }
   }
@@ -108,34 +116,6 @@
       .map(([id]) => id);
   }
 
-  /** Ids of nodes and workers in a zone. */
-  inZone(zone: string): string[] {
-    return [...this.zoneOf].filter(([, z]) => z === zone).map(([id]) => id);
-  }
-
-  outsideOf(zone: string): string[] {
-    return [...this.zoneOf].filter(([, z]) => z !== zone).map(([id]) => id);
-  }
-
-  /** Cuts all links between two groups of nodes and workers. */
-  isolate(group: readonly string[], others: readonly string[]): void {
-    for (const a of group) {
-      for (const b of others) {
-        this.cut.add(`${a} ${b}`);
-        this.cut.add(`${b} ${a}`);
-      }
-    }
-  }
-
-  /** Cuts the link from one node to another, in this direction only. */
-  cutFrom(from: string, to: string): void {
-    this.cut.add(`${from} ${to}`);
-  }
-
-  heal(): void {
-    this.cut.clear();
-  }
-
   suspend(id: string): void {
     this.clockOf(id).isSuspended = true;
   }
@@ -144,9 +124,18 @@
     this.clockOf(id).resume();
   }
 
+  /** Lets a node run only every `lagMs`, as with too little of a processor. */
+  starve(id: string, lagMs: number): void {
+    const clock = this.clockOf(id);
+    clock.lagMs = lagMs;
+    clock.isSuspended = lagMs > 0;
+    if (lagMs === 0) clock.resume();
+  }
+
   /** Ends a process without notice. */
   kill(id: string): void {
     this.clockOf(id).isSuspended = true;
+    this.clockOf(id).lagMs = 0;
     this.network.disconnect(id);
     this.election.forget(id);
     this.cores.delete(id);
@@ -179,7 +168,7 @@
       reportAddress: `${id}:1`,
       leadership: () => this.election.leadershipOf(id),
     });
-    this.cores.set(id, {clock: common.clock, service});
+    this.cores.set(id, {id, clock: common.clock, service});
   }
 
   submit(entry: string, id: string, opts = {}): void {
@@ -191,11 +180,18 @@
     const answers = this.log.answers.get(id) ?? [];
     this.log.answers.set(id, answers);
     this.log.submittedAt.set(id, this.now);
-    this.entries
-      .get(entry)!
-      .gateway.submit({host, path, job, patienceMs}, answer =>
-        answers.push({...answer, at: this.now}),
-      );
+    const respond = this.callers.add(id, entry, answer =>
+      answers.push({...answer, at: this.now}),
+    );
+    const {clock, gateway} = this.entries.get(entry)!;
+    clock.receive(() => gateway.submit({host, path, job, patienceMs}, respond));
+  }
+
+  /** Breaks the connection over which a job was submitted. */
+  disconnectCaller(id: string): void {
+    const caller = this.callers.remove(id);
+    const node = caller && this.entries.get(caller.entry);
+    node?.clock.receive(() => node.gateway.drop(id, caller!.respond));
   }
 
   async run(ms: number): Promise<void> {
@@ -219,10 +215,16 @@
 
   private tick(): void {
     const now = this.clock.now();
+    for (const node of [...this.cores.values(), ...this.entries.values()]) {
+      const {clock} = node;
+      if (clock.lagMs === 0 || now % clock.lagMs !== 0) continue;
+      clock.resume(() => this.tickNode(node, now));
+      clock.isSuspended = true;
+    }
     if (now % TICK_MS.core === 0) {
       this.election.tick();
-      for (const [id, {clock, service}] of this.cores) {
-        if (!clock.isSuspended && !this.closed.has(id)) service.tick(now);
+      for (const core of this.cores.values()) {
+        if (!core.clock.isSuspended) this.tickNode(core, now);
       }
       for (const {clock, fallback} of this.entries.values()) {
         if (!clock.isSuspended && fallback.isDispatching) fallback.tick(now);
@@ -231,9 +233,7 @@
     if (now % TICK_MS.entry === 0) {
       for (const entry of this.entries.values()) {
         if (entry.clock.isSuspended) continue;
-        entry.fallback.tick(now);
-        entry.presence.tick(now);
-        entry.gateway.tick(now);
+        this.tickNode(entry, now);
       }
     }
     let n = 0;
@@ -243,6 +243,16 @@
     }
   }
 
+  private tickNode(node: Core | Entry, now: number): void {
+    if ('service' in node) {
+      if (!this.closed.has(node.id)) node.service.tick(now);
+      return;
+    }
+    node.fallback.tick(now);
+    node.presence.tick(now);
+    node.gateway.tick(now);
+  }
+
   /**
    * Sends a worker's report to a core node that it reaches, preferably to `first`
    * or else to one of its zone.
@@ -257,7 +267,7 @@
     const ids = [...this.cores.keys()].sort((a, b) => rank(b) - rank(a));
     for (const core of ids) {
       const {clock, service} = this.cores.get(core)!;
-      if (clock.isSuspended || this.isCut(core, id)) continue;
+      if (clock.isSuspended || this.isCut(id, core)) continue;
       this.sequence += 1;
       worker.report = {...worker.report, sequence: this.sequence};
       const address = await service.reports.report(worker.report);
@@ -270,42 +280,39 @@
     return (this.cores.get(id) ?? this.entries.get(id))!.clock;
   }
 
-  private isCut(a: string, b: string): boolean {
-    return this.cut.has(`${a} ${b}`);
-  }
-
   /** Live core nodes and whether they reach each other. */
   private votes() {
     const live = [...this.cores]
-      .filter(([, {clock}]) => !clock.isSuspended)
+      .filter(([, {clock}]) => !clock.isSuspended || clock.lagMs > 0)
       .map(([id]) => id);
-    const isConnected = (a: string, b: string) => !this.isCut(a, b);
-    return {live, voters: this.seeds.length, isConnected};
+    return {
+      live,
+      voters: this.seeds.length,
+      isConnected: (a: string, b: string) => this.areLinked(a, b),
+      lagMs: (id: string) => this.cores.get(id)!.clock.lagMs,
+    };
   }
 
   private addWorker(zone: string, n: number): void {
     const id = `${zone}w${n}`;
     this.zoneOf.set(id, zone);
-    this.workerNumber += 1;
     const report = {
+      ...POOL_WORKER_REPORT,
       id,
-      bornAt: 1,
       service: 'svc',
       address: `${id}:1`,
       zone,
-      isDraining: false,
       capacity: {cpu: 2_000, memoryMb: 1_000, accelerators: 0},
-      labels: [],
-      sequence: 0,
     };
     const worker = new FakePoolWorker(report, this.clock, LEASE_MS);
     worker.runMs = () => this.runMs;
     this.workers.set(id, worker);
   }
 
-  private addEntry(zone: string, n: number): void {
-    const id = `${zone}e${n}`;
+  startEntry(id: string): void {
+    const zone = id[0]!;
     const common = this.common(id, zone);
+    new WorkerRelay(common.peers, common.client);
     const relief = new ReliefService({...common, share: 1});
     const opts = {...common, relief, zonePeers: new ZonePeers()};
     const fallback = new FallbackService(opts);
@@ -315,16 +322,15 @@
     this.entries.set(id, {clock: common.clock, fallback, gateway, presence});
   }
 
-  private record(node: string, event: string, fields: Fields): void {
-    this.log.events.push({at: this.now, node, event, fields});
-  }
-
   private common(id: string, zone: string) {
     this.zoneOf.set(id, zone);
     const clock = new SuspendableClock(this.clock);
-    const client = new FakeWorkerClient(clock, this.workers);
-    client.faultOf = (_call, worker) =>
-      this.isCut(id, worker) ? 'order_lost' : 'ok';
+    const client = new FakeWorkerClient(clock, this.workers, 1, this.clock);
+    client.faultOf = (call, worker) => {
+      if (this.isCut(id, worker)) return 'order_lost';
+      if (this.isCut(worker, id)) return 'answer_lost';
+      return this.orderFault(call, worker);
+    };
     return {
       node: id,
       zone,
@@ -335,14 +341,7 @@
       leaseMs: LEASE_MS,
       routing: () => PoolBench.table(),
       evacuated: new EvacuatedZones(() => this.config),
-      observer: {
-        recordJobEvent: (event: string, job: string, fields: object) =>
-          this.record(id, event, {job, ...fields}),
-        recordStateChange: (event: string, fields: object) =>
-          this.record(id, event, {...fields}),
-        recordResponseTime: () => undefined,
-        incrementCounter: () => undefined,
-      },
+      observer: this.log.createObserver(id, () => this.now),
     };
   }
 }
--- a/test-support/fakes/pool/deployment_log.ts
+++ b/test-support/fakes/pool/deployment_log.ts
@@ -1,4 +1,5 @@
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
+import type {PoolObserver} from '../../../src/core/pool/pool_observer.js';
 import type {FakePoolWorker} from './fake_pool_worker.js';
 
 interface Event {
@@ -17,6 +18,18 @@
 
   constructor(private readonly workers: ReadonlyMap<string, FakePoolWorker>) {}
 
+  /** Creates an observer that records the events of a node. */
+  createObserver(node: string, now: () => number): PoolObserver {
+    const record = (event: string, fields: object) =>
+      this.events.push({at: now(), node, event, fields: {...fields}});
+    return {
+      recordJobEvent: (event, job, fields) => record(event, {job, ...fields}),
+      recordStateChange: record,
+      recordResponseTime: () => undefined,
+      incrementCounter: () => undefined,
+    };
+  }
+
   answerOf(id: string): PoolAnswer['kind'] | undefined {
     return this.answers.get(id)?.at(-1)?.kind;
   }
--- a/test-support/fakes/pool/fake_election.ts
+++ b/test-support/fakes/pool/fake_election.ts
@@ -7,6 +7,8 @@
   readonly live: readonly string[];
   readonly voters: number;
   readonly isConnected: (a: string, b: string) => boolean;
+  /** Interval at which a starved node runs, in ms; 0 for the others. */
+  readonly lagMs: (id: string) => number;
 }
 
 interface Belief {
@@ -35,7 +37,7 @@
 
   tick(): void {
     const now = this.clock.now();
-    const {live, voters, isConnected} = this.votes();
+    const {live, voters, isConnected, lagMs} = this.votes();
     const hasMajority = (id: string) =>
       live.filter(other => other === id || isConnected(id, other)).length * 2 >
       voters;
@@ -51,7 +53,8 @@
     if (this.current !== undefined) {
       if (live.includes(this.current) && hasMajority(this.current)) {
         this.confirmedAt = now;
-        this.beliefs.get(this.current)!.confirmedAt = now;
+        // A starved leader reads the replies when it runs again.
+        this.beliefs.get(this.current)!.confirmedAt = now - lagMs(this.current);
         return;
       }
     }
--- a/test-support/fakes/pool/fake_worker_client.ts
+++ b/test-support/fakes/pool/fake_worker_client.ts
@@ -6,8 +6,11 @@
 
 /** Kind of a call; `look` is a poll, as in relayed orders. */
 type Call = 'start' | 'stop' | 'look';
-/** Network fault of a call; a lost answer is a lost reply. */
-type Fault = 'ok' | 'order_lost' | 'answer_lost';
+/**
+ * Network fault of a call; a lost answer is a lost reply. A late order is executed
+ * after newer ones, and its caller gets no reply.
+ */
+type Fault = 'ok' | 'order_lost' | 'answer_lost' | {readonly lateMs: number};
 
 /** Client of fake workers whose orders or replies can be lost. */
 export class FakeWorkerClient extends WorkerClient {
@@ -21,6 +24,8 @@
     private readonly clock: Clock,
     private readonly workers: ReadonlyMap<string, FakePoolWorker>,
     private readonly delayMs = 1,
+    /** Clock of late orders, which goes on while the caller is suspended. */
+    private readonly networkClock = clock,
   ) {
     super();
   }
@@ -91,6 +96,14 @@
     if (this.crashed.has(id) && fault === 'ok') {
       return {kind: 'lost', detail: 'refused', isRefused: true};
     }
+    if (typeof fault === 'object') {
+      const life = worker?.report.bornAt;
+      this.networkClock.schedule(fault.lateMs, () => {
+        if (worker && worker.report.bornAt === life) act(worker);
+      });
+      await this.sleep(timeoutMs);
+      return {kind: 'lost', detail: 'late'};
+    }
     const answer = worker && fault !== 'order_lost' ? act(worker) : undefined;
     if (answer === undefined || fault === 'answer_lost') {
       await this.sleep(timeoutMs);
--- a/test-support/fakes/pool/pool_network.ts
+++ b/test-support/fakes/pool/pool_network.ts
@@ -13,6 +13,8 @@
   readonly bytes = new Map<string, number>();
   /** Whether messages from one node reach another. */
   isConnected: (from: string, to: string) => boolean = () => true;
+  /** Time that a message from one node to another takes, in ms. */
+  delayMs: (from: string, to: string) => number = () => ONE_WAY_MS;
   /** Changes the messages from one node to another, as an older process would. */
   translate: (from: string, to: string, body: unknown) => unknown = (
     _from,
@@ -20,6 +22,8 @@
     body,
   ) => body;
   private readonly nodes = new Map<string, PoolTransport>();
+  /** When the last message of each link arrives; they arrive in order. */
+  private readonly arrivals = new Map<string, number>();
 
   connect(node: string, clock: SuspendableClock): PeerTransport {
     const transport = new PoolTransport(node, clock, this);
@@ -43,7 +47,7 @@
     const sent = (this.bytes.get(from.node) ?? 0) + encoded.length;
     this.bytes.set(from.node, sent);
     // The network goes on while the sender is suspended.
-    from.clock.clock.schedule(ONE_WAY_MS, () => {
+    from.clock.clock.schedule(this.delayOf(from, to), () => {
       const receiver = this.nodes.get(to);
       if (!receiver || !this.isConnected(from.node, to)) return;
       receiver.clock.receive(() => {
@@ -52,6 +56,14 @@
       });
     });
   }
+
+  private delayOf({node, clock}: PoolTransport, to: string): number {
+    const link = `${node} ${to}`;
+    const at = clock.now() + this.delayMs(node, to);
+    const arrival = Math.max(at, this.arrivals.get(link) ?? 0);
+    this.arrivals.set(link, arrival);
+    return arrival - clock.now();
+  }
 }
 
 class PoolTransport extends PeerTransport {
--- a/test-support/fakes/pool/suspendable_clock.ts
+++ b/test-support/fakes/pool/suspendable_clock.ts
@@ -7,6 +7,11 @@
  */
 export class SuspendableClock implements Clock {
   isSuspended = false;
+  /**
+   * Interval at which the node gets the processor, if it is starved; between, it
+   * is suspended.
+   */
+  lagMs = 0;
   private overdue: Array<() => void> = [];
   private arrived: Array<() => void> = [];
 
@@ -43,9 +48,10 @@
     else handle();
   }
 
-  resume(): void {
+  /** Ends a suspension; `tick` is a timer that has become due in it. */
+  resume(tick: () => void = () => undefined): void {
     this.isSuspended = false;
-    const due = [...this.overdue, ...this.arrived];
+    const due = [...this.overdue, tick, ...this.arrived];
     this.overdue = [];
     this.arrived = [];
     for (const act of due) act();
