Check one leader for all zones over generated histories with slow nodes

Beyond the faults of zones it kills, suspends and cuts off entry nodes, breaks callers' connections, cuts links in one direction (up to 2 s, while windows of connections last), lets nodes run only every 40 to 450 ms, delays links of core nodes, loses orders or replies or carries orders out late, and restarts workers under their ids. Callers send a job again 1.3 s after it was given up, its connection broke or no answer came, up to three times, mostly to another entry node of the zone.

A missing answer is now a violation as soon as the caller's time is over, at entry nodes that were neither killed, suspended nor slowed; a job that was sent again counts anew. The faults and run times of `--group zones` are unchanged; its callers use the new rule for sending jobs again.

--- a/src/check/pool/check_pool.test.ts
+++ b/src/check/pool/check_pool.test.ts
@@ -17,3 +17,10 @@
   assert.deepEqual(report.counterexample, undefined);
   assert.isAbove(report.moved, 0);
 });
+
+// Guards against a task that the leader of all zones and the fallback of one run at
+// once, with slow nodes, links that work one way and callers that send jobs again.
+test('generated histories of one leader keep what callers are promised', async () => {
+  const report = await checkZones(31, 3, 'leader');
+  assert.deepEqual(report.counterexample, undefined);
+});
--- a/src/check/pool/check_zones.ts
+++ b/src/check/pool/check_zones.ts
@@ -21,10 +21,11 @@
 export async function checkZones(
   seed: number,
   numRuns: number,
+  mode: 'zones' | 'leader' = 'zones',
 ): Promise<ZoneReport> {
   let [runs, jobs, moved] = [0, 0, 0];
-  const property = fc.asyncProperty(zoneStepsArbitrary, async steps => {
-    const run = new ZoneRun();
+  const property = fc.asyncProperty(zoneStepsArbitrary[mode], async steps => {
+    const run = new ZoneRun(mode);
     await run.run(steps);
     runs += 1;
     jobs += run.submitted;
@@ -34,7 +35,7 @@
   const details = await fc.check(property, {seed, numRuns});
   const [steps] = details.counterexample ?? [];
   if (!steps) return {runs, jobs, moved, counterexample: undefined};
-  const run = new ZoneRun();
+  const run = new ZoneRun(mode);
   await run.run(steps);
   const path = details.counterexamplePath ?? '';
   const {violations} = run;
--- a/src/check/pool/pool_command.ts
+++ b/src/check/pool/pool_command.ts
@@ -15,15 +15,15 @@
   .option('--runs <n>', 'number of histories', '500')
   .option(
     '--group <name>',
-    'workers, or zones for several dispatchers',
+    'workers, zones for several dispatchers, or leader for one',
     'workers',
   )
   .action(async (opts: Options) => {
     const startedAt = performance.now();
     const [seed, runs] = [Number(opts.seed), Number(opts.runs)];
     const report =
-      opts.group === 'zones'
-        ? await checkZones(seed, runs)
+      opts.group === 'zones' || opts.group === 'leader'
+        ? await checkZones(seed, runs, opts.group)
         : await checkPool(seed, runs);
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
     console.log(`seed ${opts.seed}: ${report.runs} runs in ${seconds} s`);
--- a/src/check/pool/zone_run.ts
+++ b/src/check/pool/zone_run.ts
@@ -1,30 +1,48 @@
 import {DeploymentBench} from '../../../test-support/fakes/pool/deployment_bench.js';
+import {JobCallers} from './job_callers.js';
 import type {ZoneStep} from './zone_step.js';
 
-/** Time in which all zones are granted. */
-const BEGIN_MS = 5_500;
-const SUBMIT_MS = 60;
+/** Time in which all zones are granted, and in which there is a leader. */
+const BEGIN_MS = {zones: 5_500, leader: 2_000};
+const SUBMIT_MS = {zones: 60, leader: 150};
 /** Time after the last fault in which every zone must be served again. */
-const SETTLE_MS = 12_000;
-const PATIENCE_MS = 1_500;
-/** Time after which a caller sends a job again that was given up. */
-const RETRY_MS = 1_300;
-const RUN_TIMES_MS = [60, 900, 200];
+const SETTLE_MS = {zones: 12_000, leader: 7_000};
+/** Time that workers take to stop a run. */
+const STOP_MS = 50;
+/** Long runs go on when their caller sends the job again. */
+const RUN_TIMES_MS = {
+  zones: [60, 900, 200],
+  leader: [60, 900, 200, 60, 2_600, 200, 60],
+};
+/** Time that callers wait beyond the run time. */
+const WAIT_MS = 1_400;
 const ZONES = ['x', 'y', 'z'];
+/** Deployments with a dispatcher per zone, and with one for all zones. */
+const DEPLOYMENTS = {
+  zones: {coresPerZone: 2, entriesPerZone: 2, workersPerZone: 50},
+  leader: {coresPerZone: 1, entriesPerZone: 3, workersPerZone: 22},
+};
 
 /**
- * One generated history of a deployment with a dispatcher per zone, on a fake
- * clock. Collects the violations of what callers and workers are promised.
+ * One generated history of a deployment with a dispatcher per zone, or with one for
+ * all zones and fallbacks, on a fake clock. Collects the violations of what callers and workers are promised.
  */
 export class ZoneRun {
   readonly violations: string[] = [];
-  private readonly bench = new DeploymentBench();
-  private readonly healsAt: Array<{at: number; heal: () => void}> = [];
+  private readonly bench: DeploymentBench;
+  /** Callers that send their job again, by its id. */
+  private readonly callers: JobCallers;
+  private readonly healsAt: Array<{at: number; heal: () => unknown}> = [];
   /** Times of the starts of each job. */
   private readonly starts = new Map<string, number[]>();
-  private readonly retried = new Set<string>();
   private nextSubmit = 0;
   private jobs = 0;
+  private orders = 0;
+
+  constructor(private readonly mode: keyof typeof DEPLOYMENTS = 'zones') {
+    this.bench = new DeploymentBench(DEPLOYMENTS[mode]);
+    this.callers = new JobCallers(this.bench);
+  }
 
   get submitted(): number {
     return this.bench.log.submittedAt.size;
@@ -38,20 +56,26 @@
   async run(steps: readonly ZoneStep[]): Promise<void> {
     const {bench} = this;
     for (const worker of bench.workers.values()) {
-      worker.runMs = task => runMsOf(task);
+      worker.runMs = task =>
+        this.runMsOf(numberOf(task.slice(0, task.indexOf('.'))));
       worker.onStart = task => this.recordStart(task);
+      worker.stopMs = STOP_MS;
     }
-    await bench.run(BEGIN_MS);
+    await bench.run(BEGIN_MS[this.mode]);
     for (const step of steps) {
       await this.advance(step.waitMs);
       this.execute(step);
     }
     while (this.healsAt.length > 0) await this.advance(20);
-    await this.advance(SETTLE_MS);
+    await this.advance(SETTLE_MS[this.mode]);
     for (const id of bench.entries.keys()) {
-      bench.submit(id, `${id}-last`, {patienceMs: PATIENCE_MS});
+      this.callers.submit(id, `${id}-last`, {patienceMs: WAIT_MS});
+    }
+    const end = bench.now + JobCallers.MAX_WAIT_MS;
+    while (bench.now < end) {
+      await bench.run(20);
+      this.callers.tick();
     }
-    await bench.run(2 * PATIENCE_MS + RETRY_MS);
     this.check();
   }
 
@@ -80,6 +104,44 @@
         const id = this.coreOf(step.core);
         return this.cut(step.forMs, [id], [...bench.entries.keys()]);
       }
+      case 'kill_entry':
+      case 'suspend_entry':
+      case 'cut_entry':
+        return this.stopEntry(step.kind, this.entryOf(step.entry), step.forMs);
+      case 'disconnect':
+        return this.callers.disconnect(this.entryOf(step.entry));
+      case 'cut_one_way': {
+        const zone = ZONES[step.zone]!;
+        const [inner, outer] = [bench.inZone(zone), bench.outsideOf(zone)];
+        const [from, to] = step.isOutward ? [inner, outer] : [outer, inner];
+        for (const a of from) {
+          for (const b of to) bench.cutFrom(a, b);
+        }
+        return this.after(step.forMs, () => bench.heal());
+      }
+      case 'starve':
+        return this.starve(step);
+      case 'slow_link': {
+        const id = this.coreOf(step.core);
+        bench.linkDelayMs.set(id, step.delayMs);
+        return this.after(step.forMs, () => bench.linkDelayMs.delete(id));
+      }
+      case 'faulty_orders': {
+        const {fault, every, lateMs} = step;
+        bench.orderFault = () => {
+          this.orders += 1;
+          if (this.orders % every !== 0) return 'ok';
+          return fault === 'late' ? {lateMs} : fault;
+        };
+        return this.after(step.forMs, () => {
+          bench.orderFault = () => 'ok';
+        });
+      }
+      case 'crash_workers':
+        [...bench.workers.values()].forEach((worker, n) => {
+          if (n % step.every === 0) worker.restart();
+        });
+        return;
       default:
         this.stop(step.kind, this.coreOf(step.core), step.forMs);
     }
@@ -114,6 +176,45 @@
     this.after(700 + forMs, () => bench.startCore(id));
   }
 
+  private stopEntry(
+    kind: 'kill_entry' | 'suspend_entry' | 'cut_entry',
+    id: string,
+    forMs: number,
+  ): void {
+    const {bench, callers} = this;
+    if (kind === 'cut_entry') {
+      const ids = [...bench.inZone(id[0]!), ...bench.outsideOf(id[0]!)];
+      return this.cut(
+        forMs,
+        [id],
+        ids.filter(other => other !== id),
+      );
+    }
+    if (bench.entries.get(id)?.clock.isSuspended !== false) return;
+    callers.disturb(id);
+    if (kind === 'suspend_entry') {
+      bench.suspend(id);
+      this.after(forMs, () => bench.entries.has(id) && bench.resume(id));
+      return;
+    }
+    callers.disconnect(id);
+    bench.kill(id);
+    this.after(700 + forMs, () => bench.startEntry(id));
+  }
+
+  private starve(step: Extract<ZoneStep, {kind: 'starve'}>): void {
+    const {bench} = this;
+    const {isCore, node, lagMs, forMs} = step;
+    const id = isCore ? this.coreOf(node) : this.entryOf(node);
+    const nodes = isCore ? bench.cores : bench.entries;
+    const known = nodes.get(id);
+    if (known?.clock.isSuspended !== false || bench.isClosed(id)) return;
+    if (!isCore) this.callers.disturb(id);
+    bench.starve(id, lagMs);
+    // Another process may have started meanwhile.
+    this.after(forMs, () => nodes.get(id) === known && bench.starve(id, 0));
+  }
+
   private cut(
     forMs: number,
     group: readonly string[],
@@ -123,7 +224,7 @@
     this.after(forMs, () => this.bench.heal());
   }
 
-  private after(ms: number, heal: () => void): void {
+  private after(ms: number, heal: () => unknown): void {
     this.healsAt.push({at: this.bench.now + ms, heal});
   }
 
@@ -136,44 +237,27 @@
         each.heal();
       }
       if (bench.now >= this.nextSubmit) this.submitAll();
+      this.callers.tick();
       await bench.run(Math.min(20, end - bench.now));
     }
   }
 
   private submitAll(): void {
     const {bench} = this;
-    this.nextSubmit = bench.now + SUBMIT_MS;
+    this.nextSubmit = bench.now + SUBMIT_MS[this.mode];
     for (const id of bench.entries.keys()) this.submit(id);
-    this.retry();
   }
 
   private submit(entry: string): void {
     this.jobs += 1;
-    this.bench.submit(entry, `${entry}-${this.jobs}`, {
+    const estimatedMs = this.runMsOf(this.jobs);
+    this.callers.submit(entry, `${entry}-${this.jobs}`, {
       tasks: 1 + (this.jobs % 4),
-      estimatedMs: RUN_TIMES_MS[this.jobs % RUN_TIMES_MS.length],
-      patienceMs: PATIENCE_MS,
+      estimatedMs,
+      patienceMs: estimatedMs + WAIT_MS,
     });
   }
 
-  /** Sends jobs again that were given up, to another entry node. */
-  private retry(): void {
-    const {bench} = this;
-    for (const [id, answers] of bench.log.answers) {
-      const last = answers.at(-1);
-      if (last?.kind !== 'given_up' || this.retried.has(id)) continue;
-      if (bench.now - last.at < RETRY_MS) continue;
-      this.retried.add(id);
-      const entries = [...bench.entries.keys()];
-      const entry = entries[this.retried.size % entries.length]!;
-      bench.submit(entry, id, {
-        tasks: 1 + (numberOf(id) % 4),
-        estimatedMs: RUN_TIMES_MS[numberOf(id) % RUN_TIMES_MS.length],
-        patienceMs: PATIENCE_MS,
-      });
-    }
-  }
-
   private recordStart(task: string): void {
     const id = task.slice(0, task.indexOf('.'));
     const starts = this.starts.get(id) ?? [];
@@ -186,12 +270,23 @@
     return seeds[n % seeds.length]!;
   }
 
+  private runMsOf(job: number): number {
+    const times = RUN_TIMES_MS[this.mode];
+    return times[job % times.length]!;
+  }
+
+  private entryOf(n: number): string {
+    const zone = ZONES[n % ZONES.length]!;
+    const {entriesPerZone} = DEPLOYMENTS[this.mode];
+    return `${zone}e${1 + (Math.floor(n / ZONES.length) % entriesPerZone)}`;
+  }
+
   private check(): void {
     const {log, entries} = this.bench;
     for (const task of log.overlaps()) {
       this.violations.push(`${task}: two runs at the same time`);
     }
-    for (const id of log.jobsWith(undefined)) {
+    for (const id of this.callers.unanswered) {
       this.violations.push(`${id}: no answer`);
     }
     for (const id of log.jobsWith('refused')) {
@@ -210,7 +305,3 @@
 function numberOf(id: string): number {
   return Number(id.slice(id.indexOf('-') + 1)) || 0;
 }
-
-function runMsOf(task: string): number {
-  return RUN_TIMES_MS[numberOf(task.slice(0, task.indexOf('.'))) % 3]!;
-}
--- a/src/check/pool/zone_step.ts
+++ b/src/check/pool/zone_step.ts
@@ -31,4 +31,57 @@
         readonly core: number;
         readonly forMs: number;
       }
+    /** An entry node ends without notice; another process starts later. */
+    | {
+        readonly kind: 'kill_entry';
+        readonly entry: number;
+        readonly forMs: number;
+      }
+    /** An entry node is suspended. */
+    | {
+        readonly kind: 'suspend_entry';
+        readonly entry: number;
+        readonly forMs: number;
+      }
+    /** The connections of all callers of an entry node break. */
+    | {readonly kind: 'disconnect'; readonly entry: number}
+    /** An entry node loses all nodes and workers. */
+    | {
+        readonly kind: 'cut_entry';
+        readonly entry: number;
+        readonly forMs: number;
+      }
+    /** Nothing that a zone sends arrives elsewhere, or the other way round. */
+    | {
+        readonly kind: 'cut_one_way';
+        readonly zone: number;
+        readonly isOutward: boolean;
+        readonly forMs: number;
+      }
+    /** A node handles everything only every `lagMs`. */
+    | {
+        readonly kind: 'starve';
+        readonly isCore: boolean;
+        readonly node: number;
+        readonly lagMs: number;
+        readonly forMs: number;
+      }
+    /** All messages from and to a core node are delayed. */
+    | {
+        readonly kind: 'slow_link';
+        readonly core: number;
+        readonly delayMs: number;
+        readonly forMs: number;
+      }
+    /** Some of the orders to workers are lost, late or not answered. */
+    | {
+        readonly kind: 'faulty_orders';
+        readonly fault: 'order_lost' | 'answer_lost' | 'late';
+        /** One in this many orders is concerned. */
+        readonly every: number;
+        readonly lateMs: number;
+        readonly forMs: number;
+      }
+    /** Workers crash; others start under their ids. */
+    | {readonly kind: 'crash_workers'; readonly every: number}
   );
--- a/src/check/pool/zone_steps_arbitrary.ts
+++ b/src/check/pool/zone_steps_arbitrary.ts
@@ -48,6 +48,64 @@
   forMs,
 });
 
+const entry = fc.nat({max: 8});
+const entryFault = fc.record({
+  kind: fc.constantFrom(
+    'kill_entry' as const,
+    'kill_entry' as const,
+    'suspend_entry' as const,
+    'cut_entry' as const,
+  ),
+  waitMs,
+  entry,
+  forMs,
+});
+const disconnect = fc.record({
+  kind: fc.constant('disconnect' as const),
+  waitMs,
+  entry,
+});
+const cutOneWay = fc.record({
+  kind: fc.constant('cut_one_way' as const),
+  waitMs,
+  zone: fc.nat({max: ZONES - 1}),
+  isOutward: fc.boolean(),
+  // Connections deliver in one direction only until their windows are full.
+  forMs: fc.integer({min: 50, max: 2_000}),
+});
+const starve = fc.record({
+  kind: fc.constant('starve' as const),
+  waitMs,
+  isCore: fc.boolean(),
+  node: entry,
+  lagMs: fc.integer({min: 40, max: 450}),
+  forMs,
+});
+const slowLink = fc.record({
+  kind: fc.constant('slow_link' as const),
+  waitMs,
+  core,
+  delayMs: fc.integer({min: 20, max: 450}),
+  forMs,
+});
+const faultyOrders = fc.record({
+  kind: fc.constant('faulty_orders' as const),
+  waitMs,
+  fault: fc.constantFrom(
+    'order_lost' as const,
+    'answer_lost' as const,
+    'late' as const,
+  ),
+  every: fc.integer({min: 2, max: 30}),
+  lateMs: fc.integer({min: 50, max: 4_000}),
+  forMs,
+});
+const crashWorkers = fc.record({
+  kind: fc.constant('crash_workers' as const),
+  waitMs,
+  every: fc.integer({min: 1, max: 12}),
+});
+
 const burst = fc.record({
   kind: fc.constant('burst' as const),
   waitMs: fc.integer({min: 0, max: 300}),
@@ -55,14 +113,30 @@
   jobs: fc.integer({min: 15, max: 60}),
 });
 
+const zoneSteps = [
+  {weight: 4, arbitrary: fault},
+  {weight: 2, arbitrary: cutZone},
+  {weight: 1, arbitrary: cutCores},
+  {weight: 2, arbitrary: cutWorkers},
+  {weight: 4, arbitrary: burst},
+];
+const nodeSteps = [
+  {weight: 4, arbitrary: entryFault},
+  {weight: 1, arbitrary: disconnect},
+  {weight: 2, arbitrary: cutOneWay},
+  {weight: 4, arbitrary: starve},
+  {weight: 1, arbitrary: slowLink},
+  {weight: 3, arbitrary: faultyOrders},
+  {weight: 1, arbitrary: crashWorkers},
+];
+
 /** Generates the faults and the bursts of a history. */
-export const zoneStepsArbitrary: fc.Arbitrary<ZoneStep[]> = fc.array(
-  fc.oneof(
-    {weight: 4, arbitrary: fault},
-    {weight: 2, arbitrary: cutZone},
-    {weight: 1, arbitrary: cutCores},
-    {weight: 2, arbitrary: cutWorkers},
-    {weight: 4, arbitrary: burst},
-  ),
-  {minLength: 1, maxLength: MAX_STEPS},
-);
+export const zoneStepsArbitrary: Readonly<
+  Record<'zones' | 'leader', fc.Arbitrary<ZoneStep[]>>
+> = {
+  zones: fc.array(fc.oneof(...zoneSteps), {minLength: 1, maxLength: MAX_STEPS}),
+  leader: fc.array(fc.oneof(...zoneSteps, ...nodeSteps), {
+    minLength: 1,
+    maxLength: MAX_STEPS,
+  }),
+};
