Tell whether a queue exists by the newest configuration only

Jobs are not affected, since a submission names the revision that its dispatcher must have. Change: replies name the revision in which the queue was looked up; only those of the newest revision known count, and without one the answer is not known (503). Counts of pending jobs are still added up over all dispatchers.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -185,9 +185,10 @@
         return {found: current.has(body.id)};
       case 'pending': {
         const queue = table.find(body.host, body.path);
+        const {revision} = this;
         return queue?.prefix === body.path
-          ? {found: true, pending: current.pendingOf(queue.name)}
-          : {found: false};
+          ? {found: true, pending: current.pendingOf(queue.name), revision}
+          : {found: false, revision};
       }
     }
   }
--- a/src/core/pool/entry/query_dispatchers.ts
+++ b/src/core/pool/entry/query_dispatchers.ts
@@ -9,6 +9,8 @@
 const QueryReply = v.object({
   found: v.boolean(),
   pending: v.optional(v.number()),
+  /** Revision in which the queue was looked up; older nodes omit it. */
+  revision: v.optional(v.number()),
 });
 
 interface QueryOptions {
@@ -19,7 +21,9 @@
 
 /**
  * Queries the dispatchers of all zones, since a job may have been submitted in
- * any; returns undefined if the answer is not known.
+ * any; returns undefined if the answer is not known. Whether a queue exists is told
+ * by the newest configuration only: a dispatcher that has just been reached again
+ * may have an older one.
  */
 export async function queryDispatchers(
   {directory, clock, peers}: QueryOptions,
@@ -36,7 +40,11 @@
     const parsed = v.safeParse(QueryReply, res.value);
     return parsed.success ? [parsed.output] : [];
   });
-  const found = known.some(reply => reply.found);
+  const revisions = known.map(({revision = 0}) => revision);
+  const newest = Math.max(directory.claims.revision, ...revisions);
+  const current = known.filter(({revision = newest}) => revision >= newest);
+  if (current.length === 0) return undefined;
+  const found = current.some(reply => reply.found);
   const isComplete = known.length > 0 && known.length === nodes.length;
   if (!found && !isComplete) return undefined;
   const counts = known.flatMap(({pending}) => pending ?? []);
