--- a/src/check/pool/zone_run.ts
+++ b/src/check/pool/zone_run.ts
@@ -25,7 +25,8 @@
 
 /**
  * One generated history of a deployment with a dispatcher per zone, or with one for
- * all zones and fallbacks, on a fake clock. Collects the violations of what callers and workers are promised.
+ * all zones and fallbacks, on a fake clock. Collects the violations of what callers
+ * and workers are promised.
  */
 export class ZoneRun {
   readonly violations: string[] = [];
--- a/src/core/pool/dispatcher/owner_contacts.ts
+++ b/src/core/pool/dispatcher/owner_contacts.ts
@@ -10,8 +10,9 @@
   private readonly contactAt = new Map<string, number>();
 
   /**
-   * Records a message from an entry node. `claimStatedAt` is on this node's clock;
-   * older entry nodes omit it, and one that is ahead is of an earlier process.
+   * Records a message from an entry node. `claimStatedAt` is on the clock of this
+   * process. A time that is ahead of it is from an earlier process of the node; an
+   * older entry node, or one that has heard no claim yet, sends none.
    */
   record(owner: string, claimStatedAt: number | undefined, now: number): void {
     const at =
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -298,8 +298,8 @@
   }
 
   /**
-   * Late ticks stop the orders: the jobs of lost entry nodes may not have been
-   * dropped, and each poll would prolong the leases of their runs.
+   * While a tick is overdue, jobs of lost entry nodes may not have been dropped, and
+   * each order would prolong the leases of their runs.
    */
   private maySendOrders(now: number): boolean {
     const isLate = now - this.tickedAt > FailoverTiming.MAX_TICK_GAP_MS;
--- a/src/core/pool/node/failover_timing.ts
+++ b/src/core/pool/node/failover_timing.ts
@@ -9,7 +9,7 @@
   DISTANT_LEADER_TIMEOUT_MS: 2_500,
   /**
    * An entry node that has received nothing from the dispatcher for this long
-   * stops polling.
+   * stops polling; its polls would prolong nothing, but for an older dispatcher.
    */
   POLL_CUTOFF_MS: 300,
   /**
--- a/src/core/pool/relay/relay_chooser.ts
+++ b/src/core/pool/relay/relay_chooser.ts
@@ -5,9 +5,9 @@
 /** Workers of smaller fleets are contacted directly, which saves a hop. */
 const MIN_WORKERS = 64;
 /**
- * The same for the holder of a zone and its entry nodes. A call costs a process
- * that makes few of them several times what it costs the holder, and a zone has
- * some twenty entry processes; only large zones would overload their holder.
+ * The same for the holder of a zone, which relays through entry nodes only. A call
+ * costs an entry process, which makes few of them, several times what it costs the
+ * holder, whose code for it is compiled.
  */
 const MIN_WORKERS_HELD = 128;
 /** A node that has not been seen for this long is not used as relay. */
@@ -36,9 +36,9 @@
   ) {}
 
   /**
-   * Replaces the set of known workers. `mayLeaveZone` tells whether core nodes of
-   * other zones may relay. They may not for the holder of a zone, which contacts
-   * its workers itself unless they are many.
+   * Replaces the set of known workers. `mayLeaveZone` is false for the holder of a
+   * zone: no core node of another zone relays, and entry nodes of the zone only from
+   * MIN_WORKERS_HELD workers on.
    */
   setWorkers(
     workers: Iterable<{readonly id: string; readonly zone: string}>,
