--- a/review/lib/start_fleet.js
+++ b/review/lib/start_fleet.js
@@ -7,13 +7,17 @@
 const CALM_MS = 3_500;
 
 /**
- * Starts six workers of about 32 cores, publishes the first configuration, and
- * waits until the deployment is calm. Returns the workers.
+ * Starts workers of about 32 cores, six by default, publishes the first
+ * configuration, and waits until the deployment is calm. Returns the workers.
  */
-export async function startFleet(bench, {route, ...options} = {}) {
+export async function startFleet(
+  bench,
+  {route, count = WORKERS, ...options} = {},
+) {
   const workers = [];
-  for (let n = 0; n < WORKERS; n += 1) {
-    const life = {id: `i-7f3a91c${n}`, labels: ['a', 'r1-1'], cpu: 32_000};
+  for (let n = 0; n < count; n += 1) {
+    const id = `i-7f3a91${String(n).padStart(2, '0')}`;
+    const life = {id, labels: ['a', 'r1-1'], cpu: 32_000};
     const zone = ZONES[n % ZONES.length];
     workers.push(await bench.addWorker({zone, life, ...options}));
   }
