Keep the addresses of review case 5 on loopback

Cause: the heartbeat of case 5 named an address outside the loopback range, and the scripts read TROUBLE only in the shared part.

--- a/review/5/case.js
+++ b/review/5/case.js
@@ -37,7 +37,7 @@
         timeoutMs: 1_000,
         json: {
           backend: 'another-service',
-          address: '10.128.0.900:8080',
+          address: '127.0.0.1:99999',
           zone: 'arbat',
           version: 'v1',
           slots: 8,
