Keep the process running when a call to a worker throws

Cause: HttpWorkerClient throws in 'new Pool' for such an address. Dispatchers do not wait for their calls, so the rejected promise was unhandled and ended the process. The dispatcher that came next polled the same worker. It does not depend on the service: a worker of a configured service did the same, and an entry process that is about to become a fallback polls workers the same way.

Ruled out: the decoder of the heartbeat, which does not throw, and relayed calls, whose errors the peer server answers.

FailsafeWorkerClient turns an error of any call into a lost reply, which dispatchers expect from any worker, and logs order_failed.

Evidence: foreign_heartbeats.test.ts failed before ('Invalid URL', the job's connection was reset) and passes now.

--- a/src/core/pool/lease/worker_client.ts
+++ b/src/core/pool/lease/worker_client.ts
@@ -59,7 +59,10 @@
       readonly isRefused?: boolean | undefined;
     };
 
-/** Orders to workers that run tasks under leases. */
+/**
+ * Orders to workers that run tasks under leases. A dispatcher does not wait for
+ * its calls, so they must not reject: `FailsafeWorkerClient` ensures that.
+ */
 export abstract class WorkerClient {
   abstract start(
     target: Target,
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -1,4 +1,6 @@
 import {SystemRandom} from '../adapter/system_random.js';
+import {FailsafeWorkerClient} from '../core/pool/lease/failsafe_worker_client.js';
+import type {WorkerClient} from '../core/pool/lease/worker_client.js';
 import {LeaderService} from '../core/pool/node/leader_service.js';
 import {DispatchWarmUp} from '../core/pool/warm_up/dispatch_warm_up.js';
 import {EvacuatedZones} from '../core/routing/evacuated_zones.js';
@@ -36,7 +38,7 @@
  */
 export class CoreProgram extends Program {
   private readonly config: ConfigService;
-  private readonly client: HttpWorkerClient;
+  private readonly client: WorkerClient;
   private readonly leaderService: LeaderService;
   private readonly frontend: ControlFrontend;
   private isStopping = false;
@@ -78,7 +80,10 @@
       config: this.config,
       record: (event, fields) => observer.recordStateChange(event, fields),
     });
-    this.client = new HttpWorkerClient(clock);
+    this.client = new FailsafeWorkerClient(
+      new HttpWorkerClient(clock),
+      observer,
+    );
     this.leaderService = new LeaderService({
       node: ip,
       zone,
--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -111,6 +111,12 @@
     }
   }
 
+  /** URL of the first core process for the heartbeats of a worker. */
+  heartbeatUrl(worker: string): string {
+    const [{opts}] = this.ofRole('core') as [EmulatedProcess];
+    return `http://${controlOf(opts.address)}/Instances.Heartbeat/${worker}`;
+  }
+
   /** Request that submits a job to an entry process. */
   submission(
     {opts: {address}}: EmulatedProcess,
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -4,6 +4,8 @@
 import {EntryGateway} from '../core/pool/entry/entry_gateway.js';
 import {EntryPresence} from '../core/pool/entry/entry_presence.js';
 import {FallbackService} from '../core/pool/entry/fallback_service.js';
+import {FailsafeWorkerClient} from '../core/pool/lease/failsafe_worker_client.js';
+import type {WorkerClient} from '../core/pool/lease/worker_client.js';
 import {ReliefService} from '../core/pool/pressure/relief_service.js';
 import {WorkerRelay} from '../core/pool/relay/worker_relay.js';
 import {ZonePeers} from '../core/pool/entry/zone_peers.js';
@@ -46,7 +48,7 @@
  */
 export class EntryProgram extends Program {
   private readonly config: ConfigService;
-  private readonly client: HttpWorkerClient;
+  private readonly client: WorkerClient;
   private readonly fallback: FallbackService;
   private readonly presence: EntryPresence;
   private readonly relief: ReliefService;
@@ -82,7 +84,10 @@
       (revision, detail) => log.error('config_unreadable', {revision, detail}),
     );
     const zonePeers = new ZonePeers();
-    const client = new HttpWorkerClient(clock);
+    const client = new FailsafeWorkerClient(
+      new HttpWorkerClient(clock),
+      observer,
+    );
     this.client = client;
     new WorkerRelay(peers, client);
     this.fallback = new FallbackService({
