Reject heartbeats whose address cannot be called

The decoder took any digits and dots as a host and any digits as a port, so octets over 255, a missing octet, port 0 and ports over 65535 named a worker. URL parsers also read some of these in other ways than meant: '1.2.3:80' is 1.2.0.3, and a leading zero makes an octet octal.

Now only a canonical IPv4 unicast address with a port from 1 to 65535 counts; any other heartbeat is answered 400 and counted as report_unreadable.

Evidence: the new test in decode.test.ts failed before with 127.0.0.1:99999.

--- a/src/platform/decode.test.ts
+++ b/src/platform/decode.test.ts
@@ -98,6 +98,24 @@
   assert.isTrue(decodeJob(ID, jobOf({}, {after: [0]})).isErr);
 });
 
+// Guards against workers that dispatchers poll although nothing can be called
+// at their address.
+test('a heartbeat whose address cannot be called is rejected', () => {
+  const addresses = [
+    ...['127.0.0.1:99999', '127.0.0.1:65536', '127.0.0.1:0', '127.0.0.1:'],
+    ...['256.0.0.1:80', '10.0.0:80', '10.0.0.1.2:80', '...:1', '0.0.0.0:80'],
+    ...['224.0.0.1:80', '255.255.255.255:80', '010.0.0.1:80', '10.0.0.1'],
+    ...['10.0.0.1:80:80', '10.0.0.1:80/x', ' 10.0.0.1:80', '10.0.0.1:-1'],
+  ];
+  for (const address of addresses) {
+    assert.isUndefined(decodeHeartbeat('i', {...heartbeat, address}), address);
+  }
+  for (const address of ['10.0.0.1:1', '223.255.255.255:65535']) {
+    const report = decodeHeartbeat('i', {...heartbeat, address});
+    assert.equal(report?.address, address);
+  }
+});
+
 test('a malformed heartbeat is rejected', () => {
   assert.equal(decodeHeartbeat('i', heartbeat)?.capacity.memoryMb, 32_768);
   const malformed = [
--- a/src/platform/decode_heartbeat.ts
+++ b/src/platform/decode_heartbeat.ts
@@ -1,12 +1,13 @@
 import * as v from 'valibot';
 import type {WorkerReport} from '../core/pool/registry/worker_report.js';
+import {isWorkerAddress} from './is_worker_address.js';
 
 const nonNegativeNumber = v.pipe(v.number(), v.finite(), v.minValue(0));
 
 const HeartbeatBody = v.object({
   /** Name of the service that the worker belongs to. */
   backend: v.string(),
-  address: v.pipe(v.string(), v.regex(/^[0-9.]+:\d+$/)),
+  address: v.pipe(v.string(), v.check(isWorkerAddress)),
   zone: v.string(),
   state: v.picklist(['ready', 'draining']),
   /** `cpu` is in thousandths of a core; `gpu` is a number of accelerators. */
