Send nothing to workers of services that the configuration does not name

A dispatcher now takes a worker when the configuration names its service, at the next tick, and keeps those that it has if a later one does not. In the registry a report for an unknown service does not displace one for a known service.

--- a/src/core/pool/dispatcher/worker_fleet.ts
+++ b/src/core/pool/dispatcher/worker_fleet.ts
@@ -1,3 +1,5 @@
+import {isServiceKnown} from '../../routing/is_service_known.js';
+import type {RoutingTable} from '../../routing/routing_table.js';
 import type {LeaseOptions} from '../lease/lease_options.js';
 import {LeasedWorker} from '../lease/leased_worker.js';
 import {LossCause} from '../lease/loss_cause.js';
@@ -10,11 +12,17 @@
   readonly observer: PoolObserver;
   /** Whether workers of a zone belong to the dispatcher. */
   readonly servesZone: (zone: string) => boolean;
+  /** Current configuration; undefined before the first one. */
+  readonly routing: () => RoutingTable | undefined;
   /** Called when a worker has been removed. */
   readonly onRemoved: (id: string) => void;
 }
 
-/** Workers of one dispatcher, synchronized with the worker registry. */
+/**
+ * Workers of one dispatcher, synchronized with the worker registry. Workers of a
+ * service join when the configuration names it, and stay if it no longer does,
+ * since jobs that were accepted before may still need them.
+ */
 export class WorkerFleet {
   private readonly byId = new Map<string, LeasedWorker>();
   private list: readonly LeasedWorker[] = [];
@@ -35,7 +43,9 @@
   }
 
   private sync(): void {
-    const {registry, client, observer, onRemoved, servesZone} = this.opts;
+    const {registry, client, observer, onRemoved} = this.opts;
+    const {servesZone, routing} = this.opts;
+    const table = routing();
     let isChanged = false;
     for (const [id, {report, seenAt}] of registry.entries) {
       if (!servesZone(report.zone)) continue;
@@ -45,6 +55,7 @@
         known.seenAt = seenAt;
         continue;
       }
+      if (!known && !isServiceKnown(table, report.service)) continue;
       isChanged = true;
       known?.close(LossCause.moved);
       this.byId.set(id, new LeasedWorker(this.opts, report, seenAt));
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
+import {isServiceKnown} from '../../routing/is_service_known.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import {DispatcherEndpoint} from '../dispatcher/dispatcher_endpoint.js';
 import {FencingToken} from '../lease/fencing_token.js';
@@ -47,7 +48,9 @@
  * higher token.
  */
 export class FallbackService {
-  private readonly registry = new WorkerRegistry();
+  private readonly registry = new WorkerRegistry(service =>
+    isServiceKnown(this.opts.routing(), service),
+  );
   private readonly endpoint: DispatcherEndpoint;
   private leaderSeenAt = Number.NEGATIVE_INFINITY;
   private isProbing = false;
@@ -197,7 +200,9 @@
    */
   private async probe(): Promise<'unused' | 'in_use' | 'unreachable'> {
     const {client, directory} = this.opts;
-    const workers = this.registry.reports;
+    const workers = this.registry.reports.filter(({service}) =>
+      isServiceKnown(this.opts.routing(), service),
+    );
     const order = {
       token: directory.claims.highestToken,
       acknowledged: 0,
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {EvacuatedZones} from '../../routing/evacuated_zones.js';
+import {isServiceKnown} from '../../routing/is_service_known.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import {RoomOffers} from '../lending/room_offers.js';
 import type {WorkerClient} from '../lease/worker_client.js';
@@ -71,7 +72,9 @@
 export class LeaderService {
   /** Reports of workers, which any core node takes. */
   readonly reports: WorkerReportService;
-  private readonly registry = new WorkerRegistry();
+  private readonly registry = new WorkerRegistry(service =>
+    isServiceKnown(this.opts.routing(), service),
+  );
   private readonly offers = new RoomOffers();
   private readonly registrySender: WorkerRegistrySender;
   private readonly dispatching: CoreDispatching;
--- a/src/core/pool/registry/worker_registry.test.ts
+++ b/src/core/pool/registry/worker_registry.test.ts
@@ -38,3 +38,14 @@
     registry.update({...POOL_WORKER_REPORT, id: 'w2999', bornAt: 1}, 1),
   );
 });
+
+// Guards against a report of another writer that takes a worker out of service.
+test('a report for an unknown service does not displace a worker', () => {
+  const registry = new WorkerRegistry(service => service === 'svc');
+  const foreign = {...POOL_WORKER_REPORT, service: 'another', bornAt: 1e9};
+  const own = {...POOL_WORKER_REPORT, service: 'svc'};
+  assert.isTrue(registry.update(foreign, 0));
+  assert.isTrue(registry.update(own, 1));
+  assert.isFalse(registry.update({...foreign, sequence: 1e9}, 2));
+  assert.deepEqual(registry.reports, [own]);
+});
--- a/src/core/pool/registry/worker_registry.ts
+++ b/src/core/pool/registry/worker_registry.ts
@@ -19,6 +19,11 @@
    */
   private readonly departed = new Map<string, number>();
 
+  /** `hasService` tells whether the configuration names a service. */
+  constructor(
+    private readonly hasService: (service: string) => boolean = () => true,
+  ) {}
+
   get entries(): ReadonlyMap<string, Entry> {
     return this.byId;
   }
@@ -34,7 +39,7 @@
       return false;
     }
     const known = this.byId.get(report.id)?.report;
-    if (known && isNewer(known, report)) return false;
+    if (known && !this.supersedes(report, known)) return false;
     this.byId.set(report.id, {report, seenAt: now});
     return true;
   }
@@ -64,6 +69,17 @@
     }
   }
 
+  /**
+   * Whether a report replaces another one with the same id. Other writers send
+   * reports too, for services that the configuration does not name; these do not
+   * displace a worker, however new they claim to be.
+   */
+  private supersedes(report: WorkerReport, known: WorkerReport): boolean {
+    const isServed = this.hasService(report.service);
+    if (isServed !== this.hasService(known.service)) return isServed;
+    return !isNewer(known, report);
+  }
+
   /** Removes workers that no longer report; returns their ids. */
   expire(now: number): string[] {
     const gone: string[] = [];
--- a/src/core/routing/routing_table.ts
+++ b/src/core/routing/routing_table.ts
@@ -31,8 +31,10 @@
 /** Queues and services of one configuration revision; immutable. */
 export class RoutingTable {
   private readonly byHost = new Map<string, Queue[]>();
+  private readonly services: ReadonlySet<string>;
 
   constructor(readonly content: Content) {
+    this.services = new Set(content.services.map(({name}) => name));
     for (const queue of content.queues) {
       const queues = this.byHost.get(queue.host) ?? [];
       queues.push(queue);
@@ -44,6 +46,10 @@
     }
   }
 
+  hasService(name: string): boolean {
+    return this.services.has(name);
+  }
+
   find(host: string, path: string): Queue | undefined {
     return this.byHost.get(host)?.find(q => path.startsWith(q.prefix));
   }
--- a/src/platform/is_worker_address.ts
+++ b/src/platform/is_worker_address.ts
@@ -10,7 +10,8 @@
   const [host = '', port = '', ...rest] = text.split(':');
   if (rest.length > 0 || !isIPv4(host) || !/^\d{1,5}$/.test(port)) return false;
   const firstOctet = Number.parseInt(host, 10);
-  if (firstOctet === THIS_NETWORK || firstOctet >= FIRST_MULTICAST)
-    {return false;}
+  if (firstOctet === THIS_NETWORK || firstOctet >= FIRST_MULTICAST) {
+    return false;
+  }
   return Number(port) >= 1 && Number(port) <= MAX_PORT;
 }
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -47,6 +47,10 @@
   isDeadly: (task: string) => boolean = () => false;
   /** Time after which a crashed worker is back under a new id, in ms. */
   restartMs = 3_000;
+  /** Service that the next workers belong to. */
+  service = 'svc';
+  /** Services that the configuration names. */
+  services: readonly string[] = ['svc'];
   /** Whether a majority confirms the leadership of the dispatchers. */
   isConfirmed = true;
   /** Configuration that names the evacuated zones. */
@@ -58,7 +62,9 @@
   /** Events of jobs that dispatchers have recorded. */
   readonly jobEvents: JobEvent[] = [];
   readonly evacuated = new EvacuatedZones(() => this.config);
-  private readonly registry = new WorkerRegistry();
+  private readonly registry = new WorkerRegistry(service =>
+    this.services.includes(service),
+  );
   private reports = 0;
 
   /** `tasksEach` is the number of tasks that one worker can run at once. */
@@ -83,7 +89,7 @@
     const report = {
       id,
       bornAt,
-      service: 'svc',
+      service: this.service,
       address,
       zone,
       isDraining: false,
@@ -151,7 +157,7 @@
       isRegistryComplete,
       earlierLeasesMs,
       maySendOrders: () => this.isConfirmed,
-      routing: () => PoolBench.table(),
+      routing: () => PoolBench.table(1, this.services),
       evacuated: this.evacuated,
       answer: (_owner, id, answer) => {
         this.answers.set(id, answer);
@@ -223,7 +229,10 @@
     };
   }
 
-  static table(revision = 1): RoutingTable {
+  static table(
+    revision = 1,
+    services: readonly string[] = ['svc'],
+  ): RoutingTable {
     const queue = {
       host: 'h',
       service: 'svc',
@@ -240,7 +249,7 @@
         name,
         prefix: `/${name}/`,
       })),
-      services: [{name: 'svc', guardsCapacity: true}],
+      services: services.map(name => ({name, guardsCapacity: true})),
     });
   }
 }
