Limit the size of workers' replies to 512 KiB

A worker that answered /hold with 5 MB delayed the answers of all callers: the dispatcher read and parsed each reply on its only thread and polled again at once.

A reply over 512 KiB is now an error after that many bytes, so the worker counts as silent and is polled at the slow interval. 500 ended runs take 33 KB.

Evidence: the new test in send_request.test.ts does not compile without the limit; with the limit ignored it fails, since the response is accepted.

--- a/src/adapter/http/send_request.test.ts
+++ b/src/adapter/http/send_request.test.ts
@@ -7,6 +7,8 @@
 import {SteadyClock} from '../steady_clock.js';
 import {sendRequest} from './send_request.js';
 
+const MAX_BYTES = 64 * 1024;
+
 const clock = new SteadyClock();
 
 async function withServer(
@@ -30,7 +32,7 @@
   sendRequest(
     pool,
     {method: 'POST', path: '/x', headers: {'x-a': '1'}, body},
-    {timeoutMs, clock},
+    {timeoutMs, maxBytes: MAX_BYTES, clock},
   );
 
 test('a request resolves with its complete response', () =>
@@ -96,3 +98,21 @@
   assert.isTrue(res.isErr && res.error.isRefused);
   await pool.destroy();
 });
+
+// Guards against a server whose responses occupy the thread that all requests
+// share.
+test('a response that exceeds the limit is an error, and the next one succeeds', () => {
+  let requests = 0;
+  return withServer(
+    (_req, res) => {
+      requests += 1;
+      res.end('x'.repeat(MAX_BYTES + (requests === 1 ? 1 : 0)));
+    },
+    async pool => {
+      const tooLong = await post(pool, 5_000);
+      assert.isTrue(tooLong.isErr && tooLong.error.detail.includes('exceeds'));
+      const res = await post(pool, 5_000);
+      assert.isTrue(res.isOk && res.value.text.length === MAX_BYTES);
+    },
+  );
+});
--- a/src/adapter/http/send_request.ts
+++ b/src/adapter/http/send_request.ts
@@ -20,6 +20,13 @@
   readonly isRefused: boolean;
 }
 
+interface RequestLimits {
+  readonly timeoutMs: number;
+  /** A longer response body is an error. */
+  readonly maxBytes: number;
+  readonly clock: Clock;
+}
+
 /**
  * Sends an HTTP request and resolves with its complete response or an error.
  * It uses the dispatch API of undici: without body streams and abort
@@ -28,12 +35,13 @@
 export function sendRequest(
   dispatcher: Dispatcher,
   request: Request,
-  {timeoutMs, clock}: {readonly timeoutMs: number; readonly clock: Clock},
+  {timeoutMs, maxBytes, clock}: RequestLimits,
 ): Promise<Result<Response, RequestError>> {
   return new Promise(resolve => {
     let controller: Dispatcher.DispatchController | undefined;
     let isFinished = false;
     let status = 0;
+    let bytes = 0;
     const chunks: Buffer[] = [];
     const timer = clock.schedule(timeoutMs, () => {
       const detail = `no response in ${timeoutMs} ms`;
@@ -55,7 +63,13 @@
         status = code;
       },
       onResponseData: (_controller, chunk) => {
-        chunks.push(chunk);
+        bytes += chunk.length;
+        if (bytes <= maxBytes) {
+          chunks.push(chunk);
+          return;
+        }
+        // The rest would occupy the thread for as long as the peer sends.
+        controller?.abort(new Error(`the response exceeds ${maxBytes} bytes`));
       },
       onResponseEnd: () => {
         const text = Buffer.concat(chunks).toString('utf8');
--- a/src/platform/http_worker_client.ts
+++ b/src/platform/http_worker_client.ts
@@ -16,6 +16,8 @@
 const KEEP_ALIVE_MS = 60_000;
 /** Time after which the connections to a worker without calls are closed. */
 const UNUSED_MS = 120_000;
+/** Several times the size of a reply with MAX_ENDED_RUNS and as many active runs. */
+const MAX_REPLY_BYTES = 512 * 1024;
 /** Maximum number of ended runs in one `/hold` reply. */
 const MAX_ENDED_RUNS = 500;
 
@@ -137,7 +139,8 @@
       headers: {'content-type': 'application/json', 'x-expect-instance': id},
       body: JSON.stringify(body),
     } as const;
-    const limits = {timeoutMs, clock: this.clock};
+    const {clock} = this;
+    const limits = {timeoutMs, maxBytes: MAX_REPLY_BYTES, clock};
     const res = await sendRequest(this.getPool(address), request, limits);
     return res.isOk
       ? decodeReply(res.value.status, res.value.text)
