Refuse configurations that cannot be read in full

A configuration without 'limits', with a text in their place, with fields of another type that the dispatcher does not use (type, protocol, max_connections, tls, standby, health_check_path, advice, limits) or with two services of one name was acknowledged and read back.

Cause: decodeConfig reads only the fields that the dispatcher uses, and /Config.Put relied on it. Published configurations now pass decodeNewConfig. The lenient decoder stays for configurations in the log: one that an earlier version acknowledged must stay in force after an upgrade.

The two tests that published configurations without limits (end_to_end and the emulated deployment) sent incomplete ones; they now send complete ones.

--- a/src/platform/control_frontend.ts
+++ b/src/platform/control_frontend.ts
@@ -6,7 +6,7 @@
 import type {PoolObserver} from '../core/pool/pool_observer.js';
 import type {ZoneEvacuations} from '../daemon/config/zone_evacuations.js';
 import type {ConfigService} from '../daemon/config/config_service.js';
-import {decodeConfig} from './decode_config.js';
+import {decodeNewConfig} from './decode_new_config.js';
 import {decodeHeartbeat} from './decode_heartbeat.js';
 import {sendJson} from './send_json.js';
 
@@ -91,7 +91,7 @@
     const {config, observer} = this.opts;
     const body = await this.http.bodies.read(req, MAX_CONFIG_BYTES);
     if (body.isErr) return sendJson(res, body.error.status, body.error);
-    const table = decodeConfig(body.value);
+    const table = decodeNewConfig(body.value);
     if (table.isErr) {
       observer.recordStateChange('config_refused', {detail: table.error});
       return sendJson(res, 400, {detail: table.error});
--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -16,6 +16,13 @@
 /** Service whose workers refuse runs beyond their capacity, and another one. */
 const SERVICES = ['guarded', 'unguarded'] as const;
 const HOST = 'emulated.example';
+/** Part of every complete configuration. */
+const LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 262_144,
+  header_timeout_ms: 3_000,
+  idle_timeout_ms: 15_000,
+};
 
 type Role = 'core' | 'entry';
 type Service = (typeof SERVICES)[number];
@@ -152,7 +159,7 @@
       name,
       enforces_capacity: name === 'guarded',
     }));
-    const body = {version: this.revision, routes, backends};
+    const body = {version: this.revision, routes, backends, limits: LIMITS};
     const cores = this.ofRole('core');
     const {address} = cores[this.revision % cores.length]!.opts;
     const url = `http://${controlOf(address)}/Config.Put`;
--- a/src/platform/end_to_end.test.ts
+++ b/src/platform/end_to_end.test.ts
@@ -145,6 +145,7 @@
         },
       ],
       backends: [{name: 's1'}],
+      limits: {max_body_bytes: 262_144},
     };
     const heartbeat = {
       backend: 's1',
