Match the hosts of routes without regard to case

A route whose host has a capital letter was acknowledged and then answered 404 to clients that send the name in lower case, as most HTTP libraries do, and the other way round.

Host names are case-insensitive (RFC 9110, 4.2.3). RoutingTable now keeps and finds them in lower case, and a new configuration with two such routes is refused.

Evidence: the two new tests in decode_new_config.test.ts fail without the change.

--- a/src/core/routing/routing_table.ts
+++ b/src/core/routing/routing_table.ts
@@ -36,9 +36,10 @@
   constructor(readonly content: Content) {
     this.services = new Set(content.services.map(({name}) => name));
     for (const queue of content.queues) {
-      const queues = this.byHost.get(queue.host) ?? [];
+      const host = queue.host.toLowerCase();
+      const queues = this.byHost.get(host) ?? [];
       queues.push(queue);
-      this.byHost.set(queue.host, queues);
+      this.byHost.set(host, queues);
     }
     // Sorted so that `find` returns the queue with the longest matching prefix.
     for (const queues of this.byHost.values()) {
@@ -50,7 +51,9 @@
     return this.services.has(name);
   }
 
+  /** Host names are case-insensitive. */
   find(host: string, path: string): Queue | undefined {
-    return this.byHost.get(host)?.find(q => path.startsWith(q.prefix));
+    const queues = this.byHost.get(host.toLowerCase());
+    return queues?.find(q => path.startsWith(q.prefix));
   }
 }
--- a/src/platform/decode_new_config.test.ts
+++ b/src/platform/decode_new_config.test.ts
@@ -96,6 +96,23 @@
   assertInvalid(configOf({backends: [BACKEND, BACKEND]}), 'backends');
 });
 
+// Guards against a queue of which it depends on the spelling of the request's
+// host whether it gets a job.
+test('two routes whose hosts differ only in case are refused', () => {
+  const routes = [ROUTE, {...ROUTE, name: 'r2', host: 'A.Example'}];
+  assertInvalid(configOf({routes}), 'hosts');
+});
+
+// Guards against a route that was acknowledged and is answered 404.
+test('a route is found by its host in any case', () => {
+  const table = decodeNewConfig(withRoute({host: 'A.Example'}));
+  assert.isTrue(table.isOk);
+  if (table.isErr) return;
+  for (const host of ['a.example', 'A.EXAMPLE', 'A.Example']) {
+    assert.equal(table.value.find(host, '/p/x')?.name, 'r1', host);
+  }
+});
+
 // Guards against refusing the configurations of later versions and of
 // deployments with fewer features.
 test('unknown fields are allowed and unused ones may be missing', () => {
--- a/src/platform/decode_new_config.ts
+++ b/src/platform/decode_new_config.ts
@@ -69,10 +69,15 @@
     const [issue] = parsed.issues;
     return Result.err(`${v.getDotPath(issue) ?? 'body'}: ${issue.message}`);
   }
-  const names = new Set<string>();
-  for (const {name} of table.value.content.services) {
-    if (names.has(name)) return Result.err(`two backends are named "${name}"`);
-    names.add(name);
-  }
+  const {services, queues} = table.value.content;
+  const name = findRepeated(services.map(s => s.name));
+  if (name !== undefined) return Result.err(`two backends are named "${name}"`);
+  const place = findRepeated(queues.map(q => q.host.toLowerCase() + q.prefix));
+  if (place !== undefined) return Result.err(`two routes match ${place}`);
   return table;
 }
+
+function findRepeated(names: readonly string[]): string | undefined {
+  const seen = new Set<string>();
+  return names.find(name => seen.has(name) || !seen.add(name));
+}
