Keep SIGHUP from ending a process that is starting

Cause: the handler was registered at the end of main.ts, after all modules had been loaded. A module that is loaded first now registers one; the signal is kept for the handler that reloads the settings.

Evidence: early_signals.test.ts, whose signal arrives before the settings are read, failed before ('signal: SIGHUP').

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,3 +1,4 @@
+import './keep_reload_signal.js';
 import {write} from 'node:fs';
 import {Command} from 'commander';
 import {SteadyClock} from '../adapter/steady_clock.js';
