Start beside a taken port and open it when it is free

A process ended with exit code 1 if any of its ports was taken, whatever else worked: the metrics port, which nothing depends on, or one that an earlier process still has.

Ports are now opened by PortOpener. Any other error of the first attempt, such as an invalid address, still ends the process. The project's own daemon is not changed.

--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -129,13 +129,15 @@
   override async start(): Promise<void> {
     await this.node.start();
     await this.config.start();
-    await this.frontend.http.start();
+    const {http} = this.frontend;
+    await this.node.ports.open('control', () => http.start());
     this.tick();
     void this.warmUp();
   }
 
   /** Transfers leadership; the new leader takes over the active runs unchanged. */
   override async stop(): Promise<void> {
+    this.node.ports.close();
     this.leaderService.announceDrain();
     await this.config.stop();
     this.isStopping = true;
--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -64,6 +64,7 @@
   /** Distinguishes concurrent deployments on one machine. */
   private readonly net = `127.${1 + (process.pid % 250)}`;
   private revision = 0;
+  private isStopped = false;
 
   constructor(private readonly opts: EmulatedDeploymentOptions) {
     const {clock, cores, entries, workers, usesRelays = false} = opts;
@@ -168,6 +169,7 @@
 
   /** Stops all processes; keeps the folder if `keepsDir`. */
   async stop({keepsDir = false} = {}): Promise<void> {
+    this.isStopped = true;
     const isGraceful = this.opts.profileDir !== undefined;
     await Promise.all(
       this.processes.map(each => (isGraceful ? each.stop() : each.kill())),
@@ -247,7 +249,7 @@
   }
 
   private async retry(attempt: () => Promise<boolean>): Promise<void> {
-    while (!(await attempt())) {
+    while (!this.isStopped && !(await attempt())) {
       await new Promise<void>(resolve => {
         this.opts.clock.schedule(RETRY_MS, resolve);
       });
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -161,10 +161,11 @@
   }
 
   override async start(): Promise<void> {
-    await this.node.start();
+    const {node, readiness, frontend} = this;
+    await node.start();
     await this.config.start();
-    await this.readiness.start();
-    await this.frontend.http.start();
+    await node.ports.open('readiness', () => readiness.start());
+    await node.ports.open('callers', () => frontend.http.start());
     this.tick();
     void this.warmUp();
   }
@@ -176,6 +177,7 @@
   override async stop(): Promise<void> {
     const {clock, settings} = this.node.opts;
     this.isDraining = true;
+    this.node.ports.close();
     this.presence.announceDrain();
     this.frontend.http.announceDrain();
     const startedAt = clock.now();
--- a/src/platform/platform_node.ts
+++ b/src/platform/platform_node.ts
@@ -8,6 +8,7 @@
 import {LoopMonitor} from '../daemon/pool/loop_monitor.js';
 import {PoolTelemetry} from '../daemon/pool/pool_telemetry.js';
 import type {PlatformSettings} from './platform_settings.js';
+import {PortOpener} from './port_opener.js';
 
 /** Must match the metrics port in the deploy file. */
 const METRICS_PORT = 9_464;
@@ -33,12 +34,14 @@
   readonly telemetry: PoolTelemetry;
   readonly loop: LoopMonitor;
   readonly load: LoadSampler;
+  readonly ports: PortOpener;
   private readonly metrics: HttpServer;
 
   constructor(readonly opts: PlatformNodeOptions) {
     const {settings, clock, log} = opts;
     const {ip, peerPort, seeds} = settings;
     const locate = (node: string) => ({node, host: node, port: peerPort});
+    this.ports = new PortOpener(opts);
     this.telemetry = new PoolTelemetry(log, clock);
     this.loop = new LoopMonitor(this.telemetry);
     this.load = new LoadSampler({
@@ -66,8 +69,8 @@
   }
 
   async start(): Promise<void> {
-    await this.metrics.start();
-    await this.peers.start();
+    await this.ports.open('metrics', () => this.metrics.start());
+    await this.ports.open('peers', () => this.peers.start());
   }
 
   private createMetrics(): HttpServer {
--- a/src/platform/port_opener.ts
+++ b/src/platform/port_opener.ts
@@ -45,13 +45,14 @@
     if (this.isClosed) return;
     const {clock, log} = this.opts;
     const now = clock.now();
+    const isFirst = loggedAt === Number.NEGATIVE_INFINITY;
     const isLogDue = now - loggedAt >= LOG_INTERVAL_MS;
     try {
       await listen();
-      if (loggedAt >= 0) log.info('port_opened', {port});
+      if (!isFirst) log.info('port_opened', {port});
     } catch (err) {
       const {code} = err as NodeJS.ErrnoException;
-      if (!TEMPORARY_ERRORS.has(code)) throw err;
+      if (isFirst && !TEMPORARY_ERRORS.has(code)) throw err;
       if (isLogDue) log.error('port_unavailable', {port, detail: String(err)});
       const nextLoggedAt = isLogDue ? now : loggedAt;
       clock.schedule(RETRY_MS, () => {
