Run a core process without a vote if its data folder cannot be read

A core process whose data folder is corrupt, is a file or cannot be created ended with exit code 1 at each start (FAULT), although it has more to do than to vote: it takes heartbeats and orders of the operator, relays and can hold a zone.

It never votes with a log that it could not read in full. The project's own daemon still refuses to start, since its operator is there to see it.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -112,6 +112,11 @@
     return loaded.isErr ? loaded : this.openLog(now);
   }
 
+  /** Runs without a vote until the data folder can be opened. */
+  openLater(now: number): void {
+    this.reopenAt = now + REOPEN_MS;
+  }
+
   /** Node id of the log's leader, if known to this node. */
   get leader(): string | undefined {
     return this.distributor.leader;
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -69,6 +69,11 @@
   readonly dataDir: string | undefined;
   /** Whether to lock the data folder. Default true. */
   readonly locksDataDir?: boolean;
+  /**
+   * Whether the node starts without a vote if its data folder cannot be read, and
+   * tries to open it again later. Default false: `start` rejects.
+   */
+  readonly startsWithoutDisk?: boolean;
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly random: RandomSource;
@@ -164,7 +169,7 @@
 
   /**
    * Rejects if the data folder is missing, locked, corrupt or of a newer
-   * version.
+   * version, unless the node may start without it.
    */
   override async start(): Promise<void> {
     const {node, nodes, dataDir, clock} = this.opts;
@@ -175,16 +180,29 @@
         `data_dir: missing; expected a path, as node "${node}" is a voter`,
       );
     }
-    const locked = this.disk?.open();
-    if (locked?.isErr) throw new Error(locked.error);
-    const opened = this.node.open(clock.now());
+    const opened = this.openDataDir(clock.now());
     if (opened.isErr) {
-      await this.disk?.close();
-      throw new Error(`data_dir: ${dataDir}: ${opened.error}`);
+      if (!this.opts.startsWithoutDisk) {
+        await this.disk?.close();
+        throw new Error(opened.error);
+      }
+      this.opts.log.error('data folder failed; this node does not vote', {
+        detail: opened.error,
+      });
+      this.node.openLater(clock.now());
     }
     this.tick();
   }
 
+  private openDataDir(now: number): Result<void, string> {
+    const locked = this.disk?.open();
+    if (locked?.isErr) return Result.err(locked.error);
+    const {dataDir} = this.opts;
+    return this.node!.open(now).mapErr(detail => {
+      return `data_dir: ${dataDir}: ${detail}`;
+    });
+  }
+
   /** Transfers the leadership of the log and closes the data folder. */
   override async stop(): Promise<void> {
     const {clock} = this.opts;
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -65,6 +65,8 @@
       dataDir: settings.dataDir,
       // The platform runs only one process per data folder.
       locksDataDir: false,
+      // The other voters go on without this one, and a restart would not help.
+      startsWithoutDisk: true,
       clock,
       peers,
       random: new SystemRandom(),
