Read empty numbers in the settings as not set

An empty limits.cpu_share or bounds.remote_factor ended the process with exit code 78; an empty bounds.max_hold_ms, bounds.grace_s or fault_tolerance.machines was read as 0, so that no lease, no grace period or one voter was left.

Cause: Number('') is 0. Empty values of bounds, limits and fault_tolerance now have their defaults.

Evidence: the new test in read_platform_settings.test.ts fails without the change.

--- a/src/platform/read_platform_settings.test.ts
+++ b/src/platform/read_platform_settings.test.ts
@@ -85,3 +85,19 @@
   const res = readPlatformSettings('/does/not/exist');
   assert.include(res.isErr ? res.error : '', 'settings');
 });
+
+// Guards against a process that does not start, or grants no leases, because an
+// empty number is read as 0.
+test('empty numbers have their defaults', () => {
+  const keys = [
+    'fault_tolerance.machines',
+    'bounds.max_hold_ms',
+    'bounds.grace_s',
+    'bounds.remote_factor',
+    'limits.cpu_share',
+  ];
+  const withoutKeys = CORE.filter(line => !keys.includes(line.split('=')[0]!));
+  const empty = read([...withoutKeys, ...keys.map(key => `${key}=`)]);
+  assert.isTrue(empty.isOk);
+  assert.deepEqual(empty, read(withoutKeys));
+});
--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -18,6 +18,9 @@
 /** Prefix of the keys that list the zones, with their regions as values. */
 const ZONE_PREFIX = 'zones.';
 
+/** Groups of keys with numbers, which the platform may leave empty. */
+const OPTIONAL_GROUPS = ['bounds.', 'limits.', 'fault_tolerance.'];
+
 /** Keys of the settings file that are used, as the platform names them. */
 const SettingsFile = v.object({
   node_name: v.string(),
@@ -64,7 +67,11 @@
       ? []
       : [[line.slice(0, at).trim(), line.slice(at + 1).trim()]];
   });
-  const parsed = v.safeParse(SettingsFile, Object.fromEntries(pairs));
+  // An empty number would be read as 0.
+  const isUnset = ([key, value]: string[]) =>
+    value === '' && OPTIONAL_GROUPS.some(group => key!.startsWith(group));
+  const given = pairs.filter(pair => !isUnset(pair));
+  const parsed = v.safeParse(SettingsFile, Object.fromEntries(given));
   if (!parsed.success) {
     const [issue] = parsed.issues;
     return Result.err(`settings: ${v.getDotPath(issue)}: ${issue.message}`);
