--- a/src/core/dispatch/target/quantile_sketch.ts
+++ b/src/core/dispatch/target/quantile_sketch.ts
@@ -67,7 +67,11 @@
   shareAbove(value: number): number {
     if (this.weight === 0) return 0;
     let above = 0;
-    for (let at = bucketOf(Math.max(MIN_VALUE, value)) + 1; at < BUCKETS; at += 1) {
+    for (
+      let at = bucketOf(Math.max(MIN_VALUE, value)) + 1;
+      at < BUCKETS;
+      at += 1
+    ) {
       above += this.counts[at]!;
     }
     return above / this.weight;
@@ -77,7 +81,11 @@
   meanAbove(value: number): number {
     let above = 0;
     let sum = 0;
-    for (let at = bucketOf(Math.max(MIN_VALUE, value)) + 1; at < BUCKETS; at += 1) {
+    for (
+      let at = bucketOf(Math.max(MIN_VALUE, value)) + 1;
+      at < BUCKETS;
+      at += 1
+    ) {
       above += this.counts[at]!;
       sum += this.counts[at]! * MIN_VALUE * GROWTH ** (at + 0.5);
     }
