Create the log although the first voter's process was started again

A new deployment never started if the core process whose address sorts first ended before it had created the configuration log: no leader was elected and every request was answered 503 (FAULT, the system does not start).

Cause: only that voter creates the log, and only if its own process was started with bootstrap=true, which the platform sets at the first start alone. The other voters' processes still had the permission, but nobody asked them.

The replies to the first voter now carry it. The log is created if any of the voters' processes may, and as before only while each of them replies that it has no log.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -132,7 +132,7 @@
       this.reopenAt = now + REOPEN_MS;
       if (this.openLog(now).isOk) this.reopenAt = undefined;
     }
-    if (this.opts.mayForm ?? true) this.bootstrapper.tick(now);
+    this.bootstrapper.tick(now);
     this.member?.tick(now);
     if (this.member) this.voterReconciler?.tick(this.member, now);
     this.distributor.tick(now, this.router.isWaitingForLeader);
--- a/src/core/config/log/log_bootstrapper.ts
+++ b/src/core/config/log/log_bootstrapper.ts
@@ -18,12 +18,16 @@
   storage: v.string(),
   /** Id of the log that the replying node's folder belongs to, if any. */
   log: v.optional(v.string()),
+  /** Whether the process of the replying node may create a new log. */
+  mayForm: v.optional(v.boolean(), false),
 });
 
 interface LogBootstrapperOptions {
   readonly node: string;
   /** Initial voters of a new deployment. */
   readonly voters: readonly string[];
+  /** Whether this process may create a new log. Default true. */
+  readonly mayForm?: boolean;
   readonly initial: Config;
   readonly peers: PeerTransport;
   readonly random: RandomSource;
@@ -35,11 +39,19 @@
  * sorts first does so, and only while every configured voter replies that its
  * folder belongs to no log. After it has lost its disk, the first voter cannot
  * create a second log, because the others report the existing one.
+ *
+ * One process of a voter must have been told that the deployment starts for the
+ * first time. It need not be that of the first voter, which may have been started
+ * again since.
  */
 export class LogBootstrapper {
   private readonly replies = new Map<
     string,
-    {readonly storage: string; readonly at: number}
+    {
+      readonly storage: string;
+      readonly mayForm: boolean;
+      readonly at: number;
+    }
   >();
   private retryAt = 0;
 
@@ -64,7 +76,10 @@
       const reply = this.replies.get(id);
       return reply !== undefined && now - reply.at <= MAX_REPLY_AGE_MS;
     };
-    if (others.every(isFresh)) {
+    const {mayForm = true} = this.opts;
+    const mayAnyForm =
+      mayForm || others.some(id => this.replies.get(id)?.mayForm);
+    if (mayAnyForm && others.every(isFresh)) {
       this.bootstrap(self, others, now);
       return;
     }
@@ -106,15 +121,19 @@
     if (!member || !v.is(Request, body) || !member.store.isVoteSynced) return;
     const {log} = member.store.voteState;
     const {storage} = member.id;
-    this.opts.peers.send(from, 'config.form_reply', {
+    const {mayForm = true, peers} = this.opts;
+    peers.send(from, 'config.form_reply', {
       storage,
+      mayForm,
       ...(log === undefined ? {} : {log}),
     });
   }
 
   private onReply(from: string, body: unknown, now: number): void {
-    if (!v.is(Reply, body)) return;
-    if (body.log !== undefined) this.replies.delete(from);
-    else this.replies.set(from, {storage: body.storage, at: now});
+    const parsed = v.safeParse(Reply, body);
+    if (!parsed.success) return;
+    const {storage, log, mayForm} = parsed.output;
+    if (log !== undefined) this.replies.delete(from);
+    else this.replies.set(from, {storage, mayForm, at: now});
   }
 }
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -26,6 +26,8 @@
   readonly snapshotEntries?: number;
   /** Target number of voters. Default: members change on request only. */
   readonly voterTarget?: number;
+  /** Whether the process of a node may create a log. Default: each may. */
+  readonly mayForm?: (node: string) => boolean;
   /** Availability zone of a node. Default: unknown. */
   readonly zoneOf?: (node: string) => string | undefined;
 }
@@ -109,6 +111,7 @@
       random: this.random,
       snapshotEntries: this.opts.snapshotEntries,
       voterTarget: this.opts.voterTarget,
+      mayForm: this.opts.mayForm?.(id) ?? true,
       zoneOf: this.opts.zoneOf,
       onDiskError: () => undefined,
     });
