Create no second log with nodes that follow one without storing it

Nodes now report the log that they follow as well, and a node that follows one does not create another. That also makes the earlier rule stricter, which only asked for the log in the data folder.

Evidence: the new test in log_bootstrapper.test.ts failed before: the wiped node had a log of its own.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -79,7 +79,8 @@
       source: this.source,
       member,
     });
-    this.bootstrapper = new LogBootstrapper({...opts, member});
+    const followedLog = () => this.source.log;
+    this.bootstrapper = new LogBootstrapper({...opts, member, followedLog});
     if (opts.voterTarget !== undefined) {
       this.voterReconciler = new VoterReconciler({
         voterTarget: opts.voterTarget,
--- a/src/core/config/log/log_bootstrapper.test.ts
+++ b/src/core/config/log/log_bootstrapper.test.ts
@@ -30,3 +30,18 @@
   bench.clock.advance(10_000);
   assert.equal(bench.version('v1'), 2);
 });
+
+// The settings of a replaced node may name nodes that are no voters, whose
+// processes run since the first start.
+test('a new first voter creates no second log with nodes that follow one', () => {
+  const bench = new ConfigBench({spares: 3, mayForm: node => node !== 's1'});
+  bench.startAll();
+  const logOf = (id: string) => bench.node(id).logMember?.store.voteState.log;
+  const log = logOf('v1');
+  assert.isDefined(log);
+  bench.crashAndWipe('s1');
+  bench.seeds = ['s1', 's2', 's3'];
+  bench.start('s1');
+  bench.clock.advance(10_000);
+  for (const id of bench.seeds) assert.include([undefined, log], logOf(id), id);
+});
--- a/src/core/config/log/log_bootstrapper.ts
+++ b/src/core/config/log/log_bootstrapper.ts
@@ -16,7 +16,7 @@
 const Request = v.object({storage: v.string()});
 const Reply = v.object({
   storage: v.string(),
-  /** Id of the log that the replying node's folder belongs to, if any. */
+  /** Id of the log that the replying node stores or follows, if any. */
   log: v.optional(v.string()),
   /** Whether the process of the replying node may create a new log. */
   mayForm: v.optional(v.boolean(), false),
@@ -32,6 +32,8 @@
   readonly peers: PeerTransport;
   readonly random: RandomSource;
   readonly member: () => LogMember | undefined;
+  /** Id of the log whose configuration is in force on this node, if any. */
+  readonly followedLog: () => string | undefined;
 }
 
 /**
@@ -42,7 +44,8 @@
  *
  * One process of a voter must have been told that the deployment starts for the
  * first time. It need not be that of the first voter, which may have been started
- * again since.
+ * again since. Nodes that follow a log without storing it report it as well: the
+ * settings of a later process may name them as voters.
  */
 export class LogBootstrapper {
   private readonly replies = new Map<
@@ -69,7 +72,7 @@
     const {node, voters, peers} = this.opts;
     const self = this.opts.member();
     if (!self || voters.toSorted()[0] !== node || now < this.retryAt) return;
-    if (self.store.voteState.log !== undefined || self.store.isFailed) return;
+    if (this.knownLog(self) !== undefined || self.store.isFailed) return;
     this.retryAt = now + RETRY_INTERVAL_MS;
     const others = voters.filter(id => id !== node);
     const isFresh = (id: string) => {
@@ -119,7 +122,7 @@
   private onBootstrapRequest(from: string, body: unknown): void {
     const member = this.opts.member();
     if (!member || !v.is(Request, body) || !member.store.isVoteSynced) return;
-    const {log} = member.store.voteState;
+    const log = this.knownLog(member);
     const {storage} = member.id;
     const {mayForm = true, peers} = this.opts;
     peers.send(from, 'config.form_reply', {
@@ -129,6 +132,10 @@
     });
   }
 
+  private knownLog(member: LogMember): string | undefined {
+    return member.store.voteState.log ?? this.opts.followedLog();
+  }
+
   private onReply(from: string, body: unknown, now: number): void {
     const parsed = v.safeParse(Reply, body);
     if (!parsed.success) return;
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -43,6 +43,8 @@
   readonly running = new Map<string, ConfigNode>();
   readonly ids: readonly string[];
   readonly voters: readonly string[];
+  /** Initial voters in the settings of processes that start from now on. */
+  seeds: readonly string[];
   /** Called after each start of a node. */
   onStart: (id: string, node: ConfigNode) => void = () => undefined;
 
@@ -52,6 +54,7 @@
     const name = (prefix: string, count: number) =>
       Array.from({length: count}, (_, at) => `${prefix}${at + 1}`);
     this.voters = name('v', opts.voters ?? 3);
+    this.seeds = this.voters;
     const stored = [...this.voters, ...name('s', opts.spares ?? 0)];
     this.ids = [...stored, ...name('f', opts.followers ?? 1)];
     for (const id of stored) {
@@ -100,7 +103,7 @@
     const node = new ConfigNode({
       node: id,
       nodes: () => this.ids,
-      voters: this.voters,
+      voters: this.seeds,
       ...(disk ? {disk} : {}),
       initial: {
         version: 1,
