--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -3,6 +3,7 @@
 import type {PeerTransport} from '../peer/peer_transport.js';
 import type {RandomSource} from '../random/random_source.js';
 import type {Config} from './config.js';
+import {ConfigOrigin} from './config_origin.js';
 import {AppliedConfigFile} from './follower/applied_config_file.js';
 import {ConfigDistributor} from './follower/config_distributor.js';
 import {ReplicatedConfigSource} from './follower/replicated_config_source.js';
@@ -211,7 +212,7 @@
     const state = member?.state;
     const log = member?.store.voteState.log;
     if (!member || !state || log === undefined) return;
-    this.source.applyIfNewer(log, state.current);
+    this.source.applyIfNewer(log, state.current, ConfigOrigin.log);
     if (member.leader) this.distributor.push(member);
   }
 
--- a/src/core/config/follower/config_distributor.ts
+++ b/src/core/config/follower/config_distributor.ts
@@ -3,6 +3,7 @@
 import type {RandomSource} from '../../random/random_source.js';
 import type {LogMember} from '../log/log_member.js';
 import type {LogMemberId} from '../log/log_member_id.js';
+import {ConfigOrigin} from '../config_origin.js';
 import {applyUpdate} from './apply_update.js';
 import {ConfigUpdate} from './config_update.js';
 import type {ReplicatedConfigSource} from './replicated_config_source.js';
@@ -179,23 +180,27 @@
     if (!parsed.success) return;
     const {leader, update} = parsed.output;
     this.noteLeader(leader);
-    if (update) this.receiveUpdate(from, update);
+    if (update) this.receiveUpdate(from, update, ConfigOrigin.poll);
   }
 
   private onPush(from: string, body: unknown): void {
     const parsed = v.safeParse(ConfigUpdate, body);
     if (!parsed.success) return;
     this.noteLeader(from);
-    this.receiveUpdate(from, parsed.output);
+    this.receiveUpdate(from, parsed.output, ConfigOrigin.push);
   }
 
-  private receiveUpdate(from: string, update: ConfigUpdate): void {
+  private receiveUpdate(
+    from: string,
+    update: ConfigUpdate,
+    origin: ConfigOrigin,
+  ): void {
     const {source} = this.opts;
     const config = source.current();
     if (update.version <= config.version) return;
     if (source.log !== undefined && source.log !== update.log) return;
     const next = applyUpdate(config, update);
-    if (next) source.applyIfNewer(update.log, next);
+    if (next) source.applyIfNewer(update.log, next, origin);
     else this.poll(from);
   }
 
--- a/src/core/config/follower/replicated_config_source.test.ts
+++ b/src/core/config/follower/replicated_config_source.test.ts
@@ -1,4 +1,5 @@
 import {assert} from 'chai';
+import {ConfigOrigin} from '../config_origin.js';
 import {FakeClock} from '../../../../test-support/fakes/fake_clock.js';
 import {FakeDisk} from '../../../../test-support/fakes/fake_disk.js';
 import {SeededRandom} from '../../../../test-support/fakes/seeded_random.js';
@@ -15,8 +16,8 @@
   const clock = new FakeClock();
   const disk = new FakeDisk(clock, new SeededRandom(1));
   const source = new ReplicatedConfigSource(new AppliedConfigFile(disk));
-  source.applyIfNewer('log', configOf(5));
-  source.applyIfNewer('log', configOf(4));
+  source.applyIfNewer('log', configOf(5), ConfigOrigin.log);
+  source.applyIfNewer('log', configOf(4), ConfigOrigin.log);
   clock.advance(1_000);
   assert.equal(source.current().version, 5);
   disk.crash();
@@ -31,7 +32,7 @@
   const clock = new FakeClock();
   const disk = new FakeDisk(clock, new SeededRandom(1));
   const source = new ReplicatedConfigSource(new AppliedConfigFile(disk));
-  source.applyIfNewer('log', configOf(1));
+  source.applyIfNewer('log', configOf(1), ConfigOrigin.log);
   assert.equal(source.current().version, 0);
   clock.advance(1_000);
   assert.equal(source.current().version, 1);
@@ -39,7 +40,7 @@
 
 test('versions of another log are ignored', () => {
   const source = new ReplicatedConfigSource();
-  source.applyIfNewer('log', configOf(1));
-  source.applyIfNewer('other', configOf(2));
+  source.applyIfNewer('log', configOf(1), ConfigOrigin.log);
+  source.applyIfNewer('other', configOf(2), ConfigOrigin.log);
   assert.equal(source.current().version, 1);
 });
--- a/src/core/config/follower/replicated_config_source.ts
+++ b/src/core/config/follower/replicated_config_source.ts
@@ -1,5 +1,6 @@
 import {Result} from 'true-myth';
 import type {Config} from '../config.js';
+import type {ConfigOrigin} from '../config_origin.js';
 import {ConfigSource} from '../config_source.js';
 import type {AppliedConfigFile} from './applied_config_file.js';
 
@@ -8,8 +9,11 @@
 interface PendingConfig {
   readonly log: string;
   readonly config: Config;
+  readonly origin: ConfigOrigin;
 }
 
+type Listener = (config: Config, origin?: ConfigOrigin) => void;
+
 /**
  * The configuration in force on this node. Accepts only newer versions of a
  * single log. On nodes with a data folder, a version is stored on disk before
@@ -20,7 +24,7 @@
   private logId: string | undefined;
   private pending: PendingConfig | undefined;
   private isWriting = false;
-  private readonly listeners: Array<(config: Config) => void> = [];
+  private readonly listeners: Listener[] = [];
 
   constructor(private readonly file?: AppliedConfigFile) {
     super();
@@ -46,17 +50,17 @@
     return this.inForce;
   }
 
-  override onChange(listener: (config: Config) => void): void {
+  override onChange(listener: Listener): void {
     this.listeners.push(listener);
   }
 
   /** Stores a configuration and brings it into force if it is newer. */
-  applyIfNewer(log: string, config: Config): void {
+  applyIfNewer(log: string, config: Config, origin: ConfigOrigin): void {
     if (this.logId !== undefined && this.logId !== log) return;
     const newest = this.pending?.config.version ?? this.inForce.version;
     if (config.version <= newest) return;
     this.logId = log;
-    this.pending = {log, config};
+    this.pending = {log, config, origin};
     this.persistPending();
   }
 
@@ -81,6 +85,6 @@
     if (this.pending === next) this.pending = undefined;
     if (next.config.version <= this.inForce.version) return;
     this.inForce = next.config;
-    for (const listener of this.listeners) listener(next.config);
+    for (const listener of this.listeners) listener(next.config, next.origin);
   }
 }
--- a/src/core/pool/dispatcher/job_intake.ts
+++ b/src/core/pool/dispatcher/job_intake.ts
@@ -60,6 +60,10 @@
       return undefined;
     }
     if (!queue || queue.prefix + spec.id !== path) {
+      this.opts.observer.recordJobEvent('queue_unknown', spec.id, {
+        ...{owner, host, revision, token},
+        stated_revision: submission.revision,
+      });
       this.opts.answer(owner, spec.id, {kind: 'no_queue'});
       return undefined;
     }
--- a/src/core/pool/entry/query_dispatchers.test.ts
+++ b/src/core/pool/entry/query_dispatchers.test.ts
@@ -1,6 +1,7 @@
 import {assert} from 'chai';
 import {Result} from 'true-myth';
 import {FakeClock} from '../../../../test-support/fakes/fake_clock.js';
+import {recordedTelemetry} from '../../../../test-support/fakes/pool/recorded_telemetry.js';
 import {RecordingPeers} from '../../../../test-support/fakes/pool/recording_peers.js';
 import {NodeDirectory} from '../node/node_directory.js';
 import {queryDispatchers} from './query_dispatchers.js';
@@ -18,7 +19,8 @@
   const grants = [{zone: 'z', node: 'c2', token: 1_001}];
   const leader = {...base, term: 1, node: 'c1', revision, grants};
   directory.claims.record(leader);
-  return queryDispatchers({clock, peers, directory}, PENDING);
+  const observer = recordedTelemetry().telemetry;
+  return queryDispatchers({clock, peers, directory, observer}, PENDING);
 }
 
 // An entry node found a queue that the newest configuration no longer has, since the
--- a/src/core/pool/entry/query_dispatchers.ts
+++ b/src/core/pool/entry/query_dispatchers.ts
@@ -3,6 +3,7 @@
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolMessage} from '../node/pool_message.js';
+import type {PoolObserver} from '../pool_observer.js';
 
 const QUERY_TIMEOUT_MS = 1_000;
 
@@ -17,6 +18,7 @@
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly directory: NodeDirectory;
+  readonly observer: PoolObserver;
 }
 
 /**
@@ -26,7 +28,7 @@
  * may have an older one.
  */
 export async function queryDispatchers(
-  {directory, clock, peers}: QueryOptions,
+  {directory, clock, peers, observer}: QueryOptions,
   request: v.InferOutput<typeof PoolMessage.ask>,
 ): Promise<{readonly found: boolean; readonly pending?: number} | undefined> {
   const nodes = directory.claims.dispatchingNodes(clock.now());
@@ -47,6 +49,11 @@
   const found = current.some(reply => reply.found);
   const isComplete = known.length > 0 && known.length === nodes.length;
   if (!found && !isComplete) return undefined;
+  if (!found && request.kind === 'pending') {
+    const {host} = request;
+    const revision = Math.max(...revisions);
+    observer.recordStateChange('queue_denied', {host, revision, nodes});
+  }
   const counts = known.flatMap(({pending}) => pending ?? []);
   if (counts.length === 0) return {found};
   return {found, pending: counts.reduce((sum, count) => sum + count, 0)};
--- a/src/daemon/config/config_service.test.ts
+++ b/src/daemon/config/config_service.test.ts
@@ -87,7 +87,7 @@
       clock,
       peers,
       random: new SystemRandom(),
-      log: createLog({node: id, zone: 'z'}),
+      log: createLog({node: id, zone: 'z', write: () => undefined}),
     });
     await peers.start();
     this.running.set(id, {peers, service});
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -20,6 +20,7 @@
 import type {PeerTransport} from '../../core/peer/peer_transport.js';
 import type {RandomSource} from '../../core/random/random_source.js';
 import {Service} from '../supervisor/service.js';
+import {MembershipLog} from './membership_log.js';
 
 const TICK_MS = 100;
 /** Longest wait at a graceful stop for a leadership transfer to complete. */
@@ -90,10 +91,12 @@
   private readonly node: ConfigNode | undefined;
   private readonly disk: FolderDisk | undefined;
   private isStopped = false;
+  private readonly membershipLog: MembershipLog;
 
   constructor(private readonly opts: ConfigServiceOptions) {
     super();
     const {nodes, dataDir, clock, log} = opts;
+    this.membershipLog = new MembershipLog(log);
     const voters = nodes.filter(n => n.voter).map(n => n.id);
     if (voters.length === 0) {
       this.source = new StaticConfigSource(INITIAL_CONFIG);
@@ -314,6 +317,7 @@
   private tick(): void {
     if (this.isStopped) return;
     this.node?.tick(this.opts.clock.now());
+    this.membershipLog.record(this.node?.logMember);
     const {clock, tickMs = TICK_MS} = this.opts;
     clock.schedule(tickMs, () => this.tick());
   }
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -5,6 +5,7 @@
 import {DispatchWarmUp} from '../core/pool/warm_up/dispatch_warm_up.js';
 import {EvacuatedZones} from '../core/routing/evacuated_zones.js';
 import {ConfigService} from '../daemon/config/config_service.js';
+import {ConfigTelemetry} from '../daemon/config/config_telemetry.js';
 import {ZoneEvacuations} from '../daemon/config/zone_evacuations.js';
 import {ClientWarmUp} from './client_warm_up.js';
 import {ControlFrontend} from './control_frontend.js';
@@ -38,6 +39,7 @@
  */
 export class CoreProgram extends Program {
   private readonly config: ConfigService;
+  private readonly configTelemetry: ConfigTelemetry;
   private readonly client: WorkerClient;
   private readonly leaderService: LeaderService;
   private readonly frontend: ControlFrontend;
@@ -72,6 +74,7 @@
       random: new SystemRandom(),
       log,
     });
+    this.configTelemetry = new ConfigTelemetry(this.config.source, observer);
     const routing = new RoutingTableCache(
       () => this.config.newest.document,
       (revision, detail) => log.error('config_unreadable', {revision, detail}),
@@ -131,6 +134,7 @@
   override async start(): Promise<void> {
     await this.node.start();
     await this.config.start();
+    this.configTelemetry.recordStored();
     const {http} = this.frontend;
     await this.node.ports.open('control', () => http.start());
     this.tick();
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -11,6 +11,7 @@
 import {ZonePeers} from '../core/pool/entry/zone_peers.js';
 import {EvacuatedZones} from '../core/routing/evacuated_zones.js';
 import {ConfigService} from '../daemon/config/config_service.js';
+import {ConfigTelemetry} from '../daemon/config/config_telemetry.js';
 import {CallerFrontend} from './caller_frontend.js';
 import {ClientWarmUp} from './client_warm_up.js';
 import {RoutingTableCache} from './routing_table_cache.js';
@@ -79,6 +80,7 @@
       random: new SystemRandom(),
       log,
     });
+    new ConfigTelemetry(this.config.source, observer);
     const routing = new RoutingTableCache(
       () => this.config.source.current().document,
       (revision, detail) => log.error('config_unreadable', {revision, detail}),
