--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -12,6 +12,7 @@
 import {getLeaseMs} from './get_lease_ms.js';
 import {HttpWorkerClient} from './http_worker_client.js';
 import type {PlatformNode} from './platform_node.js';
+import {LOG_TIMING} from './log_timing.js';
 import {Program} from './program.js';
 import {parseAddress} from './parse_address.js';
 
@@ -20,18 +21,6 @@
 const WARM_UP_SLICES = 60;
 /** Time within which another relay is chosen and open orders are answered. */
 const RELAY_DRAIN_MS = 700;
-/**
- * Timing of the configuration log, shorter than the default: nothing is
- * dispatched without a leader, and callers wait for well under a second.
- */
-const LOG_TIMING = {
-  HEARTBEAT_MS: 100,
-  ELECTION_TIMEOUT_MS: 400,
-  FIRST_ELECTION_MS: 150,
-  SNAPSHOT_RETRY_MS: 1_000,
-  TRANSFER_TIMEOUT_MS: 1_000,
-};
-
 /**
  * Process on a core VM. It serves the control API, replicates the
  * configuration log and dispatches jobs while it is the leader.
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -1,6 +1,7 @@
 import type {Result} from 'true-myth';
 import type {ClassConfig} from '../../src/core/config/class_config.js';
 import {ConfigNode} from '../../src/core/config/config_node.js';
+import type {LogTiming} from '../../src/core/config/log/log_timing.js';
 import type {MembershipRequest} from '../../src/core/config/log/membership_request.js';
 import type {LogRequest} from '../../src/core/config/router/log_request.js';
 import type {LogResponse} from '../../src/core/config/router/log_response.js';
@@ -30,6 +31,10 @@
   readonly mayForm?: (node: string) => boolean;
   /** Availability zone of a node. Default: unknown. */
   readonly zoneOf?: (node: string) => string | undefined;
+  /** Default `LogTiming`. */
+  readonly timing?: LogTiming;
+  /** Interval of a node's ticks in ms. Default 100. */
+  readonly tickMs?: (node: string) => number;
 }
 
 type Answer = LogResponse | ChangeRefusal;
@@ -41,10 +46,12 @@
   readonly peers: LossyPeers;
   readonly disks = new Map<string, FakeDisk>();
   readonly running = new Map<string, ConfigNode>();
-  readonly ids: readonly string[];
+  readonly ids: string[];
   readonly voters: readonly string[];
   /** Initial voters in the settings of processes that start from now on. */
   seeds: readonly string[];
+  /** Nodes of which a node does not know yet. Default: none. */
+  unknownTo: (node: string) => readonly string[] = () => [];
   /** Called after each start of a node. */
   onStart: (id: string, node: ConfigNode) => void = () => undefined;
 
@@ -102,7 +109,10 @@
     disk?.restart();
     const node = new ConfigNode({
       node: id,
-      nodes: () => this.ids,
+      nodes: () => {
+        const unknown = this.unknownTo(id);
+        return this.ids.filter(other => !unknown.includes(other));
+      },
       voters: this.seeds,
       ...(disk ? {disk} : {}),
       initial: {
@@ -115,6 +125,7 @@
       snapshotEntries: this.opts.snapshotEntries,
       voterTarget: this.opts.voterTarget,
       mayForm: this.opts.mayForm?.(id) ?? true,
+      timing: this.opts.timing,
       zoneOf: this.opts.zoneOf,
       onDiskError: () => undefined,
     });
@@ -126,6 +137,13 @@
     return opened;
   }
 
+  /** Starts a new machine with an empty disk at an address of its own. */
+  addMachine(id: string): void {
+    this.ids.push(id);
+    this.disks.set(id, new FakeDisk(this.clock, this.random));
+    this.start(id);
+  }
+
   /** Ends the process of a node; written data stays in the page cache. */
   kill(id: string): void {
     this.running.delete(id);
@@ -219,6 +237,7 @@
   private tick(id: string, node: ConfigNode): void {
     if (this.running.get(id) !== node) return;
     node.tick(this.clock.now());
-    this.clock.schedule(TICK_MS, () => this.tick(id, node));
+    const delayMs = this.opts.tickMs?.(id) ?? TICK_MS;
+    this.clock.schedule(delayMs, () => this.tick(id, node));
   }
 }
