Show acknowledgements that precede the distribution, and routes that are denied without contact

Seen: no_queue for a queue that only a newer configuration has, from a fallback and from a holder whose leader is lost; the former revision at the nodes outside the log when the operator has the answer.

--- a/src/core/config/platform_documents.test.ts
+++ b/src/core/config/platform_documents.test.ts
@@ -223,3 +223,17 @@
     }
   }
 });
+
+// The fallbacks of the zones serve with what the entry nodes have while all core
+// processes are down.
+test('an acknowledged document is in force at all nodes that can be reached', () => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const bench = createBench(seed);
+    bench.peers.maxDelayMs = 40;
+    const pending = bench.submit(bench.waitForLeader(), document(2));
+    bench.waitUntil('an answer', () => pending.answer !== undefined);
+    for (const id of [sixthNodeOf(bench), 'f1', 'f2', 'f3']) {
+      assert.equal(revisionAt(bench, id), 2, `${id}, seed ${seed}`);
+    }
+  }
+});
--- a/src/core/pool/entry/fallback_service.test.ts
+++ b/src/core/pool/entry/fallback_service.test.ts
@@ -205,3 +205,18 @@
     for (const ids of nodes.values()) assert.lengthOf([...ids], 1);
   }
 });
+
+// After a change was acknowledged and all core nodes were killed, the fallbacks
+// answered 404 for the route that it had added.
+test('a fallback denies no queue that a newer configuration may have', async () => {
+  const bench = await createRunningBench();
+  bench.term = undefined;
+  await bench.run(3_500);
+  assert.include(bench.dispatching(), 'ze1');
+  bench.submit('ze1', 'a', {queue: 'new'});
+  await bench.run(500);
+  assert.equal(bench.answerOf('a'), 'refused');
+  const {gateway} = bench.entries.get('ze1')!;
+  const query = {kind: 'pending', host: 'h', path: '/new/'} as const;
+  assert.isUndefined(await gateway.query(query));
+});
