Push each version to nodes outside the log until they confirm it

Cause: the leader sent each version once, by a message that is lost whenever the link is being replaced. What followed was a poll every 2.0 to 2.2 s (2.4 s with the tick of an entry node; the bound is 2.0 or 2.5 s), which went up to two times to a leader that was gone, then to random nodes. A former voter kept the interval of voters, and a node that had lost its disk was left out as long as the log had its former member.

Change: the leader keeps for each node outside the log the version that it has confirmed, and sends the newest again after 200 ms, then less often. Targets are all nodes to which the log itself is not replicated at present. An unanswered poll is followed by another one to another node after 500 ms. A node names a leader to others only if it has heard it itself, so that nodes without contact do not keep a lost leader's name alive.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -194,7 +194,7 @@
           random,
           snapshotEntries,
           timing,
-          onApplied: () => this.onApplied(),
+          onApplied: (_state, at) => this.onApplied(at),
         },
         now,
       );
@@ -207,13 +207,13 @@
     this.opts.onDiskError(error);
   }
 
-  private onApplied(): void {
+  private onApplied(now: number): void {
     const {member} = this;
     const state = member?.state;
     const log = member?.store.voteState.log;
     if (!member || !state || log === undefined) return;
     this.source.applyIfNewer(log, state.current, ConfigOrigin.log);
-    if (member.leader) this.distributor.push(member);
+    if (member.leader) this.distributor.push(member, now);
   }
 
   private serve(
--- a/src/core/config/follower/config_distributor.ts
+++ b/src/core/config/follower/config_distributor.ts
@@ -5,6 +5,7 @@
 import type {LogMemberId} from '../log/log_member_id.js';
 import {ConfigOrigin} from '../config_origin.js';
 import {applyUpdate} from './apply_update.js';
+import {ConfigPusher} from './config_pusher.js';
 import {ConfigUpdate} from './config_update.js';
 import type {ReplicatedConfigSource} from './replicated_config_source.js';
 
@@ -21,9 +22,18 @@
 const POLL_JITTER_MS = 200;
 /** Interval while there is no configuration yet or a request needs a leader. */
 const URGENT_POLL_MS = 250;
-/** After more unanswered polls than this, a random node is polled instead. */
+/** Interval after an unanswered poll, which goes to another node next time. */
+const RETRY_POLL_MS = 500;
+/** After more unanswered polls than this, the leader counts as unknown. */
 const MAX_UNANSWERED = 2;
 
+/**
+ * A leader that this node has not heard itself for longer is not named to others.
+ * Without this limit, nodes without contact would name a lost leader to each other
+ * for ever. Exceeds the interval of polls.
+ */
+const MAX_HINT_AGE_MS = 3_000;
+
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const Poll = v.object({
   log: v.optional(v.string()),
@@ -36,6 +46,8 @@
   leader: v.optional(v.string()),
   update: v.optional(ConfigUpdate),
 });
+/** Confirms that a version is in force at the sender. */
+const PushReply = v.object({version: count});
 
 interface ConfigDistributorOptions {
   readonly node: string;
@@ -50,9 +62,9 @@
 
 /**
  * Distributes accepted versions to all nodes. The leader pushes diffs to nodes
- * that do not store the log. In addition every node polls the leader with its
- * version, which repairs lost pushes and reports to the leader which version is
- * in force on each node.
+ * that do not store the log, until they confirm them. In addition every node
+ * polls the leader with its version, which helps nodes that the leader does not
+ * know and reports to the leader which version is in force on each node.
  */
 export class ConfigDistributor {
   /** Version in force, storage id and time of the last poll, by node. */
@@ -60,21 +72,36 @@
     string,
     {version: number; storage: string | undefined; at: number}
   >();
+  private readonly pusher: ConfigPusher;
   private leaderHint: string | undefined;
-  private unansweredPolls = 0;
+  /** When this node last heard the hinted leader itself. */
+  private hintHeardAt = Number.NEGATIVE_INFINITY;
+  /** Nodes that were polled since the last reply. */
+  private readonly unanswered = new Set<string>();
   private lastPollAt = Number.NEGATIVE_INFINITY;
-  private intervalMs = POLL_MS;
-  private pushedVersion = 0;
+  private jitterMs = 0;
+  /** Versions that are to be confirmed to the nodes that sent them. */
+  private readonly unconfirmed = new Map<string, number>();
 
   constructor(private readonly opts: ConfigDistributorOptions) {
     const {peers} = opts;
     peers.onMessage('config.poll', (from, body, now) =>
       this.onPoll(from, body, now),
     );
-    peers.onMessage('config.poll_reply', (from, body) =>
-      this.onReply(from, body),
+    peers.onMessage('config.poll_reply', (from, body, now) =>
+      this.onReply(from, body, now),
     );
-    peers.onMessage('config.push', (from, body) => this.onPush(from, body));
+    peers.onMessage('config.push', (from, body, now) =>
+      this.onPush(from, body, now),
+    );
+    peers.onMessage('config.push_reply', (from, body) => {
+      if (v.is(PushReply, body)) this.pusher.onConfirmed(from, body.version);
+    });
+    this.pusher = new ConfigPusher({
+      ...opts,
+      updateFor: version => this.updateFor(version),
+    });
+    opts.source.onChange(() => this.confirm());
   }
 
   /** Node to send requests to; undefined while no leader is known. */
@@ -102,49 +129,55 @@
    * other node may have outdated information.
    */
   noteLeader(node: string | undefined): void {
-    this.leaderHint = node === this.opts.node ? undefined : node;
-    this.unansweredPolls = 0;
+    const hint = node === this.opts.node ? undefined : node;
+    if (hint !== this.leaderHint) this.hintHeardAt = Number.NEGATIVE_INFINITY;
+    this.leaderHint = hint;
+    this.unanswered.clear();
   }
 
   /** Polls if due; at shorter intervals if a pending request needs a leader. */
   tick(now: number, needsLeader: boolean): void {
-    const {random, nodes, node, member, source} = this.opts;
-    const isUrgent = needsLeader || source.current().version === 0;
-    const waited = now - this.lastPollAt;
-    if (waited < (isUrgent ? URGENT_POLL_MS : this.intervalMs)) return;
+    const {random, member} = this.opts;
+    const self = member();
+    if (self) this.pusher.tick(self, now);
+    if (now - this.lastPollAt < this.pollIntervalMs(needsLeader)) return;
     this.lastPollAt = now;
-    const base = member()?.leaderId ? MEMBER_POLL_MS : POLL_MS;
-    this.intervalMs = base + random.next() * POLL_JITTER_MS;
-    if (member()?.leader) return;
-    this.unansweredPolls += 1;
-    if (this.unansweredPolls > MAX_UNANSWERED) this.leaderHint = undefined;
+    this.jitterMs = random.next() * POLL_JITTER_MS;
+    if (self?.leader) return;
+    const target = this.pickPolledNode();
+    if (target === undefined) return;
+    this.unanswered.add(target);
+    this.poll(target);
+  }
+
+  /** Pushes a newly applied version; called on the leader. */
+  push(member: LogMember, now: number): void {
+    this.pusher.push(member, now);
+  }
+
+  private pollIntervalMs(needsLeader: boolean): number {
+    const {member, source} = this.opts;
+    if (needsLeader || source.current().version === 0) return URGENT_POLL_MS;
+    if (this.unanswered.size > 0) return RETRY_POLL_MS;
+    return (member()?.leaderId ? MEMBER_POLL_MS : POLL_MS) + this.jitterMs;
+  }
+
+  /** The leader, or a random node if the last polls were not answered. */
+  private pickPolledNode(): string | undefined {
+    const {nodes, node, random} = this.opts;
+    const {leader, unanswered} = this;
+    if (leader !== undefined && !unanswered.has(leader)) return leader;
     const others = nodes().filter(id => id !== node);
-    const randomNode = others[Math.floor(random.next() * others.length)];
-    const target =
-      this.unansweredPolls > MAX_UNANSWERED ? randomNode : this.leader;
-    this.poll(target ?? randomNode);
-  }
-
-  /** Pushes newly applied versions to non-members; called on the leader. */
-  push(member: LogMember): void {
-    const state = member.state;
-    const log = member.store.voteState.log;
-    if (!state || log === undefined) return;
-    const {version} = state.current;
-    const base = this.pushedVersion;
-    if (version <= base) return;
-    this.pushedVersion = version;
-    const update = this.updateFor(base);
-    const {voters, learners} = member.store.members;
-    const memberNodes = new Set([...voters, ...learners].map(m => m.node));
-    for (const id of this.opts.nodes()) {
-      if (id === this.opts.node || memberNodes.has(id)) continue;
-      this.opts.peers.send(id, 'config.push', update);
+    const areAllTried = others.every(id => unanswered.has(id));
+    if (unanswered.size > MAX_UNANSWERED || areAllTried) {
+      this.leaderHint = undefined;
     }
+    if (areAllTried) unanswered.clear();
+    const untried = others.filter(id => !unanswered.has(id));
+    return untried[Math.floor(random.next() * untried.length)];
   }
 
-  private poll(target: string | undefined): void {
-    if (target === undefined) return;
+  private poll(target: string): void {
     const {source, member, peers} = this.opts;
     const storage = member()?.id.storage;
     peers.send(target, 'config.poll', {
@@ -160,6 +193,7 @@
     const {log, version, storage} = parsed.output;
     const {source, member, peers} = this.opts;
     this.pollReports.set(from, {version, storage, at: now});
+    this.pusher.onConfirmed(from, version);
     if (storage !== undefined) {
       member()?.leader?.membership.onStorageReported(
         {node: from, storage},
@@ -168,26 +202,49 @@
     }
     const isSameLog = log === undefined || log === source.log;
     const isNewer = source.current().version > version;
-    const {leader} = this;
+    const leader = this.leaderFor(now);
     peers.send(from, 'config.poll_reply', {
       ...(leader === undefined ? {} : {leader}),
       ...(isSameLog && isNewer ? {update: this.updateFor(version)} : {}),
     });
   }
 
-  private onReply(from: string, body: unknown): void {
+  /** Leader that this node names to others. */
+  private leaderFor(now: number): string | undefined {
+    const {member} = this.opts;
+    const isHeard = now - this.hintHeardAt < MAX_HINT_AGE_MS;
+    return member()?.leaderId ?? (isHeard ? this.leaderHint : undefined);
+  }
+
+  private onReply(from: string, body: unknown, now: number): void {
     const parsed = v.safeParse(PollReply, body);
     if (!parsed.success) return;
     const {leader, update} = parsed.output;
     this.noteLeader(leader);
+    if (leader === from) this.hintHeardAt = now;
     if (update) this.receiveUpdate(from, update, ConfigOrigin.poll);
   }
 
-  private onPush(from: string, body: unknown): void {
+  private onPush(from: string, body: unknown, now: number): void {
     const parsed = v.safeParse(ConfigUpdate, body);
     if (!parsed.success) return;
     this.noteLeader(from);
+    this.hintHeardAt = now;
+    const {log, version} = parsed.output;
     this.receiveUpdate(from, parsed.output, ConfigOrigin.push);
+    if (this.opts.source.log !== log) return;
+    this.unconfirmed.set(from, version);
+    this.confirm();
+  }
+
+  /** Confirms pushed versions once they are in force here. */
+  private confirm(): void {
+    const {version} = this.opts.source.current();
+    for (const [node, pushed] of this.unconfirmed) {
+      if (version < pushed) continue;
+      this.unconfirmed.delete(node);
+      this.opts.peers.send(node, 'config.push_reply', {version});
+    }
   }
 
   private receiveUpdate(
--- /dev/null
+++ b/src/core/config/follower/config_pusher.ts
@@ -0,0 +1,114 @@
+import type {PeerTransport} from '../../peer/peer_transport.js';
+import type {LogLeader} from '../log/log_leader.js';
+import type {LogMember} from '../log/log_member.js';
+import type {ConfigUpdate} from './config_update.js';
+
+/** First interval after which an update without a confirmation is sent again. */
+const RESEND_MS = 200;
+/** The interval doubles up to this limit. */
+const MAX_RESEND_MS = 1_600;
+
+/** What the leader knows about a node that does not store the log. */
+interface PushProgress {
+  /** Highest version that the node has confirmed; 0 before the first one. */
+  confirmed: number;
+  sentAt: number;
+  resendMs: number;
+}
+
+interface ConfigPusherOptions {
+  readonly node: string;
+  /** Ids of all known nodes. */
+  readonly nodes: () => readonly string[];
+  readonly peers: PeerTransport;
+  /** Creates an update for a node at `version`. */
+  readonly updateFor: (version: number) => ConfigUpdate;
+}
+
+/**
+ * The leader's side of the distribution to nodes outside the log: sends each
+ * version to every node until the node confirms it.
+ */
+export class ConfigPusher {
+  private readonly progress = new Map<string, PushProgress>();
+  /** Leadership in which the progress was made. */
+  private leadership: LogLeader | undefined;
+
+  constructor(private readonly opts: ConfigPusherOptions) {}
+
+  /** Sends newly applied versions, and those that are due again. */
+  tick(member: LogMember, now: number): void {
+    const {leader, state} = member;
+    if (leader !== this.leadership) {
+      this.leadership = leader;
+      this.progress.clear();
+    }
+    if (!leader?.hasCommittedInTerm || !state) return;
+    const {version} = state.current;
+    const targets = this.findTargets(member, leader, now);
+    for (const node of targets) {
+      const progress = this.progressOf(node);
+      const isDue = now - progress.sentAt >= progress.resendMs;
+      if (progress.confirmed < version && isDue) this.send(node, now);
+    }
+    for (const node of this.progress.keys()) {
+      if (!targets.includes(node)) this.progress.delete(node);
+    }
+  }
+
+  /** Sends a version that has just been applied to all nodes. */
+  push(member: LogMember, now: number): void {
+    for (const progress of this.progress.values()) {
+      progress.sentAt = Number.NEGATIVE_INFINITY;
+      progress.resendMs = RESEND_MS;
+    }
+    this.tick(member, now);
+  }
+
+  /** Records a version that is in force at a node. */
+  onConfirmed(node: string, version: number): void {
+    const progress = this.progress.get(node);
+    if (!progress) return;
+    progress.confirmed = Math.max(progress.confirmed, version);
+    progress.resendMs = RESEND_MS;
+  }
+
+  /** All nodes but those to which the log itself is replicated at present. */
+  private findTargets(
+    member: LogMember,
+    leader: LogLeader,
+    now: number,
+  ): string[] {
+    const {voters, learners} = member.store.members;
+    const {ELECTION_TIMEOUT_MS: timeoutMs} = member.timing;
+    const replicated = [...voters, ...learners].filter(id => {
+      // A node that has lost its disk is silent under its former member id.
+      const contactAt = leader.progressOf(id)?.lastContactAt;
+      return contactAt !== undefined && now - contactAt < timeoutMs;
+    });
+    const excluded = new Set(replicated.map(({node}) => node));
+    excluded.add(this.opts.node);
+    return [...new Set(this.opts.nodes())].filter(id => !excluded.has(id));
+  }
+
+  private progressOf(node: string): PushProgress {
+    const known = this.progress.get(node) ?? {
+      confirmed: 0,
+      sentAt: Number.NEGATIVE_INFINITY,
+      resendMs: RESEND_MS,
+    };
+    this.progress.set(node, known);
+    return known;
+  }
+
+  private send(node: string, now: number): void {
+    const progress = this.progressOf(node);
+    const isRepeated = Number.isFinite(progress.sentAt);
+    if (isRepeated) {
+      progress.resendMs = Math.min(2 * progress.resendMs, MAX_RESEND_MS);
+    }
+    progress.sentAt = now;
+    const update = this.opts.updateFor(progress.confirmed);
+    this.opts.peers.send(node, 'config.push', update);
+  }
+}
