Abandon the replacement of a voter if the new member is lost

Cause: a replacement names its new member, and VoterReconciler plans nothing while one is in progress. If the new member is lost for good before it has a vote (a machine that is replaced at another address), no voter is replaced any more, and the next losses leave no majority. Such a member was even preferred: a node counted as available for 5 s after its last poll, so a spare node that was lost together with a voter was chosen 3 s later.

Change: a replacement is cancelled after 2 s of silence of the new member, and a node counts as available for 2.5 s after its last poll (its interval is 2.0 to 2.2 s).

--- a/src/core/config/log/voter_reconciler.ts
+++ b/src/core/config/log/voter_reconciler.ts
@@ -11,8 +11,18 @@
 const REPLACE_VOTER_AFTER_MS = 3_000;
 /** A learner without contact for this long is removed. */
 const REMOVE_LEARNER_AFTER_MS = 5_000;
-/** A non-member node is added only if its last poll is at most this old. */
-const MAX_POLL_AGE_MS = 5_000;
+/**
+ * A replacement is abandoned if the new member has been silent for this long before
+ * it has a vote. Otherwise a new member that is lost for good would block all later
+ * changes.
+ */
+const ABANDON_REPLACEMENT_AFTER_MS = 2_000;
+/**
+ * A non-member node is added only if its last poll is at most this old. Exceeds the
+ * interval of polls; with a longer limit, a node that is lost together with a voter
+ * would be chosen to replace it.
+ */
+const MAX_POLL_AGE_MS = 2_500;
 /** A new leader waits at most this long for the target number of voters. */
 const MAX_GROWTH_MS = 5_000;
 
@@ -79,8 +89,12 @@
     now: number,
   ): MembershipRequest | undefined {
     const {voters, learners, replacing} = member.store.members;
-    if (replacing) return undefined;
     const msSince = (id: LogMemberId) => this.msSinceContact(member, id, now);
+    if (replacing) {
+      const {next} = replacing;
+      const isLost = msSince(next) > ABANDON_REPLACEMENT_AFTER_MS;
+      return isLost ? {op: 'remove', node: next.node} : undefined;
+    }
     const stale = learners.find(l => msSince(l) > REMOVE_LEARNER_AFTER_MS);
     if (stale) return {op: 'remove', node: stale.node};
     const spares = this.findSpares(member, now);
--- a/src/core/config/platform_documents.test.ts
+++ b/src/core/config/platform_documents.test.ts
@@ -145,10 +145,14 @@
 test('a node whose disk was lost is pushed to while its vote is not replaced', () => {
   const bench = createBench(1);
   const leader = bench.waitForLeader();
-  const {voter} = loseVoterAndSpare(bench);
-  bench.waitUntil('a replacement', () => !!membersOf(bench).replacing);
+  const {voter, spare} = loseVoterAndSpare(bench);
+  // The replacement of another voter is in progress and cannot go on.
+  const old = votersOf(bench).find(id => id !== leader && id !== voter)!;
+  const request = {op: 'replace', old, next: spare} as const;
+  bench.submit(leader, {kind: 'members', request});
   bench.start(voter);
-  bench.clock.advance(CATCH_UP_MS);
+  bench.clock.advance(1_000);
+  assert.equal(membersOf(bench).replacing?.next.node, spare);
   bench.request(leader, document(2));
   bench.clock.advance(50);
   assert.equal(revisionAt(bench, voter), 2);
