Acknowledge a change when the nodes outside the log have it

Cause: the leader acknowledged a change as soon as it was committed, and sent it to the entry nodes afterwards. If the core is lost with the acknowledgement, no node that serves knows the change, and the fallbacks of the zones serve with the former configuration.

Change: the leader answers once all nodes outside the log that respond have confirmed the version, or after 300 ms. A node that has left an update unanswered for as long is not waited for. If the leadership ends meanwhile, the answer is sent, since the change is committed.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -216,6 +216,19 @@
     if (member.leader) this.distributor.push(member, now);
   }
 
+  /**
+   * Acknowledges a change when the nodes outside the log have it: if all core nodes
+   * are lost with the acknowledgement, entry nodes serve with what they have.
+   */
+  private respondWhenDistributed(
+    decision: Decision | undefined,
+    respond: (response: LogResponse) => void,
+  ): void {
+    const response = toResponse(decision);
+    if (response.kind !== 'accepted') return respond(response);
+    this.distributor.whenDistributed(response.version, () => respond(response));
+  }
+
   private serve(
     request: LogRequest,
     now: number,
@@ -232,7 +245,9 @@
     switch (request.kind) {
       case 'change': {
         const body = {kind: 'change', change: request.change} as const;
-        leader.propose(body, now, decision => respond(toResponse(decision)));
+        leader.propose(body, now, decision =>
+          this.respondWhenDistributed(decision, respond),
+        );
         return;
       }
       case 'publish':
@@ -241,7 +256,9 @@
           respond({kind: 'not_leader'});
           return;
         }
-        leader.propose(request, now, decision => respond(toResponse(decision)));
+        leader.propose(request, now, decision =>
+          this.respondWhenDistributed(decision, respond),
+        );
         return;
       case 'members':
         leader.membership.request(
@@ -269,10 +286,10 @@
   }
 }
 
+type Decision = Result<ChangeOutcome, ChangeRefusal>;
+
 /** Response to a proposal; undefined if its outcome is unknown. */
-function toResponse(
-  decision: Result<ChangeOutcome, ChangeRefusal> | undefined,
-): LogResponse {
+function toResponse(decision: Decision | undefined): LogResponse {
   if (!decision) return {kind: 'unknown'};
   return decision.isOk
     ? {kind: 'accepted', version: decision.value.version}
--- a/src/core/config/follower/config_distributor.ts
+++ b/src/core/config/follower/config_distributor.ts
@@ -94,8 +94,9 @@
     peers.onMessage('config.push', (from, body, now) =>
       this.onPush(from, body, now),
     );
-    peers.onMessage('config.push_reply', (from, body) => {
-      if (v.is(PushReply, body)) this.pusher.onConfirmed(from, body.version);
+    peers.onMessage('config.push_reply', (from, body, now) => {
+      if (!v.is(PushReply, body)) return;
+      this.pusher.onConfirmed(from, body.version, now);
     });
     this.pusher = new ConfigPusher({
       ...opts,
@@ -155,6 +156,14 @@
     this.pusher.push(member, now);
   }
 
+  /**
+   * Calls `done` once a version that is being applied is in force at all nodes that
+   * can be reached, or after a short time; called on the leader.
+   */
+  whenDistributed(version: number, done: () => void): void {
+    this.pusher.whenConfirmed(version, done);
+  }
+
   private pollIntervalMs(needsLeader: boolean): number {
     const {member, source} = this.opts;
     if (needsLeader || source.current().version === 0) return URGENT_POLL_MS;
@@ -193,7 +202,7 @@
     const {log, version, storage} = parsed.output;
     const {source, member, peers} = this.opts;
     this.pollReports.set(from, {version, storage, at: now});
-    this.pusher.onConfirmed(from, version);
+    this.pusher.onConfirmed(from, version, now);
     if (storage !== undefined) {
       member()?.leader?.membership.onStorageReported(
         {node: from, storage},
--- a/src/core/config/follower/config_pusher.ts
+++ b/src/core/config/follower/config_pusher.ts
@@ -8,12 +8,26 @@
 /** The interval doubles up to this limit. */
 const MAX_RESEND_MS = 1_600;
 
+/**
+ * Longest wait for the confirmations of a version. A node that has left an update
+ * unanswered for as long is not waited for until it confirms one.
+ */
+const MAX_WAIT_MS = 300;
+
 /** What the leader knows about a node that does not store the log. */
 interface PushProgress {
   /** Highest version that the node has confirmed; 0 before the first one. */
   confirmed: number;
   sentAt: number;
   resendMs: number;
+  /** When the first update since the last confirmation was sent. */
+  unansweredSince: number | undefined;
+}
+
+interface Waiter {
+  readonly version: number;
+  readonly done: () => void;
+  deadline: number | undefined;
 }
 
 interface ConfigPusherOptions {
@@ -33,6 +47,7 @@
   private readonly progress = new Map<string, PushProgress>();
   /** Leadership in which the progress was made. */
   private leadership: LogLeader | undefined;
+  private waiters: Waiter[] = [];
 
   constructor(private readonly opts: ConfigPusherOptions) {}
 
@@ -43,6 +58,7 @@
       this.leadership = leader;
       this.progress.clear();
     }
+    if (!leader) this.endWaiting(() => true);
     if (!leader?.hasCommittedInTerm || !state) return;
     const {version} = state.current;
     const targets = this.findTargets(member, leader, now);
@@ -54,6 +70,15 @@
     for (const node of this.progress.keys()) {
       if (!targets.includes(node)) this.progress.delete(node);
     }
+    this.checkWaiters(now);
+  }
+
+  /**
+   * Calls `done` once all responsive nodes outside the log have confirmed a
+   * version, which is being applied, or after `MAX_WAIT_MS`.
+   */
+  whenConfirmed(version: number, done: () => void): void {
+    this.waiters.push({version, done, deadline: undefined});
   }
 
   /** Sends a version that has just been applied to all nodes. */
@@ -66,11 +91,32 @@
   }
 
   /** Records a version that is in force at a node. */
-  onConfirmed(node: string, version: number): void {
+  onConfirmed(node: string, version: number, now: number): void {
     const progress = this.progress.get(node);
     if (!progress) return;
     progress.confirmed = Math.max(progress.confirmed, version);
     progress.resendMs = RESEND_MS;
+    progress.unansweredSince = undefined;
+    this.checkWaiters(now);
+  }
+
+  private checkWaiters(now: number): void {
+    if (this.waiters.length === 0) return;
+    const awaited = [...this.progress.values()]
+      .filter(({unansweredSince: since = now}) => now - since < MAX_WAIT_MS)
+      .map(({confirmed}) => confirmed);
+    const lowest = Math.min(...awaited);
+    this.endWaiting(waiter => {
+      waiter.deadline ??= now + MAX_WAIT_MS;
+      return waiter.version <= lowest || now >= waiter.deadline;
+    });
+  }
+
+  private endWaiting(isOver: (waiter: Waiter) => boolean): void {
+    const ended = this.waiters.filter(isOver);
+    if (ended.length === 0) return;
+    this.waiters = this.waiters.filter(waiter => !ended.includes(waiter));
+    for (const {done} of ended) done();
   }
 
   /** All nodes but those to which the log itself is replicated at present. */
@@ -96,6 +142,7 @@
       confirmed: 0,
       sentAt: Number.NEGATIVE_INFINITY,
       resendMs: RESEND_MS,
+      unansweredSince: undefined,
     };
     this.progress.set(node, known);
     return known;
@@ -108,6 +155,7 @@
       progress.resendMs = Math.min(2 * progress.resendMs, MAX_RESEND_MS);
     }
     progress.sentAt = now;
+    progress.unansweredSince ??= now;
     const update = this.opts.updateFor(progress.confirmed);
     this.opts.peers.send(node, 'config.push', update);
   }
--- a/src/core/config/log/voter_reconciler.test.ts
+++ b/src/core/config/log/voter_reconciler.test.ts
@@ -110,7 +110,7 @@
   bench.crashAndWipe('v1');
   bench.waitUntil(
     'v1 is replaced',
-    () => !votersOf(bench).includes('v1'),
+    () => !votersOf(bench).includes('v1') && votersOf(bench).length === 3,
     15_000,
   );
   // Another disk is lost right after the replacement.
--- a/src/core/config/platform_documents.test.ts
+++ b/src/core/config/platform_documents.test.ts
@@ -241,3 +241,29 @@
     }
   }
 });
+
+// Operators turn to another node after a second.
+test('an unreachable node delays one acknowledgement, for a short time', () => {
+  const bench = createBench(1);
+  const leader = bench.waitForLeader();
+  bench.peers.isolate(['f1'], bench.ids);
+  const delays = [2, 3, 4].map(revision => {
+    const pending = bench.submit(leader, document(revision));
+    return bench.waitUntil('an answer', () => pending.answer !== undefined);
+  });
+  assert.isBelow(delays[0]!, 500);
+  assert.isBelow(delays[1]!, 100);
+  assert.isBelow(delays[2]!, 100);
+});
+
+test('a change is acknowledged although its leader loses its leadership', () => {
+  const bench = createBench(1);
+  const leader = bench.waitForLeader();
+  bench.peers.isolate(['f1'], bench.ids);
+  const pending = bench.submit(leader, document(2));
+  bench.waitUntil('the document', () => revisionAt(bench, leader) === 2);
+  assert.isUndefined(pending.answer);
+  bench.node(leader).transferLeadership(bench.clock.now());
+  bench.waitUntil('an answer', () => pending.answer !== undefined, 500);
+  assert.propertyVal(pending.answer, 'kind', 'accepted');
+});
