Deny a queue only with a configuration that is known to be the newest

Cause: every dispatcher answered "no such queue" from the configuration that it had. A fallback has no contact to a leader by definition, and a holder goes on without one, so neither can know that no newer configuration has the queue.

Evidence: "a fallback denies no queue that a newer configuration may have" and "a holder without contact to the leader denies no queue" failed before with no_queue. 193 tests of queues, zones, holders and fallbacks pass.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -29,6 +29,7 @@
  */
 export class DispatcherEndpoint {
   private current: PoolDispatcher | undefined;
+  private isConfigCurrent: (now: number) => boolean = () => true;
   private readonly contacts = new OwnerContacts();
   private lastTickAt = Number.NEGATIVE_INFINITY;
   private readonly answers = new AnswerCache();
@@ -73,9 +74,16 @@
     return this.current;
   }
 
-  /** Attaches a dispatcher, which must answer through `answer`. */
-  attach(dispatcher: PoolDispatcher): void {
+  /**
+   * Attaches a dispatcher, which must answer through `answer`. Queries are denied
+   * only while `isConfigCurrent`, see PoolDispatcherOptions.
+   */
+  attach(
+    dispatcher: PoolDispatcher,
+    isConfigCurrent: (now: number) => boolean = () => true,
+  ): void {
     this.current = dispatcher;
+    this.isConfigCurrent = isConfigCurrent;
     this.lastTickAt = this.opts.clock.now();
     this.answers.clear();
     this.contacts.clear();
@@ -186,9 +194,15 @@
       case 'pending': {
         const queue = table.find(body.host, body.path);
         const {revision} = this;
-        return queue?.prefix === body.path
-          ? {found: true, pending: current.pendingOf(queue.name), revision}
-          : {found: false, revision};
+        if (queue?.prefix === body.path) {
+          return {
+            found: true,
+            pending: current.pendingOf(queue.name),
+            revision,
+          };
+        }
+        const isKnown = this.isConfigCurrent(this.opts.clock.now());
+        return isKnown ? {found: false, revision} : undefined;
       }
     }
   }
--- a/src/core/pool/dispatcher/job_intake.ts
+++ b/src/core/pool/dispatcher/job_intake.ts
@@ -12,6 +12,9 @@
 import type {Takeover} from './takeover.js';
 import type {WorkerFleet} from './worker_fleet.js';
 
+/** Time in which a dispatcher is expected to have the newest configuration. */
+const RETRY_MS = 1_000;
+
 interface JobIntakeOptions {
   readonly clock: Clock;
   readonly jobs: PoolJobs;
@@ -21,6 +24,8 @@
   readonly crashes: CrashWatch;
   readonly lending: DispatcherLending;
   readonly routing: () => RoutingTable | undefined;
+  /** Default: it always is. */
+  readonly isConfigCurrent?: ((now: number) => boolean) | undefined;
   readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
   readonly observer: PoolObserver;
 }
@@ -56,10 +61,15 @@
     const queue = table?.find(host, path);
     const revision = table?.content.revision ?? -1;
     if (!table || revision < (submission.revision ?? 0)) {
-      jobs.refuse(owner, spec.id, 'no_configuration', 1_000);
+      jobs.refuse(owner, spec.id, 'no_configuration', RETRY_MS);
       return undefined;
     }
     if (!queue || queue.prefix + spec.id !== path) {
+      const {isConfigCurrent = () => true} = this.opts;
+      if (!isConfigCurrent(now)) {
+        jobs.refuse(owner, spec.id, 'configuration_unconfirmed', RETRY_MS);
+        return undefined;
+      }
       this.opts.observer.recordJobEvent('queue_unknown', spec.id, {
         ...{owner, host, revision, token},
         stated_revision: submission.revision,
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -28,6 +28,11 @@
   readonly maySendOrders: (now: number) => boolean;
   /** Current queue configuration; undefined before the first one. */
   readonly routing: () => RoutingTable | undefined;
+  /**
+   * Whether `routing` is known to be the newest configuration, so that a queue
+   * that it lacks does not exist. Default: it always is.
+   */
+  readonly isConfigCurrent?: ((now: number) => boolean) | undefined;
   /** Default: no zone is ever evacuated. */
   readonly evacuated?: EvacuatedZones | undefined;
   readonly answer: (owner: string, id: string, answer: PoolAnswer) => void;
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -223,8 +223,11 @@
     const {directory, observer, zone} = this.opts;
     const {highestToken} = directory.claims;
     const token = FencingToken.nextOfFallback(highestToken, this.rank);
+    // Without contact to a leader, a change that was acknowledged may be missing.
+    const isConfigCurrent = () => false;
     const dispatcher = new PoolDispatcher({
       ...this.opts,
+      isConfigCurrent,
       registry: this.registry,
       token,
       isRegistryComplete: true,
@@ -239,7 +242,7 @@
       reportLosses: (owner, id, losses) =>
         this.endpoint.reportLosses(owner, id, losses),
     });
-    this.endpoint.attach(dispatcher);
+    this.endpoint.attach(dispatcher, isConfigCurrent);
     directory.claims.record(this.claim(now)!);
     observer.recordStateChange('fallback_begun', {
       zone,
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -50,6 +50,7 @@
   readonly earlierLeasesMs: number;
   readonly isRegistryComplete: boolean;
   readonly maySendOrders: (now: number) => boolean;
+  readonly isConfigCurrent: (now: number) => boolean;
 }
 
 /**
@@ -183,7 +184,7 @@
       reportLosses: (owner, id, losses) =>
         this.endpoint.reportLosses(owner, id, losses),
     });
-    this.endpoint.attach(dispatcher);
+    this.endpoint.attach(dispatcher, options.isConfigCurrent);
   }
 
   /** Stops dispatching without stopping any run. */
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -240,6 +240,13 @@
     const mayDeduct = isFirst && !this.opts.directory.claims.hasHolders;
     const quietMs = state.silentMs < FALLBACK_EARLIEST_MS ? state.silentMs : 0;
     const token = leader.nextToken();
+    const isConfirmed = (at: number) => {
+      const current = leadership(at);
+      return (
+        current?.term === term &&
+        at - current.confirmedAt < CONFIRMATION_MAX_AGE_MS
+      );
+    };
     this.recordClosed('leads');
     this.dispatching.open({
       term,
@@ -251,13 +258,8 @@
       // became too old.
       earlierLeasesMs:
         CONFIRMATION_MAX_AGE_MS + leaseMs - (mayDeduct ? quietMs : 0),
-      maySendOrders: at => {
-        const current = leadership(at);
-        return (
-          current?.term === term &&
-          at - current.confirmedAt < CONFIRMATION_MAX_AGE_MS
-        );
-      },
+      maySendOrders: isConfirmed,
+      isConfigCurrent: isConfirmed,
     });
     this.presence.makeDue(now);
     if (isFirst && excluded.size === 0) return;
@@ -306,11 +308,20 @@
       earlierLeasesMs: leaseMs,
       maySendOrders: at =>
         this.guard.isAwake(at) && this.granted.isHighest(token),
+      isConfigCurrent: at => this.isLeaderFollowed(at),
     });
     this.presence.makeDue(now);
     this.presence.tick(now);
   }
 
+  /** Whether the leader is heard and states no newer configuration. */
+  private isLeaderFollowed(now: number): boolean {
+    const {directory, routing} = this.opts;
+    const revision = routing()?.content.revision ?? -1;
+    const {claims} = directory;
+    return claims.leader(now) !== undefined && revision >= claims.revision;
+  }
+
   private recordClosed(reason: string): void {
     const {heldZone, token, openJobs} = this.dispatching;
     if (heldZone === undefined) return;
