--- a/src/check/platform/platform_command.ts
+++ b/src/check/platform/platform_command.ts
@@ -1,4 +1,7 @@
 import {Command, InvalidArgumentError, Option} from 'commander';
+import {OperatorRun} from './operator_run.js';
+import {OperatorShape} from './operator_shape.js';
+import {printOperatorRun} from './print_operator_run.js';
 import {SoakRun} from './soak_run.js';
 import {SoakShape} from './soak_shape.js';
 
@@ -9,6 +12,9 @@
   readonly seeds: number;
   readonly rounds: number;
   readonly shape: string;
+  readonly operator?: boolean;
+  readonly program?: string;
+  readonly load: number;
 }
 
 /** Command `platform`, which soaks the processes that run on the platform. */
@@ -19,10 +25,18 @@
   .option('--rounds <n>', 'rounds of 1 to 3 faults', toInteger, DEFAULT_ROUNDS)
   .addOption(
     new Option('--shape <name>', 'size of the deployment')
-      .choices(Object.keys(SoakShape))
+      .choices([
+        ...new Set([SoakShape, OperatorShape].flatMap(s => Object.keys(s))),
+      ])
       .default('small'),
   )
-  .action(async ({seed: first, seeds, rounds, shape: name}: Options) => {
+  .option('--operator', 'check confirmed changes of the configuration')
+  .option('--program <file>', 'bundle to run, with --operator')
+  .option('--load <n>', 'busy loops beside it, with --operator', toInteger, 0)
+  .action(async (options: Options) => {
+    if (options.operator) return checkOperator(options);
+    const {seed: first, seeds, rounds, shape: name} = options;
+    if (!SoakShape[name]) throw new Error(`--shape ${name}: with --operator`);
     for (let seed = first; seed < first + seeds; seed += 1) {
       const run = new SoakRun({seed, rounds, shape: SoakShape[name]!});
       await run.run();
@@ -31,6 +45,20 @@
     }
   });
 
+async function checkOperator(options: Options): Promise<void> {
+  const {seed: first, seeds, rounds, shape: name, program, load} = options;
+  const shape = OperatorShape[name];
+  if (!shape) throw new Error(`--shape ${name}: not with --operator`);
+  for (let seed = first; seed < first + seeds; seed += 1) {
+    const run = new OperatorRun({seed, rounds, shape, program, load});
+    await run.run();
+    const title = `operator seed ${seed} ${name} ${rounds} rounds load ${load}`;
+    printOperatorRun(run, title);
+    const {violations, invalidAcknowledged} = run.history;
+    if (violations.length + invalidAcknowledged.size > 0) process.exitCode = 1;
+  }
+}
+
 function printRun(run: SoakRun, title: string): void {
   const {history, faults, startedAt, deployment} = run;
   const {violations, jobs, starts} = history;
--- /dev/null
+++ b/src/check/platform/print_operator_run.ts
@@ -0,0 +1,23 @@
+import type {OperatorRun} from './operator_run.js';
+
+/** Prints what was checked, the violations, and where the logs are. */
+export function printOperatorRun(run: OperatorRun, title: string): void {
+  const {history, disruptions, prober, deployment} = run;
+  const {violations, sent, observations, checked} = history;
+  const acknowledged = sent.filter(({ackedAt}) => isFinite(ackedAt)).length;
+  const statuses = [...prober.statuses].map(([name, n]) => `${name} ${n}`);
+  console.log(
+    `${title}: ${violations.length} violations, ` +
+      `${disruptions.disruptions.length} disruptions, ` +
+      `${acknowledged} of ${sent.length} versions acknowledged, ` +
+      `${observations} observations, ${checked} under a bound; ` +
+      `replies: ${statuses.join(', ')}`,
+  );
+  const invalid = [...history.invalidAcknowledged];
+  if (invalid.length > 0) {
+    const counts = invalid.map(([kind, n]) => `${kind} ${n}`);
+    console.log(`INVALID: acknowledged: ${counts.join(', ')}`);
+  }
+  for (const violation of violations.slice(0, 40)) console.log(violation);
+  if (violations.length > 0) console.log(`logs: ${deployment.dir}`);
+}
--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -33,6 +33,12 @@
   readonly cores: number;
   readonly entries: number;
   readonly workers: number;
+  /** Core processes that are not started, for replacements. Default 0. */
+  readonly spares?: number;
+  /** Number of lost disks to tolerate. Default: that of the program. */
+  readonly lostDisks?: number | undefined;
+  /** Bundle that the processes run. Default: the one of this repository. */
+  readonly program?: string | undefined;
   /** Capacity of each worker, in thousandths of a core. Default 32,000. */
   readonly workerCpu?: number;
   /** Whether every second worker of a zone does not guard its capacity. */
@@ -60,7 +66,10 @@
   readonly links = new EmulatedLinks();
   /** Folder of settings, disks and logs. */
   readonly dir = mkdtempSync(join(tmpdir(), 'pimentoyoke-'));
-  readonly processes: readonly EmulatedProcess[];
+  /** All core processes, then all entry processes. */
+  processes: readonly EmulatedProcess[];
+  /** Core processes that replacements have not used yet. */
+  private readonly spares: EmulatedProcess[];
   /** Distinguishes concurrent deployments on one machine. */
   private readonly net = `127.${1 + (process.pid % 250)}`;
   private revision = 0;
@@ -68,11 +77,13 @@
 
   constructor(private readonly opts: EmulatedDeploymentOptions) {
     const {clock, cores, entries, workers, usesRelays = false} = opts;
+    const {spares = 0} = opts;
     const count = (n: number) => Array.from({length: n}, (_, at) => at);
     this.processes = [
       ...count(cores).map(n => this.create('core', n)),
       ...count(entries).map(n => this.create('entry', n)),
     ];
+    this.spares = count(spares).map(n => this.create('core', cores + n));
     this.fleet = new EmulatedFleet({
       clock,
       usesRelays,
@@ -107,6 +118,35 @@
     return this.processes.filter(({opts}) => opts.role === role);
   }
 
+  /**
+   * Ends a core process for good and starts an empty one of its zone at another
+   * address; undefined if there is no spare one.
+   */
+  async replaceCore(
+    process: EmulatedProcess,
+  ): Promise<EmulatedProcess | undefined> {
+    const {zone} = process.opts;
+    const at = this.spares.findIndex(({opts}) => opts.zone === zone);
+    const [spare] = at < 0 ? [] : this.spares.splice(at, 1);
+    if (!spare) return undefined;
+    this.processes = this.processes.map(p => (p === process ? spare : p));
+    const cores = this.ofRole('core');
+    spare.replaceSeeds(cores.slice(0, 3).map(c => controlOf(c.opts.address)));
+    await process.kill();
+    spare.start();
+    return spare;
+  }
+
+  /** Addresses of the control API, one for each core process. */
+  controls(): string[] {
+    return this.ofRole('core').map(({opts}) => controlOf(opts.address));
+  }
+
+  /** URL of a route at an entry process. */
+  routeUrl({opts: {address}}: EmulatedProcess, path: string): string {
+    return `http://${address}:${PORTS.callers}${path}`;
+  }
+
   /** Whether an entry process asks for connections. */
   async isReady({opts: {address}}: EmulatedProcess): Promise<boolean> {
     try {
@@ -196,6 +236,10 @@
       zone: this.zoneName(n),
       settingsFile: join(this.dir, `${address}.conf`),
       settings: this.settingsOf(role, n, dataDir),
+      seeds: this.firstSeeds(),
+      dataDir,
+      program: this.opts.program,
+      isSpare: role === 'core' && n >= this.opts.cores,
       logFile: keepsLogs ? join(this.dir, `${role}-${n}.log`) : undefined,
       nodeOptions: [...nodeOptions, ...profile],
       onUnexpectedExit: this.opts.onUnexpectedExit ?? (() => undefined),
@@ -203,11 +247,8 @@
   }
 
   private settingsOf(role: Role, n: number, dataDir: string): string[] {
-    const {zones, cores} = this.opts;
+    const {zones, lostDisks} = this.opts;
     const address = this.addressOf(role === 'core' ? 1 : 2, n);
-    const seeds = Array.from({length: Math.min(3, cores)}, (_, seed) =>
-      controlOf(this.addressOf(1, seed)),
-    );
     const port = this.peerPort(role, n);
     return [
       `node_name=${address}`,
@@ -218,21 +259,35 @@
       `listen.readiness=${address}:${PORTS.readiness}`,
       `listen.control=${controlOf(address)}`,
       `internal_port_range=${port},${port}`,
-      `seeds=${seeds.join(',')}`,
       `data_dir=${dataDir}`,
       'bounds.max_hold_ms=1000',
       'bounds.grace_s=6',
+      ...(lostDisks === undefined
+        ? []
+        : [`fault_tolerance.machines=${lostDisks}`]),
     ];
   }
 
+  private firstSeeds(): string[] {
+    return Array.from({length: Math.min(3, this.opts.cores)}, (_, seed) =>
+      controlOf(this.addressOf(1, seed)),
+    );
+  }
+
   /** The same for all processes, unless relays need one of each. */
   private peerPort(role: Role, n: number): number {
     if (!this.opts.usesRelays) return PORTS.peers;
-    return PORTS.peers + n + (role === 'core' ? 0 : this.opts.cores);
+    const {cores, spares = 0} = this.opts;
+    return PORTS.peers + n + (role === 'core' ? 0 : cores + spares);
   }
 
   private async createLinks(): Promise<void> {
-    const nodes = this.processes.map(({opts: {address}}, at) => {
+    const processes = [
+      ...this.ofRole('core'),
+      ...this.spares,
+      ...this.ofRole('entry'),
+    ];
+    const nodes = processes.map(({opts: {address}}, at) => {
       return {address, port: PORTS.peers + at};
     });
     for (const from of nodes) {
--- a/src/platform/emulator/emulated_process.ts
+++ b/src/platform/emulator/emulated_process.ts
@@ -4,9 +4,11 @@
 import {
   closeSync,
   existsSync,
+  mkdirSync,
   openSync,
   readFileSync,
   readdirSync,
+  rmSync,
   writeFileSync,
 } from 'node:fs';
 import {fileURLToPath} from 'node:url';
@@ -27,8 +29,14 @@
   readonly address: string;
   readonly zone: string;
   readonly settingsFile: string;
-  /** Settings without `bootstrap`. */
+  /** Settings without `bootstrap` and `seeds`. */
   readonly settings: readonly string[];
+  readonly seeds: readonly string[];
+  readonly dataDir: string;
+  /** Bundle to run; by default the one that `npm run build:deploy` writes. */
+  readonly program?: string | undefined;
+  /** Whether the process joins a deployment that runs already. */
+  readonly isSpare?: boolean;
   /** File that output is appended to; without it, only errors are shown. */
   readonly logFile?: string | undefined;
   /** Options of the JavaScript engine. */
@@ -40,12 +48,22 @@
 /** A core or entry process that is disturbed by signals and started again. */
 export class EmulatedProcess {
   private child: ChildProcess | undefined;
-  private isFirstStart = true;
+  private isFirstStart: boolean;
   private stopSentAt = 0;
+  private starts = 0;
+  private seeds: readonly string[];
   /** Last disturbances, with the time at which they ended. */
   private readonly disturbedUntil = new Map<Disturbance, number>();
 
-  constructor(readonly opts: ProcessOptions) {}
+  constructor(readonly opts: ProcessOptions) {
+    this.isFirstStart = !opts.isSpare;
+    this.seeds = opts.seeds;
+  }
+
+  /** Number of starts, which distinguishes process instances. */
+  get incarnation(): number {
+    return this.starts;
+  }
 
   get isRunning(): boolean {
     return this.child !== undefined;
@@ -63,13 +81,16 @@
   }
 
   start(): void {
-    const {settingsFile, settings, logFile, nodeOptions, role} = this.opts;
-    if (!existsSync(MAIN)) throw new Error('run `npm run build:deploy` first');
-    const lines = [...settings, `bootstrap=${this.isFirstStart}`];
+    const {settingsFile, logFile, nodeOptions, role} = this.opts;
+    const {program = MAIN} = this.opts;
+    if (!existsSync(program)) {
+      throw new Error('run `npm run build:deploy` first');
+    }
+    this.starts += 1;
+    this.writeSettings();
     this.isFirstStart = false;
-    writeFileSync(settingsFile, lines.join('\n'));
     const log = logFile === undefined ? undefined : openSync(logFile, 'a');
-    const child = spawn(process.execPath, [...nodeOptions, MAIN, role], {
+    const child = spawn(process.execPath, [...nodeOptions, program, role], {
       env: {...process.env, PIMENTOYOKE_SETTINGS: settingsFile},
       stdio: ['ignore', log ?? 'ignore', log ?? 'inherit'],
     });
@@ -112,6 +133,18 @@
     this.disturbedUntil.set('suspend', clock.now());
   }
 
+  /** Replaces the contents of the data folder by nothing. */
+  wipe(): void {
+    rmSync(this.opts.dataDir, {recursive: true, force: true});
+    mkdirSync(this.opts.dataDir);
+  }
+
+  /** Changes the seeds in the settings file, without a signal. */
+  replaceSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+    this.writeSettings();
+  }
+
   signal(signal: 'SIGHUP'): void {
     this.child?.kill(signal);
   }
@@ -127,6 +160,16 @@
     return nanoseconds / 1e9;
   }
 
+  private writeSettings(): void {
+    const {settings, settingsFile} = this.opts;
+    const lines = [
+      ...settings,
+      `seeds=${this.seeds.join(',')}`,
+      `bootstrap=${this.isFirstStart}`,
+    ];
+    writeFileSync(settingsFile, lines.join('\n'));
+  }
+
   private async end(
     kind: 'kill' | 'stop',
     act: (child: ChildProcess, exited: Promise<unknown>) => unknown,
