--- a/src/check/platform/config_operator.ts
+++ b/src/check/platform/config_operator.ts
@@ -137,7 +137,8 @@
     const config = stream.next();
     const body = InvalidBody[kind]!(config.toBody());
     const sentAt = clock.now();
-    const status = await this.send(body, `put invalid ${config.version}`);
+    history.addInvalid(config.version, body);
+    const status = await this.send(body, `put ${config.version}, ${kind}`);
     if (status !== 200) return;
     const {invalidAcknowledged: counts} = history;
     counts.set(kind, (counts.get(kind) ?? 0) + 1);
--- a/src/check/platform/operator_history.ts
+++ b/src/check/platform/operator_history.ts
@@ -36,6 +36,10 @@
   readonly violations: string[] = [];
   /** Kinds of invalid configurations that were acknowledged. */
   readonly invalidAcknowledged = new Map<string, number>();
+  /** Versions of invalid configurations that were read back. */
+  readonly invalidInForce = new Set<number>();
+  /** Bodies of invalid configurations by version. */
+  private readonly invalid = new Map<number, string>();
   readonly sent: SentVersion[] = [];
   observations = 0;
   /** Observations that were checked against an acknowledged version. */
@@ -56,6 +60,11 @@
     return version;
   }
 
+  /** Records that an invalid configuration is sent. */
+  addInvalid(version: number, body: string): void {
+    this.invalid.set(version, body);
+  }
+
   acknowledge(version: SentVersion, at: number): void {
     version.ackedAt = Math.min(version.ackedAt, at);
   }
@@ -79,6 +88,10 @@
     const sent = this.sent.filter(({config}) => config.version === version);
     // The first versions are those that start the deployment.
     if (sent.length === 0 && version < this.sent[0]!.config.version) return;
+    if (this.invalid.get(version) === JSON.stringify(body)) {
+      this.invalidInForce.add(version);
+      return;
+    }
     const isKnown = sent.some(({config}) =>
       isDeepStrictEqual(config.toBody(), body),
     );
--- a/src/check/platform/platform_command.ts
+++ b/src/check/platform/platform_command.ts
@@ -54,8 +54,9 @@
     await run.run();
     const title = `operator seed ${seed} ${name} ${rounds} rounds load ${load}`;
     printOperatorRun(run, title);
-    const {violations, invalidAcknowledged} = run.history;
-    if (violations.length + invalidAcknowledged.size > 0) process.exitCode = 1;
+    const {violations, invalidAcknowledged, invalidInForce} = run.history;
+    const invalid = invalidAcknowledged.size + invalidInForce.size;
+    if (violations.length + invalid > 0) process.exitCode = 1;
   }
 }
 
--- a/src/check/platform/print_operator_run.ts
+++ b/src/check/platform/print_operator_run.ts
@@ -13,10 +13,11 @@
       `${observations} observations, ${checked} under a bound; ` +
       `replies: ${statuses.join(', ')}`,
   );
-  const invalid = [...history.invalidAcknowledged];
-  if (invalid.length > 0) {
-    const counts = invalid.map(([kind, n]) => `${kind} ${n}`);
+  const {invalidAcknowledged, invalidInForce} = history;
+  if (invalidAcknowledged.size + invalidInForce.size > 0) {
+    const counts = [...invalidAcknowledged].map(([kind, n]) => `${kind} ${n}`);
     console.log(`INVALID: acknowledged: ${counts.join(', ')}`);
+    console.log(`INVALID: read back: ${[...invalidInForce].join(', ')}`);
   }
   for (const violation of violations.slice(0, 40)) console.log(violation);
   if (violations.length > 0) console.log(`logs: ${deployment.dir}`);
