Hold up nodes and lose messages in generated histories of documents

Event loops of the config bench can be stalled, suspended or made to lag. The histories must be readable 15 s after all machines are back, instead of 18 to 19 s.

--- a/src/check/config/document_faults.ts
+++ b/src/check/config/document_faults.ts
@@ -1,4 +1,5 @@
 import type {ConfigBench} from '../../../test-support/fakes/config_bench.js';
+import type {FakeEventLoop} from '../../../test-support/fakes/fake_event_loop.js';
 import type {DocumentHistory} from './document_history.js';
 
 const MAX_LOST = 2;
@@ -8,6 +9,8 @@
 /** Time for which other nodes still send to a machine that was removed. */
 const FORGET_MS = 10_000;
 const SHORTEST_MS = 300;
+/** Longest time for which the event loop of a lagging process doesn't run. */
+const MAX_LAG_MS = 2_000;
 
 /** Faults within the tolerance of a deployment: two machines at once. */
 export class DocumentFaults {
@@ -15,6 +18,7 @@
   private readonly lostUntil = new Map<string, number>();
   private added = 0;
   private cutEndsAt = 0;
+  private lossEndsAt = 0;
 
   constructor(
     private readonly bench: ConfigBench,
@@ -116,10 +120,61 @@
     return true;
   }
 
+  /** Stops machines for a time; the steady clock may stand meanwhile. */
+  freeze(index: number, forMs: number, isClockStopped: boolean): boolean {
+    return this.holdUp(index, SHORTEST_MS + forMs, (loop, lastsMs) => {
+      if (isClockStopped) loop.suspend(lastsMs);
+      else loop.stall(lastsMs);
+    });
+  }
+
+  /** Slows machines down, so that their processes run only now and then. */
+  slow(index: number, maxLagMs: number, forMs: number): boolean {
+    const {bench, history} = this;
+    const lastsMs = SHORTEST_MS + forMs;
+    // The cube makes most of the intervals much shorter than the longest.
+    const lagMs = () =>
+      1 + Math.min(maxLagMs, MAX_LAG_MS) * bench.random.next() ** 3;
+    const isDone = this.holdUp(index, lastsMs, loop =>
+      loop.lag(lagMs, lastsMs),
+    );
+    // The core is unstable for as long as one of its machines is slowed.
+    if (isDone) history.recordCoreFault(bench.clock.now() + lastsMs);
+    return isDone;
+  }
+
+  /** Loses a share of all messages for a time. */
+  loseMessages(rate: number, forMs: number): boolean {
+    const {bench, history} = this;
+    if (bench.clock.now() < this.lossEndsAt) return false;
+    const lastsMs = SHORTEST_MS + forMs;
+    this.lossEndsAt = bench.clock.now() + lastsMs;
+    history.recordCoreFault(this.lossEndsAt);
+    bench.peers.loss = rate;
+    bench.clock.schedule(lastsMs, () => {
+      bench.peers.loss = 0;
+    });
+    return true;
+  }
+
   /** Whether each machine has had the time to catch up. */
   get isOver(): boolean {
     const now = this.bench.clock.now();
-    return [...this.lostUntil.values()].every(at => at <= now);
+    const ends = [...this.lostUntil.values(), this.lossEndsAt];
+    return ends.every(at => at <= now);
+  }
+
+  private holdUp(
+    index: number,
+    lastsMs: number,
+    hold: (loop: FakeEventLoop, lastsMs: number) => void,
+  ): boolean {
+    const held = this.pickSound(index);
+    const {bench} = this;
+    this.begin(held);
+    for (const id of held) hold(bench.loops.get(id)!, lastsMs);
+    bench.clock.schedule(lastsMs, () => this.end(held));
+    return held.length > 0;
   }
 
   /** One or two machines that can be lost now; none if too many are lost. */
@@ -147,6 +202,7 @@
   }
 
   private end(nodes: readonly string[]): void {
+    if (nodes.length === 0) return;
     const now = this.bench.clock.now();
     this.history.recordCoreFault(now);
     this.history.recordMended(nodes, now);
--- a/src/check/config/document_history.ts
+++ b/src/check/config/document_history.ts
@@ -48,9 +48,12 @@
     published.ackedAt ??= at;
   }
 
-  /** Records an event that makes the core unstable for a while. */
+  /**
+   * Records an event that makes the core unstable for a while; for a fault that
+   * lasts, its end, which may lie ahead.
+   */
   recordCoreFault(at: number): void {
-    this.coreFaultAt = at;
+    this.coreFaultAt = Math.max(this.coreFaultAt, at);
   }
 
   /** Records that a fault of nodes begins, which lasts until `recordMended`. */
--- a/src/check/config/document_run.ts
+++ b/src/check/config/document_run.ts
@@ -12,7 +12,17 @@
 const VOTERS = 5;
 const OBSERVE_MS = 50;
 const CALM_MS = 8_000;
-const RECOVERY_MS = 12_000;
+/**
+ * Time from when the machines have caught up, 6 s after they are back, until
+ * `recovery_s` (15 s).
+ */
+const RECOVERY_MS = 9_000;
+/** Step in which the end of all faults is awaited. */
+const WAIT_MS = 100;
+const MAX_LOSS = 0.2;
+const MAX_SUSPENSION_MS = 7_000;
+const MAX_STALL_MS = 2_500;
+const MAX_LAG_MS = 2_000;
 /** Longest time for which faults last, in ms. */
 const LONG_MS = 5_000;
 /**
@@ -53,7 +63,7 @@
       }
       bench.clock.advance(command.waitMs);
     }
-    while (!this.faults.isOver) bench.clock.advance(1_000);
+    while (!this.faults.isOver) bench.clock.advance(WAIT_MS);
     bench.clock.advance(RECOVERY_MS);
     this.checkRecovered();
   }
@@ -63,7 +73,8 @@
     const running = faults.machines.filter(id => bench.running.has(id));
     const id = running[index % Math.max(1, running.length)];
     const other = running[otherIndex % Math.max(1, running.length)];
-    const lastsMs = (otherIndex * LONG_MS) / 1_000;
+    const share = otherIndex / 1_000;
+    const lastsMs = share * LONG_MS;
     switch (kind) {
       case 'publish':
         this.revision += 1 + (otherIndex % 3);
@@ -98,9 +109,17 @@
       case 'transfer': {
         const {leader} = bench;
         if (leader === undefined) return false;
-        bench.node(leader).transferLeadership(bench.clock.now());
+        bench.run(leader, (node, now) => node.transferLeadership(now));
         return true;
       }
+      case 'stall':
+        return faults.freeze(index, share * MAX_STALL_MS, false);
+      case 'suspend':
+        return faults.freeze(index, share * MAX_SUSPENSION_MS, true);
+      case 'lag':
+        return faults.slow(index, (index / 1_000) * MAX_LAG_MS, lastsMs);
+      case 'lose_messages':
+        return faults.loseMessages((index / 1_000) * MAX_LOSS, lastsMs);
       case 'calm':
         bench.clock.advance(CALM_MS);
         return true;
@@ -117,7 +136,7 @@
     this.documents.push({revision, content});
     const published = history.recordSend(revision, content);
     const request = {kind: 'publish', document: {revision, content}} as const;
-    bench.node(id).submit(request, bench.clock.now(), answer => {
+    bench.submit(id, request, answer => {
       if (!('kind' in answer)) return;
       const at = bench.clock.now();
       if (answer.kind === 'accepted') history.recordAcknowledged(published, at);
@@ -130,7 +149,7 @@
     if (id === undefined) return false;
     const {bench, history} = this;
     const sentAt = bench.clock.now();
-    bench.node(id).submit({kind: 'read'}, sentAt, answer => {
+    bench.submit(id, {kind: 'read'}, answer => {
       if (!('kind' in answer) || answer.kind !== 'config') return;
       const {revision = 0, content = ''} = answer.config.document ?? {};
       history.recordRead(sentAt, revision, content);
--- a/src/check/config/document_scenario.ts
+++ b/src/check/config/document_scenario.ts
@@ -22,8 +22,18 @@
   calm: 8,
 } as const;
 
+/** The same of faults that hold up processes and messages. */
+const HOLD_UP_WEIGHTS = {
+  stall: 8,
+  lag: 8,
+  suspend: 6,
+  lose_messages: 8,
+} as const;
+
+type Kind = keyof typeof COMMAND_WEIGHTS | keyof typeof HOLD_UP_WEIGHTS;
+
 interface DocumentCommand {
-  readonly kind: keyof typeof COMMAND_WEIGHTS;
+  readonly kind: Kind;
   /** Selects a node. */
   readonly index: number;
   /** Selects a second node or a variant. */
@@ -38,25 +48,32 @@
   readonly commands: readonly DocumentCommand[];
 }
 
-const command: fc.Arbitrary<DocumentCommand> = fc.record({
-  kind: fc.oneof(
-    ...Object.entries(COMMAND_WEIGHTS).map(([kind, weight]) => ({
-      weight,
-      arbitrary: fc.constant(kind as keyof typeof COMMAND_WEIGHTS),
-    })),
-  ),
-  index: fc.nat(MAX_INDEX),
-  otherIndex: fc.nat(MAX_INDEX),
-  waitMs: fc.oneof(fc.constant(0), fc.nat(300), fc.nat(MAX_WAIT_MS)),
-});
-
-const arbitrary: fc.Arbitrary<DocumentScenario> = fc.record({
-  seed: fc.integer(),
-  commands: fc.array(command, {
-    minLength: MIN_COMMANDS,
-    maxLength: MAX_COMMANDS,
-    size: 'max',
-  }),
-});
-
-export const DocumentScenario = {arbitrary} as const;
+function createArbitrary(
+  weights: Partial<Record<Kind, number>>,
+): fc.Arbitrary<DocumentScenario> {
+  const command: fc.Arbitrary<DocumentCommand> = fc.record({
+    kind: fc.oneof(
+      ...Object.entries(weights).map(([kind, weight]) => ({
+        weight,
+        arbitrary: fc.constant(kind as Kind),
+      })),
+    ),
+    index: fc.nat(MAX_INDEX),
+    otherIndex: fc.nat(MAX_INDEX),
+    waitMs: fc.oneof(fc.constant(0), fc.nat(300), fc.nat(MAX_WAIT_MS)),
+  });
+  return fc.record({
+    seed: fc.integer(),
+    commands: fc.array(command, {
+      minLength: MIN_COMMANDS,
+      maxLength: MAX_COMMANDS,
+      size: 'max',
+    }),
+  });
+}
+
+export const DocumentScenario = {
+  arbitrary: createArbitrary({...COMMAND_WEIGHTS, ...HOLD_UP_WEIGHTS}),
+  /** All processes run in time, and no message is lost by chance. */
+  withoutHoldUps: createArbitrary(COMMAND_WEIGHTS),
+} as const;
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -1,4 +1,5 @@
 import type {Result} from 'true-myth';
+import type {Clock} from '../../src/core/clock/clock.js';
 import type {ClassConfig} from '../../src/core/config/class_config.js';
 import {ConfigNode} from '../../src/core/config/config_node.js';
 import type {LogTiming} from '../../src/core/config/log/log_timing.js';
@@ -9,6 +10,7 @@
 import type {ConfigChange} from '../../src/core/config/state/config_change.js';
 import {FakeClock} from './fake_clock.js';
 import {FakeDisk} from './fake_disk.js';
+import {FakeEventLoop} from './fake_event_loop.js';
 import {LossyPeers} from './lossy_peers.js';
 import {SeededRandom} from './seeded_random.js';
 
@@ -46,6 +48,8 @@
   readonly peers: LossyPeers;
   readonly disks = new Map<string, FakeDisk>();
   readonly running = new Map<string, ConfigNode>();
+  /** Event loops of the running nodes, which tests hold up. */
+  readonly loops = new Map<string, FakeEventLoop>();
   readonly ids: string[];
   readonly voters: readonly string[];
   /** Initial voters in the settings of processes that start from now on. */
@@ -58,6 +62,10 @@
   constructor(private readonly opts: ConfigBenchOptions = {}) {
     this.random = new SeededRandom(opts.seed ?? 1);
     this.peers = new LossyPeers(this.clock, this.random);
+    this.peers.onArrival = (id, deliver) => {
+      const loop = this.loops.get(id);
+      loop?.receive(() => deliver(loop.now()));
+    };
     const name = (prefix: string, count: number) =>
       Array.from({length: count}, (_, at) => `${prefix}${at + 1}`);
     this.voters = name('v', opts.voters ?? 3);
@@ -65,7 +73,7 @@
     const stored = [...this.voters, ...name('s', opts.spares ?? 0)];
     this.ids = [...stored, ...name('f', opts.followers ?? 1)];
     for (const id of stored) {
-      this.disks.set(id, new FakeDisk(this.clock, this.random));
+      this.disks.set(id, new FakeDisk(this.diskClock(id), this.random));
     }
   }
 
@@ -107,6 +115,7 @@
   start(id: string): Result<void, string> {
     const disk = this.disks.get(id);
     disk?.restart();
+    this.loops.set(id, new FakeEventLoop(this.clock));
     const node = new ConfigNode({
       node: id,
       nodes: () => {
@@ -140,13 +149,14 @@
   /** Starts a new machine with an empty disk at an address of its own. */
   addMachine(id: string): void {
     this.ids.push(id);
-    this.disks.set(id, new FakeDisk(this.clock, this.random));
+    this.disks.set(id, new FakeDisk(this.diskClock(id), this.random));
     this.start(id);
   }
 
   /** Ends the process of a node; written data stays in the page cache. */
   kill(id: string): void {
     this.running.delete(id);
+    this.loops.delete(id);
     this.peers.disconnect(id);
     this.disks.get(id)?.kill();
   }
@@ -207,12 +217,26 @@
     return this.leader!;
   }
 
+  /** Runs a task in the event loop of a running node. */
+  run(id: string, task: (node: ConfigNode, now: number) => void): void {
+    const node = this.node(id);
+    const loop = this.loops.get(id)!;
+    loop.receive(() => task(node, loop.now()));
+  }
+
   /** Submits a request; `answer` of the returned object is set later. */
-  submit(id: string, request: LogRequest): {answer: Answer | undefined} {
+  submit(
+    id: string,
+    request: LogRequest,
+    onAnswer: (answer: Answer) => void = () => undefined,
+  ): {answer: Answer | undefined} {
     const pending: {answer: Answer | undefined} = {answer: undefined};
-    this.node(id).submit(request, this.clock.now(), answer => {
-      pending.answer = answer;
-    });
+    this.run(id, (node, now) =>
+      node.submit(request, now, answer => {
+        pending.answer = answer;
+        onAnswer(answer);
+      }),
+    );
     return pending;
   }
 
@@ -236,8 +260,24 @@
 
   private tick(id: string, node: ConfigNode): void {
     if (this.running.get(id) !== node) return;
-    node.tick(this.clock.now());
+    const loop = this.loops.get(id)!;
+    node.tick(loop.now());
     const delayMs = this.opts.tickMs?.(id) ?? TICK_MS;
-    this.clock.schedule(delayMs, () => this.tick(id, node));
+    this.clock.schedule(delayMs, () =>
+      loop.runTimer(() => this.tick(id, node)),
+    );
+  }
+
+  /** Clock of a disk, whose callbacks run in the event loop of its node. */
+  private diskClock(id: string): Clock {
+    const schedule: Clock['schedule'] = (delayMs, task) => {
+      const loop = this.loops.get(id);
+      return this.clock.schedule(delayMs, () => loop?.receive(task));
+    };
+    return {
+      now: () => this.loops.get(id)?.now() ?? this.clock.now(),
+      schedule,
+      defer: task => schedule(0, task),
+    };
   }
 }
--- a/test-support/fakes/fake_disk.ts
+++ b/test-support/fakes/fake_disk.ts
@@ -1,8 +1,8 @@
 import {Result} from 'true-myth';
+import type {Clock} from '../../src/core/clock/clock.js';
 import {Disk} from '../../src/core/config/storage/disk.js';
 import type {DiskError} from '../../src/core/config/storage/disk_error.js';
 import type {DiskOp} from '../../src/core/config/storage/disk_op.js';
-import type {FakeClock} from './fake_clock.js';
 import type {SeededRandom} from './seeded_random.js';
 
 const MIN_SYNC_MS = 1;
@@ -41,7 +41,7 @@
   private generation = 0;
 
   constructor(
-    private readonly clock: FakeClock,
+    private readonly clock: Clock,
     private readonly random: SeededRandom,
   ) {
     super();
--- a/test-support/fakes/lossy_peers.ts
+++ b/test-support/fakes/lossy_peers.ts
@@ -19,6 +19,11 @@
    */
   copyDelay: (kind: string, body: unknown) => number | undefined = () =>
     undefined;
+  /** Hands a message that has arrived at a node to its event loop. */
+  onArrival: (node: string, deliver: (now: number) => void) => void = (
+    _node,
+    deliver,
+  ) => deliver(this.clock.now());
   /** Number of messages sent and received, by node. */
   readonly messages = new Map<string, number>();
   /** Number of bytes sent and received, by node. */
@@ -79,7 +84,9 @@
       const end = this.transports.get(to);
       if (!end) return;
       this.count(to, encoded.length);
-      end.deliver(from.node, kind, cbor.decode(encoded), this.clock.now());
+      this.onArrival(to, now =>
+        end.deliver(from.node, kind, cbor.decode(encoded), now),
+      );
     };
     const copyDelay = this.copyDelay(kind, body);
     if (copyDelay !== undefined) this.clock.schedule(copyDelay, deliver);
