--- a/src/core/config/held_up_nodes.test.ts
+++ b/src/core/config/held_up_nodes.test.ts
@@ -177,16 +177,27 @@
   const former = bench.waitForLeader();
   const {term} = memberOf(bench, former);
   bench.peers.isolate([former], bench.ids);
-  const early = bench.submit(former, document(2));
-  const earlyRead = bench.submit(former, {kind: 'read'});
+  const atAnswers: string[] = [];
+  // The router asks the next leader again, which takes an older document as
+  // overtaken. An answer of the former leader itself comes in its own term.
+  const onAnswer: Parameters<ConfigBench['submit']>[2] = answer => {
+    // The router refuses what has passed its deadline.
+    if (!('kind' in answer)) return;
+    const member = memberOf(bench, former);
+    if (member.leader || member.term === term) {
+      atAnswers.push(`${answer.kind} in term ${member.term}`);
+    }
+  };
+  bench.submit(former, document(2), onAnswer);
+  const earlyRead = bench.submit(former, {kind: 'read'}, onAnswer);
   bench.clock.advance(10);
   const loop = bench.loops.get(former)!;
   if (isClockStopped) loop.suspend(SUSPENSION_MS);
   else loop.stall(SUSPENSION_MS);
   const endsAt = bench.clock.now() + SUSPENSION_MS;
   bench.peers.heal();
-  const late = bench.submit(former, document(3));
-  const lateRead = bench.submit(former, {kind: 'read'});
+  bench.submit(former, document(3), onAnswer);
+  const lateRead = bench.submit(former, {kind: 'read'}, onAnswer);
   bench.clock.advance(CATCH_UP_MS / 2);
   const next = [...bench.running].find(
     ([id, node]) => id !== former && node.logMember?.leader,
@@ -198,7 +209,7 @@
     bench,
     former,
     term,
-    publishes: [early, late],
+    atAnswers,
     reads: [earlyRead, lateRead],
   };
 }
@@ -208,7 +219,7 @@
   test(`a ${kind} leader answers no request from before and gives up at once`, () => {
     for (const seed of SEEDS) {
       const held = holdUpLeader(seed, isClockStopped);
-      const {bench, former, term, publishes, reads} = held;
+      const {bench, former, term, atAnswers, reads} = held;
       for (let ms = 0; ms < 100; ms += 1) {
         bench.clock.advance(1);
         const member = memberOf(bench, former);
@@ -217,8 +228,10 @@
         if (mustGiveUp) assert.isTrue(isGivenUp, `${ms} ms, seed ${seed}`);
       }
       bench.clock.advance(CATCH_UP_MS + 1_000);
-      for (const {answer} of publishes) {
-        assert.notPropertyVal(answer ?? {}, 'kind', 'accepted', `seed ${seed}`);
+      assert.isEmpty(atAnswers, `seed ${seed}: ${atAnswers.join()}`);
+      for (const id of bench.ids) {
+        const {revision} = bench.node(id).source.current().document!;
+        assert.equal(revision, 9, `${id}, seed ${seed}`);
       }
       for (const {answer} of reads) {
         if (!answer || !('config' in answer)) continue;
