Report a lost folder to each leader that replicates to it

Two voters had lost their disks 55 s before; seven leaders of 0.6 to 1.5 s followed on the overloaded machine, and none replaced them. Then two more voters lost their disks, and two of five had the log.

Cause: a node that has lost its folder is noticed by its poll only, every 2 s, which has to reach the leader. A leadership that is shorter may never get one.

Change: a member answers messages of a leader to its former folder with the id of the present one, so that each leader knows within a heartbeat. The timer of elections moves to a class of its own.

--- a/src/core/config/log/log_member.ts
+++ b/src/core/config/log/log_member.ts
@@ -4,6 +4,7 @@
 import type {ConfigState} from '../state/config_state.js';
 import type {LogStore} from '../storage/log_store.js';
 import {Election} from './election.js';
+import {ElectionTimer} from './election_timer.js';
 import {FollowerLog} from './follower_log.js';
 import {LogApplier} from './log_applier.js';
 import {LogLeader} from './log_leader.js';
@@ -40,10 +41,7 @@
   readonly timing: LogTiming;
   private readonly applier: LogApplier;
   private leaderNode: string | undefined;
-  /** Time of the last leader message; votes are withheld for a while after. */
-  private lastLeaderContactAt = Number.NEGATIVE_INFINITY;
-  private electionDeadline: number;
-  private readonly openedAt: number;
+  private readonly timer: ElectionTimer;
   private election: Election | undefined;
   private leadership: LogLeader | undefined;
   private readonly follower: FollowerLog;
@@ -57,9 +55,7 @@
     this.timing = opts.timing ?? LogTiming;
     this.follower = new FollowerLog(this, opts.store);
     this.applier = new LogApplier(opts.store, opts.snapshotEntries);
-    this.openedAt = now;
-    const {FIRST_ELECTION_MS: firstMs} = this.timing;
-    this.electionDeadline = now + firstMs * (1 + opts.random.next());
+    this.timer = new ElectionTimer(this.timing, opts.random, now);
     // The state read from disk counts only once it has been written again.
     this.store.whenDurable(() => undefined);
   }
@@ -120,15 +116,16 @@
       this.leadership.tick(now);
       return;
     }
-    if (now < this.electionDeadline) return;
-    this.electionDeadline = this.nextElectionDeadline(now);
+    if (!this.timer.isDue(now)) return;
+    this.timer.restart(now);
     this.leaderNode = undefined;
     if (this.canCampaign) this.startElection(true, false, now);
   }
 
   receive(node: string, msg: LogMessage, now: number): void {
     const {voteState, isFailed} = this.store;
-    if (isFailed || msg.to !== this.id.storage) return;
+    if (isFailed) return;
+    if (msg.to !== this.id.storage) return this.reportLostFolder(node, msg);
     if (voteState.log !== undefined && msg.log !== voteState.log) return;
     switch (msg.type) {
       case 'vote':
@@ -149,6 +146,12 @@
         if (msg.term !== this.term || !this.canCampaign) return;
         this.startElection(false, true, now);
         return;
+      case 'folder_lost':
+        this.leadership?.membership.onStorageReported(
+          {node, storage: msg.from},
+          now,
+        );
+        return;
     }
   }
 
@@ -164,6 +167,17 @@
     });
   }
 
+  /**
+   * Tells a leader that the folder of the member it replicates to is lost. A poll
+   * would tell it as well, but may come after the end of a short leadership.
+   */
+  private reportLostFolder(node: string, msg: LogMessage): void {
+    if (msg.type !== 'append' && msg.type !== 'snapshot') return;
+    const to = {node, storage: msg.from};
+    const {log, term} = msg;
+    this.send<'folder_lost'>(to, {type: 'folder_lost', log, term});
+  }
+
   /** Raises the commit index and applies the newly committed entries. */
   advanceCommit(index: number, now: number): void {
     const isNew = this.applier.advance(index, (at, decision) =>
@@ -185,7 +199,7 @@
     this.leadership = undefined;
     this.election = undefined;
     this.leaderNode = undefined;
-    this.electionDeadline = this.nextElectionDeadline(now);
+    this.timer.restart(now);
     leadership?.end();
   }
 
@@ -215,13 +229,13 @@
     const members = store.members;
     const election = new Election({isPreVote, term, members, isTransfer});
     this.election = election;
-    this.electionDeadline = this.nextElectionDeadline(now);
+    this.timer.restart(now);
     if (!isPreVote) {
       store.setTerm({log: store.voteState.log, term, vote: this.id.storage});
     }
     store.whenDurable(at => {
       if (this.election !== election) return;
-      election.addVote(this.id.storage, this.msSinceLeaderContact(at));
+      election.addVote(this.id.storage, this.timer.msSinceLeader(at));
       for (const member of members.voters) {
         if (member.storage === this.id.storage) continue;
         this.send<'vote'>(member, {
@@ -256,8 +270,7 @@
   ): void {
     const to = {node, storage: msg.from};
     const hasLeader =
-      this.leadership !== undefined ||
-      now - this.lastLeaderContactAt < this.timing.ELECTION_TIMEOUT_MS;
+      this.leadership !== undefined || this.timer.hasLeader(now);
     if (hasLeader && !msg.transfer) return;
     const isUpToDate = this.follower.isUpToDate(msg.last_index, msg.last_term);
     if (msg.pre) {
@@ -279,12 +292,12 @@
     const granted = msg.term === this.term && canVote && isUpToDate;
     if (granted && vote === undefined) {
       this.store.setTerm({log: msg.log, term: msg.term, vote: msg.from});
-      this.electionDeadline = this.nextElectionDeadline(now);
+      this.timer.restart(now);
     }
     const {term} = this;
     this.store.whenDurable(() => {
       if (this.term !== term) return;
-      const contactAgeMs = this.msSinceLeaderContact(now);
+      const contactAgeMs = this.timer.msSinceLeader(now);
       this.send<'vote_reply'>(to, {
         type: 'vote_reply',
         pre: false,
@@ -329,19 +342,8 @@
     }
     this.election = undefined;
     this.leaderNode = node;
-    this.lastLeaderContactAt = now;
-    this.electionDeadline = this.nextElectionDeadline(now);
+    this.timer.onLeaderHeard(now);
     if (msg.type === 'append') this.follower.onAppend(to, msg, now);
     else this.follower.onSnapshot(to, msg, now);
   }
-
-  /** Time since the last leader message, or since this member was opened. */
-  private msSinceLeaderContact(now: number): number {
-    return now - Math.max(this.lastLeaderContactAt, this.openedAt);
-  }
-
-  private nextElectionDeadline(now: number): number {
-    const {ELECTION_TIMEOUT_MS: timeoutMs} = this.timing;
-    return now + timeoutMs + this.opts.random.next() * timeoutMs;
-  }
 }
--- a/src/core/config/log/log_message.ts
+++ b/src/core/config/log/log_message.ts
@@ -70,6 +70,11 @@
     round: count,
   }),
   v.object({...common, type: v.literal('timeout_now')}),
+  /**
+   * Reply to a message for an earlier folder of the node, which was lost; `from` is
+   * the storage id of the present one.
+   */
+  v.object({...common, type: v.literal('folder_lost')}),
 ]);
 
 /** A message between members of the log. */
