Judge contact with other members after a stall only when their messages are read

Cause: timers run before messages. After an event loop was held up for longer than the election timeout, a leader stepped down before it read the replies that waited for it, and a follower started an election before it read the heartbeats.

Change: a member whose ticks were further apart than CATCH_UP_MS neither steps down nor starts an election for as long after it. Orders and reads are not affected: they need a majority's confirmation as before.

"a stalled leader" and "a suspended leader answers no request from before and gives up at once" pass as before.

--- a/src/core/config/log/election_timer.ts
+++ b/src/core/config/log/election_timer.ts
@@ -3,6 +3,8 @@
 
 /** When a member last heard a leader, and when it starts an election. */
 export class ElectionTimer {
+  private lastTickAt: number | undefined;
+  private catchingUpUntil = Number.NEGATIVE_INFINITY;
   private leaderHeardAt = Number.NEGATIVE_INFINITY;
   private deadline: number;
 
@@ -15,8 +17,24 @@
     this.deadline = openedAt + firstMs * (1 + random.next());
   }
 
+  /**
+   * Detects that the event loop of this node was held up. What the other members
+   * have sent meanwhile waits behind the timers.
+   */
+  tick(now: number): void {
+    const {CATCH_UP_MS: catchUpMs} = this.timing;
+    const sinceTickMs = now - (this.lastTickAt ?? now);
+    this.lastTickAt = now;
+    if (sinceTickMs > catchUpMs) this.catchingUpUntil = now + catchUpMs;
+  }
+
+  /** Whether messages may wait that show who leads. */
+  isCatchingUp(now: number): boolean {
+    return now < this.catchingUpUntil;
+  }
+
   isDue(now: number): boolean {
-    return now >= this.deadline;
+    return now >= this.deadline && !this.isCatchingUp(now);
   }
 
   /** Begins to wait anew, for a random time. */
--- a/src/core/config/log/log_leader.ts
+++ b/src/core/config/log/log_leader.ts
@@ -124,13 +124,15 @@
     return this.progress.get(id.storage);
   }
 
-  tick(now: number): void {
-    if (!this.hasQuorum(now)) {
+  /** `isCatchingUp`: replies that this member has not read yet may wait for it. */
+  tick(now: number, isCatchingUp: boolean): void {
+    const hasQuorum = this.hasQuorum(now);
+    if (!hasQuorum && !isCatchingUp) {
       this.member.stepDown(now);
       return;
     }
     if (now >= this.nextHeartbeatAt) this.sendHeartbeats(now);
-    this.membership.tick(now);
+    if (hasQuorum) this.membership.tick(now);
   }
 
   onReply(msg: Extract<LogMessage, {type: 'append_reply'}>, now: number): void {
--- a/src/core/config/log/log_member.ts
+++ b/src/core/config/log/log_member.ts
@@ -112,8 +112,9 @@
 
   tick(now: number): void {
     if (this.store.isFailed) return;
+    this.timer.tick(now);
     if (this.leadership) {
-      this.leadership.tick(now);
+      this.leadership.tick(now, this.timer.isCatchingUp(now));
       return;
     }
     if (!this.timer.isDue(now)) return;
--- a/src/core/config/log/log_timing.ts
+++ b/src/core/config/log/log_timing.ts
@@ -14,6 +14,12 @@
    * members may have started too; the pre-vote avoids deposing an existing one.
    */
   readonly FIRST_ELECTION_MS: number;
+  /**
+   * A member whose ticks are further apart than this was held up. For as long after
+   * it, it neither steps down nor starts an election, since it has yet to read what
+   * the others sent. Exceeds the interval of ticks.
+   */
+  readonly CATCH_UP_MS: number;
   /** A snapshot without a reply is sent again after this time. */
   readonly SNAPSHOT_RETRY_MS: number;
   /** Time after which a leadership transfer is abandoned. */
@@ -29,6 +35,7 @@
   HEARTBEAT_MS: 750,
   ELECTION_TIMEOUT_MS: 2_000,
   FIRST_ELECTION_MS: 2_000,
+  CATCH_UP_MS: 500,
   SNAPSHOT_RETRY_MS: 2_000,
   TRANSFER_TIMEOUT_MS: 1_000,
 };
