Count the silence of a voter across leaderships

Cause: the leader replaces a voter after 3 s without contact and counted them from the beginning of its own leadership.

Change: if a member has not replied within 500 ms of a leadership, the time since any message of its node counts, as the node directory has it. Silence never counts from before this node was last held up itself.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -50,6 +50,11 @@
   readonly voterTarget?: number | undefined;
   /** Availability zone of a node, for spreading voters. Default: unknown. */
   readonly zoneOf?: ((node: string) => string | undefined) | undefined;
+  /**
+   * When any message of a node was last received here, for replacing voters that
+   * are lost. Default: only what the log's leader hears counts.
+   */
+  readonly heardAt?: ((node: string) => number) | undefined;
   /** Entries after which a snapshot replaces the log. Default 256. */
   readonly snapshotEntries?: number | undefined;
   readonly onDiskError: (error: DiskError) => void;
@@ -87,6 +92,7 @@
         voterTarget: opts.voterTarget,
         nodesWithStorage: () => this.distributor.nodesWithStorage(),
         zoneOf: opts.zoneOf ?? (() => undefined),
+        heardAt: opts.heardAt,
       });
     }
     this.router = new RequestRouter({
--- a/src/core/config/log/log_leader.ts
+++ b/src/core/config/log/log_leader.ts
@@ -139,6 +139,7 @@
     const progress = this.progress.get(msg.from);
     if (!progress) return;
     progress.lastContactAt = now;
+    progress.hasReplied = true;
     progress.ackedRound = Math.max(progress.ackedRound, msg.round);
     progress.isInFlight = false;
     if (msg.ok) {
--- a/src/core/config/log/replication_progress.ts
+++ b/src/core/config/log/replication_progress.ts
@@ -4,6 +4,8 @@
 export class ReplicationProgress {
   /** Highest index that the member has replicated and synced to disk. */
   matchIndex = 0;
+  /** Whether the member has replied to this leader at all. */
+  hasReplied = false;
   /** Highest heartbeat round that the member has answered. */
   ackedRound = 0;
   /** Whether entries or a snapshot have been sent and not answered yet. */
--- a/src/core/config/log/voter_reconciler.ts
+++ b/src/core/config/log/voter_reconciler.ts
@@ -23,6 +23,13 @@
  * would be chosen to replace it.
  */
 const MAX_POLL_AGE_MS = 2_500;
+/** Time within which members reply to a new leader. */
+const FIRST_REPLY_MS = 500;
+/**
+ * This node was held up if its ticks are further apart. Silence from before is not
+ * the fault of the others, whose messages it has yet to read.
+ */
+const MAX_TICK_GAP_MS = 500;
 /** A new leader waits at most this long for the target number of voters. */
 const MAX_GROWTH_MS = 5_000;
 
@@ -38,6 +45,11 @@
   readonly nodesWithStorage: () => readonly NodeWithStorage[];
   /** Availability zone of a node, if known. */
   readonly zoneOf: (node: string) => string | undefined;
+  /**
+   * When any message of a node was last received here; negative infinity if never.
+   * Default: only replies to the leader count.
+   */
+  readonly heardAt?: ((node: string) => number) | undefined;
 }
 
 /**
@@ -50,11 +62,16 @@
   private term = -1;
   private leaderSince = 0;
   private hasReachedTarget = false;
+  private lastTickAt = Number.NEGATIVE_INFINITY;
+  /** Since when this node has run without being held up. */
+  private awakeSince = 0;
 
   constructor(private readonly opts: VoterReconcilerOptions) {}
 
   /** Starts at most one membership change; called periodically. */
   tick(member: LogMember, now: number): void {
+    if (now - this.lastTickAt > MAX_TICK_GAP_MS) this.awakeSince = now;
+    this.lastTickAt = now;
     const {leader, term} = member;
     if (!leader) return;
     if (term !== this.term) {
@@ -161,13 +178,25 @@
     return voters.filter(v => zoneOf(v.node) === zone).length;
   }
 
+  /**
+   * Time without contact with a member. A leader that the member has never replied
+   * to counts the time from before its leadership too, since leaderships may be
+   * shorter than the time after which a voter is replaced.
+   */
   private msSinceContact(
     member: LogMember,
     id: LogMemberId,
     now: number,
   ): number {
     if (id.storage === member.id.storage) return 0;
-    const lastContactAt = member.leader?.progressOf(id)?.lastContactAt;
-    return lastContactAt === undefined ? Infinity : now - lastContactAt;
+    const progress = member.leader?.progressOf(id);
+    if (!progress) return Infinity;
+    const {heardAt} = this.opts;
+    const isOverdue = now - this.leaderSince >= FIRST_REPLY_MS;
+    const contactAt =
+      heardAt && isOverdue && !progress.hasReplied
+        ? Math.min(heardAt(id.node), progress.lastContactAt)
+        : progress.lastContactAt;
+    return now - Math.max(contactAt, this.awakeSince);
   }
 }
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -51,6 +51,7 @@
       mayForm: settings.isFirstStart,
       voterTarget: 2 * settings.lostDisks + 1,
       zoneOf: id => directory.zoneOf(id),
+      heardAt: id => directory.seenAt('core', id),
       timing: LOG_TIMING,
       tickMs: TICK_MS,
       dataDir: settings.dataDir,
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -4,6 +4,7 @@
 import {ConfigNode} from '../../src/core/config/config_node.js';
 import type {LogTiming} from '../../src/core/config/log/log_timing.js';
 import type {MembershipRequest} from '../../src/core/config/log/membership_request.js';
+import type {PeerTransport} from '../../src/core/peer/peer_transport.js';
 import type {LogRequest} from '../../src/core/config/router/log_request.js';
 import type {LogResponse} from '../../src/core/config/router/log_response.js';
 import type {ChangeRefusal} from '../../src/core/config/state/change_refusal.js';
@@ -31,6 +32,8 @@
   readonly voterTarget?: number;
   /** Whether the process of a node may create a log. Default: each may. */
   readonly mayForm?: (node: string) => boolean;
+  /** Interval of presence messages between nodes with a disk. Default: none. */
+  readonly presenceMs?: number;
   /** Availability zone of a node. Default: unknown. */
   readonly zoneOf?: (node: string) => string | undefined;
   /** Default `LogTiming`. */
@@ -116,6 +119,10 @@
     const disk = this.disks.get(id);
     disk?.restart();
     this.loops.set(id, new FakeEventLoop(this.clock));
+    const peers = this.peers.connect(id);
+    const heard = new Map<string, number>();
+    peers.onMessage('presence', (from, _body, now) => heard.set(from, now));
+    this.sendPresence(id, peers);
     const node = new ConfigNode({
       node: id,
       nodes: () => {
@@ -129,13 +136,16 @@
         classes: {default: ConfigBench.classOf('default')},
         tenants: {},
       },
-      peers: this.peers.connect(id),
+      peers,
       random: this.random,
       snapshotEntries: this.opts.snapshotEntries,
       voterTarget: this.opts.voterTarget,
       mayForm: this.opts.mayForm?.(id) ?? true,
       timing: this.opts.timing,
       zoneOf: this.opts.zoneOf,
+      ...(this.opts.presenceMs === undefined
+        ? {}
+        : {heardAt: other => heard.get(other) ?? Number.NEGATIVE_INFINITY}),
       onDiskError: () => undefined,
     });
     const opened = node.open(this.clock.now());
@@ -258,6 +268,20 @@
     return this.request(id, {kind: 'members', request});
   }
 
+  /** Tells the other nodes with a disk that a process runs. */
+  private sendPresence(id: string, peers: PeerTransport): void {
+    const {presenceMs} = this.opts;
+    if (presenceMs === undefined || !this.disks.has(id)) return;
+    const loop = this.loops.get(id)!;
+    for (const other of this.disks.keys()) {
+      if (other !== id) peers.send(other, 'presence', {});
+    }
+    this.clock.schedule(presenceMs, () => {
+      if (this.loops.get(id) !== loop) return;
+      loop.runTimer(() => this.sendPresence(id, peers));
+    });
+  }
+
   private tick(id: string, node: ConfigNode): void {
     if (this.running.get(id) !== node) return;
     const loop = this.loops.get(id)!;
--- a/test-support/fakes/create_platform_config_bench.ts
+++ b/test-support/fakes/create_platform_config_bench.ts
@@ -4,6 +4,8 @@
 /** Intervals of the configuration's ticks in core and entry processes. */
 const CORE_TICK_MS = 20;
 const ENTRY_TICK_MS = 200;
+/** Interval of presence messages between core processes. */
+const PRESENCE_MS = 1_000;
 const ZONES = ['a', 'b', 'c'];
 
 interface PlatformConfigBenchOptions {
@@ -34,6 +36,7 @@
     voterTarget: 5,
     zoneOf: node => ZONES[Number(node.slice(1)) % ZONES.length],
     timing: LOG_TIMING,
+    presenceMs: PRESENCE_MS,
     tickMs: node => (node.startsWith('f') ? ENTRY_TICK_MS : CORE_TICK_MS),
   });
 }
