Count the revision in force at an entry node among those that its dispatchers must have

Cause: an entry node asks dispatchers for the highest revision that a claim has stated, and the leader states it once a second to the entry nodes of granted zones. The pushed configuration that the entry node itself had did not count.

Change: the revision that comes into force at the entry node counts as well, in submissions and in queries. Test: "a job states the revision that is in force at its entry node".

--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -251,3 +251,16 @@
   bench.peers.deliver('c2', 'pool.answer', {id: 'j', answer});
   assert.equal(bench.answers[0]?.kind, 'refused');
 });
+
+// The holder of the zone may be behind the entry node, which must not return to a
+// former configuration.
+test('a job states the revision that is in force at its entry node', () => {
+  const bench = createEntryGatewayBench();
+  bench.announceLeader('c1', 1);
+  bench.announceHolder('c2', 1_004);
+  bench.directory.claims.recordRevision(7);
+  bench.submit();
+  const submit = bench.peers.sent.find(s => s.kind === 'pool.submit');
+  assert.equal(submit?.node, 'c2');
+  assert.propertyVal(submit?.body, 'revision', 7);
+});
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -19,7 +19,7 @@
   record(claim: DispatcherClaim): void {
     this.recordToken(claim.token);
     if (!claim.isFallback) {
-      this.maxRevision = Math.max(this.maxRevision, claim.revision);
+      this.recordRevision(claim.revision);
     }
     if (claim.isFallback) this.recordFallback(claim);
     else if (claim.zone === undefined) this.recordLeader(claim);
@@ -44,6 +44,11 @@
     if (token > known) this.zoneTokens.set(zone, token);
   }
 
+  /** Records a configuration revision that is in force at some node. */
+  recordRevision(revision: number): void {
+    this.maxRevision = Math.max(this.maxRevision, revision);
+  }
+
   get highestToken(): number {
     return this.maxToken;
   }
@@ -150,8 +155,9 @@
   }
 
   /**
-   * Highest configuration revision that a leader or holder has stated. Those of
-   * lost ones count as well: their successors must not fall behind them.
+   * Highest configuration revision that a leader or holder has stated, or that was
+   * in force at this node. Those of lost dispatchers count as well: their successors
+   * must not fall behind them.
    */
   get revision(): number {
     return this.maxRevision;
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -85,6 +85,10 @@
       () => this.config.source.current().document,
       (revision, detail) => log.error('config_unreadable', {revision, detail}),
     );
+    // The leader states its revision once a second, and pushes a new one at once.
+    this.config.source.onChange(() =>
+      directory.claims.recordRevision(routing.get()?.content.revision ?? 0),
+    );
     const zonePeers = new ZonePeers();
     const client = new FailsafeWorkerClient(
       new HttpWorkerClient(clock),
