--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -272,7 +272,9 @@
   private sendPresence(id: string, peers: PeerTransport): void {
     const {presenceMs} = this.opts;
     if (presenceMs === undefined || !this.disks.has(id)) return;
-    const loop = this.loops.get(id)!;
+    const loop = this.loops.get(id);
+    // The process has ended while its loop was held up.
+    if (!loop) return;
     for (const other of this.disks.keys()) {
       if (other !== id) peers.send(other, 'presence', {});
     }
