Wait longer for other members on a node whose event loop is often held up

Cause: the timeouts of elections are constants of 400 to 800 ms, while a message took longer than that between processes whose event loops were 0.4 s late as the median.

Change: a member keeps the mean of the recent gaps between its ticks and waits four of them at least, before it starts an election or, as the leader, steps down. On a machine that has time the constants apply as before; the first 3 s of a process do not count, and one suspension is forgotten within 10 s. Votes are withheld for the constant time only.

--- a/src/core/config/held_up_nodes.test.ts
+++ b/src/core/config/held_up_nodes.test.ts
@@ -204,6 +204,22 @@
   assert.isEmpty(lost, `${lost.length} of ${played}: ${lost.join()}`);
 });
 
+// Without it, seven leaders followed each other within a minute.
+test('a leader lasts although all event loops are often held up', () => {
+  const terms = [1, 2, 3, 4, 5, 6].map(seed => {
+    const bench = createBench(seed);
+    const {term} = memberOf(bench, bench.waitForLeader());
+    for (const id of bench.ids) {
+      const draw = () => Math.max(1, overloadLagMs(bench.random) / 2);
+      bench.loops.get(id)!.lag(draw);
+    }
+    bench.clock.advance(60_000);
+    const members = [...bench.running.values()].map(node => node.logMember);
+    return Math.max(...members.map(member => member?.term ?? 0)) - term;
+  });
+  assert.deepEqual(terms, [0, 0, 0, 0, 0, 0]);
+});
+
 // The heartbeats of the leader wait unread in the loop that was held up.
 test('a follower whose loop is held up starts no election beside a live leader', () => {
   const started = SEEDS.flatMap(seed => {
--- a/src/core/config/log/election_timer.ts
+++ b/src/core/config/log/election_timer.ts
@@ -1,8 +1,18 @@
 import type {RandomSource} from '../../random/random_source.js';
 import type {LogTiming} from './log_timing.js';
+import {TickGaps} from './tick_gaps.js';
+
+/**
+ * Timeouts are at least this many usual gaps between ticks: a message takes up to a
+ * gap at its sender, one at its receiver and one for the disk, and back.
+ */
+const GAPS_PER_TIMEOUT = 4;
+/** Gaps are longer while a process starts, which tells nothing about later ones. */
+const START_MS = 3_000;
 
 /** When a member last heard a leader, and when it starts an election. */
 export class ElectionTimer {
+  private readonly gaps = new TickGaps();
   private lastTickAt: number | undefined;
   private catchingUpUntil = Number.NEGATIVE_INFINITY;
   private leaderHeardAt = Number.NEGATIVE_INFINITY;
@@ -25,6 +35,7 @@
     const {CATCH_UP_MS: catchUpMs} = this.timing;
     const sinceTickMs = now - (this.lastTickAt ?? now);
     this.lastTickAt = now;
+    if (now - this.openedAt >= START_MS) this.gaps.record(sinceTickMs);
     if (sinceTickMs > catchUpMs) this.catchingUpUntil = now + catchUpMs;
   }
 
@@ -39,8 +50,13 @@
 
   /** Begins to wait anew, for a random time. */
   restart(now: number): void {
+    this.deadline = now + this.timeoutMs * (1 + this.random.next());
+  }
+
+  /** Time without contact after which another member counts as silent. */
+  get timeoutMs(): number {
     const {ELECTION_TIMEOUT_MS: timeoutMs} = this.timing;
-    this.deadline = now + timeoutMs + this.random.next() * timeoutMs;
+    return Math.max(timeoutMs, GAPS_PER_TIMEOUT * this.gaps.meanMs);
   }
 
   /** Records a message of the leader. */
--- a/src/core/config/log/log_leader.ts
+++ b/src/core/config/log/log_leader.ts
@@ -1,6 +1,7 @@
 import type {Result} from 'true-myth';
 import type {ChangeOutcome} from '../state/change_outcome.js';
 import type {ChangeRefusal} from '../state/change_refusal.js';
+import type {ElectionTimer} from './election_timer.js';
 import type {LogEntry} from './log_entry.js';
 import type {LogMember} from './log_member.js';
 import type {LogMessage} from './log_message.js';
@@ -124,10 +125,10 @@
     return this.progress.get(id.storage);
   }
 
-  /** `isCatchingUp`: replies that this member has not read yet may wait for it. */
-  tick(now: number, isCatchingUp: boolean): void {
-    const hasQuorum = this.hasQuorum(now);
-    if (!hasQuorum && !isCatchingUp) {
+  tick(now: number, timer: ElectionTimer): void {
+    const hasQuorum = this.hasQuorum(now, timer.timeoutMs);
+    // Replies that this member has not read yet may wait for it.
+    if (!hasQuorum && !timer.isCatchingUp(now)) {
       this.member.stepDown(now);
       return;
     }
@@ -291,10 +292,8 @@
     return this.hasMajority(p => p.ackedRound >= round);
   }
 
-  private hasQuorum(now: number): boolean {
-    return this.hasMajority(
-      p => now - p.lastContactAt < this.timing.ELECTION_TIMEOUT_MS,
-    );
+  private hasQuorum(now: number, timeoutMs: number): boolean {
+    return this.hasMajority(p => now - p.lastContactAt < timeoutMs);
   }
 
   /**
--- a/src/core/config/log/log_member.ts
+++ b/src/core/config/log/log_member.ts
@@ -114,7 +114,7 @@
     if (this.store.isFailed) return;
     this.timer.tick(now);
     if (this.leadership) {
-      this.leadership.tick(now, this.timer.isCatchingUp(now));
+      this.leadership.tick(now, this.timer);
       return;
     }
     if (!this.timer.isDue(now)) return;
