Deal every kind of fault in the operator's check

An armed fault that found no acknowledgement was replaced by the next one, and a lost disk or replacement that was not allowed just then did nothing.

Each round now deals two faults from a shuffled list (at most 22 entries, so that 12 rounds deal it whole). Armed faults wait in a queue for an acknowledgement at which they take effect; calm times and the final fault wait for them, up to 90 s. The end of a run prints how often each kind was dealt and took effect, and what was not played.

--- a/src/check/platform/operator_faults.ts
+++ b/src/check/platform/operator_faults.ts
@@ -1,18 +1,11 @@
 import type {SeededRandom} from '../../../test-support/fakes/seeded_random.js';
-import type {TcpRelay} from '../../../test-support/relay/tcp_relay.js';
 import type {Clock} from '../../core/clock/clock.js';
 import type {EmulatedDeployment} from '../../platform/emulator/emulated_deployment.js';
 import type {EmulatedProcess} from '../../platform/emulator/emulated_process.js';
 import type {DisruptionLog} from './disruption_log.js';
+import {disturbLinks} from './disturb_links.js';
+import {FaultDeck} from './fault_deck.js';
 
-/** Faults that are injected in the turn in which an acknowledgement arrives. */
-const AIMED = [
-  ...['killAcker', 'killAckerAndLeader', 'wipeAcker', 'wipeAckerAndLeader'],
-  ...['wipeSomeKillCores', 'wipeSomeKillAll', 'killCores', 'killCores'],
-  ...['killAll', 'stopAcker', 'suspendAcker', 'suspendLeader', 'replaceAcker'],
-] as const;
-const OTHER = ['stopInTurn', 'suspendSome', 'reload', 'exchangeSeeds'] as const;
-const LINK_FAULTS = ['cutCore', 'cutZone', 'cutEntry', 'reset', 'silence'];
 const FINAL = ['killAll', 'killCores', 'wipeSomeKillCores', 'wipeSomeKillAll'];
 
 const MIN_SUSPENSION_MS = 1_000;
@@ -24,6 +17,8 @@
 /** A lost disk counts as lost for this time after the core is whole again. */
 const CATCH_UP_MS = 6_000;
 const MAX_GAP_MS = 1_300;
+/** Spread of the faults of a round. */
+const MAX_OFFSET_MS = 1_500;
 
 interface FaultsOptions {
   readonly clock: Clock;
@@ -39,40 +34,58 @@
 
 /** Draws faults, most of them aimed at acknowledgements, and injects them. */
 export class OperatorFaults {
-  private armed: {kind: string; isFinal: boolean} | undefined;
+  readonly deck: FaultDeck;
+  /** How often each kind took effect; the final fault is not counted. */
+  readonly played = new Map<string, number>();
+  final: string | undefined;
+  /** Kinds that wait for acknowledgements. */
+  private armed: Array<{kind: string; isFinal: boolean}> = [];
   /** Faults that are not over. */
   private readonly open = new Set<Promise<unknown>>();
   private disksLost = 0;
   private lastCoreFaultAt = 0;
 
-  constructor(private readonly opts: FaultsOptions) {}
+  constructor(private readonly opts: FaultsOptions) {
+    const {random, usesRelays} = opts;
+    this.deck = new FaultDeck({random, usesRelays});
+  }
+
+  /** Injects the faults of a round, or arms them for the next acknowledgements. */
+  async nextRound(): Promise<void> {
+    for (let n = 0; n < FaultDeck.PER_ROUND; n += 1) {
+      const kind = this.deck.next();
+      if (FaultDeck.isAimed(kind)) this.armed.push({kind, isFinal: false});
+      else this.inject(kind);
+      await this.sleep(this.opts.random.integerBelow(MAX_OFFSET_MS));
+    }
+  }
 
-  /** Injects a fault now, or arms one for the next acknowledgement. */
-  next(): void {
-    const {random, usesRelays} = this.opts;
-    const draw = random.next();
-    if (draw < 0.6) this.arm(this.pick(AIMED));
-    else if (draw < 0.85 && usesRelays) this.inject(this.pick(LINK_FAULTS));
-    else this.inject(this.pick(OTHER));
+  /** Gives up the faults that found no acknowledgement. */
+  disarm(): void {
+    for (const {kind} of this.armed) this.opts.log(`not played: ${kind}`);
+    this.armed = [];
   }
 
   armFinal(): void {
-    this.arm(this.pick(FINAL), true);
+    this.final = this.pick(FINAL);
+    this.armed.push({kind: this.final, isFinal: true});
   }
 
   get isArmed(): boolean {
-    return this.armed !== undefined;
+    return this.armed.length > 0;
   }
 
-  /** Injects the armed fault at the node that has just acknowledged a change. */
+  /** Injects an armed fault at the node that has just acknowledged a change. */
   onAcknowledged(control: string): void {
-    const {armed} = this;
-    if (!armed) return;
-    this.armed = undefined;
     const acker = this.cores.find(({opts}) =>
       control.startsWith(`${opts.address}:`),
     );
-    this.inject(armed.kind, acker, armed.isFinal);
+    if (!acker) return;
+    const at = this.armed.findIndex(
+      ({kind, isFinal}) => isFinal || this.canPlay(kind, acker),
+    );
+    const [fault] = at < 0 ? [] : this.armed.splice(at, 1);
+    if (fault) this.inject(fault.kind, acker, fault.isFinal);
   }
 
   /** Resolves once all faults are over. */
@@ -84,8 +97,13 @@
     return this.opts.deployment.ofRole('core');
   }
 
-  private arm(kind: string, isFinal = false): void {
-    this.armed = {kind, isFinal};
+  /** Whether an aimed fault would take effect at a node now. */
+  private canPlay(kind: string, acker: EmulatedProcess): boolean {
+    const {lostDisks, deployment} = this.opts;
+    const free = lostDisks - this.disksLost;
+    if (!acker.isRunning) return false;
+    if (kind === 'replaceAcker') return free > 0 && deployment.hasSpare(acker);
+    return !kind.startsWith('wipe') || free > 0;
   }
 
   private inject(
@@ -94,14 +112,19 @@
     isFinal = false,
   ): void {
     this.opts.log(`fault ${kind} at ${acker.opts.address}`);
-    this.track(this.run(kind, acker, isFinal));
+    const done = this.run(kind, acker, isFinal).then(hasEffect => {
+      if (!hasEffect || isFinal) return;
+      this.played.set(kind, (this.played.get(kind) ?? 0) + 1);
+    });
+    this.track(done);
   }
 
+  /** Resolves once the fault is over to whether it took effect. */
   private async run(
     kind: string,
     acker: EmulatedProcess,
     isFinal: boolean,
-  ): Promise<unknown> {
+  ): Promise<boolean> {
     const {random, deployment, leader} = this.opts;
     const {cores} = this;
     const leading = cores.find(({opts}) => opts.address === leader()) ?? acker;
@@ -129,12 +152,14 @@
         return this.kill(kind, all, {downMs: shortMs, isFinal});
       case 'stopAcker':
         return this.stop(acker);
-      case 'stopInTurn':
+      case 'stopInTurn': {
+        let hasEffect = false;
         for (const core of cores) {
-          await this.stop(core);
+          if (await this.stop(core)) hasEffect = true;
           await this.sleep(MAX_GAP_MS);
         }
-        return;
+        return hasEffect;
+      }
       case 'suspendAcker':
         return this.suspend(acker, ms);
       case 'suspendLeader':
@@ -142,17 +167,20 @@
       case 'suspendSome': {
         const count = random.integerBetween(1, 3);
         const some = Array.from({length: count}, () => this.pick(all));
-        return Promise.all([...new Set(some)].map(p => this.suspend(p, ms)));
+        const work = [...new Set(some)].map(p => this.suspend(p, ms));
+        return (await Promise.all(work)).includes(true);
       }
       case 'replaceAcker':
         return this.replace(acker);
       case 'reload':
         for (const process of all) process.signal('SIGHUP');
-        return;
+        return true;
       case 'exchangeSeeds':
-        return this.exchangeSeeds();
+        this.exchangeSeeds();
+        return true;
       default:
-        return this.disturbLinks(kind, acker);
+        await this.disturbLinks(kind, acker);
+        return true;
     }
   }
 
@@ -165,7 +193,7 @@
       wiped?: readonly EmulatedProcess[];
       isFinal?: boolean;
     },
-  ): Promise<void> {
+  ): Promise<boolean> {
     const running = targets.filter(({isRunning}) => isRunning);
     const {wiped = [], downMs, isFinal = false} = opts;
     const lost = this.takeDisks(wiped.filter(p => running.includes(p)));
@@ -180,29 +208,32 @@
     this.start(running);
     end();
     if (lost.length > 0) this.track(this.returnDisks(lost.length));
+    return running.length > 0 && (wiped.length === 0 || lost.length > 0);
   }
 
-  private async stop(target: EmulatedProcess): Promise<void> {
-    if (!target.isRunning) return;
+  private async stop(target: EmulatedProcess): Promise<boolean> {
+    if (!target.isRunning) return false;
     const end = this.disrupt('stop', [target]);
     await target.stop();
     await this.sleep(this.opts.random.integerBelow(MAX_DOWN_MS));
     this.start([target]);
     end();
+    return true;
   }
 
-  private async suspend(target: EmulatedProcess, ms: number): Promise<void> {
-    if (!target.isRunning) return;
+  private async suspend(target: EmulatedProcess, ms: number): Promise<boolean> {
+    if (!target.isRunning) return false;
     const end = this.disrupt(`suspend ${ms}`, [target]);
     await target.suspend(ms);
     end();
+    return true;
   }
 
   /** Replaces a core process by an empty one, and the seeds as well. */
-  private async replace(target: EmulatedProcess): Promise<void> {
-    if (!target.isRunning) return;
+  private async replace(target: EmulatedProcess): Promise<boolean> {
+    if (!target.isRunning) return false;
     const [lost] = this.takeDisks([target]);
-    if (!lost) return;
+    if (!lost) return false;
     const end = this.disrupt('replace', [target]);
     const spare = await this.opts.deployment.replaceCore(target);
     end();
@@ -212,6 +243,7 @@
       this.exchangeSeeds();
     }
     this.track(this.returnDisks(1));
+    return spare !== undefined;
   }
 
   private exchangeSeeds(): void {
@@ -237,8 +269,11 @@
     const [inner, outer] = [true, false].map(value =>
       deployment.processes.filter(p => isInside(p) === value),
     ) as [EmulatedProcess[], EmulatedProcess[]];
-    const links = inner.flatMap(a =>
-      outer.map(b => this.linksOf(a.opts.address, b.opts.address)),
+    const links = inner.flatMap(({opts: {address: a}}) =>
+      outer.map(({opts: {address: b}}) => {
+        const {links} = deployment;
+        return {outgoing: links.get(a, b), incoming: links.get(b, a)};
+      }),
     );
     const isCut = kind.startsWith('cut');
     const direction = this.pick(['in', 'out', 'both'] as const);
@@ -246,35 +281,12 @@
     const end = this.disrupt(`${kind} ${direction} ${ms}`, inner, {
       isLinkFault: kind !== 'cutEntry',
     });
-    for (const {outgoing, incoming} of links) {
-      if (kind === 'reset') for (const l of [outgoing, incoming]) l.reset();
-      else if (kind === 'silence') outgoing.silence('both');
-      else if (direction === 'both') {
-        for (const l of [outgoing, incoming]) l.hold('both');
-      } else {
-        outgoing.hold(direction === 'out' ? 'to_target' : 'to_client');
-        incoming.hold(direction === 'out' ? 'to_client' : 'to_target');
-      }
-    }
+    const restore = disturbLinks(links, kind, direction);
     await this.sleep(ms);
-    for (const {outgoing, incoming} of isCut ? links : []) {
-      outgoing.restore();
-      incoming.restore();
-    }
+    restore();
     end();
   }
 
-  private linksOf(
-    a: string,
-    b: string,
-  ): Record<string, TcpRelay> & {
-    outgoing: TcpRelay;
-    incoming: TcpRelay;
-  } {
-    const {links} = this.opts.deployment;
-    return {outgoing: links.get(a, b), incoming: links.get(b, a)};
-  }
-
   /** Records a disruption; the result ends it. */
   private disrupt(
     text: string,
--- a/src/check/platform/operator_run.ts
+++ b/src/check/platform/operator_run.ts
@@ -30,6 +30,8 @@
 const LEADER_POLL_MS = 300;
 /** Time for one more acknowledgement, at which the final fault happens. */
 const FINAL_FAULT_TIMEOUT_MS = 60_000;
+/** Up to six armed faults may each have to wait until lost disks are restored. */
+const MAX_ARMED_MS = 90_000;
 
 interface RunOptions {
   readonly seed: number;
@@ -46,10 +48,10 @@
   readonly disruptions: DisruptionLog;
   readonly deployment: EmulatedDeployment;
   readonly prober: RouteProber;
+  readonly faults: OperatorFaults;
   private readonly clock = new SteadyClock();
   private readonly requests = new OpenRequests({keepsAlive: true});
   private readonly operators: readonly ConfigOperator[];
-  private readonly faults: OperatorFaults;
   private readonly loops = new BusyLoops();
   private leader: string | undefined;
   private isOver = false;
@@ -111,14 +113,15 @@
       ];
       for (let round = 0; round < this.opts.rounds; round += 1) {
         await this.sleep(random.integerBelow(MAX_GAP_MS));
-        faults.next();
+        await faults.nextRound();
         // Calm times, in which all changes have to be in force.
         if (round % 3 === 2) {
-          await faults.waitUntilOver();
+          await this.waitUntilCalm();
           await this.sleep(CONTACT_MS + BOUNDS.applyMs);
         }
       }
-      await faults.waitUntilOver();
+      await this.waitUntilCalm();
+      faults.disarm();
       faults.armFinal();
       await waitUntil(
         'the final fault',
@@ -142,6 +145,19 @@
     }
   }
 
+  /**
+   * Waits until armed faults were injected and all are over. Armed faults that find no
+   * acknowledgement in time, as on a machine that is too slow, stay armed.
+   */
+  private async waitUntilCalm(): Promise<void> {
+    const {faults, clock} = this;
+    const limit = clock.now() + MAX_ARMED_MS;
+    while (faults.isArmed && clock.now() < limit) {
+      await this.sleep(LEADER_POLL_MS);
+    }
+    await faults.waitUntilOver();
+  }
+
   /** Reads the configuration until every core process has returned it. */
   private async readBack(): Promise<void> {
     const {deployment, history, clock, prober} = this;
--- a/src/check/platform/print_operator_run.ts
+++ b/src/check/platform/print_operator_run.ts
@@ -2,7 +2,7 @@
 
 /** Prints what was checked, the violations, and where the logs are. */
 export function printOperatorRun(run: OperatorRun, title: string): void {
-  const {history, disruptions, prober, deployment} = run;
+  const {history, disruptions, prober, deployment, faults} = run;
   const {violations, sent, observations, checked} = history;
   const acknowledged = sent.filter(({ackedAt}) => isFinite(ackedAt)).length;
   const statuses = [...prober.statuses].map(([name, n]) => `${name} ${n}`);
@@ -13,10 +13,17 @@
       `${observations} observations, ${checked} under a bound; ` +
       `replies: ${statuses.join(', ')}`,
   );
+  const {deck, played, final} = faults;
+  const counts = deck.kinds.map(
+    kind => `${kind} ${played.get(kind) ?? 0}/${deck.dealt.get(kind) ?? 0}`,
+  );
+  console.log(`faults played/dealt: ${counts.join(', ')}; final: ${final}`);
+  const missing = deck.kinds.filter(kind => !played.has(kind));
+  if (missing.length > 0) console.log(`not played: ${missing.join(', ')}`);
   const {invalidAcknowledged, invalidInForce} = history;
   if (invalidAcknowledged.size + invalidInForce.size > 0) {
-    const counts = [...invalidAcknowledged].map(([kind, n]) => `${kind} ${n}`);
-    console.log(`INVALID: acknowledged: ${counts.join(', ')}`);
+    const kinds = [...invalidAcknowledged].map(([kind, n]) => `${kind} ${n}`);
+    console.log(`INVALID: acknowledged: ${kinds.join(', ')}`);
     console.log(`INVALID: read back: ${[...invalidInForce].join(', ')}`);
   }
   for (const violation of violations.slice(0, 40)) console.log(violation);
--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -137,6 +137,11 @@
     return spare;
   }
 
+  /** Whether there is a spare process to replace a core process by. */
+  hasSpare({opts: {zone}}: EmulatedProcess): boolean {
+    return this.spares.some(({opts}) => opts.zone === zone);
+  }
+
   /** Addresses of the control API, one for each core process. */
   controls(): string[] {
     return this.ofRole('core').map(({opts}) => controlOf(opts.address));
