--- a/src/core/pool/entry/query_dispatchers.test.ts
+++ b/src/core/pool/entry/query_dispatchers.test.ts
@@ -43,3 +43,31 @@
     pending: 4,
   });
 });
+
+// The fallback of a zone has no jobs of other zones, whose dispatchers it can't reach.
+test('a fallback alone does not tell that a job is unknown', async () => {
+  const clock = new FakeClock();
+  const reply = Result.ok({found: false});
+  const peers = Object.assign(new RecordingPeers(clock), {
+    request: () => Promise.resolve(reply),
+  });
+  const directory = new NodeDirectory('e', ['c1']);
+  const base = {term: 1, revision: 1, heardAt: clock.now()};
+  const lost = {...base, node: 'c1', token: 1_000, isFallback: false};
+  directory.claims.record(lost);
+  clock.advance(10_000);
+  directory.claims.record({
+    ...base,
+    node: 'e1',
+    token: 1_001,
+    zone: 'a',
+    isFallback: true,
+    heardAt: clock.now(),
+  });
+  const observer = recordedTelemetry().telemetry;
+  const opts = {clock, peers, directory, observer};
+  const cancel = {kind: 'cancel', path: '/q/j', id: 'j'} as const;
+  assert.isUndefined(await queryDispatchers(opts, cancel));
+  const state = {kind: 'state', id: 'j'} as const;
+  assert.isUndefined(await queryDispatchers(opts, state));
+});
--- a/src/core/pool/registry/worker_report_service.test.ts
+++ b/src/core/pool/registry/worker_report_service.test.ts
@@ -165,3 +165,25 @@
   );
   assert.isTrue(holder.registry.entries.has('w'));
 });
+
+// Lists of workers only add to those of a core node, so that a holder would give work
+// to a worker that has left, until the worker's last report expires.
+test('a holder that missed a leave gets it with the next reports', async () => {
+  const {clock, peers, follower, holder, claim, claimZone, settle} =
+    createBench();
+  claimZone();
+  await settle(follower.service.report(POOL_WORKER_REPORT));
+  follower.registry.update(POOL_WORKER_REPORT, clock.now());
+  assert.isTrue(holder.registry.entries.has('w'));
+  peers.cut.add('c3');
+  const reply = follower.service.leave('w');
+  await settle(Promise.resolve());
+  clock.advance(800);
+  assert.isTrue(await settle(reply));
+  peers.cut.delete('c3');
+  claim();
+  claimZone();
+  follower.service.tick(clock.now());
+  clock.advance(5);
+  assert.isFalse(holder.registry.entries.has('w'));
+});
