Show that a voter that hears nothing is not replaced while leaders change

Cause: msSinceContact takes the later of no reply since the leadership began and the voter's presence, so that a voter whose incoming messages are lost never counts as silent for 3 s under leaders of 1 s. No product logic is changed.

--- a/src/core/config/held_up_nodes.test.ts
+++ b/src/core/config/held_up_nodes.test.ts
@@ -175,6 +175,21 @@
   return answer.config.document?.revision === 1;
 }
 
+// Its presence messages arrive, so that only the short silence since the beginning of
+// each leadership counts.
+test('a voter that hears nothing is replaced although leaders change each second', () => {
+  const late = SEEDS.filter(seed => {
+    const bench = createBench(seed);
+    changeLeaders(bench, () => 1_000);
+    bench.clock.advance(3_000);
+    const deaf = otherVoterOf(bench, bench.waitForLeader());
+    for (const id of bench.ids) bench.peers.cut(id, deaf);
+    bench.clock.advance(REPLACE_MS);
+    return votersOf(bench).some(v => v.node === deaf);
+  });
+  assert.isEmpty(late, `still a voter with the seeds ${late.join()}`);
+});
+
 // The replies of the others wait unread in the loop that was held up.
 test('a leader whose loop is held up keeps its leadership if no election began', () => {
   let played = 0;
