Show that a new dispatcher denies jobs that are yet to be resubmitted

Cause: DispatcherEndpoint answers cancels and reads of jobs from its first moment, while entry nodes submit their open jobs again within 700 ms. No product logic is changed.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
@@ -36,3 +36,36 @@
   const silence = {owner: 'e', jobs: 1, silent_ms: 1_700, since_tick_ms: 700};
   assert.deepInclude(fields, {...silence, token: 1_000});
 });
+
+/** Peers whose requests can be delivered. */
+class RequestingPeers extends RecordingPeers {
+  deliverRequest(method: string, body: unknown): Promise<unknown> {
+    return this.requestHandlers.get(method)!('e', body);
+  }
+}
+
+// Its entry node submits the job again within 700 ms, and it would run although its
+// caller was told that there is no such job.
+test('a dispatcher does not deny a job before entry nodes have resubmitted theirs', async () => {
+  const bench = new PoolBench(0);
+  const {clock} = bench;
+  const peers = new RequestingPeers(clock);
+  const noop = () => undefined;
+  const endpoint = new DispatcherEndpoint({
+    clock,
+    peers,
+    routing: () => PoolBench.table(),
+    observer: {
+      recordJobEvent: noop,
+      recordStateChange: noop,
+      recordResponseTime: noop,
+      recordPhase: noop,
+      incrementCounter: noop,
+    },
+  });
+  endpoint.attach(bench.createDispatcher({term: 2, isRegistryComplete: false}));
+  const cancel = {kind: 'cancel', path: '/q/j', id: 'j'};
+  assert.isUndefined(await peers.deliverRequest('pool.ask', cancel));
+  const state = {kind: 'state', id: 'j'};
+  assert.isUndefined(await peers.deliverRequest('pool.ask', state));
+});
