Bound the time of catching up, and send voters no updates after a stall

After a stall of 420 ms the leader also took all voters for nodes outside the log and sent them the whole document.

Change: after the first time without contact, catching up begins anew only within two timeouts of the last contact. Members get updates like other nodes after two timeouts of silence, and only while the leader has a majority. The first reply of a member is awaited from when the leader began to replicate to it.

--- a/src/core/config/config_node.ts
+++ b/src/core/config/config_node.ts
@@ -51,7 +51,7 @@
   /** Availability zone of a node, for spreading voters. Default: unknown. */
   readonly zoneOf?: ((node: string) => string | undefined) | undefined;
   /**
-   * When any message of a node was last received here, for replacing voters that
+   * When a presence message of a node was last received here, for replacing voters that
    * are lost. Default: only what the log's leader hears counts.
    */
   readonly heardAt?: ((node: string) => number) | undefined;
--- a/src/core/config/follower/config_pusher.ts
+++ b/src/core/config/follower/config_pusher.ts
@@ -14,6 +14,9 @@
  */
 const MAX_WAIT_MS = 300;
 
+/** Election timeouts of silence after which a member gets updates as others do. */
+const SILENT_TIMEOUTS = 2;
+
 /** What the leader knows about a node that does not store the log. */
 interface PushProgress {
   /** Highest version that the node has confirmed; 0 before the first one. */
@@ -126,11 +129,13 @@
     now: number,
   ): string[] {
     const {voters, learners} = member.store.members;
-    const {ELECTION_TIMEOUT_MS: timeoutMs} = member.timing;
+    const silentMs = SILENT_TIMEOUTS * member.timing.ELECTION_TIMEOUT_MS;
+    // A leader that has just been held up has not read its replies yet.
+    const isAwake = leader.hasQuorum(now, member.timing.ELECTION_TIMEOUT_MS);
     const replicated = [...voters, ...learners].filter(id => {
       // A node that has lost its disk is silent under its former member id.
       const contactAt = leader.progressOf(id)?.lastContactAt;
-      return contactAt !== undefined && now - contactAt < timeoutMs;
+      return !isAwake || (contactAt ?? -Infinity) > now - silentMs;
     });
     const excluded = new Set(replicated.map(({node}) => node));
     excluded.add(this.opts.node);
--- a/src/core/config/log/election_timer.ts
+++ b/src/core/config/log/election_timer.ts
@@ -7,6 +7,8 @@
  * gap at its sender, one at its receiver and one for the disk, and back.
  */
 const GAPS_PER_TIMEOUT = 4;
+/** Timeouts without contact after which a node that was held up waits no longer. */
+const MAX_TIMEOUTS = 2;
 /** Gaps are longer while a process starts, which tells nothing about later ones. */
 const START_MS = 3_000;
 
@@ -15,6 +17,10 @@
   private readonly gaps = new TickGaps();
   private lastTickAt: number | undefined;
   private catchingUpUntil = Number.NEGATIVE_INFINITY;
+  /** Whether there was contact since the last time of catching up. */
+  private hasContact = true;
+  /** When the leader was heard, or on the leader, when it last had a majority. */
+  private contactAt = Number.NEGATIVE_INFINITY;
   private leaderHeardAt = Number.NEGATIVE_INFINITY;
   private deadline: number;
 
@@ -36,7 +42,12 @@
     const sinceTickMs = now - (this.lastTickAt ?? now);
     this.lastTickAt = now;
     if (now - this.openedAt >= START_MS) this.gaps.record(sinceTickMs);
-    if (sinceTickMs > catchUpMs) this.catchingUpUntil = now + catchUpMs;
+    // A node that is always held up would otherwise catch up for ever.
+    const isBounded =
+      this.hasContact || now - this.contactAt < MAX_TIMEOUTS * this.timeoutMs;
+    if (sinceTickMs <= catchUpMs || !isBounded) return;
+    this.catchingUpUntil = now + catchUpMs;
+    this.hasContact = false;
   }
 
   /** Whether messages may wait that show who leads. */
@@ -59,9 +70,16 @@
     return Math.max(timeoutMs, GAPS_PER_TIMEOUT * this.gaps.meanMs);
   }
 
+  /** Records that a leader has contact with a majority. */
+  onQuorum(now: number): void {
+    this.hasContact = true;
+    this.contactAt = now;
+  }
+
   /** Records a message of the leader. */
   onLeaderHeard(now: number): void {
-    this.leaderHeardAt = now;
+    this.hasContact = true;
+    this.contactAt = this.leaderHeardAt = now;
     this.restart(now);
   }
 
--- a/src/core/config/log/log_leader.ts
+++ b/src/core/config/log/log_leader.ts
@@ -133,7 +133,9 @@
       return;
     }
     if (now >= this.nextHeartbeatAt) this.sendHeartbeats(now);
-    if (hasQuorum) this.membership.tick(now);
+    if (!hasQuorum) return;
+    timer.onQuorum(now);
+    this.membership.tick(now);
   }
 
   onReply(msg: Extract<LogMessage, {type: 'append_reply'}>, now: number): void {
@@ -292,7 +294,8 @@
     return this.hasMajority(p => p.ackedRound >= round);
   }
 
-  private hasQuorum(now: number, timeoutMs: number): boolean {
+  /** Whether a majority has replied within `timeoutMs`. */
+  hasQuorum(now: number, timeoutMs: number): boolean {
     return this.hasMajority(p => now - p.lastContactAt < timeoutMs);
   }
 
--- a/src/core/config/log/log_message.ts
+++ b/src/core/config/log/log_message.ts
@@ -6,7 +6,7 @@
 const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const common = {
   log: id,
-  /** Storage ids; a message for an earlier folder of the node is dropped. */
+  /** Storage ids; a message for an earlier folder of the node has no effect. */
   from: id,
   to: id,
   term: count,
--- a/src/core/config/log/voter_reconciler.ts
+++ b/src/core/config/log/voter_reconciler.ts
@@ -23,7 +23,7 @@
  * would be chosen to replace it.
  */
 const MAX_POLL_AGE_MS = 2_500;
-/** Time within which members reply to a new leader. */
+/** Time within which a member replies to a leader for the first time. */
 const FIRST_REPLY_MS = 500;
 /**
  * This node was held up if its ticks are further apart. Silence from before is not
@@ -46,7 +46,8 @@
   /** Availability zone of a node, if known. */
   readonly zoneOf: (node: string) => string | undefined;
   /**
-   * When any message of a node was last received here; negative infinity if never.
+   * When a presence message of a node was last received here; negative infinity if
+   * never.
    * Default: only replies to the leader count.
    */
   readonly heardAt?: ((node: string) => number) | undefined;
@@ -192,11 +193,12 @@
     const progress = member.leader?.progressOf(id);
     if (!progress) return Infinity;
     const {heardAt} = this.opts;
-    const isOverdue = now - this.leaderSince >= FIRST_REPLY_MS;
+    const {hasReplied, lastContactAt} = progress;
+    const isOverdue = !hasReplied && now - lastContactAt >= FIRST_REPLY_MS;
     const contactAt =
-      heardAt && isOverdue && !progress.hasReplied
-        ? Math.min(heardAt(id.node), progress.lastContactAt)
-        : progress.lastContactAt;
+      heardAt && isOverdue
+        ? Math.min(heardAt(id.node), lastContactAt)
+        : lastContactAt;
     return now - Math.max(contactAt, this.awakeSince);
   }
 }
--- a/src/daemon/config/config_service.ts
+++ b/src/daemon/config/config_service.ts
@@ -62,7 +62,7 @@
    * Default: unknown.
    */
   readonly zoneOf?: (node: string) => string | undefined;
-  /** When any message of a node was last received. Default: not known. */
+  /** When a presence message of a node was last received. Default: not known. */
   readonly heardAt?: (node: string) => number;
   /** Timing of the log. Default `LogTiming`. */
   readonly timing?: LogTiming;
