--- a/src/core/pool/node/dispatcher_claim.ts
+++ b/src/core/pool/node/dispatcher_claim.ts
@@ -28,6 +28,11 @@
   readonly unserved?: readonly string[] | undefined;
   /** What a holder offers to each of the others; told to core nodes only. */
   readonly room?: Room | undefined;
+  /**
+   * Whether the leader lacks a majority's recent confirmation, so that another one
+   * may lead. Default: false.
+   */
+  readonly isUnconfirmed?: boolean | undefined;
   /** Address to which workers send their reports. */
   readonly reportAddress?: string | undefined;
   /** Revision of the queue configuration in force at the node. */
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -186,9 +186,19 @@
       ...claim,
       ...(grants.length > 0 ? {grants} : {}),
       ...(unserved.length > 0 ? {unserved} : {}),
+      ...(this.isConfirmed(claim.term, now) ? {} : {isUnconfirmed: true}),
     };
   }
 
+  /** Whether a majority has confirmed the leadership of a term recently. */
+  private isConfirmed(term: number, now: number): boolean {
+    const current = this.opts.leadership(now);
+    return (
+      current?.term === term &&
+      now - current.confirmedAt < CONFIRMATION_MAX_AGE_MS
+    );
+  }
+
   private updateLeadership(now: number): void {
     const {leadership, observer, routing} = this.opts;
     const state = leadership(now);
@@ -234,19 +244,12 @@
     }
     const {term, excluded} = leader;
     if (!leader.isReady || this.dispatching.isLeading(term, excluded)) return;
-    const {observer, leaseMs, leadership} = this.opts;
+    const {observer, leaseMs} = this.opts;
     const isFirst = !this.dispatching.isLeadingTerm(term);
     // Holders go on without a leader, so its silence does not bound their leases.
     const mayDeduct = isFirst && !this.opts.directory.claims.hasHolders;
     const quietMs = state.silentMs < FALLBACK_EARLIEST_MS ? state.silentMs : 0;
     const token = leader.nextToken();
-    const isConfirmed = (at: number) => {
-      const current = leadership(at);
-      return (
-        current?.term === term &&
-        at - current.confirmedAt < CONFIRMATION_MAX_AGE_MS
-      );
-    };
     this.recordClosed('leads');
     this.dispatching.open({
       term,
@@ -258,8 +261,8 @@
       // became too old.
       earlierLeasesMs:
         CONFIRMATION_MAX_AGE_MS + leaseMs - (mayDeduct ? quietMs : 0),
-      maySendOrders: isConfirmed,
-      isConfigCurrent: isConfirmed,
+      maySendOrders: at => this.isConfirmed(term, at),
+      isConfigCurrent: at => this.isConfirmed(term, at),
     });
     this.presence.makeDue(now);
     if (isFirst && excluded.size === 0) return;
@@ -314,12 +317,12 @@
     this.presence.tick(now);
   }
 
-  /** Whether the leader is heard and states no newer configuration. */
+  /** Whether a confirmed leader is heard and states no newer configuration. */
   private isLeaderFollowed(now: number): boolean {
-    const {directory, routing} = this.opts;
-    const revision = routing()?.content.revision ?? -1;
-    const {claims} = directory;
-    return claims.leader(now) !== undefined && revision >= claims.revision;
+    const {claims} = this.opts.directory;
+    const leader = claims.leader(now);
+    if (!leader || leader.isUnconfirmed) return false;
+    return (this.opts.routing()?.content.revision ?? -1) >= claims.revision;
   }
 
   private recordClosed(reason: string): void {
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -37,6 +37,8 @@
         grants: v.optional(v.array(ZoneGrant)),
         /** Zones that the leader neither dispatches nor grants. */
         unserved: v.optional(ids),
+        /** Whether the leader lacks the recent confirmation of a majority. */
+        isUnconfirmed: v.optional(v.boolean()),
         /** What the holder offers to each of the others, to core nodes only. */
         room: v.optional(Room.schema),
         reportAddress: v.optional(v.string()),
