Deny a job only when all dispatchers can know it

Change: a dispatcher denies a job 1 s after its begin at the earliest, and only while it may deny queues; an entry node that knows a fallback only denies none. Else the answer is 503.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -14,6 +14,9 @@
 import {PoolSubmission} from '../job/pool_submission.js';
 import {RecentStarts} from '../job/recent_starts.js';
 
+/** Time within which entry nodes submit their open jobs to a new dispatcher. */
+const RESUBMISSION_MS = 1_000;
+
 interface DispatcherEndpointOptions {
   readonly clock: Clock;
   readonly peers: PeerTransport;
@@ -32,6 +35,7 @@
   private isConfigCurrent: (now: number) => boolean = () => true;
   private readonly contacts = new OwnerContacts();
   private lastTickAt = Number.NEGATIVE_INFINITY;
+  private attachedAt = Number.NEGATIVE_INFINITY;
   private readonly answers = new AnswerCache();
   /** Jobs that may have run under any dispatcher of the deployment. */
   private readonly unclear = new RecentStarts();
@@ -84,7 +88,7 @@
   ): void {
     this.current = dispatcher;
     this.isConfigCurrent = isConfigCurrent;
-    this.lastTickAt = this.opts.clock.now();
+    this.attachedAt = this.lastTickAt = this.opts.clock.now();
     this.answers.clear();
     this.contacts.clear();
   }
@@ -182,15 +186,26 @@
     this.opts.peers.send(from, 'pool.unknown', {ids: unknown});
   }
 
+  /**
+   * Reply about a job; undefined if it is not known and may have been submitted
+   * elsewhere, or is yet to be submitted here again.
+   */
+  private findOrUndefined(found: boolean): {found: boolean} | undefined {
+    const now = this.opts.clock.now();
+    const isSettled = now - this.attachedAt >= RESUBMISSION_MS;
+    const mayDeny = isSettled && this.isConfigCurrent(now);
+    return found || mayDeny ? {found} : undefined;
+  }
+
   private onQuery(body: unknown): unknown {
     const {current} = this;
     const table = this.opts.routing();
     if (!current || !table || !v.is(PoolMessage.ask, body)) return undefined;
     switch (body.kind) {
       case 'cancel':
-        return {found: current.cancel(body.id)};
+        return this.findOrUndefined(current.cancel(body.id));
       case 'state':
-        return {found: current.has(body.id)};
+        return this.findOrUndefined(current.has(body.id));
       case 'pending': {
         const queue = table.find(body.host, body.path);
         const {revision} = this;
--- a/src/core/pool/entry/query_dispatchers.ts
+++ b/src/core/pool/entry/query_dispatchers.ts
@@ -48,7 +48,9 @@
   if (current.length === 0) return undefined;
   const found = current.some(reply => reply.found);
   const isComplete = known.length > 0 && known.length === nodes.length;
-  if (!found && !isComplete) return undefined;
+  // A fallback knows the jobs and the configuration of its zone only.
+  const mayDeny = directory.claims.hasRegularDispatcher(clock.now());
+  if (!found && !(isComplete && mayDeny)) return undefined;
   if (!found && request.kind === 'pending') {
     const {host} = request;
     const revision = Math.max(...revisions);
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -79,6 +79,12 @@
     return claim && claim.token >= this.tokenOf(zone) ? claim : undefined;
   }
 
+  /** Whether a leader or a holder was heard recently; a fallback does not count. */
+  hasRegularDispatcher(now: number): boolean {
+    const claims = [this.leaderClaim, ...this.holders.values()];
+    return claims.some(claim => claim && isLive(claim, now));
+  }
+
   /** Whether a holder is known, even if contact to it is lost. */
   get hasHolders(): boolean {
     return this.holders.size > 0;
