Announce the version of a new leader before sending documents

Change: the leader announces its version to a node that has not confirmed any, and the node confirms it or polls. Nodes of an older version ignore the announcement and poll as before.

--- a/src/core/config/follower/config_distributor.ts
+++ b/src/core/config/follower/config_distributor.ts
@@ -46,6 +46,8 @@
   leader: v.optional(v.string()),
   update: v.optional(ConfigUpdate),
 });
+/** Newest version of a leader that does not know which one the receiver has. */
+const Announcement = v.object({log: v.string(), version: count});
 /** Confirms that a version is in force at the sender. */
 const PushReply = v.object({version: count});
 
@@ -94,6 +96,9 @@
     peers.onMessage('config.push', (from, body, now) =>
       this.onPush(from, body, now),
     );
+    peers.onMessage('config.announce', (from, body, now) =>
+      this.onAnnouncement(from, body, now),
+    );
     peers.onMessage('config.push_reply', (from, body, now) => {
       if (!v.is(PushReply, body)) return;
       this.pusher.onConfirmed(from, body.version, now);
@@ -101,6 +106,10 @@
     this.pusher = new ConfigPusher({
       ...opts,
       updateFor: version => this.updateFor(version),
+      announce: node => {
+        const {log, version} = this.updateFor(0);
+        peers.send(node, 'config.announce', {log, version});
+      },
     });
     opts.source.onChange(() => this.confirm());
   }
@@ -237,8 +246,7 @@
   private onPush(from: string, body: unknown, now: number): void {
     const parsed = v.safeParse(ConfigUpdate, body);
     if (!parsed.success) return;
-    this.noteLeader(from);
-    this.hintHeardAt = now;
+    this.onLeaderHeard(from, now);
     const {log, version} = parsed.output;
     this.receiveUpdate(from, parsed.output, ConfigOrigin.push);
     if (this.opts.source.log !== log) return;
@@ -246,6 +254,23 @@
     this.confirm();
   }
 
+  private onAnnouncement(from: string, body: unknown, now: number): void {
+    const parsed = v.safeParse(Announcement, body);
+    if (!parsed.success) return;
+    this.onLeaderHeard(from, now);
+    const {log, version} = parsed.output;
+    const {source} = this.opts;
+    if (source.log !== undefined && source.log !== log) return;
+    this.unconfirmed.set(from, version);
+    if (source.current().version < version) this.poll(from);
+    else this.confirm();
+  }
+
+  private onLeaderHeard(leader: string, now: number): void {
+    this.noteLeader(leader);
+    this.hintHeardAt = now;
+  }
+
   /** Confirms pushed versions once they are in force here. */
   private confirm(): void {
     const {version} = this.opts.source.current();
--- a/src/core/config/follower/config_pusher.ts
+++ b/src/core/config/follower/config_pusher.ts
@@ -19,8 +19,8 @@
 
 /** What the leader knows about a node that does not store the log. */
 interface PushProgress {
-  /** Highest version that the node has confirmed; 0 before the first one. */
-  confirmed: number;
+  /** Highest version that the node has confirmed; undefined before the first one. */
+  confirmed: number | undefined;
   sentAt: number;
   resendMs: number;
   /** When the first update since the last confirmation was sent. */
@@ -38,6 +38,8 @@
   /** Ids of all known nodes. */
   readonly nodes: () => readonly string[];
   readonly peers: PeerTransport;
+  /** Announces the newest version to a node; it asks for it unless it has it. */
+  readonly announce: (node: string) => void;
   /** Creates an update for a node at `version`. */
   readonly updateFor: (version: number) => ConfigUpdate;
 }
@@ -68,7 +70,8 @@
     for (const node of targets) {
       const progress = this.progressOf(node);
       const isDue = now - progress.sentAt >= progress.resendMs;
-      if (progress.confirmed < version && isDue) this.send(node, now);
+      const {confirmed = 0} = progress;
+      if (confirmed < version && isDue) this.send(node, now);
     }
     for (const node of this.progress.keys()) {
       if (!targets.includes(node)) this.progress.delete(node);
@@ -97,7 +100,7 @@
   onConfirmed(node: string, version: number, now: number): void {
     const progress = this.progress.get(node);
     if (!progress) return;
-    progress.confirmed = Math.max(progress.confirmed, version);
+    progress.confirmed = Math.max(progress.confirmed ?? 0, version);
     progress.resendMs = RESEND_MS;
     progress.unansweredSince = undefined;
     this.checkWaiters(now);
@@ -107,7 +110,7 @@
     if (this.waiters.length === 0) return;
     const awaited = [...this.progress.values()]
       .filter(({unansweredSince: since = now}) => now - since < MAX_WAIT_MS)
-      .map(({confirmed}) => confirmed);
+      .map(({confirmed = 0}) => confirmed);
     const lowest = Math.min(...awaited);
     this.endWaiting(waiter => {
       waiter.deadline ??= now + MAX_WAIT_MS;
@@ -144,7 +147,7 @@
 
   private progressOf(node: string): PushProgress {
     const known = this.progress.get(node) ?? {
-      confirmed: 0,
+      confirmed: undefined,
       sentAt: Number.NEGATIVE_INFINITY,
       resendMs: RESEND_MS,
       unansweredSince: undefined,
@@ -161,7 +164,12 @@
     }
     progress.sentAt = now;
     progress.unansweredSince ??= now;
-    const update = this.opts.updateFor(progress.confirmed);
-    this.opts.peers.send(node, 'config.push', update);
+    const {confirmed} = progress;
+    // Most nodes have what a new leader has, which may be large.
+    if (confirmed === undefined) this.opts.announce(node);
+    else {
+      const update = this.opts.updateFor(confirmed);
+      this.opts.peers.send(node, 'config.push', update);
+    }
   }
 }
