--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -14,6 +14,8 @@
 import {PoolSubmission} from '../job/pool_submission.js';
 import {RecentStarts} from '../job/recent_starts.js';
 
+/** Age of a submission from which on it is logged as late. */
+const LATE_SUBMISSION_MS = 500;
 /** Time within which entry nodes submit their open jobs to a new dispatcher. */
 const RESUBMISSION_MS = 1_000;
 
@@ -155,6 +157,7 @@
     // The message was late. An entry node that still waits submits the job again,
     // since its next poll finds that it is unknown.
     if (this.contacts.isLost(from, now)) return;
+    this.recordLateness(from, body, now);
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(body.job.id);
     const isEarly = this.revision < (body.revision ?? 0);
@@ -162,6 +165,24 @@
     else current.submit(from, body);
   }
 
+  /**
+   * Logs a submission that was late on its way, or whose entry node has not heard
+   * this dispatcher for a while: its caller may have gone since.
+   */
+  private recordLateness(
+    owner: string,
+    {job, claimStatedAt}: PoolSubmission,
+    now: number,
+  ): void {
+    const ageMs = now - (claimStatedAt ?? now);
+    if (ageMs < LATE_SUBMISSION_MS) return;
+    this.opts.observer.recordJobEvent('submission_late', job.id, {
+      owner,
+      claim_age_ms: Math.round(ageMs),
+      token: this.current?.token,
+    });
+  }
+
   /** Revision of the queue configuration in force; -1 before the first one. */
   private get revision(): number {
     return this.opts.routing()?.content.revision ?? -1;
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -175,8 +175,10 @@
       this.refuse(job, 'no_lead');
       return;
     }
-    this.sendDrop(job, 'deadline');
-    this.respondTo(job.id, {kind: 'given_up', reason: 'deadline'});
+    const reason = 'deadline';
+    this.recordCaller('job_deadline', job, this.opts.clock.now());
+    this.sendDrop(job, reason);
+    this.respondTo(job.id, {kind: 'given_up', reason});
   }
 
   /** Logs what the caller of a job did while it was open. */
