--- /dev/null
+++ b/src/core/pool/node/copied_requests.test.ts
@@ -0,0 +1,125 @@
+import {assert} from 'chai';
+import {DeploymentBench} from '../../../../test-support/fakes/pool/deployment_bench.js';
+
+const JOB = {estimatedMs: 2_500, patienceMs: 5_000};
+/** Time after which callers send a job again whose answer they did not receive. */
+const RESEND_MS = 1_300;
+/** Delay with which a slow fallback reads messages. */
+const BACKLOG_MS = 760;
+/** Time in which core nodes that have started elect a leader. */
+const ELECTION_MS = 40;
+
+// Guards against two runs at once after the loss of all core nodes: a fallback that
+// reads its messages late starts a job whose caller has gone, and closes before it
+// reads of that. The leader knows only the caller's copy of the request.
+test('a copy does not start beside a run of a slow fallback', async () => {
+  for (const beforeLeaderMs of [5, 10, 15, 20]) {
+    const zones = ['w', 'x', 'y', 'z'];
+    const size = {coresPerZone: 1, workersPerZone: 8};
+    const bench = createBench({zones, ...size});
+    await bench.run(4_000);
+    for (const id of bench.seeds) bench.kill(id);
+    await bench.run(3_500);
+    assert.include(bench.fallbacks(), 'ze1');
+    const {delayMs} = bench.network;
+    bench.network.delayMs = (from, to) =>
+      to === 'ze1' ? BACKLOG_MS : delayMs(from, to);
+    // The workers of the zone have not reported to the leader yet.
+    const workers = [...bench.workers.keys()].filter(id => id.startsWith('z'));
+    bench.isolate(workers, bench.seeds);
+    await runLoad(bench, 'ze2', 1_000);
+    for (const id of bench.seeds) bench.startCore(id);
+    await runLoad(bench, 'ze2', ELECTION_MS - beforeLeaderMs);
+    bench.submit('ze2', 'j', JOB);
+    await runLoad(bench, 'ze2', 40);
+    bench.disconnectCaller('j');
+    await runLoad(bench, 'ze2', RESEND_MS);
+    bench.submit('xe1', 'j', JOB);
+    await bench.run(4_000);
+    assert.isEmpty(bench.log.overlaps(), `${beforeLeaderMs} ms`);
+    assert.equal(bench.log.answerOf('j'), 'completed');
+  }
+});
+
+// Guards against a run whose entry node has dropped the job: contact counted for all
+// jobs of an entry node, so that polls for others kept this one alive.
+test('a copy does not start beside a run whose drop was lost', async () => {
+  const bench = createBench();
+  await bench.run(6_000);
+  await startJob(bench);
+  bench.network.isLost = (_from, _to, kind) => kind === 'pool.drop';
+  bench.disconnectCaller('j');
+  await runLoad(bench, 'ye1', RESEND_MS);
+  bench.submit('ze1', 'j', JOB);
+  await bench.run(4_000);
+  assert.isEmpty(bench.log.overlaps());
+  assert.equal(bench.log.answerOf('j'), 'completed');
+});
+
+// Guards against a run whose stop order is lost: polls for other runs of the worker
+// prolonged its lease.
+test('a copy does not start beside a run whose stop was lost', async () => {
+  const bench = createBench();
+  await bench.run(6_000);
+  await startJob(bench);
+  bench.orderFault = call => (call === 'stop' ? 'order_lost' : 'ok');
+  bench.disconnectCaller('j');
+  await runLoad(bench, 'ye1', RESEND_MS);
+  bench.submit('ze1', 'j', JOB);
+  await bench.run(4_000);
+  assert.isEmpty(bench.log.overlaps());
+  assert.equal(bench.log.answerOf('j'), 'completed');
+});
+
+// Guards against a run whose entry node and dispatcher are both gone: the next
+// dispatcher prolonged its lease until somebody would claim it.
+test('a copy does not start beside a run that nobody claims', async () => {
+  const bench = createBench();
+  await bench.run(6_000);
+  await startJob(bench);
+  bench.orderFault = call => (call === 'stop' ? 'order_lost' : 'ok');
+  const [holder] = bench.holders()['y']!;
+  bench.announceDrain(holder!);
+  bench.kill('ye1');
+  await bench.run(RESEND_MS);
+  bench.submit('ze1', 'j', JOB);
+  await bench.run(4_000);
+  assert.isEmpty(bench.log.overlaps());
+  assert.equal(bench.log.answerOf('j'), 'completed');
+});
+
+// Guards against a run that outlives its lost entry node: the dispatcher dropped the
+// job in time, but its worker did not receive the stop.
+test('a copy does not start beside a run of a lost entry node', async () => {
+  const bench = createBench();
+  await bench.run(6_000);
+  await startJob(bench);
+  bench.orderFault = call => (call === 'stop' ? 'order_lost' : 'ok');
+  bench.kill('ye1');
+  await runLoad(bench, 'ye2', RESEND_MS);
+  bench.submit('ze1', 'j', JOB);
+  await bench.run(4_000);
+  assert.isEmpty(bench.log.overlaps());
+  assert.equal(bench.log.answerOf('j'), 'completed');
+});
+
+function createBench(opts = {}): DeploymentBench {
+  const bench = new DeploymentBench(opts);
+  for (const worker of bench.workers.values()) {
+    worker.runMs = task => (task.startsWith('j.') ? JOB.estimatedMs : 50);
+  }
+  return bench;
+}
+
+async function startJob(bench: DeploymentBench): Promise<void> {
+  bench.submit('ye1', 'j', JOB);
+  await runLoad(bench, 'ye1', 300);
+}
+
+/** Submits other jobs, which keep the entry node in contact with its dispatcher. */
+async function runLoad(bench: DeploymentBench, entry: string, ms: number) {
+  for (let passed = 0; passed < ms; passed += 5) {
+    bench.submit(entry, `${entry}-${bench.now}`, {estimatedMs: 50});
+    await bench.run(5);
+  }
+}
