Bound leases by the last contact with the entry nodes of their jobs

Cause: nothing that a worker enforces ends a run whose caller has gone. A dispatcher prolongs the lease of a worker for as long as it polls it, whatever it knows of the runs there; a drop or a stop that is lost, or read late, prolongs a run for as long. Everybody else then counts on the dispatcher to notice in time.

Change: an entry node states with each poll which jobs it holds, and a dispatcher keeps the time of that contact for each job, on its own clock (the statement of the claim that the entry node has heard last, so that messages that are read late do not count). No lease ends later than 1.15 s after the oldest contact of a run on the worker, so that the worker ends the run before its caller may send the job again. A run that no job has claimed prolongs nothing; it is claimed within 0.3 s or stopped. Contact counted for all jobs of an entry node before. The bound follows from the resend time of the settings. An entry node that gives up a job of a silent dispatcher sends a drop.

Ruled out: longer waits of entry nodes or leaders, which hold up jobs where nothing has failed, and memory of the jobs of other dispatchers, which a loss of all core nodes takes with it.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -5,9 +5,12 @@
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import {AnswerCache} from '../job/answer_cache.js';
 import type {ZoneGrant} from '../zones/zone_grant.js';
+import type {JobContact} from '../job/job_contact.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {EarlySubmissions} from './early_submissions.js';
-import {OwnerContacts} from './owner_contacts.js';
+import {FailoverTiming} from '../node/failover_timing.js';
+import type {ActiveJob} from '../job/active_job.js';
+import {readContactTime} from './read_contact_time.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
@@ -35,7 +38,6 @@
 export class DispatcherEndpoint {
   private current: PoolDispatcher | undefined;
   private isConfigCurrent: (now: number) => boolean = () => true;
-  private readonly contacts = new OwnerContacts();
   private lastTickAt = Number.NEGATIVE_INFINITY;
   private attachedAt = Number.NEGATIVE_INFINITY;
   private readonly answers = new AnswerCache();
@@ -92,7 +94,6 @@
     this.isConfigCurrent = isConfigCurrent;
     this.attachedAt = this.lastTickAt = this.opts.clock.now();
     this.answers.clear();
-    this.contacts.clear();
   }
 
   close(): void {
@@ -104,29 +105,32 @@
   tick(now: number): void {
     const {current} = this;
     if (!current) return;
-    this.dropJobsOfSilentOwners(current, now);
+    this.dropSilentJobs(current, now);
     this.lastTickAt = now;
-    for (const [owner, submission] of this.early.take(this.revision, now)) {
-      // The jobs of a lost entry node have just been dropped.
-      if (!this.contacts.isLost(owner, now)) current.submit(owner, submission);
+    for (const each of this.early.take(this.revision, now)) {
+      const {owner, submission, contactAt} = each;
+      if (isLost(each, now)) continue;
+      current.submit(owner, submission, contactAt);
     }
     current.tick(now);
     this.answers.expire(now);
   }
 
-  private dropJobsOfSilentOwners(current: PoolDispatcher, now: number): void {
-    const jobsByOwner = new Map<string, number>();
-    current.dropJobsOfOwners(owner => {
-      if (!this.contacts.isLost(owner, now)) return false;
-      jobsByOwner.set(owner, (jobsByOwner.get(owner) ?? 0) + 1);
+  /** Drops jobs that their entry nodes have not stated to hold in time. */
+  private dropSilentJobs(current: PoolDispatcher, now: number): void {
+    const jobsByOwner = new Map<string, ActiveJob[]>();
+    current.dropJobs(job => {
+      if (!isLost(job, now)) return false;
+      const jobs = jobsByOwner.get(job.owner) ?? [];
+      jobsByOwner.set(job.owner, [...jobs, job]);
       return true;
     });
     for (const [owner, jobs] of jobsByOwner) {
-      const silentMs = this.contacts.silentMs(owner, now);
+      const contactAt = Math.min(...jobs.map(job => job.contactAt));
       this.opts.observer.recordStateChange('owner_silent', {
         owner,
-        jobs,
-        silent_ms: silentMs === undefined ? undefined : Math.round(silentMs),
+        jobs: jobs.length,
+        silent_ms: Math.round(now - contactAt),
         // A late tick breaks the bound on the silence.
         since_tick_ms: Math.round(now - this.lastTickAt),
         token: current.token,
@@ -153,16 +157,17 @@
   private onSubmit(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolSubmission, body)) return;
-    this.contacts.record(from, body.claimStatedAt, now);
+    const contactAt = readContactTime(body, now) ?? now;
     // The message was late. An entry node that still waits submits the job again,
     // since its next poll finds that it is unknown.
-    if (this.contacts.isLost(from, now)) return;
+    if (isLost({contactAt}, now)) return;
     this.recordLateness(from, body, now);
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(body.job.id);
     const isEarly = this.revision < (body.revision ?? 0);
-    if (isEarly && !current.has(body.job.id)) this.early.add(from, body, now);
-    else current.submit(from, body);
+    if (isEarly && !current.has(body.job.id)) {
+      this.early.add({owner: from, submission: body, contactAt}, now);
+    } else current.submit(from, body, contactAt);
   }
 
   /**
@@ -191,9 +196,13 @@
   private onPoll(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolMessage.poll, body)) return;
-    this.contacts.record(from, body.claimStatedAt, now);
+    const contactAt = readContactTime(body, now);
     const unknown: string[] = [];
     for (const id of body.ids) {
+      if (contactAt !== undefined) {
+        current.recordContact(from, id, contactAt);
+        this.early.recordContact(from, id, contactAt);
+      }
       const known = this.answers.get(id);
       if (known) {
         this.opts.peers.send(from, 'pool.answer', {id, answer: known});
@@ -243,3 +252,7 @@
     }
   }
 }
+
+function isLost({contactAt}: JobContact, now: number): boolean {
+  return now - contactAt > FailoverTiming.OWNER_TIMEOUT_MS;
+}
--- a/src/core/pool/dispatcher/early_submissions.ts
+++ b/src/core/pool/dispatcher/early_submissions.ts
@@ -6,17 +6,28 @@
 interface EarlySubmission {
   readonly owner: string;
   readonly submission: PoolSubmission;
+  /** See `JobContact`. */
+  readonly contactAt: number;
+}
+
+interface Waiting extends EarlySubmission {
   readonly since: number;
 }
 
 /** Jobs submitted before their configuration has reached the dispatcher. */
 export class EarlySubmissions {
-  private readonly byId = new Map<string, EarlySubmission>();
+  private readonly byId = new Map<string, Waiting>();
 
-  add(owner: string, submission: PoolSubmission, now: number): void {
-    const {id} = submission.job;
+  add(early: EarlySubmission, now: number): void {
+    const {id} = early.submission.job;
     const since = this.byId.get(id)?.since ?? now;
-    this.byId.set(id, {owner, submission, since});
+    this.byId.set(id, {...early, since});
+  }
+
+  /** Records that the entry node of a job held its request at `contactAt`. */
+  recordContact(owner: string, id: string, contactAt: number): void {
+    const known = this.byId.get(id);
+    if (known?.owner === owner) this.byId.set(id, {...known, contactAt});
   }
 
   has(id: string): boolean {
@@ -32,17 +43,18 @@
   }
 
   /**
-   * Removes and returns the jobs, with their owners, that `revision` suffices for
-   * or that have waited long enough; the dispatcher refuses the latter.
+   * Removes and returns the jobs that `revision` suffices for or that have waited
+   * long enough; the dispatcher refuses the latter.
    */
-  take(revision: number, now: number): Array<[string, PoolSubmission]> {
-    const taken: Array<[string, PoolSubmission]> = [];
-    for (const [id, {owner, submission, since}] of this.byId) {
+  take(revision: number, now: number): EarlySubmission[] {
+    const taken: EarlySubmission[] = [];
+    for (const [id, {owner, submission, contactAt, since}] of this.byId) {
       const isCurrent = revision >= (submission.revision ?? 0);
       const waitedMs = now - since;
       if (!isCurrent && waitedMs < MAX_WAIT_MS) continue;
       this.byId.delete(id);
-      taken.push([owner, addWait(submission, waitedMs)]);
+      const waited = addWait(submission, waitedMs);
+      taken.push({owner, submission: waited, contactAt});
     }
     return taken;
   }
--- a/src/core/pool/dispatcher/job_intake.ts
+++ b/src/core/pool/dispatcher/job_intake.ts
@@ -30,6 +30,15 @@
   readonly observer: PoolObserver;
 }
 
+/** From whom and when a job was received. */
+interface Receipt {
+  readonly owner: string;
+  /** Current fencing token. */
+  readonly token: number;
+  readonly contactAt: number | undefined;
+  readonly now: number;
+}
+
 /** What applied when a job was accepted. */
 interface AcceptedWith {
   readonly revision: number;
@@ -44,16 +53,9 @@
 
   constructor(private readonly opts: JobIntakeOptions) {}
 
-  /**
-   * Returns the new job, or undefined if it was refused or redirected. `token`
-   * is the current fencing token.
-   */
-  accept(
-    owner: string,
-    submission: PoolSubmission,
-    token: number,
-    now: number,
-  ): ActiveJob | undefined {
+  /** Returns the new job, or undefined if it was refused or redirected. */
+  accept(submission: PoolSubmission, receipt: Receipt): ActiveJob | undefined {
+    const {owner, token, now} = receipt;
     const {jobs, lending, takeover, crashes, workers, routing} = this.opts;
     const {job: spec, host, path} = submission;
     if (lending.redirectAgain(owner, submission, now)) return undefined;
@@ -81,7 +83,7 @@
       jobs.refuse(owner, spec.id, 'advice_not_supported', 5_000);
       return undefined;
     }
-    const job = new ActiveJob(submission, {owner, queue, token, now});
+    const job = new ActiveJob(submission, {...receipt, queue});
     takeover.adopt([job], workers.all, now);
     crashes.restore(job, submission.losses ?? []);
     const wasSentAgain = jobs.mayHaveRun(spec.id);
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -3,6 +3,7 @@
 import {CrashWatch} from '../crashes/crash_watch.js';
 import {BacklogForecast} from '../admission/backlog_forecast.js';
 import {InfeasibleJobs} from '../admission/infeasible_jobs.js';
+import type {ActiveJob} from '../job/active_job.js';
 import {JobIntake} from './job_intake.js';
 import {LateJobs} from '../admission/late_jobs.js';
 import {PoolJobs} from '../job/pool_jobs.js';
@@ -29,8 +30,6 @@
 /** Run ends within this time share one pass; far shorter than any task. */
 const PASS_INTERVAL_MS = 2;
 const STRAGGLER_INTERVAL_MS = 60;
-/** Time within which jobs of another dispatcher are resubmitted. */
-const CLAIM_MS = 1_000;
 
 /**
  * Dispatches jobs for a fixed set of zones, as a leader, as the holder of a zone
@@ -132,19 +131,22 @@
     for (const worker of this.workers.all) worker.onTokenRaised();
   }
 
-  /** Accepts or refuses a job; a known job is assigned to the new owner. */
-  submit(owner: string, submission: PoolSubmission): void {
+  /**
+   * Accepts or refuses a job; a known job is assigned to the new owner. See
+   * `JobContact` for `contactAt`.
+   */
+  submit(owner: string, submission: PoolSubmission, contactAt?: number): void {
     const now = this.opts.clock.now();
     const known = this.jobs.get(submission.job.id);
     if (known) {
       this.trace.recordSentAgain(known, owner, now);
-      known.owner = owner;
-      known.isAbandoned = false;
+      known.assign(owner, contactAt);
       this.jobs.finishIfDone(known, now);
       this.schedulePass();
       return;
     }
-    const job = this.intake.accept(owner, submission, this.token, now);
+    const receipt = {owner, token: this.token, contactAt, now};
+    const job = this.intake.accept(submission, receipt);
     if (!job) return;
     this.jobs.finishIfDone(job, now);
     this.schedulePass();
@@ -174,6 +176,13 @@
     return true;
   }
 
+  /** Records that the entry node of a job held its request at `at`. */
+  recordContact(owner: string, id: string, at: number): void {
+    const job = this.jobs.get(id);
+    if (job?.owner !== owner || job.isAbandoned) return;
+    job.contactAt = Math.max(job.contactAt, at);
+  }
+
   has(id: string): boolean {
     const job = this.jobs.get(id);
     return job !== undefined && !job.isAbandoned;
@@ -189,11 +198,11 @@
     return this.jobs.pendingOf(queue);
   }
 
-  /** Drops the jobs of entry nodes that no longer poll. */
-  dropJobsOfOwners(isLost: (owner: string) => boolean): void {
+  /** Drops the jobs that their entry nodes may no longer hold. */
+  dropJobs(isLost: (job: ActiveJob) => boolean): void {
     const started: string[] = [];
     for (const job of [...this.jobs.all]) {
-      if (job.isAbandoned || !isLost(job.owner)) continue;
+      if (job.isAbandoned || !isLost(job)) continue;
       if (job.hasStarted || job.mayHaveRun) started.push(job.spec.id);
       this.drop(job.spec.id, job.owner, 'owner_silent');
     }
@@ -205,7 +214,7 @@
     this.tickedAt = now;
     this.workers.tick(now);
     this.startable.tick(this.workers.all);
-    this.stopUnclaimed(now);
+    this.takeover.stopUnclaimed(this.workers.all, now);
     if (now >= this.nextStragglers) {
       this.nextStragglers = now + STRAGGLER_INTERVAL_MS;
       this.times.observe(this.workers.all, now);
@@ -306,17 +315,6 @@
     return !this.isClosed && !isLate && this.opts.maySendOrders(now);
   }
 
-  /** Stops inherited runs that no job has claimed in time. */
-  private stopUnclaimed(now: number): void {
-    const isTakeoverComplete = this.takeover.completeIfDue(now);
-    for (const worker of this.workers.all) {
-      const isClaimOverdue = worker.hasInheritedSince(now - CLAIM_MS);
-      if (isTakeoverComplete || (this.takeover.isOver && isClaimOverdue)) {
-        this.trace.recordUnclaimed(worker, worker.stopInherited());
-      }
-    }
-  }
-
   private schedulePass(): void {
     if (this.isPassScheduled || this.isClosed) return;
     this.isPassScheduled = true;
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -5,11 +5,12 @@
 import type {PoolAnswer} from '../job/pool_answer.js';
 import type {PoolObserver} from '../pool_observer.js';
 import type {CapacityLending} from '../lending/capacity_lending.js';
+import type {LeaseSettings} from '../lease/lease_settings.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {WorkerRegistry} from '../registry/worker_registry.js';
 
 /** Options of a PoolDispatcher. */
-export interface PoolDispatcherOptions {
+export interface PoolDispatcherOptions extends LeaseSettings {
   readonly clock: Clock;
   readonly client: WorkerClient;
   readonly registry: WorkerRegistry;
@@ -17,8 +18,6 @@
   readonly servesZone?: (zone: string) => boolean;
   /** Initial fencing token. */
   readonly token: number;
-  /** Longest lease that workers grant, in ms. */
-  readonly leaseMs: number;
   /** Slowdown of a task outside the rack of its data; default 2. */
   readonly remoteFactor?: number | undefined;
   /** Longest time that leases of earlier dispatchers may still last, in ms. */
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -9,7 +9,12 @@
 /** Tolerance for slow clocks of workers and timers that fire late. */
 const LEASE_SLACK_MS = 100;
 /** Time within which entry nodes resubmit their open jobs. */
-const CLAIM_MS = 700;
+const RESUBMISSION_MS = 700;
+/**
+ * Time after its report within which a job must claim a run. The lease of its
+ * worker is not extended meanwhile, so it must be over before the lease is.
+ */
+const CLAIM_MS = 300;
 /** Time within which all workers report to a new dispatcher. */
 const WORKER_DISCOVERY_MS = 4_000;
 
@@ -36,11 +41,6 @@
 
   constructor(private readonly opts: TakeoverOptions) {}
 
-  /** Whether the takeover is over and unclaimed runs have been stopped. */
-  get isOver(): boolean {
-    return this.over;
-  }
-
   /** Whether each run of earlier dispatchers is known or has ended. */
   mayStart(workers: readonly LeasedWorker[], now: number): boolean {
     if (this.over) return true;
@@ -108,13 +108,22 @@
     return now - this.opts.startedAt > WORKER_DISCOVERY_MS;
   }
 
-  /** Returns true once, when the takeover ends and unclaimed runs must stop. */
-  completeIfDue(now: number): boolean {
-    const endsAt = this.opts.startedAt + Math.max(CLAIM_MS, this.opts.leasesMs);
-    if (this.over || now < endsAt + LEASE_SLACK_MS) return false;
+  /** Stops inherited runs that no job has claimed in time. */
+  stopUnclaimed(workers: readonly LeasedWorker[], now: number): void {
+    this.completeIfDue(now);
+    for (const worker of workers) {
+      if (!worker.hasInheritedSince(now - CLAIM_MS)) continue;
+      this.opts.trace.recordUnclaimed(worker, worker.stopInherited());
+    }
+  }
+
+  /** Ends the takeover when the leases of earlier dispatchers are over. */
+  private completeIfDue(now: number): void {
+    const {startedAt, leasesMs} = this.opts;
+    const endsAt = startedAt + Math.max(RESUBMISSION_MS, leasesMs);
+    if (this.over || now < endsAt + LEASE_SLACK_MS) return;
     this.over = true;
     this.ends.clear();
-    return true;
   }
 
   /** Records the end of a run whose job has not been resubmitted yet. */
@@ -180,7 +189,7 @@
 ): Run {
   const {spec, queue} = task.job;
   const {demand, estimatedMs} = spec.steps[task.step]!;
-  const run = Run.adopted(task.name, number, demand, now);
+  const run = Run.adopted(task.name, number, demand, now, task.job);
   run.workload = {queue: queue.name, estimatedMs, distanceFactor: 1};
   worker.adopt(run);
   return run;
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -167,6 +167,7 @@
         this.opts.clock.now() - this.contacts.of(job.zone).seenAt,
       ),
     });
+    this.sendDrop(job, 'lead_lost');
     this.respondTo(job.id, {kind: 'given_up', reason: 'lead_lost'});
   }
 
@@ -325,7 +326,6 @@
         isBehind = true;
         continue;
       }
-      if (now - job.submittedAt < IN_FLIGHT_MS) continue;
       const ids = idsByClaim.get(claim) ?? [];
       ids.push(job.id);
       idsByClaim.set(claim, ids);
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -13,6 +13,7 @@
 import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {WorkerRegistry} from '../registry/worker_registry.js';
+import type {LeaseSettings} from '../lease/lease_settings.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {ZonePeers} from './zone_peers.js';
 
@@ -20,7 +21,7 @@
 const RETRY_MS = 500;
 const PROBE_TIMEOUT_MS = 300;
 
-interface FallbackServiceOptions {
+interface FallbackServiceOptions extends LeaseSettings {
   readonly node: string;
   readonly zone: string;
   readonly clock: Clock;
@@ -28,7 +29,6 @@
   readonly client: WorkerClient;
   readonly directory: NodeDirectory;
   readonly zonePeers: ZonePeers;
-  readonly leaseMs: number;
   /** Slowdown of a task outside the rack of its data; default 2. */
   readonly remoteFactor?: number | undefined;
   /** Latest queue configuration known to this node. */
--- a/src/core/pool/job/active_job.ts
+++ b/src/core/pool/job/active_job.ts
@@ -2,6 +2,7 @@
 import {FencingToken} from '../lease/fencing_token.js';
 import {CrashPolicy} from '../crashes/crash_policy.js';
 import {criticalPathMs} from './critical_path_ms.js';
+import {JobContact} from './job_contact.js';
 import type {PoolJob} from './pool_job.js';
 import type {PoolSubmission} from './pool_submission.js';
 import type {PoolTask} from './pool_task.js';
@@ -19,10 +20,12 @@
   /** Fencing token of the dispatcher. */
   readonly token: number;
   readonly now: number;
+  /** See `JobContact`. Default: permanent. */
+  readonly contactAt?: number | undefined;
 }
 
 /** A job from its arrival until it is answered and has no active runs. */
-export class ActiveJob {
+export class ActiveJob implements JobContact {
   readonly spec: PoolJob;
   readonly queue: Queue;
   /** When the caller submitted the job, on this node's clock. */
@@ -58,6 +61,7 @@
   readonly mayHaveRun: boolean;
   readonly tasks: readonly PoolTask[];
   owner: string;
+  contactAt: number;
   /** Whether the answer is no longer awaited; its runs are being stopped. */
   isAbandoned = false;
   /** When this dispatcher started a task first. */
@@ -74,11 +78,12 @@
       earlierToken,
       earlierNode,
     }: PoolSubmission,
-    {owner, queue, token, now}: ActiveJobOptions,
+    {owner, queue, token, now, contactAt}: ActiveJobOptions,
   ) {
     this.spec = spec;
     this.queue = queue;
     this.owner = owner;
+    this.contactAt = contactAt ?? JobContact.permanent.contactAt;
     this.isLent = isLent;
     this.arrivedAt = now - waitedMs;
     this.criticalPathMs = criticalPathMs(spec.steps);
@@ -112,6 +117,13 @@
     );
   }
 
+  /** Assigns the job to an entry node that waits for its answer. */
+  assign(owner: string, contactAt = JobContact.permanent.contactAt): void {
+    this.owner = owner;
+    this.contactAt = contactAt;
+    this.isAbandoned = false;
+  }
+
   /** Whether a task has started, or may have under an earlier dispatcher. */
   get hasStarted(): boolean {
     return this.hasStartedHere || this.isSettling;
--- a/src/core/pool/lease/lease_options.ts
+++ b/src/core/pool/lease/lease_options.ts
@@ -1,16 +1,15 @@
 import type {Clock} from '../../clock/clock.js';
+import type {LeaseSettings} from './lease_settings.js';
 import type {LeaseListener} from './lease_listener.js';
 import type {WorkerClient} from './worker_client.js';
 
 /** Options common to all leases of one dispatcher. */
-export interface LeaseOptions {
+export interface LeaseOptions extends LeaseSettings {
   readonly client: WorkerClient;
   readonly clock: Clock;
   readonly listener: LeaseListener;
   /** Current fencing token of the dispatcher. */
   readonly currentToken: () => number;
-  /** Longest lease that workers grant, in ms. */
-  readonly leaseMs: number;
   /** Whether leadership was confirmed recently enough to send orders. */
   readonly maySendOrders: (now: number) => boolean;
 }
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -1,7 +1,6 @@
 import {EndAcknowledgements} from './end_acknowledgements.js';
 import {resolveMissingRun} from './resolve_missing_run.js';
 import type {LeaseOptions} from './lease_options.js';
-import {LeaseTiming} from './lease_timing.js';
 import {LossCause} from './loss_cause.js';
 import {ProcessInstance} from './process_instance.js';
 import {ProbeBackoff} from './probe_backoff.js';
@@ -11,6 +10,7 @@
 import {RunEnd} from './run_end.js';
 import type {RunLoss} from './run_loss.js';
 import {RunRefusal} from './run_refusal.js';
+import {startBackoffMs} from './start_backoff_ms.js';
 import type {WorkerClient} from './worker_client.js';
 import {WorkerFence} from './worker_fence.js';
 import {WorkerLease} from './worker_lease.js';
@@ -45,7 +45,7 @@
     /** When the last report was received. */
     public seenAt: number,
   ) {
-    this.lease = new WorkerLease(opts.leaseMs);
+    this.lease = new WorkerLease(opts.leaseMs, opts.resendMs);
     this.orders = new WorkerOrders(opts);
     this.fence = new WorkerFence(opts.currentToken);
   }
@@ -90,6 +90,7 @@
       !this.isSilent &&
       !this.report.isDraining &&
       this.ledger.isAccountedFor &&
+      (this.isIdle || !this.lease.isTooShort(now)) &&
       now >= this.backoffUntil
     );
   }
@@ -105,16 +106,18 @@
     const {token} = this.orders;
     const now = this.opts.clock.now();
     this.ledger.add(run);
-    run.startLeaseEnd = this.lease.extend(now);
+    // A worker refuses a start whose lease is over.
+    run.startLeaseEnd = this.lease.extend(now, this.ledger) ?? 0;
     void this.orders
       .start(this.report, run, payload)
       .then(reply => this.onStartReply(run, reply, now, token));
     this.tick(now);
   }
 
-  /** Takes over a run that another dispatcher started. */
+  /** Takes over a run that another dispatcher started; extends the lease again. */
   adopt(run: Run): void {
     this.ledger.add(run);
+    if (this.inherited.size === 0) this.poll(0, this.opts.clock.now());
   }
 
   /** Requests a stop; the end of the run is reported like any other. */
@@ -151,7 +154,7 @@
     if (this.isSilent || !this.isFenced) {
       if (this.probes.takeIfDue(now)) this.poll(0, now);
     } else if (!this.isIdle) {
-      this.poll(LeaseTiming.POLL_WAIT_MS, now);
+      this.poll(this.lease.pollWaitMs(now), now);
     } else if (this.acks.isDue(now)) this.poll(0, now);
   }
 
@@ -160,9 +163,10 @@
     const acknowledged = this.acks.take();
     // An unanswered poll may still renew the lease; without this check, the runs
     // of a worker whose replies are lost would never end.
+    const {lease, ledger} = this;
     const mayExtend =
-      this.lease.isClockKnown && !this.isSilent && this.opts.maySendOrders(now);
-    const leaseEnd = mayExtend ? this.lease.extend(now) : undefined;
+      lease.isClockKnown && !this.isSilent && this.opts.maySendOrders(now);
+    const leaseEnd = mayExtend ? lease.extend(now, ledger) : undefined;
     this.pendingPolls += 1;
     void this.orders
       .poll(this.report, {acknowledged, waitMs, leaseEnd})
@@ -207,10 +211,8 @@
     now: number,
     token: number,
   ): void {
-    if (reason === RunRefusal.noRoom) this.backoffUntil = now + 100;
-    if (reason === RunRefusal.unhealthy || reason === RunRefusal.invalid) {
-      this.backoffUntil = now + 500;
-    }
+    const backoffUntil = now + startBackoffMs(reason);
+    this.backoffUntil = Math.max(this.backoffUntil, backoffUntil);
     this.rejectRun(run, reason);
     this.onRefusal(reason, token);
   }
@@ -311,10 +313,8 @@
   }
 
   private retryStops(now: number): void {
-    const sentBefore =
-      now - LeaseTiming.ORDER_TIMEOUT_MS - LeaseTiming.PROBE_INTERVAL_MS;
     for (const run of this.runs.values()) {
-      if (run.isStopUnconfirmedSince(sentBefore)) this.sendStop(run, now);
+      if (run.isStopOverdue(now)) this.sendStop(run, now);
     }
   }
 
--- a/src/core/pool/lease/run.ts
+++ b/src/core/pool/lease/run.ts
@@ -1,3 +1,5 @@
+import {JobContact} from '../job/job_contact.js';
+import {LeaseTiming} from './lease_timing.js';
 import type {Resources} from '../registry/resources.js';
 import type {RunWorkload} from './run_workload.js';
 
@@ -29,13 +31,15 @@
     readonly number: number,
     readonly demand: Resources,
     readonly sentAt: number,
+    /** Contact with the entry node of the job. */
+    readonly job: JobContact = JobContact.permanent,
   ) {}
 
-  /** Whether a stop was requested before `at` and is still not confirmed. */
-  isStopUnconfirmedSince(at: number): boolean {
+  /** Whether the reply to a stop is overdue, so that it has to be repeated. */
+  isStopOverdue(now: number): boolean {
     const {stopRequestedAt, stoppedAt} = this;
     if (stopRequestedAt === undefined || stoppedAt !== undefined) return false;
-    return stopRequestedAt < at;
+    return stopRequestedAt < now - LeaseTiming.STOP_RETRY_MS;
   }
 
   /** Creates a run that another dispatcher started and the worker reported. */
@@ -44,8 +48,9 @@
     number: number,
     demand: Resources,
     now: number,
+    job?: JobContact,
   ): Run {
-    const run = new Run(task, number, demand, now);
+    const run = new Run(task, number, demand, now, job);
     run.confirmedAt = now;
     run.isAdopted = true;
     run.isTraced = true;
--- a/src/core/pool/lease/run_ledger.ts
+++ b/src/core/pool/lease/run_ledger.ts
@@ -1,3 +1,4 @@
+import {JobContact} from '../job/job_contact.js';
 import {Resources} from '../registry/resources.js';
 import {Run} from './run.js';
 
@@ -43,6 +44,19 @@
     return true;
   }
 
+  /**
+   * Time of the oldest contact with the entry nodes of all runs. There is none for
+   * a run that no job has claimed: its caller may have gone.
+   */
+  get contactAt(): number {
+    if (this.inherited.size > 0) return JobContact.none.contactAt;
+    let contactAt = JobContact.permanent.contactAt;
+    for (const {job} of this.runs.values()) {
+      contactAt = Math.min(contactAt, job.contactAt);
+    }
+    return contactAt;
+  }
+
   get isEmpty(): boolean {
     return this.runs.size === 0 && this.inherited.size === 0;
   }
@@ -87,7 +101,7 @@
   /** Adopts all inherited runs; the capacity that they use is unknown. */
   takeInherited(now: number): Run[] {
     return [...this.inherited].map(([task, number]) => {
-      const run = Run.adopted(task, number, UNKNOWN, now);
+      const run = Run.adopted(task, number, UNKNOWN, now, JobContact.none);
       this.add(run);
       this.unclaimed.set(task, run);
       return run;
--- a/src/core/pool/lease/worker_lease.ts
+++ b/src/core/pool/lease/worker_lease.ts
@@ -1,9 +1,21 @@
+import type {JobContact} from '../job/job_contact.js';
+import {LeaseTiming} from './lease_timing.js';
+
 /** Minimum rate of a worker's clock relative to this one; it may be 2% slow. */
 const MIN_CLOCK_RATE = 0.98;
 
 /** Tolerance for timers that fire late on either side. */
 const EXPIRY_SLACK_MS = 60;
 
+/**
+ * Part of the callers' resend time within which an entry node notices that a
+ * request has ended, and a worker that a lease has.
+ */
+const CONTACT_MARGIN_MS = 125;
+
+/** Least duration of a lease with which a run is started, in ms. */
+const MIN_START_LEASE_MS = 150;
+
 /** A worker's lease, in terms of the worker's clock as read from replies. */
 export class WorkerLease {
   private workerClockMs: number | undefined;
@@ -11,9 +23,20 @@
   private sentAt = Number.NEGATIVE_INFINITY;
   /** Latest lease end that was sent, on the worker's clock. */
   private end = 0;
+  /** End of the longest lease that the contacts of the last extension permit. */
+  private limit = Number.POSITIVE_INFINITY;
+  private readonly contactLeaseMs: number;
 
-  /** `leaseMs` is the longest lease that workers grant, in ms. */
-  constructor(private readonly leaseMs: number) {}
+  /**
+   * `leaseMs` is the longest lease that workers grant, `resendMs` the time after
+   * which callers send a job again whose answer they did not receive.
+   */
+  constructor(
+    private readonly leaseMs: number,
+    resendMs: number = LeaseTiming.RESEND_MS,
+  ) {
+    this.contactLeaseMs = (resendMs - CONTACT_MARGIN_MS) * MIN_CLOCK_RATE;
+  }
 
   /** Whether a reading of the worker's clock is available. */
   get isClockKnown(): boolean {
@@ -35,16 +58,35 @@
     this.end = 0;
   }
 
-  /** Extends the lease; returns its end on the worker's clock, in ms. */
-  extend(now: number): number {
-    const clockMs = Math.floor(
-      (this.workerClockMs ?? 0) + (now - this.receivedAt),
-    );
-    const end = clockMs + this.leaseMs;
+  /**
+   * Extends the lease; returns its end on the worker's clock, in ms, or undefined
+   * if it must not be extended. It ends before callers send a job again that an
+   * entry node has given up, however late that becomes known: `contact` is the
+   * oldest one with the entry nodes of the worker's jobs.
+   */
+  extend(now: number, contact: JobContact): number | undefined {
+    this.limit = contact.contactAt + this.contactLeaseMs;
+    const durationMs = Math.min(this.leaseMs, this.limit - now);
+    if (durationMs <= 0) return undefined;
+    const clockMs = (this.workerClockMs ?? 0) + (now - this.receivedAt);
+    const end = Math.floor(clockMs + durationMs);
     this.end = Math.max(this.end, end);
     return end;
   }
 
+  /** How long the worker may delay the reply to a poll, in ms. */
+  pollWaitMs(now: number): number {
+    const {POLL_WAIT_MS, SHORT_POLL_WAIT_MS} = LeaseTiming;
+    const leftMs = this.limit - now;
+    const isShort = leftMs > 0 && leftMs < this.leaseMs;
+    return isShort ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
+  }
+
+  /** Whether the lease is too short for another run. */
+  isTooShort(now: number): boolean {
+    return this.limit - now < MIN_START_LEASE_MS;
+  }
+
   /** What an expiry is based on; empty without a reading of the clock. */
   describe(now: number): {clockAgeMs?: number; leaseLeftMs?: number} {
     if (this.workerClockMs === undefined) return {};
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -8,6 +8,7 @@
 import {CapacityLending} from '../lending/capacity_lending.js';
 import type {RoomOffers} from '../lending/room_offers.js';
 import {Room} from '../lending/room.js';
+import type {LeaseSettings} from '../lease/lease_settings.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import {DEFAULT_REMOTE_FACTOR} from '../placement/default_remote_factor.js';
 import type {PoolObserver} from '../pool_observer.js';
@@ -17,7 +18,7 @@
 import type {DispatcherClaim} from './dispatcher_claim.js';
 import type {NodeDirectory} from './node_directory.js';
 
-interface CoreDispatchingOptions {
+interface CoreDispatchingOptions extends LeaseSettings {
   readonly node: string;
   readonly clock: Clock;
   readonly peers: PeerTransport;
@@ -26,7 +27,6 @@
   readonly registry: WorkerRegistry;
   /** Offers of the holders of other zones. */
   readonly offers: RoomOffers;
-  readonly leaseMs: number;
   readonly reportAddress: string;
   readonly routing: () => RoutingTable | undefined;
   /** Slowdown of a task outside the rack of its data; default 2. */
--- a/src/core/pool/node/failover_timing.ts
+++ b/src/core/pool/node/failover_timing.ts
@@ -24,8 +24,7 @@
   MAX_TICK_GAP_MS: 100,
   /**
    * Time since the last contact with a dispatcher after which none of its runs for
-   * an entry node is active: OWNER_TIMEOUT_MS, MAX_TICK_GAP_MS and a lease on a
-   * clock that is 2% slow.
+   * an entry node is active: their leases end by then, see WorkerLease.
    */
   RUNS_ENDED_MS: 1_800,
 } as const;
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -5,6 +5,7 @@
 import {isServiceKnown} from '../../routing/is_service_known.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import {RoomOffers} from '../lending/room_offers.js';
+import type {LeaseSettings} from '../lease/lease_settings.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {WorkerRegistry} from '../registry/worker_registry.js';
@@ -44,14 +45,13 @@
   readonly silentMs: number;
 }
 
-interface LeaderServiceOptions {
+interface LeaderServiceOptions extends LeaseSettings {
   readonly node: string;
   readonly zone: string;
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly client: WorkerClient;
   readonly directory: NodeDirectory;
-  readonly leaseMs: number;
   /** Slowdown of a task outside the rack of its data; default 2. */
   readonly remoteFactor?: number | undefined;
   /** Address to which workers send their reports. */
--- a/src/core/pool/placement/task_starter.ts
+++ b/src/core/pool/placement/task_starter.ts
@@ -66,9 +66,10 @@
     distanceFactor: number,
     now: number,
   ): void {
-    const {spec, queue} = task.job;
+    const {job, name, nextRunNumber} = task;
+    const {spec, queue} = job;
     const {demand, estimatedMs} = spec.steps[task.step]!;
-    const run = new Run(task.name, task.nextRunNumber, demand, now);
+    const run = new Run(name, nextRunNumber, demand, now, job);
     run.workload = {queue: queue.name, estimatedMs, distanceFactor};
     run.isSuspect = CrashPolicy.isSuspect(task.losses);
     task.nextRunNumber += 1;
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -87,6 +87,7 @@
       client: this.client,
       directory,
       leaseMs: getLeaseMs(settings),
+      resendMs: settings.resendMs,
       remoteFactor: settings.remoteFactor,
       reportAddress: control!,
       leadership: now => this.config.getLeadership(now),
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -105,6 +105,7 @@
       directory,
       zonePeers,
       leaseMs: getLeaseMs(settings),
+      resendMs: settings.resendMs,
       remoteFactor: settings.remoteFactor,
       routing: () => routing.get(),
       evacuated: new EvacuatedZones(() => this.config.newest),
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -24,6 +24,8 @@
   readonly lostDisks: number;
   /** Longest lease that workers accept, in ms. */
   readonly leaseMs: number;
+  /** Time after which callers send a job again that was not answered, in ms. */
+  readonly resendMs: number;
   /** Slowdown of a task that runs outside the rack of its data. */
   readonly remoteFactor: number;
   /** Time from SIGTERM to SIGKILL, in ms. */
--- a/src/platform/read_platform_settings.test.ts
+++ b/src/platform/read_platform_settings.test.ts
@@ -54,6 +54,7 @@
     dataDir: '/data',
     lostDisks: 2,
     leaseMs: 1_000,
+    resendMs: 1_300,
     remoteFactor: 2,
     graceMs: 6_000,
     processorShare: 0.324,
--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -40,6 +40,8 @@
   'fault_tolerance.machines': v.optional(numberText, '1'),
   /** Longest lease that workers accept. */
   'bounds.max_hold_ms': v.optional(numberText, '1000'),
+  /** Time after which callers send a job again that was not answered. */
+  'bounds.retransmit_ms': v.optional(numberText, '1300'),
   /** Slowdown of a task outside the rack of its data. */
   'bounds.remote_factor': v.optional(remoteFactorText, '2'),
   /** Time from SIGTERM to SIGKILL. */
@@ -95,6 +97,7 @@
     dataDir: file.data_dir === '' ? undefined : file.data_dir,
     lostDisks: file['fault_tolerance.machines'],
     leaseMs: file['bounds.max_hold_ms'],
+    resendMs: file['bounds.retransmit_ms'],
     remoteFactor: file['bounds.remote_factor'],
     graceMs: file['bounds.grace_s'] * 1_000,
     processorShare: file['limits.cpu_share'],
