Tell a moved job's entry node when the new dispatcher stated its claim

The redirect passes on the time of the claim that the home zone's dispatcher knows; a repeated one does not, as it is old then. entry_gateway.test.ts failed before.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -4,7 +4,7 @@
 import type {RoutingTable} from '../../routing/routing_table.js';
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import {AnswerCache} from '../job/answer_cache.js';
-import type {ZoneGrant} from '../zones/zone_grant.js';
+import type {JobReferral} from '../lending/job_referral.js';
 import type {JobContact} from '../job/job_contact.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {EarlySubmissions} from './early_submissions.js';
@@ -150,7 +150,7 @@
   }
 
   /** Tells the entry node of a job to which dispatcher it was moved. */
-  redirect(owner: string, id: string, to: ZoneGrant): void {
+  redirect(owner: string, id: string, to: JobReferral): void {
     this.opts.peers.send(owner, 'pool.redirect', {id, ...to});
   }
 
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -180,6 +180,20 @@
   );
 });
 
+// Guards against a submission that reaches the other dispatcher late and counts as
+// contact with an entry node whose caller has gone.
+test('a moved job names the claim of the dispatcher that it is moved to', () => {
+  const bench = createEntryGatewayBench();
+  const {peers} = bench;
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  const to = {zone: 'y', node: 'c3', token: 1_003, statedAt: 77};
+  peers.deliver('c1', 'pool.redirect', {id: 'j', ...to});
+  const {node, body} = peers.sent.findLast(s => s.kind === 'pool.submit')!;
+  assert.equal(node, 'c3');
+  assert.include(body, {claimStatedAt: 77});
+});
+
 test('a job of a lost holder is submitted to the next with a time to settle', () => {
   const bench = createEntryGatewayBench();
   bench.announceHolder('c1', 1_001);
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -289,7 +289,7 @@
   /** Submits a job to another zone; only its dispatcher moves it, and only once. */
   private onRedirect(
     from: string,
-    {id, ...grant}: v.InferOutput<typeof PoolMessage.redirect>,
+    {id, ...referral}: v.InferOutput<typeof PoolMessage.redirect>,
     now: number,
   ): void {
     const job = this.jobs.get(id);
@@ -298,9 +298,9 @@
       // The home moved the job before another dispatcher of the zone had it.
       return this.onUnknown(from, {ids: [id]}, now);
     }
-    this.opts.directory.claims.recordReferral(grant, now);
+    this.opts.directory.claims.recordReferral(referral, now);
     job.isLent = true;
-    job.zone = grant.zone;
+    job.zone = referral.zone;
     // The job has not been started, so it needs no time to settle.
     job.assignedTo = undefined;
     this.contacts.update(job.zone, now);
--- a/src/core/pool/lending/capacity_lending.ts
+++ b/src/core/pool/lending/capacity_lending.ts
@@ -1,6 +1,6 @@
 import type {ActiveJob} from '../job/active_job.js';
 import type {PoolObserver} from '../pool_observer.js';
-import type {ZoneGrant} from '../zones/zone_grant.js';
+import type {JobReferral} from './job_referral.js';
 import {MovedJobs} from './moved_jobs.js';
 import type {RoomOffers} from './room_offers.js';
 import {SpilloverPolicy} from './spillover_policy.js';
@@ -13,7 +13,7 @@
   /** Whether the owner of a job understands redirects. Default: each does. */
   readonly canRedirect?: ((owner: string) => boolean) | undefined;
   /** Sends the owner of a job the dispatcher to which it has to submit it. */
-  readonly redirect: (owner: string, id: string, to: ZoneGrant) => void;
+  readonly redirect: (owner: string, id: string, to: JobReferral) => void;
   readonly observer: PoolObserver;
 }
 
@@ -78,7 +78,7 @@
     const {cpu: usualCpu} = this.taskSize;
     const moves = this.policy.choose(candidates, open, usualCpu, now);
     return moves.map(({job, offer, cpu, endsAt}) => {
-      const {node, zone, token} = offer;
+      const {node, zone, token, statedAt} = offer;
       const {owner, spec} = job;
       offers.take(node, cpu, now, endsAt);
       this.moved.record(spec.id, {node, zone, token}, now);
@@ -90,7 +90,7 @@
         reason: late.reason,
         waited_ms: Math.round(now - job.arrivedAt),
       });
-      redirect(owner, spec.id, {node, zone, token});
+      redirect(owner, spec.id, {node, zone, token, statedAt});
       return job;
     });
   }
--- a/src/core/pool/lending/room_offers.ts
+++ b/src/core/pool/lending/room_offers.ts
@@ -18,6 +18,8 @@
   readonly room: Room;
   /** One-way delay to the zone of the dispatcher, in ms; 0 if not known. */
   readonly pathMs: number;
+  /** When the dispatcher stated its claim, on its clock. */
+  readonly statedAt?: number | undefined;
   readonly heardAt: number;
 }
 
@@ -29,6 +31,7 @@
   readonly cpu: number;
   readonly largestTask: number;
   readonly pathMs: number;
+  readonly statedAt?: number | undefined;
 }
 
 interface Taking {
@@ -85,12 +88,12 @@
     const open: OpenOffer[] = [];
     for (const {offer, takings} of this.byNode.values()) {
       if (!isLive(offer, now)) continue;
-      const {node, zone, token, pathMs, room} = offer;
+      const {node, zone, token, pathMs, statedAt, room} = offer;
       const {largestTask} = room;
       let {cpu} = room;
       for (const taking of takings) if (taking.until > now) cpu -= taking.cpu;
       if (cpu <= 0) continue;
-      open.push({node, zone, token, cpu, largestTask, pathMs});
+      open.push({node, zone, token, cpu, largestTask, pathMs, statedAt});
     }
     return open;
   }
--- a/src/core/pool/node/core_presence.ts
+++ b/src/core/pool/node/core_presence.ts
@@ -209,15 +209,16 @@
   /** Records the offer in a claim; beats and claims of others have none. */
   private recordOffer(
     node: string,
-    claim: Pick<DispatcherClaim, 'zone' | 'token' | 'room'> | undefined,
+    claim: Omit<DispatcherClaim, 'node' | 'heardAt'> | undefined,
     now: number,
   ): void {
     const {offers} = this.opts;
     if (claim?.zone === undefined) return offers.remove(node);
-    const {zone, token, room} = claim;
+    const {zone, token, statedAt, room} = claim;
     if (!room) return;
     // Delays are not measured; all zones count as equally far.
-    offers.record({node, zone, token, room, pathMs: 0, heardAt: now});
+    const offer = {node, zone, token, room, statedAt};
+    offers.record({...offer, pathMs: 0, heardAt: now});
   }
 }
 
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -1,4 +1,5 @@
 import {FailoverTiming} from './failover_timing.js';
+import type {JobReferral} from '../lending/job_referral.js';
 import type {ZoneGrant} from '../zones/zone_grant.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
 
@@ -149,14 +150,14 @@
   }
 
   /** Records the dispatcher of another zone that a dispatcher has named. */
-  recordReferral(grant: ZoneGrant, now: number): void {
+  recordReferral({statedAt, ...grant}: JobReferral, now: number): void {
     const leader = this.leaderClaim;
     if (leader?.node === grant.node) {
       const heardAt = Math.max(leader.heardAt, now);
       // Its last claim may have been stated long before.
-      this.leaderClaim = {...leader, heardAt, statedAt: undefined};
+      this.leaderClaim = {...leader, heardAt, statedAt};
     } else if (leader) {
-      this.record({...toClaim(grant, leader), heardAt: now});
+      this.record({...toClaim(grant, leader), heardAt: now, statedAt});
     }
   }
 
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import {WorkerLoss} from '../crashes/worker_loss.js';
 import {PoolAnswer} from '../job/pool_answer.js';
+import {JobReferral} from '../lending/job_referral.js';
 import {Room} from '../lending/room.js';
 import {WorkerReport} from '../registry/worker_report.js';
 import {ZoneFallbacks} from '../registry/zone_fallbacks.js';
@@ -81,7 +82,7 @@
    * Tells the entry node of a job to submit it to the dispatcher of another zone;
    * the sender has started nothing of it and forgets it.
    */
-  redirect: v.object({id: v.string(), ...ZoneGrant.entries}),
+  redirect: v.object({id: v.string(), ...JobReferral.entries}),
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
