Start nothing for a copy of a cancelled job

Cause: a cancel acted only on a job that the dispatcher had at that moment. Nothing remembered it, and a submission deletes the kept answer, since a job that is sent again runs again. The same holds for a request that is read at a suspended entry node after its cancel, and for a job or a copy that is submitted to another dispatcher after the cancel.

Change: each node that may dispatch keeps the ids of cancelled jobs for 30 s, at most 50,000, known or not, and answers their submissions with `cancelled`. The entry node that takes a cancel keeps it too, and sends the ids to all core nodes (a message in 100 ms at most) and to each new dispatcher before it submits jobs. Without cancels nothing is sent.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -6,6 +6,7 @@
 import {AnswerCache} from '../job/answer_cache.js';
 import type {ZoneGrant} from '../zones/zone_grant.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
+import {CancelledSubmissions} from './cancelled_submissions.js';
 import {EarlySubmissions} from './early_submissions.js';
 import {OwnerContacts} from './owner_contacts.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
@@ -41,9 +42,13 @@
   private readonly unclear = new RecentStarts();
   /** Jobs that need a newer configuration than this node has. */
   private readonly early = new EarlySubmissions();
+  /** Outlasts a dispatcher of this node, and is kept on nodes without one. */
+  private readonly cancelled: CancelledSubmissions;
 
   constructor(private readonly opts: DispatcherEndpointOptions) {
-    const {peers} = opts;
+    const {peers, routing} = opts;
+    const isConfigCurrent = (now: number) => this.isConfigCurrent(now);
+    this.cancelled = new CancelledSubmissions({routing, isConfigCurrent});
     peers.onMessage('pool.submit', (from, body, now) =>
       this.onSubmit(from, body, now),
     );
@@ -63,6 +68,10 @@
         this.current?.recordUnclear(id, from);
       }
     });
+    peers.onMessage('pool.cancelled', (_from, body, now) => {
+      if (!v.is(PoolMessage.cancelled, body)) return;
+      for (const id of body.ids) this.cancel(id, now);
+    });
     peers.onRequest('pool.ask', (_from, body) =>
       Promise.resolve(this.onQuery(body)),
     );
@@ -106,7 +115,8 @@
     this.lastTickAt = now;
     for (const [owner, submission] of this.early.take(this.revision, now)) {
       // The jobs of a lost entry node have just been dropped.
-      if (!this.contacts.isLost(owner, now)) current.submit(owner, submission);
+      if (this.contacts.isLost(owner, now)) continue;
+      this.pass(current, owner, submission, now);
     }
     current.tick(now);
     this.answers.expire(now);
@@ -159,7 +169,22 @@
     this.answers.delete(body.job.id);
     const isEarly = this.revision < (body.revision ?? 0);
     if (isEarly && !current.has(body.job.id)) this.early.add(from, body, now);
-    else current.submit(from, body);
+    else this.pass(current, from, body, now);
+  }
+
+  /** Passes a job to the dispatcher, unless it was cancelled. */
+  private pass(
+    current: PoolDispatcher,
+    owner: string,
+    submission: PoolSubmission,
+    now: number,
+  ): void {
+    const {id} = submission.job;
+    const answer = this.cancelled.answerTo(submission, now);
+    if (!answer) return current.submit(owner, submission);
+    const fields = {owner, answer: answer.kind};
+    this.opts.observer.recordJobEvent('cancelled_job_submitted', id, fields);
+    this.answer(owner, id, answer);
   }
 
   /** Revision of the queue configuration in force; -1 before the first one. */
@@ -197,13 +222,22 @@
     return found || mayDeny ? {found} : undefined;
   }
 
+  /** Cancels a job, also one that is submitted later; whether it is known here. */
+  private cancel(id: string, now: number): boolean {
+    this.cancelled.add(id, now);
+    return this.current?.cancel(id) ?? false;
+  }
+
   private onQuery(body: unknown): unknown {
     const {current} = this;
     const table = this.opts.routing();
-    if (!current || !table || !v.is(PoolMessage.ask, body)) return undefined;
+    if (!v.is(PoolMessage.ask, body)) return undefined;
+    const isFound =
+      body.kind === 'cancel' && this.cancel(body.id, this.opts.clock.now());
+    if (!current || !table) return undefined;
     switch (body.kind) {
       case 'cancel':
-        return this.findOrUndefined(current.cancel(body.id));
+        return this.findOrUndefined(isFound);
       case 'state':
         return this.findOrUndefined(current.has(body.id));
       case 'pending': {
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -5,11 +5,13 @@
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import type {PoolJob} from '../job/pool_job.js';
+import {CancelNotifier} from './cancel_notifier.js';
 import type {OpenJob} from './open_job.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
 import {maxWaitMs} from './max_wait_ms.js';
 import {pollCutoffMs} from './poll_cutoff_ms.js';
 import {queryDispatchers} from './query_dispatchers.js';
+import {recordCaller} from './record_caller.js';
 import {recordResubmission} from './record_resubmission.js';
 import {sendUnclear} from './send_unclear.js';
 import {Settling} from './settling.js';
@@ -55,10 +57,12 @@
   private readonly jobs = new Map<string, OpenJob>();
   private nextPoll = 0;
   private readonly contacts: ZoneContacts;
+  private readonly cancels: CancelNotifier;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
     this.contacts = new ZoneContacts({...opts, openJobs: () => this.jobs.size});
+    this.cancels = new CancelNotifier(opts);
     peers.onMessage('pool.answer', (from, body) => {
       if (!v.is(PoolMessage.answer, body)) return;
       this.onAnswer(from, body.id, body.answer);
@@ -92,7 +96,7 @@
     const {id} = req.job;
     const known = this.jobs.get(id);
     if (known) {
-      this.recordCaller('job_sent_again', known, now);
+      recordCaller(this.opts.observer, 'job_sent_again', known, now);
       known.respond({kind: 'given_up', reason: 'replaced by a resubmission'});
       known.respond = respond;
       return;
@@ -122,7 +126,8 @@
     const job = this.jobs.get(id);
     if (!job || job.respond !== respond) return;
     this.jobs.delete(id);
-    this.recordCaller('caller_gone', job, this.opts.clock.now());
+    const {observer, clock} = this.opts;
+    recordCaller(observer, 'caller_gone', job, clock.now());
     this.sendDrop(job, 'caller_gone');
     sendUnclear(job, this.opts);
   }
@@ -131,10 +136,15 @@
   query(
     request: Parameters<typeof queryDispatchers>[1],
   ): ReturnType<typeof queryDispatchers> {
+    if (request.kind === 'cancel') {
+      this.cancels.record(request.id, this.opts.clock.now());
+    }
     return queryDispatchers(this.opts, request);
   }
 
   tick(now: number): void {
+    // A new dispatcher has to know the cancels before jobs are submitted again.
+    this.cancels.tick(now);
     const zones = new Set([this.opts.zone]);
     for (const {zone} of this.jobs.values()) zones.add(zone);
     for (const zone of zones) this.contacts.update(zone, now);
@@ -179,15 +189,6 @@
     this.respondTo(job.id, {kind: 'given_up', reason: 'deadline'});
   }
 
-  /** Logs what the caller of a job did while it was open. */
-  private recordCaller(event: string, job: OpenJob, now: number): void {
-    this.opts.observer.recordJobEvent(event, job.id, {
-      after_ms: Math.round(now - job.arrivedAt),
-      lead: job.assignedTo?.node,
-      token: job.assignedTo?.token,
-    });
-  }
-
   private refuse(job: OpenJob, reason: string): void {
     const {observer, clock} = this.opts;
     const now = clock.now();
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -103,15 +103,24 @@
 
   /** Nodes that dispatch, as far as this node knows, including fallbacks. */
   dispatchingNodes(now: number): string[] {
+    return [...this.dispatcherTokens(now).keys()];
+  }
+
+  /** Nodes that dispatch, each with the fencing token of its dispatcher. */
+  dispatcherTokens(now: number): Map<string, number> {
     const {fallback, leaderClaim: leader} = this;
-    const claims = [...this.holders.values(), fallback, leader];
-    const nodes = claims.flatMap(c => (c && isLive(c, now) ? c.node : []));
+    const tokens = new Map<string, number>();
+    for (const claim of [...this.holders.values(), fallback, leader]) {
+      if (claim && isLive(claim, now)) tokens.set(claim.node, claim.token);
+    }
     const {grants = []} = leader ?? {};
-    if (!leader || grants.length === 0) return [...new Set(nodes)];
+    if (!leader || grants.length === 0) return tokens;
     // The leader sends its claim to entry nodes of granted zones less often, and
     // nobody else tells them about the holders of other zones.
-    const granted = grants.map(({node}) => node);
-    return [...new Set([...nodes, ...granted, leader.node])];
+    for (const {node, token} of [...grants, leader]) {
+      if (!tokens.has(node)) tokens.set(node, token);
+    }
+    return tokens;
   }
 
   /**
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -74,6 +74,8 @@
   /** Jobs of a poll that the dispatcher does not know. */
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
+  /** Jobs that were cancelled; copies of their requests must start nothing. */
+  cancelled: v.object({ids}),
   /** Jobs that may have run, and whose callers may send them again anywhere. */
   unclear: v.object({ids}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
