Find and cancel jobs that wait for their configuration

On a related path, a job that waits at the dispatcher for its configuration, for 500 ms at most, was denied too, and was started when the configuration had come. Ruled out: the entry node that takes the cancel, which answers 410 only if all dispatchers that it knows deny the job.

Change: such a job is found by cancels and reads, and its cancel ends the wait. The set-up of the neighbouring test became a function; its assertions are unchanged.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
@@ -44,9 +44,8 @@
   }
 }
 
-// Its entry node submits the job again within 700 ms, and it would run although its
-// caller was told that there is no such job.
-test('a dispatcher does not deny a job before entry nodes have resubmitted theirs', async () => {
+/** An endpoint whose dispatcher has no workers, and its peers. */
+function createEndpoint() {
   const bench = new PoolBench(0);
   const {clock} = bench;
   const peers = new RequestingPeers(clock);
@@ -63,9 +62,42 @@
       incrementCounter: noop,
     },
   });
-  endpoint.attach(bench.createDispatcher({term: 2, isRegistryComplete: false}));
+  const dispatcher = bench.createDispatcher({
+    term: 2,
+    isRegistryComplete: false,
+  });
+  endpoint.attach(dispatcher);
+  return {clock, peers, endpoint, dispatcher};
+}
+
+// Its entry node submits the job again within 700 ms, and it would run although its
+// caller was told that there is no such job.
+test('a dispatcher does not deny a job before entry nodes have resubmitted theirs', async () => {
+  const {peers} = createEndpoint();
   const cancel = {kind: 'cancel', path: '/q/j', id: 'j'};
   assert.isUndefined(await peers.deliverRequest('pool.ask', cancel));
   const state = {kind: 'state', id: 'j'};
   assert.isUndefined(await peers.deliverRequest('pool.ask', state));
 });
+
+// Its cancel and its state were answered as for an unknown job, and it was started as
+// soon as its configuration had come.
+test('a job that waits for its configuration is known and can be cancelled', async () => {
+  const {clock, peers, endpoint, dispatcher} = createEndpoint();
+  clock.advance(2_000);
+  endpoint.tick(clock.now());
+  const submission = {...PoolBench.submission('j'), revision: 2};
+  peers.deliver('e', 'pool.submit', submission);
+  const state = {kind: 'state', id: 'j'};
+  const found = {found: true};
+  assert.deepEqual(await peers.deliverRequest('pool.ask', state), found);
+  const cancel = {kind: 'cancel', path: '/a/j', id: 'j'};
+  assert.deepEqual(await peers.deliverRequest('pool.ask', cancel), found);
+  const answer = {id: 'j', answer: {kind: 'cancelled'}};
+  const sent = [{node: 'e', kind: 'pool.answer', body: answer}];
+  assert.deepEqual(peers.sent, sent);
+  clock.advance(500);
+  endpoint.tick(clock.now());
+  assert.isFalse(dispatcher.has('j'));
+  assert.deepEqual(peers.sent, sent);
+});
--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -222,10 +222,17 @@
     return found || mayDeny ? {found} : undefined;
   }
 
-  /** Cancels a job, also one that is submitted later; whether it is known here. */
+  /**
+   * Cancels a job, also one that is yet to be submitted here; returns whether it
+   * is known.
+   */
   private cancel(id: string, now: number): boolean {
     this.cancelled.add(id, now);
-    return this.current?.cancel(id) ?? false;
+    const owner = this.early.ownerOf(id);
+    if (owner === undefined) return this.current?.cancel(id) ?? false;
+    this.early.delete(id);
+    this.answer(owner, id, {kind: 'cancelled'});
+    return true;
   }
 
   private onQuery(body: unknown): unknown {
@@ -239,7 +246,9 @@
       case 'cancel':
         return this.findOrUndefined(isFound);
       case 'state':
-        return this.findOrUndefined(current.has(body.id));
+        return this.findOrUndefined(
+          current.has(body.id) || this.early.has(body.id),
+        );
       case 'pending': {
         const queue = table.find(body.host, body.path);
         const {revision} = this;
--- a/src/core/pool/dispatcher/early_submissions.ts
+++ b/src/core/pool/dispatcher/early_submissions.ts
@@ -27,6 +27,11 @@
     this.byId.delete(id);
   }
 
+  /** Entry node that submitted a job; undefined if it is not known. */
+  ownerOf(id: string): string | undefined {
+    return this.byId.get(id)?.owner;
+  }
+
   clear(): void {
     this.byId.clear();
   }
