--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -7,9 +7,11 @@
 import type {JobReferral} from '../lending/job_referral.js';
 import type {JobContact} from '../job/job_contact.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
+import {CancelledSubmissions} from './cancelled_submissions.js';
 import {EarlySubmissions} from './early_submissions.js';
 import {FailoverTiming} from '../node/failover_timing.js';
 import type {ActiveJob} from '../job/active_job.js';
+import type {ReceivedSubmission} from './received_submission.js';
 import {readContactTime} from './read_contact_time.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from '../node/pool_message.js';
@@ -45,9 +47,13 @@
   private readonly unclear = new RecentStarts();
   /** Jobs that need a newer configuration than this node has. */
   private readonly early = new EarlySubmissions();
+  /** Outlasts a dispatcher of this node, and is kept on nodes without one. */
+  private readonly cancelled: CancelledSubmissions;
 
   constructor(private readonly opts: DispatcherEndpointOptions) {
-    const {peers} = opts;
+    const {peers, routing} = opts;
+    const isConfigCurrent = (now: number) => this.isConfigCurrent(now);
+    this.cancelled = new CancelledSubmissions({routing, isConfigCurrent});
     peers.onMessage('pool.submit', (from, body, now) =>
       this.onSubmit(from, body, now),
     );
@@ -67,6 +73,10 @@
         this.current?.recordUnclear(id, from);
       }
     });
+    peers.onMessage('pool.cancelled', (_from, body, now) => {
+      if (!v.is(PoolMessage.cancelled, body)) return;
+      for (const id of body.ids) this.cancel(id, now);
+    });
     peers.onRequest('pool.ask', (_from, body) =>
       Promise.resolve(this.onQuery(body)),
     );
@@ -107,10 +117,8 @@
     if (!current) return;
     this.dropSilentJobs(current, now);
     this.lastTickAt = now;
-    for (const each of this.early.take(this.revision, now)) {
-      const {owner, submission, contactAt} = each;
-      if (isLost(each, now)) continue;
-      current.submit(owner, submission, contactAt);
+    for (const early of this.early.take(this.revision, now)) {
+      if (!isLost(early, now)) this.pass(current, early, now);
     }
     current.tick(now);
     this.answers.expire(now);
@@ -165,9 +173,23 @@
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(body.job.id);
     const isEarly = this.revision < (body.revision ?? 0);
-    if (isEarly && !current.has(body.job.id)) {
-      this.early.add({owner: from, submission: body, contactAt}, now);
-    } else current.submit(from, body, contactAt);
+    const received = {owner: from, submission: body, contactAt};
+    if (isEarly && !current.has(body.job.id)) this.early.add(received, now);
+    else this.pass(current, received, now);
+  }
+
+  /** Passes a job to the dispatcher, unless it was cancelled. */
+  private pass(
+    current: PoolDispatcher,
+    {owner, submission, contactAt}: ReceivedSubmission,
+    now: number,
+  ): void {
+    const {id} = submission.job;
+    const answer = this.cancelled.answerTo(submission, now);
+    if (!answer) return current.submit(owner, submission, contactAt);
+    const fields = {owner, answer: answer.kind};
+    this.opts.observer.recordJobEvent('cancelled_job_submitted', id, fields);
+    this.answer(owner, id, answer);
   }
 
   /**
@@ -227,15 +249,33 @@
     return found || mayDeny ? {found} : undefined;
   }
 
+  /**
+   * Cancels a job, also one that is yet to be submitted here; returns whether it
+   * is known.
+   */
+  private cancel(id: string, now: number): boolean {
+    this.cancelled.add(id, now);
+    const owner = this.early.ownerOf(id);
+    if (owner === undefined) return this.current?.cancel(id) ?? false;
+    this.early.delete(id);
+    this.answer(owner, id, {kind: 'cancelled'});
+    return true;
+  }
+
   private onQuery(body: unknown): unknown {
     const {current} = this;
     const table = this.opts.routing();
-    if (!current || !table || !v.is(PoolMessage.ask, body)) return undefined;
+    if (!v.is(PoolMessage.ask, body)) return undefined;
+    const isFound =
+      body.kind === 'cancel' && this.cancel(body.id, this.opts.clock.now());
+    if (!current || !table) return undefined;
     switch (body.kind) {
       case 'cancel':
-        return this.findOrUndefined(current.cancel(body.id));
+        return this.findOrUndefined(isFound);
       case 'state':
-        return this.findOrUndefined(current.has(body.id));
+        return this.findOrUndefined(
+          current.has(body.id) || this.early.has(body.id),
+        );
       case 'pending': {
         const queue = table.find(body.host, body.path);
         const {revision} = this;
--- a/src/core/pool/dispatcher/early_submissions.ts
+++ b/src/core/pool/dispatcher/early_submissions.ts
@@ -1,16 +1,10 @@
 import type {PoolSubmission} from '../job/pool_submission.js';
+import type {ReceivedSubmission} from './received_submission.js';
 
 /** Time within which a new configuration reaches all core nodes. */
 const MAX_WAIT_MS = 500;
 
-interface EarlySubmission {
-  readonly owner: string;
-  readonly submission: PoolSubmission;
-  /** See `JobContact`. */
-  readonly contactAt: number;
-}
-
-interface Waiting extends EarlySubmission {
+interface Waiting extends ReceivedSubmission {
   readonly since: number;
 }
 
@@ -18,7 +12,7 @@
 export class EarlySubmissions {
   private readonly byId = new Map<string, Waiting>();
 
-  add(early: EarlySubmission, now: number): void {
+  add(early: ReceivedSubmission, now: number): void {
     const {id} = early.submission.job;
     const since = this.byId.get(id)?.since ?? now;
     this.byId.set(id, {...early, since});
@@ -38,6 +32,11 @@
     this.byId.delete(id);
   }
 
+  /** Entry node that submitted a job; undefined if it is not known. */
+  ownerOf(id: string): string | undefined {
+    return this.byId.get(id)?.owner;
+  }
+
   clear(): void {
     this.byId.clear();
   }
@@ -46,8 +45,8 @@
    * Removes and returns the jobs that `revision` suffices for or that have waited
    * long enough; the dispatcher refuses the latter.
    */
-  take(revision: number, now: number): EarlySubmission[] {
-    const taken: EarlySubmission[] = [];
+  take(revision: number, now: number): ReceivedSubmission[] {
+    const taken: ReceivedSubmission[] = [];
     for (const [id, {owner, submission, contactAt, since}] of this.byId) {
       const isCurrent = revision >= (submission.revision ?? 0);
       const waitedMs = now - since;
