Answer all open requests before an entry process stops

Cause: EntryProgram.stop waited for open requests until 400 ms before the end of the grace period and then exited, whatever was open. Ruled out: the HTTP server, which keeps open connections while it drains; the dispatcher, which kept the jobs queued until it missed the entry node.

Change: 400 ms before the end, the entry node asks the dispatchers of its open jobs to release them (pool.release). A dispatcher refuses those of which no task can have started and forgets them, by the same rule as every refusal; the caller gets 503 with Retry-After. 250 ms before the end, the others are dropped and answered 504. Requests at work have 150 ms more than before.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -55,6 +55,12 @@
       this.early.delete(body.id);
       this.current?.drop(body.id, from, body.reason);
     });
+    peers.onMessage('pool.release', (from, body) => {
+      if (!v.is(PoolMessage.release, body)) return;
+      for (const id of body.ids) {
+        this.current?.jobs.release(id, from, body.reason);
+      }
+    });
     peers.onMessage('pool.unclear', (from, body, now) => {
       if (!v.is(PoolMessage.unclear, body)) return;
       this.unclear.expire(now);
--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -38,7 +38,7 @@
  * job when it has ended.
  */
 export class PoolDispatcher implements LeaseListener {
-  private readonly jobs: PoolJobs;
+  readonly jobs: PoolJobs;
   private readonly workers: WorkerFleet;
   private readonly times = new RunTimes();
   private readonly breaker = new WorkerCircuitBreaker();
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -52,7 +52,7 @@
  * dispatcher, and resubmits it when the dispatcher changes.
  */
 export class EntryGateway {
-  private readonly jobs = new Map<string, OpenJob>();
+  readonly jobs = new Map<string, OpenJob>();
   private nextPoll = 0;
   private readonly contacts: ZoneContacts;
 
@@ -170,13 +170,14 @@
     this.respondTo(job.id, {kind: 'given_up', reason: 'lead_lost'});
   }
 
-  private expire(job: OpenJob): void {
+  /** Ends a job that its dispatcher has not answered; `reason` says why. */
+  expire(job: OpenJob, reason = 'deadline'): void {
     if (!job.assignedTo) {
       this.refuse(job, 'no_lead');
       return;
     }
-    this.sendDrop(job, 'deadline');
-    this.respondTo(job.id, {kind: 'given_up', reason: 'deadline'});
+    this.sendDrop(job, reason);
+    this.respondTo(job.id, {kind: 'given_up', reason});
   }
 
   /** Logs what the caller of a job did while it was open. */
@@ -188,7 +189,7 @@
     });
   }
 
-  private refuse(job: OpenJob, reason: string): void {
+  refuse(job: OpenJob, reason: string): void {
     const {observer, clock} = this.opts;
     const now = clock.now();
     observer.recordJobEvent('job_refused', job.id, {
--- a/src/core/pool/job/pool_jobs.test.ts
+++ b/src/core/pool/job/pool_jobs.test.ts
@@ -104,3 +104,41 @@
   assert.equal(next!['entry_ms'], 40);
   assert.approximately(next!['queued_ms'] as number, 95, 15);
 });
+
+// Guards against a refusal that is not true, as the caller sends the job again
+// elsewhere, and against a job that starts after it was refused.
+test('only a job that has not run is released to a stopping entry node', async () => {
+  const bench = new PoolBench(1, 1);
+  const [worker] = bench.workers.values();
+  worker!.runMs = () => 500;
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  dispatcher.submit('e', PoolBench.submission('first', {estimatedMs: 500}));
+  await bench.run(10, dispatcher);
+  dispatcher.submit('e', PoolBench.submission('next', {estimatedMs: 500}));
+  await bench.run(10, dispatcher);
+  const release = (id: string, owner: string) =>
+    dispatcher.jobs.release(id, owner, 'entry_stopping');
+  release('next', 'another');
+  assert.isTrue(dispatcher.has('next'));
+  for (const id of ['first', 'next']) release(id, 'e');
+  assert.equal(bench.answers.get('next')?.kind, 'refused');
+  assert.isFalse(bench.answers.has('first'));
+  await bench.run(1_500, dispatcher);
+  assert.equal(bench.answers.get('first')?.kind, 'completed');
+  assert.notInclude(
+    worker!.history.map(h => h.task),
+    'next.0.0.0',
+  );
+});
+
+test('a job that an earlier dispatcher had is not released', () => {
+  const {answers, jobs, clock} = createBench();
+  const submission = {...PoolBench.submission('k'), settleMs: 1_000};
+  const queue = PoolBench.table().find(submission.host, submission.path)!;
+  const now = clock.now();
+  jobs.add(new ActiveJob(submission, {owner: 'e', queue, token: 1, now}));
+  jobs.release('k', 'e', 'entry_stopping');
+  assert.isEmpty(answers);
+  assert.isDefined(jobs.get('k'));
+});
--- a/src/core/pool/job/pool_jobs.ts
+++ b/src/core/pool/job/pool_jobs.ts
@@ -12,6 +12,8 @@
 /** Time after which a backlog that makes jobs late is usually processed. */
 const LATE_RETRY_MS = 2_000;
 const DEADLINE_RETRY_MS = 1_000;
+/** Another entry node can take a released job at once. */
+const RELEASE_RETRY_MS = 0;
 
 interface PoolJobsOptions {
   readonly clock: Clock;
@@ -126,6 +128,14 @@
     this.abandon(job);
   }
 
+  /** Refuses a job of an entry node that is stopping, unless it may have run. */
+  release(id: string, owner: string, reason: string): void {
+    const job = this.byId.get(id);
+    if (!job || job.owner !== owner || !job.isPending) return;
+    this.refuse(owner, id, reason, RELEASE_RETRY_MS, job);
+    this.abandon(job);
+  }
+
   /** Stops the runs of a job whose answer is no longer awaited. */
   abandon(job: ActiveJob): void {
     job.isAbandoned = true;
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -74,6 +74,8 @@
   /** Jobs of a poll that the dispatcher does not know. */
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
+  /** Jobs of a stopping entry node, to refuse those that have not run. */
+  release: v.object({ids, reason: v.string()}),
   /** Jobs that may have run, and whose callers may send them again anywhere. */
   unclear: v.object({ids}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -3,6 +3,7 @@
 import {SystemRandom} from '../adapter/system_random.js';
 import {EntryGateway} from '../core/pool/entry/entry_gateway.js';
 import {EntryPresence} from '../core/pool/entry/entry_presence.js';
+import {EntryShutdown} from '../core/pool/entry/entry_shutdown.js';
 import {FallbackService} from '../core/pool/entry/fallback_service.js';
 import {FailsafeWorkerClient} from '../core/pool/lease/failsafe_worker_client.js';
 import type {WorkerClient} from '../core/pool/lease/worker_client.js';
@@ -39,8 +40,11 @@
  * ready: two failed probes, one second apart.
  */
 const READINESS_NOTICE_MS = 2_300;
-/** Part of the grace period that is reserved for sending the last replies. */
-const STOP_MARGIN_MS = 400;
+/**
+ * Part of the grace period in which the process exits. All callers have been
+ * answered before, see EntryShutdown.
+ */
+const STOP_MARGIN_MS = 150;
 
 /**
  * Process on a VM that callers connect to. It passes jobs to the leader,
@@ -55,6 +59,7 @@
   private readonly relief: ReliefService;
   private readonly usage = new ProcessorUsage();
   private readonly gateway: EntryGateway;
+  private readonly shutdown: EntryShutdown;
   private readonly frontend: CallerFrontend;
   private readonly readiness: HttpServer;
   private isDraining = false;
@@ -130,6 +135,7 @@
       directory,
       observer,
     });
+    this.shutdown = new EntryShutdown({gateway: this.gateway, peers});
     const onError = (detail: string) => log.error('request_failed', {detail});
     this.frontend = new CallerFrontend({
       ...parseAddress(settings.callers!),
@@ -178,7 +184,7 @@
 
   /**
    * Serves new requests until the platform has stopped routing them here, then
-   * finishes the open ones within the grace period.
+   * finishes the open ones within the grace period, and answers the rest.
    */
   override async stop(): Promise<void> {
     const {clock, settings} = this.node.opts;
@@ -187,6 +193,7 @@
     this.presence.announceDrain();
     this.frontend.http.announceDrain();
     const startedAt = clock.now();
+    this.shutdown.begin(startedAt + settings.graceMs);
     await this.sleep(Math.min(READINESS_NOTICE_MS, settings.graceMs / 2));
     const remainingMs = settings.graceMs - (clock.now() - startedAt);
     await Promise.race([
@@ -236,6 +243,7 @@
     this.fallback.tick(now);
     this.presence.tick(now);
     this.gateway.tick(now);
+    this.shutdown.tick(now);
     const {isDispatching} = this.fallback;
     const delayMs = isDispatching ? FALLBACK_TICK_MS : TICK_MS;
     this.tickDueAt = clock.now() + delayMs;
