Keep run times of tasks without an estimate apart

Cause: a missing estimate was taken as 1 ms, so a task of 130 ms counted as 130 times its estimate. The mean of these ratios is applied to all jobs of the queue, and with the few samples of a new dispatcher one such task lifts it above what InfeasibleJobs allows.

The same cause on a related path: StragglerPolicy took the limit of such a run as a multiple of 0 ms, so that it was stopped as endless after 150 ms once its queue had 30 samples. It uses the group of the run as well.

--- a/src/core/pool/admission/infeasible_jobs.test.ts
+++ b/src/core/pool/admission/infeasible_jobs.test.ts
@@ -36,3 +36,31 @@
   await bench.run(2_500, dispatcher);
   assert.equal(bench.answers.get('j')?.kind, 'completed');
 });
+
+/** Kinds of the answers after a first job whose tasks are not as estimated. */
+async function answersAfter(first: {estimatedMs: number; runMs: number}) {
+  const bench = new PoolBench(2, 2);
+  const [...workers] = bench.workers.values();
+  for (const worker of workers) worker.runMs = () => first.runMs;
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  const {estimatedMs} = first;
+  dispatcher.submit('e', PoolBench.submission('first', {estimatedMs}));
+  await bench.run(2 * first.runMs, dispatcher);
+  for (const worker of workers) worker.runMs = () => 130;
+  const ids = Array.from({length: 40}, (_, n) => `j${n}`);
+  for (const id of ids) {
+    dispatcher.submit('e', PoolBench.submission(id, {estimatedMs: 130}));
+    await bench.run(100, dispatcher);
+  }
+  await bench.run(400, dispatcher);
+  return [...new Set(['first', ...ids].map(id => bench.answers.get(id)?.kind))];
+}
+
+// Its missing estimate was taken as 1 ms, so all jobs with an estimate were expected
+// to take 130 times as long, and were refused by a new dispatcher.
+test('a job without an estimate does not make other jobs infeasible', async () => {
+  assert.deepEqual(await answersAfter({estimatedMs: 0, runMs: 130}), [
+    'completed',
+  ]);
+});
--- a/src/core/pool/placement/run_times.test.ts
+++ b/src/core/pool/placement/run_times.test.ts
@@ -68,3 +68,18 @@
   assert.approximately(end(timesAfterRuns(), 50, 5), 500, 50);
   assert.approximately(end(timesAfterRuns(30), 200, 1), 700, 50);
 });
+
+const BARE = {queue: 'a', estimatedMs: 0, distanceFactor: 1};
+
+// Guards against a missing estimate that is taken as 1 ms: it made all tasks look
+// long, and the workers of such tasks slow.
+test('runs without an estimate do not move the ratio of the others', () => {
+  const times = new RunTimes();
+  for (let n = 1; n <= 210; n += 1) {
+    const workload = n % 21 === 0 ? BARE : WORKLOAD;
+    const ranMs = workload === BARE ? 4_000 : 100;
+    times.record({worker: 'w', task: `t${n}`, workload, ranMs, at: n * 10});
+  }
+  assert.approximately(times.expectedMs('a', 100), 100, 10);
+  assert.approximately(times.slownessOf('w', 2_100), 1, 0.1);
+});
--- a/src/core/pool/placement/run_times.ts
+++ b/src/core/pool/placement/run_times.ts
@@ -4,6 +4,7 @@
 import type {Run} from '../lease/run.js';
 import type {RunWorkload} from '../lease/run_workload.js';
 import {QueueRatios} from './queue_ratios.js';
+import {referenceMs} from './reference_ms.js';
 import {WorkerSpeed} from './worker_speed.js';
 
 /** Ratio to the usual run time from which a run may tell a slow worker. */
@@ -20,20 +21,21 @@
 
 /**
  * Expected run times: per queue, the ratio of run time to the caller's
- * estimate; per worker, its slowness relative to its queues.
+ * estimate, with tasks without an estimate apart; per worker, its slowness
+ * relative to its queues.
  */
 export class RunTimes {
-  private readonly queues = new Map<string, QueueRatios>();
+  private readonly groups = new Map<string, QueueRatios>();
   private readonly speeds = new Map<string, WorkerSpeed>();
 
   /** Records a completed run. */
   record({worker, task, workload, ranMs, at}: RecordedRun): void {
     const speed = this.speedOf(worker);
     const run = this.timedRun(task, workload, ranMs, at);
-    this.ratiosOf(run.queue).record(ranMs / referenceMs(workload));
+    this.ratiosFor(workload).record(ranMs / referenceMs(workload));
     const known = speed.record({...run, isOverdue: false});
     if (!known) return;
-    const ratios = this.ratiosOf(known.run.queue);
+    const ratios = this.ratiosOf(known.run.group);
     ratios.recordTask((known.run.ratio * ratios.typical) / known.slowness);
   }
 
@@ -52,8 +54,7 @@
       const overdue = [];
       for (const {task, sentAt, workload, isAdopted} of runs.values()) {
         if (!workload || isAdopted) continue;
-        const unitMs =
-          referenceMs(workload) * this.ratiosOf(workload.queue).typical;
+        const unitMs = referenceMs(workload) * this.ratiosFor(workload).typical;
         if (now - sentAt <= speed.overdueRatio * unitMs) continue;
         const run = this.timedRun(task, workload, now - sentAt, now);
         overdue.push({...run, isOverdue: true});
@@ -62,7 +63,10 @@
     }
   }
 
-  /** Expected run time of a task at normal speed beside its data, in ms. */
+  /**
+   * Expected run time of a task at normal speed beside its data, in ms; 0 without
+   * an estimate, so that no job is refused for it.
+   */
   expectedMs(queue: string, estimatedMs: number): number {
     return estimatedMs * this.ratiosOf(queue).mean;
   }
@@ -76,7 +80,7 @@
   ): number {
     if (!workload) return now;
     const unitMs = referenceMs(workload) * slowness;
-    const ratios = this.ratiosOf(workload.queue);
+    const ratios = this.ratiosFor(workload);
     const total = ratios.expectedAfter((now - sentAt) / unitMs);
     return Math.max(now, sentAt + total * unitMs);
   }
@@ -112,19 +116,23 @@
     ranMs: number,
     at: number,
   ) {
-    const {queue} = workload;
-    const ratios = this.ratiosOf(queue);
+    const ratios = this.ratiosFor(workload);
     const estimates = ranMs / referenceMs(workload);
     const ratio = estimates / ratios.typical;
     const isTelling = ratio > TELLING_RATIO && ratios.isBeyond(estimates);
-    return {task, queue, ratio, isTelling, at};
+    return {task, group: groupOf(workload), ratio, isTelling, at};
   }
 
-  ratiosOf(queue: string): QueueRatios {
-    let ratios = this.queues.get(queue);
+  ratiosFor(workload: RunWorkload): QueueRatios {
+    return this.ratiosOf(groupOf(workload));
+  }
+
+  /** Ratios of a group; that of the tasks with estimates is named as its queue. */
+  ratiosOf(group: string): QueueRatios {
+    let ratios = this.groups.get(group);
     if (!ratios) {
       ratios = new QueueRatios();
-      this.queues.set(queue, ratios);
+      this.groups.set(group, ratios);
     }
     return ratios;
   }
@@ -155,7 +163,10 @@
   }
 }
 
-/** Run time according to the estimate, at normal speed. */
-function referenceMs({estimatedMs, distanceFactor}: RunWorkload): number {
-  return Math.max(1, estimatedMs) * distanceFactor;
+/**
+ * Group of tasks whose ratios are comparable: those of a queue with an estimate,
+ * or those without one, whose ratios tell their run times.
+ */
+function groupOf({queue, estimatedMs}: RunWorkload): string {
+  return estimatedMs > 0 ? queue : `\0${queue}`;
 }
--- a/src/core/pool/placement/straggler_policy.test.ts
+++ b/src/core/pool/placement/straggler_policy.test.ts
@@ -77,3 +77,18 @@
   end(5, 5, 5, 5);
   assert.isFalse(policy.isEndless(run, 'w0', 0, at(1.2 * limitMs)));
 });
+
+// Its limit was a multiple of the missing estimate, so that each run was stopped
+// after 150 ms, until the task had used up its starts.
+test('a task without an estimate is not stopped at once as endless', () => {
+  const {times, run, policy} = createBench();
+  run.workload = {...SHORT, estimatedMs: 0};
+  assert.isFalse(policy.isEndless(run, 'w0', 0, 2_200));
+  for (let n = 0; n < 100; n += 1) {
+    const ended = {task: `z${n}`, workload: run.workload, ranMs: 800};
+    times.record({...ended, worker: `w${n % 7}`, at: 1_200 + n});
+  }
+  assert.isFalse(policy.isEndless(run, 'w0', 0, 1_200 + 2_000));
+  assert.isTrue(policy.isEndless(run, 'w0', 0, 1_200 + 9_000));
+  assert.isFalse(policy.isWorthMoving(run, 'w0', 1, 1_200 + 400));
+});
--- a/src/core/pool/placement/straggler_policy.ts
+++ b/src/core/pool/placement/straggler_policy.ts
@@ -1,4 +1,5 @@
 import type {Run} from '../lease/run.js';
+import {referenceMs} from './reference_ms.js';
 import type {RunTimes} from './run_times.js';
 
 /** Slowness from which a run of a worker counts as slow. */
@@ -36,8 +37,7 @@
 
   /** Whether a run has taken so much longer than any other that it hangs. */
   isEndless(run: Run, worker: string, stops: number, now: number): boolean {
-    const {queue, estimatedMs, distanceFactor} = run.workload!;
-    const ratios = this.times.ratiosOf(queue);
+    const ratios = this.times.ratiosFor(run.workload!);
     if (ratios.count < FEW_SAMPLES) return false;
     const limit =
       ratios.count < MANY_SAMPLES
@@ -48,7 +48,7 @@
         : ENDLESS_FACTOR * ratios.quantile(MANY_QUANTILE);
     const slowness = Math.max(1, this.slownessWithout(run, worker, now));
     // The task itself may be long, so each further run gets more time.
-    const limitMs = estimatedMs * distanceFactor * slowness * limit;
+    const limitMs = referenceMs(run.workload!) * slowness * limit;
     return now - run.sentAt > MIN_LIMIT_MS + limitMs * LIMIT_GROWTH ** stops;
   }
 
@@ -59,10 +59,10 @@
     const others = speed.recent(now, EVIDENCE_RUNS, run.task);
     let doubt = 1;
     let slow = 0;
-    for (const {ratio, queue, isOverdue} of others) {
+    for (const {ratio, group, isOverdue} of others) {
       if (ratio < SLOW_RATIO) continue;
       slow += 1;
-      const ratios = this.times.ratiosOf(queue);
+      const ratios = this.times.ratiosOf(group);
       const longShare = Math.max(MIN_LONG_SHARE, ratios.shareAbove(SLOW_RATIO));
       // Of the runs in progress, more are long than of those that start.
       const bias = isOverdue ? ratios.expectedAfter(SLOW_RATIO) : 1;
@@ -76,12 +76,14 @@
    * well before this one. The task keeps its length.
    */
   isWorthMoving(run: Run, worker: string, factor: number, now: number) {
-    const {queue, estimatedMs, distanceFactor} = run.workload!;
-    const here = distanceFactor * this.slownessWithout(run, worker, now);
-    const done = (now - run.sentAt) / (estimatedMs * here);
-    const total = this.times.ratiosOf(queue).expectedAfter(done);
-    const leftMs = (total - done) * estimatedMs * here;
-    const newMs = total * estimatedMs * factor + MOVE_MS;
+    const workload = run.workload!;
+    const hereMs =
+      referenceMs(workload) * this.slownessWithout(run, worker, now);
+    const done = (now - run.sentAt) / hereMs;
+    const total = this.times.ratiosFor(workload).expectedAfter(done);
+    const leftMs = (total - done) * hereMs;
+    const taskMs = referenceMs({...workload, distanceFactor: 1});
+    const newMs = total * taskMs * factor + MOVE_MS;
     return newMs < WORTH_SHARE * leftMs;
   }
 
--- a/src/core/pool/placement/worker_speed.ts
+++ b/src/core/pool/placement/worker_speed.ts
@@ -26,9 +26,10 @@
 /** Run and the ratio of its time, so far or in all, to the usual run time. */
 interface TimedRun {
   readonly task: string;
-  readonly queue: string;
+  /** Tasks whose usual run time the ratio relates to, see RunTimes. */
+  readonly group: string;
   readonly ratio: number;
-  /** Whether the queue has hardly any tasks that take so long. */
+  /** Whether the group has hardly any tasks that take so long. */
   readonly isTelling: boolean;
   /** Whether the run has not ended. */
   readonly isOverdue: boolean;
