Count the first runs of a queue with the ratio that they had

A new dispatcher took the tasks of a queue for far longer than they were: ten first runs of 20 to 40 times the estimate gave an expected time of 128 times the estimate.

Cause: the ratio of a run to the usual one is computed when it ends, and was multiplied by the usual ratio of the time when the next two runs of its worker had ended. The first run is measured by the assumed ratio, 1, and sets the usual one itself, so it counted with its square.

Change: a run keeps the multiple of its reference time.

--- a/src/core/pool/placement/run_times.test.ts
+++ b/src/core/pool/placement/run_times.test.ts
@@ -83,3 +83,19 @@
   assert.approximately(times.expectedMs('a', 100), 100, 10);
   assert.approximately(times.slownessOf('w', 2_100), 1, 0.1);
 });
+
+// Guards against a first run that is counted with the square of its ratio: it was
+// measured by the assumed ratio and scaled by the one that it had itself set.
+test('the first runs of a queue count with the ratio that they had', () => {
+  const times = new RunTimes();
+  for (let n = 0; n < 10; n += 1) {
+    const ranMs = n === 0 ? 4_000 : 2_000;
+    const run = {worker: `w${n % 2}`, task: `t${n}`, workload: BARE, ranMs};
+    times.record({...run, at: n * 10});
+    times.record({...run, workload: WORKLOAD, at: n * 10});
+  }
+  assert.approximately(times.expectedMs('a', 100), 2_400, 400);
+  const run = new Run('x', 1, {cpu: 1, memoryMb: 1, accelerators: 0}, 100);
+  run.workload = BARE;
+  assert.approximately(times.expectedEnd(run, 'w0', 150, 1), 2_500, 400);
+});
--- a/src/core/pool/placement/run_times.ts
+++ b/src/core/pool/placement/run_times.ts
@@ -36,7 +36,7 @@
     const known = speed.record({...run, isOverdue: false});
     if (!known) return;
     const ratios = this.ratiosOf(known.run.group);
-    ratios.recordTask((known.run.ratio * ratios.typical) / known.slowness);
+    ratios.recordTask(known.run.multiple / known.slowness);
   }
 
   /** Records a run that was stopped; it would have taken longer. */
@@ -117,10 +117,11 @@
     at: number,
   ) {
     const ratios = this.ratiosFor(workload);
-    const estimates = ranMs / referenceMs(workload);
-    const ratio = estimates / ratios.typical;
-    const isTelling = ratio > TELLING_RATIO && ratios.isBeyond(estimates);
-    return {task, group: groupOf(workload), ratio, isTelling, at};
+    const multiple = ranMs / referenceMs(workload);
+    const ratio = multiple / ratios.typical;
+    const isTelling = ratio > TELLING_RATIO && ratios.isBeyond(multiple);
+    const group = groupOf(workload);
+    return {task, group, multiple, ratio, isTelling, at};
   }
 
   ratiosFor(workload: RunWorkload): QueueRatios {
--- a/src/core/pool/placement/worker_speed.test.ts
+++ b/src/core/pool/placement/worker_speed.test.ts
@@ -1,7 +1,7 @@
 import {assert} from 'chai';
 import {WorkerSpeed} from './worker_speed.js';
 
-const RUN = {group: 'a', isTelling: false, isOverdue: false};
+const RUN = {group: 'a', multiple: 1, isTelling: false, isOverdue: false};
 
 function speedAfter(...ratios: readonly number[]): WorkerSpeed {
   const speed = new WorkerSpeed();
--- a/src/core/pool/placement/worker_speed.ts
+++ b/src/core/pool/placement/worker_speed.ts
@@ -28,6 +28,8 @@
   readonly task: string;
   /** Tasks whose usual run time the ratio relates to, see RunTimes. */
   readonly group: string;
+  /** Run time as a multiple of the reference time, see referenceMs. */
+  readonly multiple: number;
   readonly ratio: number;
   /** Whether the group has hardly any tasks that take so long. */
   readonly isTelling: boolean;
