Do not refuse jobs that have not waited for their run time alone

Cause: a job was refused if it would end later than three times its objective, where the expected end follows the learnt ratio of run time to estimate, and the objective the estimate alone. Refused jobs do not run, so no run showed that the ratio was wrong. Ruled out: a median in place of the mean, which a queue with low estimates would defeat as well.

Change: RunTimes.usefulUntil, an answer is useful at least until the objective by the learnt ratio. Up to a ratio of about 3 it is the time of before. The forecast of the backlog, the choice of workers, lending and the order of jobs use it too.

--- a/src/core/pool/admission/backlog_forecast.ts
+++ b/src/core/pool/admission/backlog_forecast.ts
@@ -29,6 +29,7 @@
     return groupByService(waiting, workers).flatMap(({jobs, serving}) => {
       if (serving.length === 0) return [];
       const forecast = this.createForecast(serving, now);
+      const usefulUntil = (job: ActiveJob) => this.times.usefulUntil(job);
       const tasks = jobs.flatMap(job => this.waitingTasks(job, usefulUntil));
       const missed = forecast.findMissed(tasks);
       const {clearInMs} = forecast;
@@ -91,10 +92,6 @@
   }
 }
 
-function usefulUntil(job: ActiveJob): number {
-  return job.usefulUntil;
-}
-
 /** Jobs of each service, with the workers that can serve them. */
 function groupByService(
   waiting: readonly ActiveJob[],
--- a/src/core/pool/admission/infeasible_jobs.test.ts
+++ b/src/core/pool/admission/infeasible_jobs.test.ts
@@ -64,3 +64,11 @@
     'completed',
   ]);
 });
+
+// Guards against a mean that a first run lifts so far that all jobs are refused
+// on an idle fleet; as refused jobs do not run, it never fell again.
+test('a job that ran far longer than estimated does not block its queue', async () => {
+  assert.deepEqual(await answersAfter({estimatedMs: 5, runMs: 900}), [
+    'completed',
+  ]);
+});
--- a/src/core/pool/admission/infeasible_jobs.ts
+++ b/src/core/pool/admission/infeasible_jobs.ts
@@ -14,7 +14,7 @@
     for (const job of jobs) {
       if (!job.isPending) continue;
       const doneAt = now + this.times.remainingMs(job);
-      if (doneAt > job.usefulUntil) found.push(job);
+      if (doneAt > this.times.usefulUntil(job)) found.push(job);
     }
     return found;
   }
--- a/src/core/pool/admission/job_prioritizer.ts
+++ b/src/core/pool/admission/job_prioritizer.ts
@@ -27,7 +27,8 @@
       (job.isLent && !job.hasStarted ? LENT_PENALTY_MS : 0);
     if (endsAt <= job.objectiveAt) return workMs;
     // What a late job has had done is lost unless the rest follows soon.
-    const isWorthFinishing = job.hasStarted && endsAt <= job.usefulUntil;
+    const isWorthFinishing =
+      job.hasStarted && endsAt <= this.times.usefulUntil(job);
     return workMs + (isWorthFinishing ? 0 : LATE_PENALTY_MS);
   }
 }
--- a/src/core/pool/lending/dispatcher_lending.ts
+++ b/src/core/pool/lending/dispatcher_lending.ts
@@ -134,7 +134,8 @@
       {
         jobs: movable,
         expectedMs: (queue, ms) => times.expectedMs(queue, ms),
-        endsBy: job => (reason === LATE ? job.objectiveAt : job.usefulUntil),
+        endsBy: job =>
+          reason === LATE ? job.objectiveAt : times.usefulUntil(job),
         reason,
       },
       now,
--- a/src/core/pool/placement/run_times.ts
+++ b/src/core/pool/placement/run_times.ts
@@ -71,6 +71,18 @@
     return estimatedMs * this.ratiosOf(queue).mean;
   }
 
+  /**
+   * Time up to which the answer of a job is useful. The objective follows the
+   * tasks' true run times: where they are far longer than estimated, a job that
+   * has not waited is still of use. If it were refused, no run would show that
+   * later tasks are shorter.
+   */
+  usefulUntil({arrivedAt, criticalPathMs, queue, usefulUntil}: ActiveJob) {
+    const pathMs = this.expectedMs(queue.name, criticalPathMs);
+    const objectiveMs = Math.max(1, queue.stretch) * pathMs + queue.targetMs;
+    return Math.max(usefulUntil, arrivedAt + objectiveMs);
+  }
+
   /** When a run in progress is expected to end. */
   expectedEnd(
     {sentAt, workload}: Run,
--- a/src/core/pool/placement/start_candidates.ts
+++ b/src/core/pool/placement/start_candidates.ts
@@ -93,7 +93,7 @@
     const {times, now} = this.opts;
     const {estimatedMs} = job.spec.steps[step]!;
     const runMs = times.expectedMs(job.queue.name, estimatedMs);
-    return (job.usefulUntil - now) / runMs;
+    return (times.usefulUntil(job) - now) / runMs;
   }
 
   /**
