--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -37,7 +37,7 @@
  * job when it has ended.
  */
 export class PoolDispatcher implements LeaseListener {
-  private readonly jobs: PoolJobs;
+  readonly jobs: PoolJobs;
   private readonly workers: WorkerFleet;
   private readonly times = new RunTimes();
   private readonly breaker = new WorkerCircuitBreaker();
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -54,7 +54,7 @@
  * dispatcher, and resubmits it when the dispatcher changes.
  */
 export class EntryGateway {
-  private readonly jobs = new Map<string, OpenJob>();
+  readonly jobs = new Map<string, OpenJob>();
   private nextPoll = 0;
   private readonly contacts: ZoneContacts;
   private readonly cancels: CancelNotifier;
@@ -181,19 +181,23 @@
     this.respondTo(job.id, {kind: 'given_up', reason: 'lead_lost'});
   }
 
-  private expire(job: OpenJob): void {
+  /** Ends a job that its dispatcher has not answered; `reason` says why. */
+  expire(job: OpenJob, reason = 'deadline'): void {
     if (!job.assignedTo) {
       this.refuse(job, 'no_lead');
       return;
     }
-    const reason = 'deadline';
     const {observer, clock} = this.opts;
-    recordCaller(observer, 'job_deadline', job, clock.now());
+    observer.recordJobEvent('job_given_up', job.id, {
+      reason,
+      lead: job.assignedTo.node,
+      after_ms: Math.round(clock.now() - job.arrivedAt),
+    });
     this.sendDrop(job, reason);
     this.respondTo(job.id, {kind: 'given_up', reason});
   }
 
-  private refuse(job: OpenJob, reason: string): void {
+  refuse(job: OpenJob, reason: string): void {
     const {observer, clock} = this.opts;
     const now = clock.now();
     observer.recordJobEvent('job_refused', job.id, {
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -77,6 +77,8 @@
   drop: v.object({id: v.string(), reason: v.string()}),
   /** Jobs that were cancelled; copies of their requests must start nothing. */
   cancelled: v.object({ids}),
+  /** Jobs of a stopping entry node, to refuse those that have not run. */
+  release: v.object({ids, reason: v.string()}),
   /** Jobs that may have run, and whose callers may send them again anywhere. */
   unclear: v.object({ids}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
--- a/src/core/pool/placement/worker_speed.ts
+++ b/src/core/pool/placement/worker_speed.ts
@@ -26,9 +26,12 @@
 /** Run and the ratio of its time, so far or in all, to the usual run time. */
 interface TimedRun {
   readonly task: string;
-  readonly queue: string;
+  /** Tasks whose usual run time the ratio relates to, see RunTimes. */
+  readonly group: string;
+  /** Run time as a multiple of the reference time, see referenceMs. */
+  readonly multiple: number;
   readonly ratio: number;
-  /** Whether the queue has hardly any tasks that take so long. */
+  /** Whether the group has hardly any tasks that take so long. */
   readonly isTelling: boolean;
   /** Whether the run has not ended. */
   readonly isOverdue: boolean;
