Keep adopted runs while other runs of their worker are unclaimed

Callers saw tasks started again, and suspected of crashing their worker, after a planned change of dispatcher: a new dispatcher extends no lease while a run on the worker is unclaimed, knew of no lease end, and counted an adopted run as lost 60 ms after the last reply of the worker, which answers after up to 250 ms. The run was active meanwhile.

A dispatcher that adopts or stops runs of an earlier one now assumes the longest lease that can have been granted. It is only compared with, and never sent.

The test failed before.

--- a/src/core/pool/dispatcher/takeover.test.ts
+++ b/src/core/pool/dispatcher/takeover.test.ts
@@ -54,6 +54,34 @@
   assert.equal(worker!.running.size, 0);
 });
 
+// Guards against an adopted run that counts as lost while it is active: the lease is
+// not extended before all runs of the worker are claimed, and its end was not known.
+test('an adopted run continues while another run is not claimed yet', async () => {
+  const bench = new PoolBench(1);
+  const [worker] = bench.workers.values();
+  worker!.runMs = () => 900;
+  const first = bench.createDispatcher({term: 1});
+  await bench.run(50, first);
+  for (const id of ['a', 'b']) {
+    first.submit('e', PoolBench.submission(id, {estimatedMs: 900}));
+  }
+  await bench.run(300, first);
+  first.close();
+  const second = bench.createDispatcher({term: 2});
+  await bench.run(50, second);
+  second.submit('e', PoolBench.submission('a', {estimatedMs: 900}));
+  await bench.run(150, second);
+  assert.notInclude(
+    bench.jobEvents.map(({event}) => event),
+    'run_ended',
+  );
+  second.submit('e', PoolBench.submission('b', {estimatedMs: 900}));
+  await bench.run(1_000, second);
+  assert.equal(bench.answers.get('a')?.kind, 'completed');
+  assert.equal(bench.answers.get('b')?.kind, 'completed');
+  assert.lengthOf(worker!.history, 2);
+});
+
 // A partitioned worker may continue until its lease expires.
 test('no task starts while an unreachable worker may run it', async () => {
   const bench = new PoolBench(2);
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -30,7 +30,7 @@
   readonly inherited: ReadonlyMap<string, number> = this.ledger.inherited;
   /** Runs that are stopped since no job has claimed them in time, by task. */
   readonly unclaimed: ReadonlyMap<string, Run> = this.ledger.unclaimed;
-  private readonly lease: WorkerLease;
+  readonly lease: WorkerLease;
   private readonly instance = new ProcessInstance();
   readonly fence: WorkerFence;
   private readonly acks = new EndAcknowledgements();
@@ -211,8 +211,8 @@
     now: number,
     token: number,
   ): void {
-    const backoffUntil = now + startBackoffMs(reason);
-    this.backoffUntil = Math.max(this.backoffUntil, backoffUntil);
+    const until = now + startBackoffMs(reason);
+    if (until > this.backoffUntil) this.backoffUntil = until;
     this.rejectRun(run, reason);
     this.onRefusal(reason, token);
   }
@@ -258,6 +258,7 @@
     }
     const reported = new Map(status.running.map(r => [r.task, r.run]));
     for (const [task, run] of this.ledger.updateInherited(reported, now)) {
+      this.lease.inherit(now);
       this.opts.listener.onInheritedRun(this, task, run);
     }
     if (status.isPartial) return;
@@ -301,14 +302,13 @@
   }
 
   private sendStop(run: Run, now: number): void {
-    const {clock} = this.opts;
     const {token} = this.orders;
     run.stopRequestedAt = now;
     void this.orders.stop(this.report, run).then(reply => {
-      if (reply.kind === 'ok') run.stoppedAt ??= clock.now();
+      if (reply.kind === 'ok') run.stoppedAt ??= this.opts.clock.now();
       else if (reply.kind === 'refused') this.onRefusal(reply.reason, token);
-      if (this.pendingPolls === 0) this.tick(clock.now());
-      else this.poll(0, clock.now());
+      if (this.pendingPolls === 0) this.tick(this.opts.clock.now());
+      else this.poll(0, this.opts.clock.now());
     });
   }
 
--- a/src/core/pool/lease/worker_lease.ts
+++ b/src/core/pool/lease/worker_lease.ts
@@ -21,7 +21,7 @@
   private workerClockMs: number | undefined;
   private receivedAt = 0;
   private sentAt = Number.NEGATIVE_INFINITY;
-  /** Latest lease end that was sent, on the worker's clock. */
+  /** Latest lease end that was sent or may have been, on the worker's clock. */
   private end = 0;
   /** End of the longest lease that the contacts of the last extension permit. */
   private limit = Number.POSITIVE_INFINITY;
@@ -68,12 +68,16 @@
     this.limit = contact.contactAt + this.contactLeaseMs;
     const durationMs = Math.min(this.leaseMs, this.limit - now);
     if (durationMs <= 0) return undefined;
-    const clockMs = (this.workerClockMs ?? 0) + (now - this.receivedAt);
-    const end = Math.floor(clockMs + durationMs);
+    const end = Math.floor(this.clockAt(now) + durationMs);
     this.end = Math.max(this.end, end);
     return end;
   }
 
+  /** Takes over a lease of another dispatcher, whose end is not known. */
+  inherit(now: number): void {
+    this.end = Math.max(this.end, this.clockAt(now) + this.leaseMs);
+  }
+
   /** How long the worker may delay the reply to a poll, in ms. */
   pollWaitMs(now: number): number {
     const {POLL_WAIT_MS, SHORT_POLL_WAIT_MS} = LeaseTiming;
@@ -100,4 +104,9 @@
     const leftMs = Math.max(0, this.end - this.workerClockMs) / MIN_CLOCK_RATE;
     return now >= this.receivedAt + leftMs + EXPIRY_SLACK_MS;
   }
+
+  /** Estimate of the worker's clock, in ms; not ahead of it. */
+  private clockAt(now: number): number {
+    return (this.workerClockMs ?? 0) + (now - this.receivedAt);
+  }
 }
