Start no run under a lease that outlasts its contact

Callers could see a task run at two workers: a worker has one lease for all of its runs, and it never shortens. A run that was started with an old contact, since the messages of its entry node were late by 0.84 s, was active for as long as the runs beside it had extended the lease, up to 0.2 s after its caller sent the job again.

A task now starts only on workers whose present lease ends before the contact of its job permits. Tasks that are kept back by this hold back no others. A lease has 0.6 s left at most, so that it concerns contacts older than 0.55 s only.

Ruled out: dropping such jobs earlier, as workers without a lease can still run them.

The new test of copied_requests.test.ts failed before, with an overlap of 64 ms in its first history.

--- a/src/core/pool/lease/worker_lease.ts
+++ b/src/core/pool/lease/worker_lease.ts
@@ -73,6 +73,15 @@
     return end;
   }
 
+  /**
+   * Whether a run of a job may be started: the lease that the worker has already,
+   * which cannot be shortened, ends in time.
+   */
+  permits({contactAt}: JobContact, now: number): boolean {
+    const leftMs = Math.max(0, this.end - this.clockAt(now));
+    return now + leftMs <= contactAt + this.contactLeaseMs;
+  }
+
   /** Takes over a lease of another dispatcher, whose end is not known. */
   inherit(now: number): void {
     this.end = Math.max(this.end, this.clockAt(now) + this.leaseMs);
--- a/src/core/pool/node/copied_requests.test.ts
+++ b/src/core/pool/node/copied_requests.test.ts
@@ -6,6 +6,8 @@
 const RESEND_MS = 1_300;
 /** Delay with which a slow fallback reads messages. */
 const BACKLOG_MS = 760;
+/** Delay of messages over a slow link, below the time after which they count as lost. */
+const SLOW_LINK_MS = 840;
 /** Time in which core nodes that have started elect a leader. */
 const ELECTION_MS = 40;
 
@@ -103,6 +105,30 @@
   assert.equal(bench.log.answerOf('j'), 'completed');
 });
 
+// Guards against a run under a longer lease than its contact permits: other runs had
+// extended the lease of its worker, which never shortens, before it was started.
+test('a copy does not start beside a run of a slow entry node', async () => {
+  for (const phaseMs of [0, 60, 120, 180]) {
+    const bench = createBench();
+    for (const worker of bench.workers.values()) {
+      worker.runMs = task => (task.startsWith('j.') ? 2_500 : 400);
+    }
+    await bench.run(6_000 + phaseMs);
+    const {delayMs} = bench.network;
+    bench.network.delayMs = (from, to) =>
+      delayMs(from, to) + (from === 'ye1' ? SLOW_LINK_MS : 0);
+    bench.submit('ye1', 'j', JOB);
+    bench.orderFault = call => (call === 'stop' ? 'order_lost' : 'ok');
+    await runWideLoad(bench, 'ye2', 40);
+    bench.disconnectCaller('j');
+    await runWideLoad(bench, 'ye2', RESEND_MS);
+    bench.submit('ze1', 'j', JOB);
+    await bench.run(4_000);
+    assert.isEmpty(bench.log.overlaps(), `${phaseMs} ms`);
+    assert.equal(bench.log.answerOf('j'), 'completed');
+  }
+});
+
 function createBench(opts = {}): DeploymentBench {
   const bench = new DeploymentBench(opts);
   for (const worker of bench.workers.values()) {
@@ -123,3 +149,14 @@
     await bench.run(5);
   }
 }
+
+/** Submits jobs with a task for each worker of a zone, which extend all leases. */
+async function runWideLoad(bench: DeploymentBench, entry: string, ms: number) {
+  for (let passed = 0; passed < ms; passed += 20) {
+    const id = `${entry}-${bench.now}`;
+    if (bench.now % 400 < 20) {
+      bench.submit(entry, id, {estimatedMs: 400, tasks: 50});
+    }
+    await bench.run(20);
+  }
+}
--- a/src/core/pool/placement/start_candidates.ts
+++ b/src/core/pool/placement/start_candidates.ts
@@ -38,6 +38,8 @@
 export class StartCandidates {
   private readonly byService = new Map<string, Candidate[]>();
   private slowest = 1;
+  /** Whether the last task was kept from a worker with room by its lease. */
+  isLimitedByLease = false;
 
   constructor(private readonly opts: StartCandidatesOptions) {
     for (const worker of opts.workers) {
@@ -59,6 +61,7 @@
   /** Passes the task to `start` with the best worker; false if none is free. */
   place(task: PoolTask, start: Start): boolean {
     const candidates = this.byService.get(task.job.queue.service) ?? [];
+    this.isLimitedByLease = false;
     for (;;) {
       const at = this.findBest(task, candidates);
       const best = candidates[at];
@@ -101,7 +104,7 @@
    * Fast workers are preferred, and among equally fast ones those with few runs.
    */
   private findBest(task: PoolTask, candidates: readonly Candidate[]): number {
-    const {remoteFactor} = this.opts;
+    const {remoteFactor, now} = this.opts;
     const {demand} = task.job.spec.steps[task.step]!;
     const maxSlowness = this.maxSlowness(task);
     let bestAt = -1;
@@ -114,6 +117,10 @@
       if (demand.cpu > free.cpu || slowness > maxSlowness) continue;
       if (!canRun(task, worker.report, free)) continue;
       if (isAtStepLimit(task, worker)) continue;
+      if (!worker.lease.permits(task.job, now)) {
+        this.isLimitedByLease = true;
+        continue;
+      }
       // With two of them on a worker, a crash would not show which one caused it.
       if (isSuspect && hasSuspect) continue;
       const runs = worker.runs.size;
--- a/src/core/pool/placement/task_starter.ts
+++ b/src/core/pool/placement/task_starter.ts
@@ -51,6 +51,7 @@
         );
         const hasOwnLimits =
           candidates.isLimitedBySpeed(task) ||
+          candidates.isLimitedByLease ||
           spec.steps[task.step]!.maxPerWorker ||
           CrashPolicy.isSuspect(task.losses);
         if (!isStarted && !hasOwnLimits) {
--- a/test-support/fakes/pool/usable_worker.ts
+++ b/test-support/fakes/pool/usable_worker.ts
@@ -1,9 +1,12 @@
 import type {LeasedWorker} from '../../../src/core/pool/lease/leased_worker.js';
 import type {Run} from '../../../src/core/pool/lease/run.js';
+import {WorkerLease} from '../../../src/core/pool/lease/worker_lease.js';
 import {Resources} from '../../../src/core/pool/registry/resources.js';
 import type {WorkerReport} from '../../../src/core/pool/registry/worker_report.js';
 import {POOL_WORKER_REPORT} from './pool_worker_report.js';
 
+const LEASE_MS = 600;
+
 /**
  * Fake leased worker that accepts starts at once, for tests of decisions on
  * workers without a network.
@@ -20,6 +23,7 @@
     hasSuspect: false,
     isSilent: false,
     isUsable: () => true,
+    lease: new WorkerLease(LEASE_MS),
     start: (run: Run) => void runs.set(run.task, run),
     stop: (run: Run) => void (run.stopRequestedAt = run.sentAt),
     get freeCapacity(): Resources {
