--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -188,11 +188,7 @@
       return;
     }
     const {observer, clock} = this.opts;
-    observer.recordJobEvent('job_given_up', job.id, {
-      reason,
-      lead: job.assignedTo.node,
-      after_ms: Math.round(clock.now() - job.arrivedAt),
-    });
+    recordCaller(observer, 'job_given_up', job, clock.now(), reason);
     this.sendDrop(job, reason);
     this.respondTo(job.id, {kind: 'given_up', reason});
   }
--- a/src/core/pool/node/copied_requests.test.ts
+++ b/src/core/pool/node/copied_requests.test.ts
@@ -129,6 +129,33 @@
   }
 });
 
+// Guards against a contact that is counted from the reading of a message: an entry
+// node that was redirected has heard no claim of the other dispatcher yet.
+test('a copy does not start beside a run of a moved job', async () => {
+  const bench = new DeploymentBench();
+  bench.runMs = JOB.estimatedMs;
+  await bench.run(8_000);
+  const {delayMs} = bench.network;
+  bench.network.delayMs = (from, to) => {
+    const isSlow = from.startsWith('ye') && /^[xz]c/.test(to);
+    return delayMs(from, to) + (isSlow ? BACKLOG_MS : 0);
+  };
+  bench.orderFault = call => (call === 'stop' ? 'order_lost' : 'ok');
+  const ids = Array.from({length: 38}, (_, n) => `job${n}`);
+  for (const id of ids) bench.submit('ye1', id, {...JOB, tasks: 8});
+  await bench.run(40);
+  const moves = bench.log.events.filter(e => e.event === 'job_redirected');
+  assert.isNotEmpty(moves);
+  for (const id of ids) bench.disconnectCaller(id);
+  await bench.run(RESEND_MS);
+  for (const {fields} of moves) {
+    const copiedTo = String(fields['to_zone']) === 'x' ? 'ze1' : 'xe1';
+    bench.submit(copiedTo, String(fields['job']), {...JOB, tasks: 8});
+  }
+  await bench.run(4_000);
+  assert.isEmpty(bench.log.overlaps());
+});
+
 function createBench(opts = {}): DeploymentBench {
   const bench = new DeploymentBench(opts);
   for (const worker of bench.workers.values()) {
