Generate lost messages, backlogs and losses of all core nodes

New steps of the groups leader and zones: lose_messages (by kind), lose_orders (stop orders, or replies to stops, starts and polls, of the workers of a zone or all), backlog (messages to one node 100 to 900 ms late), lose_cores (all core nodes for 2.5 to 6 s, then the workers of a zone out of their reach for a second). Half of the histories are such a loss under faults of messages, with connections that break. An entry node that is killed sends no drops any more: it sent one for each open job, which hid runs that outlive it. Every second job takes longer than its caller says, if it takes more than 200 ms. The callers are followed until none is left in place of a fixed time, and runs for 3 s more.

A violation is printed with a trace of the task: requests, events, orders, runs.

--- a/src/check/pool/check_zones.ts
+++ b/src/check/pool/check_zones.ts
@@ -13,6 +13,8 @@
         readonly steps: readonly ZoneStep[];
         readonly violations: readonly string[];
         readonly path: string;
+        /** What happened to each task of which two runs overlapped. */
+        readonly traces: readonly string[][];
       }
     | undefined;
 }
@@ -38,6 +40,7 @@
   const run = new ZoneRun(mode);
   await run.run(steps);
   const path = details.counterexamplePath ?? '';
-  const {violations} = run;
-  return {runs, jobs, moved, counterexample: {steps, violations, path}};
+  const {violations, traces} = run;
+  const counterexample = {steps, violations, path, traces};
+  return {runs, jobs, moved, counterexample};
 }
--- a/src/check/pool/job_callers.ts
+++ b/src/check/pool/job_callers.ts
@@ -28,7 +28,7 @@
 
 /**
  * Callers of a deployment. One whose job was given up, whose connection broke or
- * that got no answer sends the job again, to another entry node.
+ * that got no answer sends the job again, to an entry node of any zone.
  */
 export class JobCallers {
   static readonly MAX_WAIT_MS = MAX_SENDS * (MAX_PATIENCE_MS + RESEND_MS);
@@ -39,6 +39,11 @@
 
   constructor(private readonly bench: DeploymentBench) {}
 
+  /** Whether a caller waits for an answer or will send its job again. */
+  get hasOpenCalls(): boolean {
+    return this.calls.size > 0;
+  }
+
   submit(entry: string, id: string, opts: JobOptions): void {
     const call = {id, opts, entry, sends: 0, sentAt: 0, resendAt: undefined};
     this.calls.set(id, call);
@@ -93,12 +98,10 @@
     bench.submit(entry, call.id, call.opts);
   }
 
-  /** Another entry node, mostly of the same zone. */
-  private chooseEntry({id, entry, sends}: Call): string | undefined {
+  /** An entry node of any zone, among those that run. */
+  private chooseEntry({id, sends}: Call): string | undefined {
     const n = Number(id.slice(id.indexOf('-') + 1)) || 0;
-    const others = [...this.bench.entries.keys()].filter(e => e !== entry);
-    const near = others.filter(other => other[0] === entry[0]);
-    const chosen = near.length > 0 && n % 4 !== 0 ? near : others;
-    return chosen[(n + sends) % chosen.length];
+    const ids = [...this.bench.entries.keys()];
+    return ids[(n + 5 * sends) % ids.length];
   }
 }
--- a/src/check/pool/pool_command.ts
+++ b/src/check/pool/pool_command.ts
@@ -37,4 +37,6 @@
     console.log(`counterexample (path ${counterexample.path}):`);
     for (const step of counterexample.steps) console.log(JSON.stringify(step));
     for (const violation of counterexample.violations) console.log(violation);
+    if (!('traces' in counterexample)) return;
+    for (const line of counterexample.traces.flat()) console.log(line);
   });
--- a/src/check/pool/zone_run.ts
+++ b/src/check/pool/zone_run.ts
@@ -1,5 +1,8 @@
 import {DeploymentBench} from '../../../test-support/fakes/pool/deployment_bench.js';
+import {CoreFaults} from './core_faults.js';
 import {JobCallers} from './job_callers.js';
+import {MessageFaults} from './message_faults.js';
+import {traceTask} from './trace_task.js';
 import type {ZoneStep} from './zone_step.js';
 
 /** Time in which all zones are granted, and in which there is a leader. */
@@ -14,8 +17,13 @@
   zones: [60, 900, 200],
   leader: [60, 900, 200, 60, 2_600, 200, 60],
 };
-/** Time that callers wait beyond the run time. */
+/** One job in this many takes longer than its caller says. */
+const UNDERSTATED_EVERY = 2;
+const UNDERSTATED_MS = 200;
+/** Time that callers wait beyond the run time that they expect. */
 const WAIT_MS = 1_400;
+/** Time in which the last runs end once all jobs are answered. */
+const LAST_RUNS_MS = 3_000;
 const ZONES = ['x', 'y', 'z'];
 /** Deployments with a dispatcher per zone, and with one for all zones. */
 const DEPLOYMENTS = {
@@ -30,6 +38,8 @@
  */
 export class ZoneRun {
   readonly violations: string[] = [];
+  /** What happened to each task of which two runs overlapped. */
+  readonly traces: string[][] = [];
   private readonly bench: DeploymentBench;
   /** Callers that send their job again, by its id. */
   private readonly callers: JobCallers;
@@ -38,11 +48,16 @@
   private readonly starts = new Map<string, number[]>();
   private nextSubmit = 0;
   private jobs = 0;
-  private orders = 0;
+  private readonly faults: MessageFaults;
+  private readonly coreFaults: CoreFaults;
 
   constructor(private readonly mode: keyof typeof DEPLOYMENTS = 'zones') {
     this.bench = new DeploymentBench(DEPLOYMENTS[mode]);
     this.callers = new JobCallers(this.bench);
+    this.faults = new MessageFaults(this.bench, ZONES);
+    this.coreFaults = new CoreFaults(this.bench, (ms, heal) =>
+      this.after(ms, heal),
+    );
   }
 
   get submitted(): number {
@@ -73,10 +88,11 @@
       this.callers.submit(id, `${id}-last`, {patienceMs: WAIT_MS});
     }
     const end = bench.now + JobCallers.MAX_WAIT_MS;
-    while (bench.now < end) {
+    while (bench.now < end && this.callers.hasOpenCalls) {
       await bench.run(20);
       this.callers.tick();
     }
+    await bench.run(LAST_RUNS_MS);
     this.check();
   }
 
@@ -127,24 +143,29 @@
         bench.linkDelayMs.set(id, step.delayMs);
         return this.after(step.forMs, () => bench.linkDelayMs.delete(id));
       }
-      case 'faulty_orders': {
-        const {fault, every, lateMs} = step;
-        bench.orderFault = () => {
-          this.orders += 1;
-          if (this.orders % every !== 0) return 'ok';
-          return fault === 'late' ? {lateMs} : fault;
-        };
-        return this.after(step.forMs, () => {
-          bench.orderFault = () => 'ok';
-        });
+      case 'faulty_orders':
+      case 'lose_messages':
+      case 'lose_orders':
+        return this.after(step.forMs, this.faults.begin(step));
+      case 'backlog': {
+        const {isCore, node, delayMs, forMs} = step;
+        const id = isCore ? this.coreOf(node) : this.entryOf(node);
+        if (!isCore) this.callers.disturb(id);
+        bench.backlogMs.set(id, delayMs);
+        return this.after(forMs, () => bench.backlogMs.delete(id));
       }
+      case 'lose_cores':
+        return this.coreFaults.loseAll(
+          step.forMs,
+          step.zone === null ? undefined : ZONES[step.zone],
+        );
       case 'crash_workers':
         [...bench.workers.values()].forEach((worker, n) => {
           if (n % step.every === 0) worker.restart();
         });
         return;
       default:
-        this.stop(step.kind, this.coreOf(step.core), step.forMs);
+        this.coreFaults.stop(step.kind, this.coreOf(step.core), step.forMs);
     }
   }
 
@@ -156,27 +177,6 @@
     }
   }
 
-  private stop(
-    kind: 'kill' | 'suspend' | 'drain',
-    id: string,
-    forMs: number,
-  ): void {
-    const {bench} = this;
-    const isUp = bench.cores.get(id)?.clock.isSuspended === false;
-    if (!isUp || bench.isClosed(id)) return;
-    if (kind === 'suspend') {
-      bench.suspend(id);
-      this.after(forMs, () => bench.resume(id));
-      return;
-    }
-    if (kind === 'drain') {
-      bench.announceDrain(id);
-      bench.close(id);
-      this.after(700, () => bench.kill(id));
-    } else bench.kill(id);
-    this.after(700 + forMs, () => bench.startCore(id));
-  }
-
   private stopEntry(
     kind: 'kill_entry' | 'suspend_entry' | 'cut_entry',
     id: string,
@@ -198,8 +198,9 @@
       this.after(forMs, () => bench.entries.has(id) && bench.resume(id));
       return;
     }
-    callers.disconnect(id);
+    // A process that is killed sends no drops.
     bench.kill(id);
+    callers.disconnect(id);
     this.after(700 + forMs, () => bench.startEntry(id));
   }
 
@@ -251,7 +252,9 @@
 
   private submit(entry: string): void {
     this.jobs += 1;
-    const estimatedMs = this.runMsOf(this.jobs);
+    const runMs = this.runMsOf(this.jobs);
+    const isUnderstated = this.jobs % UNDERSTATED_EVERY === 0;
+    const estimatedMs = isUnderstated ? Math.min(runMs, UNDERSTATED_MS) : runMs;
     this.callers.submit(entry, `${entry}-${this.jobs}`, {
       tasks: 1 + (this.jobs % 4),
       estimatedMs,
@@ -286,6 +289,7 @@
     const {log, entries} = this.bench;
     for (const task of log.overlaps()) {
       this.violations.push(`${task}: two runs at the same time`);
+      this.traces.push([task, ...traceTask(this.bench, task)]);
     }
     for (const id of this.callers.unanswered) {
       this.violations.push(`${id}: no answer`);
--- a/src/check/pool/zone_step.ts
+++ b/src/check/pool/zone_step.ts
@@ -1,3 +1,5 @@
+import type {PoolMessage} from '../../core/pool/node/pool_message.js';
+
 /** One step of a generated history of a deployment with zones, after `waitMs`. */
 export type ZoneStep = {readonly waitMs: number} &
   /** A core node ends without notice; another process starts later. */
@@ -82,6 +84,42 @@
         readonly lateMs: number;
         readonly forMs: number;
       }
+    /** Messages of a kind between nodes are lost. */
+    | {
+        readonly kind: 'lose_messages';
+        readonly message:
+          'submit' | Exclude<keyof typeof PoolMessage, 'presence'>;
+        /** One in this many messages of the kind is lost. */
+        readonly every: number;
+        readonly forMs: number;
+      }
+    /** Orders of a kind to the workers of a zone are lost, or the replies. */
+    | {
+        readonly kind: 'lose_orders';
+        readonly call: 'start' | 'stop' | 'look';
+        readonly fault: 'order_lost' | 'answer_lost';
+        /** Zone of the workers; null for all zones. */
+        readonly zone: number | null;
+        readonly forMs: number;
+      }
+    /** All messages to a node arrive late while its timers run on time. */
+    | {
+        readonly kind: 'backlog';
+        readonly isCore: boolean;
+        readonly node: number;
+        readonly delayMs: number;
+        readonly forMs: number;
+      }
+    /** All core nodes end without notice; other processes start later. */
+    | {
+        readonly kind: 'lose_cores';
+        readonly forMs: number;
+        /**
+         * Zone whose workers cannot reach the core nodes for a second after that;
+         * null for none.
+         */
+        readonly zone: number | null;
+      }
     /** Workers crash; others start under their ids. */
     | {readonly kind: 'crash_workers'; readonly every: number}
   );
--- a/src/check/pool/zone_steps_arbitrary.ts
+++ b/src/check/pool/zone_steps_arbitrary.ts
@@ -2,6 +2,8 @@
 import type {ZoneStep} from './zone_step.js';
 
 const MAX_STEPS = 9;
+/** Time for which faults go on that begin before a loss of all core nodes. */
+const OUTAGE_MS = 4_000;
 const CORES = 6;
 const ZONES = 3;
 
@@ -106,6 +108,57 @@
   every: fc.integer({min: 1, max: 12}),
 });
 
+const someZone = fc.option(fc.nat({max: ZONES - 1}));
+const loseMessages = fc.record({
+  kind: fc.constant('lose_messages' as const),
+  waitMs,
+  message: fc.constantFrom(
+    'drop' as const,
+    'drop' as const,
+    'answer' as const,
+    'book' as const,
+    'redirect' as const,
+    'unclear' as const,
+    'unknown' as const,
+    'poll' as const,
+    'submit' as const,
+  ),
+  every: fc.integer({min: 1, max: 3}),
+  forMs,
+});
+const loseOrders = fc
+  .record({
+    waitMs,
+    order: fc.constantFrom(
+      {call: 'stop', fault: 'order_lost'} as const,
+      {call: 'stop', fault: 'order_lost'} as const,
+      {call: 'stop', fault: 'answer_lost'} as const,
+      {call: 'start', fault: 'answer_lost'} as const,
+      {call: 'look', fault: 'answer_lost'} as const,
+    ),
+    zone: someZone,
+    forMs,
+  })
+  .map(({order, ...step}) => ({
+    kind: 'lose_orders' as const,
+    ...step,
+    ...order,
+  }));
+const backlog = fc.record({
+  kind: fc.constant('backlog' as const),
+  waitMs,
+  isCore: fc.boolean(),
+  node: entry,
+  delayMs: fc.integer({min: 100, max: 900}),
+  forMs: fc.integer({min: 1_000, max: 5_000}),
+});
+const loseCores = fc.record({
+  kind: fc.constant('lose_cores' as const),
+  waitMs,
+  forMs: fc.integer({min: 2_500, max: 6_000}),
+  zone: someZone,
+});
+
 const burst = fc.record({
   kind: fc.constant('burst' as const),
   waitMs: fc.integer({min: 0, max: 300}),
@@ -119,6 +172,10 @@
   {weight: 1, arbitrary: cutCores},
   {weight: 2, arbitrary: cutWorkers},
   {weight: 4, arbitrary: burst},
+  {weight: 4, arbitrary: loseMessages},
+  {weight: 3, arbitrary: loseOrders},
+  {weight: 4, arbitrary: backlog},
+  {weight: 4, arbitrary: loseCores},
 ];
 const nodeSteps = [
   {weight: 4, arbitrary: entryFault},
@@ -130,13 +187,48 @@
   {weight: 1, arbitrary: crashWorkers},
 ];
 
+/**
+ * A loss of all core nodes under faults of messages, with connections that break
+ * before and after the return of the core nodes.
+ */
+const outage = fc
+  .tuple(
+    fc.array(fc.oneof(backlog, loseMessages, loseOrders), {
+      minLength: 1,
+      maxLength: 4,
+    }),
+    loseCores,
+    fc.array(
+      fc.oneof(
+        {weight: 6, arbitrary: disconnect},
+        {weight: 2, arbitrary: entryFault},
+        {weight: 1, arbitrary: backlog},
+        {weight: 1, arbitrary: loseMessages},
+        {weight: 1, arbitrary: loseOrders},
+      ),
+      {minLength: 1, maxLength: MAX_STEPS},
+    ),
+  )
+  .map(([before, loss, after]) => [
+    ...before.map(step => ({...step, forMs: step.forMs + OUTAGE_MS})),
+    loss,
+    ...after,
+  ]);
+
+function createArbitrary(
+  steps: Array<{weight: number; arbitrary: fc.Arbitrary<ZoneStep>}>,
+): fc.Arbitrary<ZoneStep[]> {
+  const ordinary = fc.array(fc.oneof(...steps), {
+    minLength: 1,
+    maxLength: MAX_STEPS,
+  });
+  return fc.oneof(ordinary, outage);
+}
+
 /** Generates the faults and the bursts of a history. */
 export const zoneStepsArbitrary: Readonly<
   Record<'zones' | 'leader', fc.Arbitrary<ZoneStep[]>>
 > = {
-  zones: fc.array(fc.oneof(...zoneSteps), {minLength: 1, maxLength: MAX_STEPS}),
-  leader: fc.array(fc.oneof(...zoneSteps, ...nodeSteps), {
-    minLength: 1,
-    maxLength: MAX_STEPS,
-  }),
+  zones: createArbitrary(zoneSteps),
+  leader: createArbitrary([...zoneSteps, ...nodeSteps]),
 };
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -177,11 +177,9 @@
       patienceMs: 1_500,
       ...opts,
     });
-    const answers = this.log.answers.get(id) ?? [];
-    this.log.answers.set(id, answers);
-    this.log.submittedAt.set(id, this.now);
+    this.log.recordSubmit(id, entry, this.now);
     const respond = this.callers.add(id, entry, answer =>
-      answers.push({...answer, at: this.now}),
+      this.log.recordAnswer(id, entry, answer, this.now),
     );
     const {clock, gateway} = this.entries.get(entry)!;
     clock.receive(() => gateway.submit({host, path, job, patienceMs}, respond));
@@ -190,6 +188,7 @@
   /** Breaks the connection over which a job was submitted. */
   disconnectCaller(id: string): void {
     const caller = this.callers.remove(id);
+    if (caller) this.log.recordRequestEnd(id, caller.entry, this.now);
     const node = caller && this.entries.get(caller.entry);
     node?.clock.receive(() => node.gateway.drop(id, caller!.respond));
   }
@@ -331,6 +330,7 @@
       if (this.isCut(worker, id)) return 'answer_lost';
       return this.orderFault(call, worker);
     };
+    client.onOrder = this.log.createOrderListener(id, () => this.now);
     return {
       node: id,
       zone,
--- a/test-support/fakes/pool/deployment_links.ts
+++ b/test-support/fakes/pool/deployment_links.ts
@@ -4,6 +4,8 @@
 export abstract class DeploymentLinks {
   /** Delay of all messages from and to a node, in ms. */
   readonly linkDelayMs = new Map<string, number>();
+  /** Delay of all messages to a node, in ms; its timers run on time. */
+  readonly backlogMs = new Map<string, number>();
   protected readonly zoneOf = new Map<string, string>();
   private readonly cut = new Set<string>();
 
@@ -45,6 +47,7 @@
 
   protected delayMs(a: string, b: string): number {
     const delays = this.linkDelayMs;
-    return ONE_WAY_MS + (delays.get(a) ?? 0) + (delays.get(b) ?? 0);
+    const backlogMs = this.backlogMs.get(b) ?? 0;
+    return ONE_WAY_MS + (delays.get(a) ?? 0) + (delays.get(b) ?? 0) + backlogMs;
   }
 }
--- a/test-support/fakes/pool/deployment_log.ts
+++ b/test-support/fakes/pool/deployment_log.ts
@@ -1,6 +1,7 @@
 import type {PoolAnswer} from '../../../src/core/pool/job/pool_answer.js';
 import type {PoolObserver} from '../../../src/core/pool/pool_observer.js';
 import type {FakePoolWorker} from './fake_pool_worker.js';
+import type {FakeWorkerClient} from './fake_worker_client.js';
 
 interface Event {
   readonly at: number;
@@ -9,12 +10,28 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
+/** An order to start or stop a run, as a node has sent it. */
+interface Order {
+  readonly at: number;
+  readonly node: string;
+  readonly call: 'start' | 'stop';
+  readonly worker: string;
+  readonly task: string;
+  readonly run: number;
+  readonly token: number;
+  /** `ok`, or what happened to the order on its way. */
+  readonly fault: string;
+}
+
 /** What happened to the jobs of a deployment, with times since its start. */
 export class DeploymentLog {
   readonly events: Event[] = [];
+  readonly orders: Order[] = [];
   /** Answers that the callers of each job received. */
   readonly answers = new Map<string, Array<PoolAnswer & {at: number}>>();
+  /** Times of the last requests of jobs, and of the first ones. */
   readonly submittedAt = new Map<string, number>();
+  readonly firstSubmittedAt = new Map<string, number>();
 
   constructor(private readonly workers: ReadonlyMap<string, FakePoolWorker>) {}
 
@@ -31,6 +48,55 @@
     };
   }
 
+  /** Creates a listener that records the orders of a node to workers. */
+  createOrderListener(
+    node: string,
+    now: () => number,
+  ): FakeWorkerClient['onOrder'] {
+    return (call, worker, {task, run, token}, faultOrOk) => {
+      const fault = typeof faultOrOk === 'string' ? faultOrOk : 'late';
+      this.orders.push({
+        at: now(),
+        node,
+        call,
+        worker,
+        task,
+        run,
+        token,
+        fault,
+      });
+    };
+  }
+
+  recordSubmit(job: string, entry: string, at: number): void {
+    if (!this.answers.has(job)) {
+      this.answers.set(job, []);
+      this.firstSubmittedAt.set(job, at);
+    }
+    this.submittedAt.set(job, at);
+    this.recordRequest('request_sent', job, entry, at);
+  }
+
+  recordAnswer(job: string, entry: string, answer: PoolAnswer, at: number) {
+    this.answers.get(job)!.push({...answer, at});
+    this.recordRequest('request_answered', job, entry, at, {kind: answer.kind});
+  }
+
+  /** Records that a request ended without an answer. */
+  recordRequestEnd(job: string, entry: string, at: number): void {
+    this.recordRequest('request_ended', job, entry, at);
+  }
+
+  private recordRequest(
+    event: string,
+    job: string,
+    node: string,
+    at: number,
+    fields = {},
+  ): void {
+    this.events.push({at, node, event, fields: {job, ...fields}});
+  }
+
   answerOf(id: string): PoolAnswer['kind'] | undefined {
     return this.answers.get(id)?.at(-1)?.kind;
   }
--- a/test-support/fakes/pool/fake_worker_client.ts
+++ b/test-support/fakes/pool/fake_worker_client.ts
@@ -20,6 +20,18 @@
   /** Chooses the fault of each call. */
   faultOf: (call: Call, worker: string) => Fault = () => 'ok';
 
+  /** Called with each order to start or stop a run, and its fault. */
+  onOrder: (
+    call: 'start' | 'stop',
+    worker: string,
+    order: {
+      readonly task: string;
+      readonly run: number;
+      readonly token: number;
+    },
+    fault: Fault,
+  ) => void = () => undefined;
+
   constructor(
     private readonly clock: Clock,
     private readonly workers: ReadonlyMap<string, FakePoolWorker>,
@@ -31,20 +43,32 @@
   }
 
   override start: WorkerClient['start'] = (target, order, timeoutMs) =>
-    this.call('start', target.id, timeoutMs, worker => {
-      const reason = worker.start(order);
-      return reason
-        ? {kind: 'refused', reason}
-        : {kind: 'ok', clockMs: worker.clockMs};
-    });
+    this.call(
+      'start',
+      target.id,
+      timeoutMs,
+      worker => {
+        const reason = worker.start(order);
+        return reason
+          ? {kind: 'refused', reason}
+          : {kind: 'ok', clockMs: worker.clockMs};
+      },
+      fault => this.onOrder('start', target.id, order, fault),
+    );
 
   override stop: WorkerClient['stop'] = (target, order, timeoutMs) =>
-    this.call('stop', target.id, timeoutMs, worker => {
-      const reason = worker.stop(order);
-      return reason
-        ? {kind: 'refused', reason}
-        : {kind: 'ok', clockMs: worker.clockMs};
-    });
+    this.call(
+      'stop',
+      target.id,
+      timeoutMs,
+      worker => {
+        const reason = worker.stop(order);
+        return reason
+          ? {kind: 'refused', reason}
+          : {kind: 'ok', clockMs: worker.clockMs};
+      },
+      fault => this.onOrder('stop', target.id, order, fault),
+    );
 
   override poll: WorkerClient['poll'] = async (target, order, timeoutMs) => {
     const worker = this.workers.get(target.id);
@@ -88,9 +112,11 @@
     id: string,
     timeoutMs: number,
     act: (worker: FakePoolWorker) => T,
+    onFault: (fault: Fault) => void = () => undefined,
   ): Promise<T | {kind: 'lost'; detail: string; isRefused?: boolean}> {
     this.calls.push({call, worker: id});
     const fault = this.faultOf(call, id);
+    onFault(fault);
     const worker = this.workers.get(id);
     await this.sleep(this.delayMs);
     if (this.crashed.has(id) && fault === 'ok') {
--- a/test-support/fakes/pool/pool_network.ts
+++ b/test-support/fakes/pool/pool_network.ts
@@ -15,6 +15,8 @@
   isConnected: (from: string, to: string) => boolean = () => true;
   /** Time that a message from one node to another takes, in ms. */
   delayMs: (from: string, to: string) => number = () => ONE_WAY_MS;
+  /** Whether a message is lost although the nodes are connected. */
+  isLost: (from: string, to: string, kind: string) => boolean = () => false;
   /** Changes the messages from one node to another, as an older process would. */
   translate: (from: string, to: string, body: unknown) => unknown = (
     _from,
@@ -76,6 +78,7 @@
   }
 
   override send(node: string, kind: string, body: unknown): void {
+    if (this.network.isLost(this.node, node, kind)) return;
     this.network.deliver(this, node, body, (receiver, decoded) => {
       const handler = receiver.messageHandlers.get(kind);
       handler?.(this.node, decoded, receiver.clock.now());
