--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -4,16 +4,23 @@
 import type {RoutingTable} from '../../routing/routing_table.js';
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import {AnswerCache} from '../job/answer_cache.js';
-import type {ZoneGrant} from '../zones/zone_grant.js';
+import type {JobReferral} from '../lending/job_referral.js';
+import type {JobContact} from '../job/job_contact.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
+import {CancelledSubmissions} from './cancelled_submissions.js';
 import {EarlySubmissions} from './early_submissions.js';
-import {OwnerContacts} from './owner_contacts.js';
+import {FailoverTiming} from '../node/failover_timing.js';
+import type {ActiveJob} from '../job/active_job.js';
+import type {ReceivedSubmission} from './received_submission.js';
+import {readContactTime} from './read_contact_time.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
 import {PoolSubmission} from '../job/pool_submission.js';
 import {RecentStarts} from '../job/recent_starts.js';
 
+/** Age of a submission from which on it is logged as late. */
+const LATE_SUBMISSION_MS = 500;
 /** Time within which entry nodes submit their open jobs to a new dispatcher. */
 const RESUBMISSION_MS = 1_000;
 
@@ -33,7 +40,6 @@
 export class DispatcherEndpoint {
   private current: PoolDispatcher | undefined;
   private isConfigCurrent: (now: number) => boolean = () => true;
-  private readonly contacts = new OwnerContacts();
   private lastTickAt = Number.NEGATIVE_INFINITY;
   private attachedAt = Number.NEGATIVE_INFINITY;
   private readonly answers = new AnswerCache();
@@ -41,9 +47,13 @@
   private readonly unclear = new RecentStarts();
   /** Jobs that need a newer configuration than this node has. */
   private readonly early = new EarlySubmissions();
+  /** Outlasts a dispatcher of this node, and is kept on nodes without one. */
+  private readonly cancelled: CancelledSubmissions;
 
   constructor(private readonly opts: DispatcherEndpointOptions) {
-    const {peers} = opts;
+    const {peers, routing} = opts;
+    const isConfigCurrent = (now: number) => this.isConfigCurrent(now);
+    this.cancelled = new CancelledSubmissions({routing, isConfigCurrent});
     peers.onMessage('pool.submit', (from, body, now) =>
       this.onSubmit(from, body, now),
     );
@@ -63,6 +73,10 @@
         this.current?.recordUnclear(id, from);
       }
     });
+    peers.onMessage('pool.cancelled', (_from, body, now) => {
+      if (!v.is(PoolMessage.cancelled, body)) return;
+      for (const id of body.ids) this.cancel(id, now);
+    });
     peers.onRequest('pool.ask', (_from, body) =>
       Promise.resolve(this.onQuery(body)),
     );
@@ -90,7 +104,6 @@
     this.isConfigCurrent = isConfigCurrent;
     this.attachedAt = this.lastTickAt = this.opts.clock.now();
     this.answers.clear();
-    this.contacts.clear();
   }
 
   close(): void {
@@ -102,29 +115,30 @@
   tick(now: number): void {
     const {current} = this;
     if (!current) return;
-    this.dropJobsOfSilentOwners(current, now);
+    this.dropSilentJobs(current, now);
     this.lastTickAt = now;
-    for (const [owner, submission] of this.early.take(this.revision, now)) {
-      // The jobs of a lost entry node have just been dropped.
-      if (!this.contacts.isLost(owner, now)) current.submit(owner, submission);
+    for (const early of this.early.take(this.revision, now)) {
+      if (!isLost(early, now)) this.pass(current, early, now);
     }
     current.tick(now);
     this.answers.expire(now);
   }
 
-  private dropJobsOfSilentOwners(current: PoolDispatcher, now: number): void {
-    const jobsByOwner = new Map<string, number>();
-    current.dropJobsOfOwners(owner => {
-      if (!this.contacts.isLost(owner, now)) return false;
-      jobsByOwner.set(owner, (jobsByOwner.get(owner) ?? 0) + 1);
+  /** Drops jobs that their entry nodes have not stated to hold in time. */
+  private dropSilentJobs(current: PoolDispatcher, now: number): void {
+    const jobsByOwner = new Map<string, ActiveJob[]>();
+    current.dropJobs(job => {
+      if (!isLost(job, now)) return false;
+      const jobs = jobsByOwner.get(job.owner) ?? [];
+      jobsByOwner.set(job.owner, [...jobs, job]);
       return true;
     });
     for (const [owner, jobs] of jobsByOwner) {
-      const silentMs = this.contacts.silentMs(owner, now);
+      const contactAt = Math.min(...jobs.map(job => job.contactAt));
       this.opts.observer.recordStateChange('owner_silent', {
         owner,
-        jobs,
-        silent_ms: silentMs === undefined ? undefined : Math.round(silentMs),
+        jobs: jobs.length,
+        silent_ms: Math.round(now - contactAt),
         // A late tick breaks the bound on the silence.
         since_tick_ms: Math.round(now - this.lastTickAt),
         token: current.token,
@@ -144,22 +158,56 @@
   }
 
   /** Tells the entry node of a job to which dispatcher it was moved. */
-  redirect(owner: string, id: string, to: ZoneGrant): void {
+  redirect(owner: string, id: string, to: JobReferral): void {
     this.opts.peers.send(owner, 'pool.redirect', {id, ...to});
   }
 
   private onSubmit(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolSubmission, body)) return;
-    this.contacts.record(from, body.claimStatedAt, now);
+    const contactAt = readContactTime(body, now) ?? now;
     // The message was late. An entry node that still waits submits the job again,
     // since its next poll finds that it is unknown.
-    if (this.contacts.isLost(from, now)) return;
+    if (isLost({contactAt}, now)) return;
+    this.recordLateness(from, body, now);
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(body.job.id);
     const isEarly = this.revision < (body.revision ?? 0);
-    if (isEarly && !current.has(body.job.id)) this.early.add(from, body, now);
-    else current.submit(from, body);
+    const received = {owner: from, submission: body, contactAt};
+    if (isEarly && !current.has(body.job.id)) this.early.add(received, now);
+    else this.pass(current, received, now);
+  }
+
+  /** Passes a job to the dispatcher, unless it was cancelled. */
+  private pass(
+    current: PoolDispatcher,
+    {owner, submission, contactAt}: ReceivedSubmission,
+    now: number,
+  ): void {
+    const {id} = submission.job;
+    const answer = this.cancelled.answerTo(submission, now);
+    if (!answer) return current.submit(owner, submission, contactAt);
+    const fields = {owner, answer: answer.kind};
+    this.opts.observer.recordJobEvent('cancelled_job_submitted', id, fields);
+    this.answer(owner, id, answer);
+  }
+
+  /**
+   * Logs a submission that was late on its way, or whose entry node has not heard
+   * this dispatcher for a while: its caller may have gone since.
+   */
+  private recordLateness(
+    owner: string,
+    {job, claimStatedAt}: PoolSubmission,
+    now: number,
+  ): void {
+    const ageMs = now - (claimStatedAt ?? now);
+    if (ageMs < LATE_SUBMISSION_MS) return;
+    this.opts.observer.recordJobEvent('submission_late', job.id, {
+      owner,
+      claim_age_ms: Math.round(ageMs),
+      token: this.current?.token,
+    });
   }
 
   /** Revision of the queue configuration in force; -1 before the first one. */
@@ -170,9 +218,13 @@
   private onPoll(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolMessage.poll, body)) return;
-    this.contacts.record(from, body.claimStatedAt, now);
+    const contactAt = readContactTime(body, now);
     const unknown: string[] = [];
     for (const id of body.ids) {
+      if (contactAt !== undefined) {
+        current.recordContact(from, id, contactAt);
+        this.early.recordContact(from, id, contactAt);
+      }
       const known = this.answers.get(id);
       if (known) {
         this.opts.peers.send(from, 'pool.answer', {id, answer: known});
@@ -197,15 +249,33 @@
     return found || mayDeny ? {found} : undefined;
   }
 
+  /**
+   * Cancels a job, also one that is yet to be submitted here; returns whether it
+   * is known.
+   */
+  private cancel(id: string, now: number): boolean {
+    this.cancelled.add(id, now);
+    const owner = this.early.ownerOf(id);
+    if (owner === undefined) return this.current?.cancel(id) ?? false;
+    this.early.delete(id);
+    this.answer(owner, id, {kind: 'cancelled'});
+    return true;
+  }
+
   private onQuery(body: unknown): unknown {
     const {current} = this;
     const table = this.opts.routing();
-    if (!current || !table || !v.is(PoolMessage.ask, body)) return undefined;
+    if (!v.is(PoolMessage.ask, body)) return undefined;
+    const isFound =
+      body.kind === 'cancel' && this.cancel(body.id, this.opts.clock.now());
+    if (!current || !table) return undefined;
     switch (body.kind) {
       case 'cancel':
-        return this.findOrUndefined(current.cancel(body.id));
+        return this.findOrUndefined(isFound);
       case 'state':
-        return this.findOrUndefined(current.has(body.id));
+        return this.findOrUndefined(
+          current.has(body.id) || this.early.has(body.id),
+        );
       case 'pending': {
         const queue = table.find(body.host, body.path);
         const {revision} = this;
@@ -222,3 +292,7 @@
     }
   }
 }
+
+function isLost({contactAt}: JobContact, now: number): boolean {
+  return now - contactAt > FailoverTiming.OWNER_TIMEOUT_MS;
+}
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -5,11 +5,13 @@
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import type {PoolJob} from '../job/pool_job.js';
+import {CancelNotifier} from './cancel_notifier.js';
 import type {OpenJob} from './open_job.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
 import {maxWaitMs} from './max_wait_ms.js';
 import {pollCutoffMs} from './poll_cutoff_ms.js';
 import {queryDispatchers} from './query_dispatchers.js';
+import {recordCaller} from './record_caller.js';
 import {recordResubmission} from './record_resubmission.js';
 import {sendUnclear} from './send_unclear.js';
 import {Settling} from './settling.js';
@@ -55,10 +57,12 @@
   private readonly jobs = new Map<string, OpenJob>();
   private nextPoll = 0;
   private readonly contacts: ZoneContacts;
+  private readonly cancels: CancelNotifier;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
     this.contacts = new ZoneContacts({...opts, openJobs: () => this.jobs.size});
+    this.cancels = new CancelNotifier(opts);
     peers.onMessage('pool.answer', (from, body) => {
       if (!v.is(PoolMessage.answer, body)) return;
       this.onAnswer(from, body.id, body.answer);
@@ -92,7 +96,7 @@
     const {id} = req.job;
     const known = this.jobs.get(id);
     if (known) {
-      this.recordCaller('job_sent_again', known, now);
+      recordCaller(this.opts.observer, 'job_sent_again', known, now);
       known.respond({kind: 'given_up', reason: 'replaced by a resubmission'});
       known.respond = respond;
       return;
@@ -122,7 +126,8 @@
     const job = this.jobs.get(id);
     if (!job || job.respond !== respond) return;
     this.jobs.delete(id);
-    this.recordCaller('caller_gone', job, this.opts.clock.now());
+    const {observer, clock} = this.opts;
+    recordCaller(observer, 'caller_gone', job, clock.now());
     this.sendDrop(job, 'caller_gone');
     sendUnclear(job, this.opts);
   }
@@ -131,10 +136,15 @@
   query(
     request: Parameters<typeof queryDispatchers>[1],
   ): ReturnType<typeof queryDispatchers> {
+    if (request.kind === 'cancel') {
+      this.cancels.record(request.id, this.opts.clock.now());
+    }
     return queryDispatchers(this.opts, request);
   }
 
   tick(now: number): void {
+    // A new dispatcher has to know the cancels before jobs are submitted again.
+    this.cancels.tick(now);
     const zones = new Set([this.opts.zone]);
     for (const {zone} of this.jobs.values()) zones.add(zone);
     for (const zone of zones) this.contacts.update(zone, now);
@@ -167,6 +177,7 @@
         this.opts.clock.now() - this.contacts.of(job.zone).seenAt,
       ),
     });
+    this.sendDrop(job, 'lead_lost');
     this.respondTo(job.id, {kind: 'given_up', reason: 'lead_lost'});
   }
 
@@ -175,17 +186,11 @@
       this.refuse(job, 'no_lead');
       return;
     }
-    this.sendDrop(job, 'deadline');
-    this.respondTo(job.id, {kind: 'given_up', reason: 'deadline'});
-  }
-
-  /** Logs what the caller of a job did while it was open. */
-  private recordCaller(event: string, job: OpenJob, now: number): void {
-    this.opts.observer.recordJobEvent(event, job.id, {
-      after_ms: Math.round(now - job.arrivedAt),
-      lead: job.assignedTo?.node,
-      token: job.assignedTo?.token,
-    });
+    const reason = 'deadline';
+    const {observer, clock} = this.opts;
+    recordCaller(observer, 'job_deadline', job, clock.now());
+    this.sendDrop(job, reason);
+    this.respondTo(job.id, {kind: 'given_up', reason});
   }
 
   private refuse(job: OpenJob, reason: string): void {
@@ -286,7 +291,7 @@
   /** Submits a job to another zone; only its dispatcher moves it, and only once. */
   private onRedirect(
     from: string,
-    {id, ...grant}: v.InferOutput<typeof PoolMessage.redirect>,
+    {id, ...referral}: v.InferOutput<typeof PoolMessage.redirect>,
     now: number,
   ): void {
     const job = this.jobs.get(id);
@@ -295,9 +300,9 @@
       // The home moved the job before another dispatcher of the zone had it.
       return this.onUnknown(from, {ids: [id]}, now);
     }
-    this.opts.directory.claims.recordReferral(grant, now);
+    this.opts.directory.claims.recordReferral(referral, now);
     job.isLent = true;
-    job.zone = grant.zone;
+    job.zone = referral.zone;
     // The job has not been started, so it needs no time to settle.
     job.assignedTo = undefined;
     this.contacts.update(job.zone, now);
@@ -323,7 +328,6 @@
         isBehind = true;
         continue;
       }
-      if (now - job.submittedAt < IN_FLIGHT_MS) continue;
       const ids = idsByClaim.get(claim) ?? [];
       ids.push(job.id);
       idsByClaim.set(claim, ids);
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -1,4 +1,5 @@
 import {FailoverTiming} from './failover_timing.js';
+import type {JobReferral} from '../lending/job_referral.js';
 import type {ZoneGrant} from '../zones/zone_grant.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
 
@@ -103,15 +104,24 @@
 
   /** Nodes that dispatch, as far as this node knows, including fallbacks. */
   dispatchingNodes(now: number): string[] {
+    return [...this.dispatcherTokens(now).keys()];
+  }
+
+  /** Nodes that dispatch, each with the fencing token of its dispatcher. */
+  dispatcherTokens(now: number): Map<string, number> {
     const {fallback, leaderClaim: leader} = this;
-    const claims = [...this.holders.values(), fallback, leader];
-    const nodes = claims.flatMap(c => (c && isLive(c, now) ? c.node : []));
+    const tokens = new Map<string, number>();
+    for (const claim of [...this.holders.values(), fallback, leader]) {
+      if (claim && isLive(claim, now)) tokens.set(claim.node, claim.token);
+    }
     const {grants = []} = leader ?? {};
-    if (!leader || grants.length === 0) return [...new Set(nodes)];
+    if (!leader || grants.length === 0) return tokens;
     // The leader sends its claim to entry nodes of granted zones less often, and
     // nobody else tells them about the holders of other zones.
-    const granted = grants.map(({node}) => node);
-    return [...new Set([...nodes, ...granted, leader.node])];
+    for (const {node, token} of [...grants, leader]) {
+      if (!tokens.has(node)) tokens.set(node, token);
+    }
+    return tokens;
   }
 
   /**
@@ -149,14 +159,14 @@
   }
 
   /** Records the dispatcher of another zone that a dispatcher has named. */
-  recordReferral(grant: ZoneGrant, now: number): void {
+  recordReferral({statedAt, ...grant}: JobReferral, now: number): void {
     const leader = this.leaderClaim;
     if (leader?.node === grant.node) {
       const heardAt = Math.max(leader.heardAt, now);
       // Its last claim may have been stated long before.
-      this.leaderClaim = {...leader, heardAt, statedAt: undefined};
+      this.leaderClaim = {...leader, heardAt, statedAt};
     } else if (leader) {
-      this.record({...toClaim(grant, leader), heardAt: now});
+      this.record({...toClaim(grant, leader), heardAt: now, statedAt});
     }
   }
 
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import {WorkerLoss} from '../crashes/worker_loss.js';
 import {PoolAnswer} from '../job/pool_answer.js';
+import {JobReferral} from '../lending/job_referral.js';
 import {Room} from '../lending/room.js';
 import {WorkerReport} from '../registry/worker_report.js';
 import {ZoneFallbacks} from '../registry/zone_fallbacks.js';
@@ -74,6 +75,8 @@
   /** Jobs of a poll that the dispatcher does not know. */
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
+  /** Jobs that were cancelled; copies of their requests must start nothing. */
+  cancelled: v.object({ids}),
   /** Jobs that may have run, and whose callers may send them again anywhere. */
   unclear: v.object({ids}),
   answer: v.object({id: v.string(), answer: PoolAnswer}),
@@ -81,7 +84,7 @@
    * Tells the entry node of a job to submit it to the dispatcher of another zone;
    * the sender has started nothing of it and forgets it.
    */
-  redirect: v.object({id: v.string(), ...ZoneGrant.entries}),
+  redirect: v.object({id: v.string(), ...JobReferral.entries}),
   /** Workers that were lost under tasks of a job, for its resubmission. */
   losses: v.object({id: v.string(), losses: v.array(WorkerLoss)}),
   /** Reports of workers, replicated to nodes that may dispatch next. */
