--- a/src/core/pool/lease/worker_lease.test.ts
+++ b/src/core/pool/lease/worker_lease.test.ts
@@ -46,3 +46,15 @@
   lease.updateClock(10_000, 0, 0);
   assert.isUndefined(lease.extend(10, JobContact.none));
 });
+
+// Guards against a run that counts as lost 60 ms after it was started on a worker
+// whose process is a new one, and is started elsewhere beside it.
+test('a lease may be active when the clock of a new process is read', () => {
+  const lease = new WorkerLease(LEASE_MS);
+  lease.updateClock(10_000, 0, 0);
+  lease.extend(10, JobContact.permanent);
+  lease.reset();
+  lease.updateClock(50, 100, 100);
+  assert.isFalse(lease.isExpired(400));
+  assert.isTrue(lease.isExpired(800));
+});
--- a/src/core/pool/lease/worker_lease.ts
+++ b/src/core/pool/lease/worker_lease.ts
@@ -46,6 +46,8 @@
   /** Stores the clock reading of the reply to an order sent at `sentAt`. */
   updateClock(workerMs: number, sentAt: number, now: number): void {
     if (sentAt < this.sentAt) return;
+    // A lease may be active whose end was not known before the first reading.
+    if (!this.isClockKnown) this.end = workerMs + this.leaseMs;
     this.workerClockMs = workerMs;
     this.sentAt = sentAt;
     this.receivedAt = now;
