Stop unclaimed runs before the lease of their worker is over

Callers saw tasks lapse and run again at a planned change of dispatcher where nothing had failed, if the caller of another run on the same worker had just gone: the lease of a worker is not extended until each of its runs is claimed or has been stopped. Of a lease of 600 ms, 330 ms are left if the earlier dispatcher closed before a poll, and a run was stopped after 300 ms, which takes up to 50 ms and a reply.

Unclaimed runs are now stopped after 200 ms. Entry nodes submit their open jobs as soon as they hear the new claim; a run whose job comes later than that is stopped, and starts again.

Ruled out: extensions for unclaimed runs, which prolong runs whose caller has gone.

--- a/src/core/pool/dispatcher/takeover.test.ts
+++ b/src/core/pool/dispatcher/takeover.test.ts
@@ -1,4 +1,5 @@
 import {assert} from 'chai';
+import {DeploymentBench} from '../../../../test-support/fakes/pool/deployment_bench.js';
 import {PoolBench} from '../../../../test-support/fakes/pool/pool_bench.js';
 
 // A job can be resubmitted before its worker has replied to the first poll.
@@ -214,3 +215,26 @@
   assert.isEmpty(bench.overlaps());
   assert.equal(bench.answers.get('j')?.kind, 'completed');
 });
+
+// Guards against runs that lapse at a planned change of dispatcher since the caller
+// of another run of their worker has gone: the lease is not extended until that run
+// has been stopped, and a worker that was about to be polled has 330 ms left.
+test('runs beside one that no job claims continue', async () => {
+  for (const phaseMs of [220, 250]) {
+    const bench = new DeploymentBench();
+    bench.runMs = 2_000;
+    for (const worker of bench.workers.values()) worker.stopMs = 50;
+    await bench.run(6_000);
+    const ids = Array.from({length: 90}, (_, n) => `j${n}`);
+    const job = {estimatedMs: bench.runMs, patienceMs: 8_000};
+    for (const id of ids) bench.submit('ye1', id, job);
+    await bench.run(600 + phaseMs);
+    bench.announceDrain(bench.holders()['y']![0]!);
+    for (const id of ids.slice(0, 30)) bench.disconnectCaller(id);
+    await bench.run(3_000);
+    assert.isAbove(bench.log.count('run_unclaimed'), 0);
+    assert.isEmpty(
+      bench.log.events.filter(({fields}) => fields['how'] === 'lapsed'),
+    );
+  }
+});
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -12,9 +12,10 @@
 const RESUBMISSION_MS = 700;
 /**
  * Time after its report within which a job must claim a run. The lease of its
- * worker is not extended meanwhile, so it must be over before the lease is.
+ * worker is not extended meanwhile and until the run has been stopped; 330 ms of it
+ * are left if the earlier dispatcher closed before a poll.
  */
-const CLAIM_MS = 300;
+const CLAIM_MS = 200;
 /** Time within which all workers report to a new dispatcher. */
 const WORKER_DISCOVERY_MS = 4_000;
 
