--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -62,7 +62,8 @@
     );
     peers.onMessage('pool.drop', (from, body) => {
       if (!v.is(PoolMessage.drop, body)) return;
-      this.early.delete(body.id);
+      // The caller may have sent the job to another entry node meanwhile.
+      if (this.early.ownerOf(body.id) === from) this.early.delete(body.id);
       this.current?.drop(body.id, from, body.reason);
     });
     peers.onMessage('pool.release', (from, body) => {
@@ -136,7 +137,8 @@
     current.dropJobs(job => {
       if (!isLost(job, now)) return false;
       const jobs = jobsByOwner.get(job.owner) ?? [];
-      jobsByOwner.set(job.owner, [...jobs, job]);
+      jobs.push(job);
+      jobsByOwner.set(job.owner, jobs);
       return true;
     });
     for (const [owner, jobs] of jobsByOwner) {
