Keep leases longer than the interval of contacts

With a resend time below 1.05 s the bound by contact would end runs between two contacts, and with 0.1 s or less nothing could start.

--- a/src/core/pool/lease/worker_lease.test.ts
+++ b/src/core/pool/lease/worker_lease.test.ts
@@ -41,6 +41,14 @@
   assert.isUndefined(lease.extend(1_200, {contactAt: 0}));
 });
 
+// Guards against a resend time that is so short that no run could go on.
+test('a lease lasts from one contact to the next', () => {
+  const lease = new WorkerLease(LEASE_MS, 0);
+  lease.updateClock(10_000, 0, 0);
+  assert.equal(lease.extend(300, {contactAt: 0}), 10_900);
+  assert.isAbove(lease.extend(600, {contactAt: 0})!, 10_800);
+});
+
 test('a lease is not extended for a run that no job has claimed', () => {
   const lease = new WorkerLease(LEASE_MS);
   lease.updateClock(10_000, 0, 0);
--- a/src/core/pool/lease/worker_lease.ts
+++ b/src/core/pool/lease/worker_lease.ts
@@ -13,6 +13,12 @@
  */
 const CONTACT_MARGIN_MS = 125;
 
+/**
+ * Least time for which a contact permits a lease, in ms. Contacts are up to 0.5 s
+ * apart, so with less, runs would end between two of them.
+ */
+const MIN_CONTACT_LEASE_MS = 900;
+
 /** Least duration of a lease with which a run is started, in ms. */
 const MIN_START_LEASE_MS = 150;
 
@@ -35,7 +41,8 @@
     private readonly leaseMs: number,
     resendMs: number = LeaseTiming.RESEND_MS,
   ) {
-    this.contactLeaseMs = (resendMs - CONTACT_MARGIN_MS) * MIN_CLOCK_RATE;
+    const permittedMs = (resendMs - CONTACT_MARGIN_MS) * MIN_CLOCK_RATE;
+    this.contactLeaseMs = Math.max(MIN_CONTACT_LEASE_MS, permittedMs);
   }
 
   /** Whether a reading of the worker's clock is available. */
