Poll dispatchers each 0.2 s

With claims each 0.2 s and polls each 0.3 s, the contact of a waiting job could be 0.57 s old where nothing has failed, and a job with a contact older than 0.55 s does not start on a worker whose lease was just extended.

--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -20,8 +20,8 @@
 import type {PoolObserver} from '../pool_observer.js';
 import {retryAfterMs} from '../admission/retry_after.js';
 
-/** Interval at which the dispatcher is polled for open jobs. */
-const POLL_MS = 300;
+/** Interval of polls; contacts stay too young to shorten leases by it. */
+const POLL_MS = 200;
 /** Time for which a submission may be in flight. */
 const IN_FLIGHT_MS = 250;
 /** The caller is answered this long before its deadline. */
