Count votes that arrive after the candidate's next pre-vote

Callers saw no leader for a minute after two disks were lost, with three of five voters there. An election is over, for its candidate, when its timer begins the next pre-vote, though its term is still the current one and votes are on their way. Now an election stays open until the term ends.

Candidacy holds what was in LogMember.

--- a/src/core/config/log/election_timer.ts
+++ b/src/core/config/log/election_timer.ts
@@ -7,6 +7,8 @@
  * gap at its sender, one at its receiver and one for the disk, and back.
  */
 const GAPS_PER_TIMEOUT = 4;
+/** An election takes two disk writes more than the pre-votes before it. */
+const TIMEOUTS_PER_ELECTION = 2;
 /** Timeouts without contact after which a node that was held up waits no longer. */
 const MAX_TIMEOUTS = 2;
 /** Gaps are longer while a process starts, which tells nothing about later ones. */
@@ -23,6 +25,7 @@
   private contactAt = Number.NEGATIVE_INFINITY;
   private leaderHeardAt = Number.NEGATIVE_INFINITY;
   private deadline: number;
+  private isDeferred = false;
 
   constructor(
     private readonly timing: LogTiming,
@@ -59,11 +62,31 @@
     return now >= this.deadline && !this.isCatchingUp(now);
   }
 
+  /**
+   * Leaves another candidate the time for its election; once in each wait, as that
+   * candidate may not hear the votes.
+   */
+  defer(now: number): void {
+    if (this.isDeferred) return;
+    this.isDeferred = true;
+    this.deadline = Math.max(this.deadline, now + this.timeoutMs);
+  }
+
   /** Begins to wait anew, for a random time. */
   restart(now: number): void {
+    this.isDeferred = false;
     this.deadline = now + this.timeoutMs * (1 + this.random.next());
   }
 
+  /** Begins to wait for the votes of an election. */
+  onElectionStarted(now: number): void {
+    const {timeoutMs} = this;
+    // A node that has time reads all votes within one timeout.
+    const isLate = timeoutMs > this.timing.ELECTION_TIMEOUT_MS;
+    const extraMs = isLate ? (TIMEOUTS_PER_ELECTION - 1) * timeoutMs : 0;
+    this.restart(now + extraMs);
+  }
+
   /** Time without contact after which another member counts as silent. */
   get timeoutMs(): number {
     const {ELECTION_TIMEOUT_MS: timeoutMs} = this.timing;
--- a/src/core/config/log/log_member.ts
+++ b/src/core/config/log/log_member.ts
@@ -3,7 +3,8 @@
 import type {ConfigSnapshot} from '../state/config_snapshot.js';
 import type {ConfigState} from '../state/config_state.js';
 import type {LogStore} from '../storage/log_store.js';
-import {Election} from './election.js';
+import {Candidacy} from './candidacy.js';
+import type {Election} from './election.js';
 import {ElectionTimer} from './election_timer.js';
 import {FollowerLog} from './follower_log.js';
 import {LogApplier} from './log_applier.js';
@@ -42,7 +43,7 @@
   private readonly applier: LogApplier;
   private leaderNode: string | undefined;
   private readonly timer: ElectionTimer;
-  private election: Election | undefined;
+  private readonly candidacy: Candidacy;
   private leadership: LogLeader | undefined;
   private readonly follower: FollowerLog;
 
@@ -56,6 +57,9 @@
     this.follower = new FollowerLog(this, opts.store);
     this.applier = new LogApplier(opts.store, opts.snapshotEntries);
     this.timer = new ElectionTimer(this.timing, opts.random, now);
+    this.candidacy = new Candidacy(this, this.timer, (election, at) =>
+      this.lead(election, at),
+    );
     // The state read from disk counts only once it has been written again.
     this.store.whenDurable(() => undefined);
   }
@@ -63,7 +67,7 @@
   get role(): LogRole {
     if (this.store.isFailed) return LogRole.failed;
     if (this.leadership) return LogRole.leader;
-    return this.election ? LogRole.candidate : LogRole.follower;
+    return this.candidacy.isOpen ? LogRole.candidate : LogRole.follower;
   }
 
   get term(): number {
@@ -107,7 +111,7 @@
       state,
     });
     this.restoreFromSnapshot(now);
-    this.store.whenDurable(at => this.startElection(true, false, at));
+    this.store.whenDurable(at => this.candidacy.requestPreVotes(at));
   }
 
   tick(now: number): void {
@@ -120,7 +124,7 @@
     if (!this.timer.isDue(now)) return;
     this.timer.restart(now);
     this.leaderNode = undefined;
-    if (this.canCampaign) this.startElection(true, false, now);
+    if (this.canCampaign) this.candidacy.requestPreVotes(now);
   }
 
   receive(node: string, msg: LogMessage, now: number): void {
@@ -140,12 +144,12 @@
         this.onLeaderMessage(node, msg, now);
         return;
       case 'append_reply':
-        if (msg.term > this.term) this.adoptTerm(msg, now);
+        if (msg.term > this.term) this.storeTerm(msg, now);
         else if (msg.term === this.term) this.leadership?.onReply(msg, now);
         return;
       case 'timeout_now':
         if (msg.term !== this.term || !this.canCampaign) return;
-        this.startElection(false, true, now);
+        this.candidacy.startElection(now, {isTransfer: true});
         return;
       case 'folder_lost':
         this.leadership?.membership.onStorageReported(
@@ -198,7 +202,7 @@
   stepDown(now: number): void {
     const {leadership} = this;
     this.leadership = undefined;
-    this.election = undefined;
+    this.candidacy.end();
     this.leaderNode = undefined;
     this.timer.restart(now);
     leadership?.end();
@@ -213,52 +217,19 @@
     return this.isVoter || voters.some(m => m.storage === this.id.storage);
   }
 
+  /** Adopts a term; the caller writes it, together with what else it stores. */
   private adoptTerm(msg: {term: number; log: string}, now: number): void {
     this.stepDown(now);
     this.store.setTerm({log: msg.log, term: msg.term});
-    this.store.whenDurable(() => undefined);
   }
 
-  private startElection(
-    isPreVote: boolean,
-    isTransfer: boolean,
-    now: number,
-  ): void {
-    const {store} = this;
-    if (this.leadership || store.isFailed) return;
-    const term = this.term + 1;
-    const members = store.members;
-    const election = new Election({isPreVote, term, members, isTransfer});
-    this.election = election;
-    this.timer.restart(now);
-    if (!isPreVote) {
-      store.setTerm({log: store.voteState.log, term, vote: this.id.storage});
-    }
-    store.whenDurable(at => {
-      if (this.election !== election) return;
-      election.addVote(this.id.storage, this.timer.msSinceLeader(at));
-      for (const member of members.voters) {
-        if (member.storage === this.id.storage) continue;
-        this.send<'vote'>(member, {
-          type: 'vote',
-          term,
-          pre: isPreVote,
-          transfer: isTransfer,
-          last_index: store.lastIndex,
-          last_term: store.lastTerm,
-        });
-      }
-      this.checkElection(election, at);
-    });
+  private storeTerm(msg: {term: number; log: string}, now: number): void {
+    this.adoptTerm(msg, now);
+    this.store.whenDurable(() => undefined);
   }
 
-  private checkElection(election: Election, now: number): void {
-    if (this.election !== election || !election.isWon) return;
-    if (election.opts.isPreVote) {
-      this.startElection(false, false, now);
-      return;
-    }
-    this.election = undefined;
+  private lead(election: Election, now: number): void {
+    this.candidacy.end();
     this.leaderNode = this.id.node;
     this.leadership = new LogLeader(this, now, election.msWithoutLeader);
     this.leadership.start(now);
@@ -277,6 +248,7 @@
     if (msg.pre) {
       const granted = msg.term > this.term && isUpToDate;
       const term = granted ? msg.term : this.term;
+      if (granted && !this.candidacy.isOpen) this.timer.defer(now);
       this.send<'vote_reply'>(to, {
         type: 'vote_reply',
         pre: true,
@@ -313,19 +285,10 @@
     now: number,
   ): void {
     if (!msg.granted && msg.term > this.term) {
-      this.adoptTerm(msg, now);
-      return;
-    }
-    const {election} = this;
-    if (!election || !msg.granted) return;
-    if (
-      msg.term !== election.opts.term ||
-      msg.pre !== election.opts.isPreVote
-    ) {
+      this.storeTerm(msg, now);
       return;
     }
-    election.addVote(msg.from, msg.silent_ms ?? 0);
-    this.checkElection(election, now);
+    if (msg.granted) this.candidacy.onVote(msg, now);
   }
 
   private onLeaderMessage(
@@ -341,7 +304,7 @@
     if (msg.term > this.term || this.store.voteState.log === undefined) {
       this.adoptTerm(msg, now);
     }
-    this.election = undefined;
+    this.candidacy.end();
     this.leaderNode = node;
     this.timer.onLeaderHeard(now);
     if (msg.type === 'append') this.follower.onAppend(to, msg, now);
