Send each batch of the log once, and a state in place of the history

Any reply cleared the mark of a batch on its way, also one to a heartbeat sent before it, so on late event loops each of them sent a further copy; and a new member got the log from its first entry on, 64 entries a round trip.

--- a/src/core/config/log/log_applier.ts
+++ b/src/core/config/log/log_applier.ts
@@ -4,6 +4,7 @@
 import {ConfigState} from '../state/config_state.js';
 import type {LogStore} from '../storage/log_store.js';
 import type {LogEntry} from './log_entry.js';
+import type {LogSnapshot} from './log_snapshot.js';
 
 const DEFAULT_SNAPSHOT_ENTRIES = 256;
 
@@ -59,13 +60,19 @@
   compactIfNeeded(): void {
     const {store, applied} = this;
     if (applied - store.baseIndex < this.snapshotEntries) return;
-    store.compact({
+    store.compact(this.createSnapshot());
+    store.whenDurable(() => undefined);
+  }
+
+  /** Snapshot of the applied entries; there must be a state. */
+  createSnapshot(): LogSnapshot {
+    const {store, applied} = this;
+    return {
       index: applied,
       term: store.termAt(applied)!,
       members: store.membersAt(applied),
       state: this.currentState!.toSnapshot(),
-    });
-    store.whenDurable(() => undefined);
+    };
   }
 
   private decide(body: LogEntry['body']): Decision | undefined {
--- a/src/core/config/log/log_leader.ts
+++ b/src/core/config/log/log_leader.ts
@@ -8,9 +8,9 @@
 import type {LogMemberId} from './log_member_id.js';
 import type {LogTiming} from './log_timing.js';
 import {ReplicationProgress} from './replication_progress.js';
+import {LogReplicator} from './log_replicator.js';
 import {MembershipManager} from './membership_manager.js';
 
-const MAX_ENTRIES_PER_MESSAGE = 64;
 /**
  * Limit of uncommitted proposals. Further requests are answered `not_leader`
  * and have no effect.
@@ -37,7 +37,7 @@
     (decision: Decision | undefined) => void
   >();
   private reads: Read[] = [];
-  private round = 0;
+  private readonly replicator: LogReplicator;
   /** Send time of each heartbeat round that a majority has not answered yet. */
   private readonly roundSentAt = new Map<number, number>();
   private lastConfirmedAt: number;
@@ -55,6 +55,7 @@
     readonly msWithoutLeader: number,
   ) {
     this.membership = new MembershipManager(this, member);
+    this.replicator = new LogReplicator(member);
     this.timing = member.timing;
     this.lastConfirmedAt = now;
     this.updateTrackedMembers(now);
@@ -99,7 +100,7 @@
    */
   confirmLeadership(now: number, done: (isCurrent: boolean) => void): void {
     this.sendHeartbeats(now);
-    this.reads.push({round: this.round, done});
+    this.reads.push({round: this.replicator.round, done});
     this.completeReads();
   }
 
@@ -143,8 +144,7 @@
     if (!progress) return;
     progress.lastContactAt = now;
     progress.hasReplied = true;
-    progress.ackedRound = Math.max(progress.ackedRound, msg.round);
-    progress.isInFlight = false;
+    progress.onReply(msg.round);
     if (msg.ok) {
       progress.matchIndex = Math.max(progress.matchIndex, msg.match);
       progress.nextIndex = Math.max(
@@ -152,7 +152,7 @@
         msg.last + 1,
         progress.matchIndex + 1,
       );
-    } else {
+    } else if (!progress.isInFlight) {
       progress.nextIndex = Math.max(progress.matchIndex, msg.last) + 1;
     }
     this.updateLastConfirmed(now);
@@ -163,7 +163,7 @@
     const committed = Math.min(this.member.commitIndex, progress.nextIndex - 1);
     const isBehind =
       progress.nextIndex <= lastIndex || progress.sentCommitIndex < committed;
-    if (isBehind) this.replicate(progress, now);
+    if (isBehind) this.replicator.replicate(progress);
     this.membership.tick(now);
     if (now < this.transferDeadline) this.tryTransfer();
   }
@@ -191,7 +191,7 @@
     store.append([{index, term: this.member.term, body}]);
     if (body.kind === 'members') this.updateTrackedMembers(now);
     for (const progress of this.progress.values()) {
-      if (!progress.isInFlight) this.replicate(progress, now);
+      if (!progress.isInFlight) this.replicator.replicate(progress);
     }
     store.whenDurable(at => {
       if (!this.isEnded) this.updateCommit(at);
@@ -201,56 +201,12 @@
 
   private sendHeartbeats(now: number): void {
     this.nextHeartbeatAt = now + this.timing.HEARTBEAT_MS;
-    this.round += 1;
-    this.roundSentAt.set(this.round, now);
+    this.roundSentAt.set(this.replicator.nextRound(), now);
     for (const progress of this.progress.values()) {
-      this.replicate(progress, now);
+      this.replicator.replicate(progress);
     }
   }
 
-  private replicate(progress: ReplicationProgress, now: number): void {
-    const {store} = this.member;
-    const {round} = this;
-    const needsSnapshot = progress.nextIndex <= store.baseIndex;
-    const waited = now - progress.sentAt;
-    if (
-      needsSnapshot &&
-      !(progress.isInFlight && waited < this.timing.SNAPSHOT_RETRY_MS)
-    ) {
-      progress.isInFlight = true;
-      progress.sentAt = now;
-      const snapshot = store.snapshot!;
-      this.member.send<'snapshot'>(progress.id, {
-        type: 'snapshot',
-        snapshot,
-        round,
-      });
-      return;
-    }
-    const canSend = !progress.isInFlight || waited >= this.timing.HEARTBEAT_MS;
-    const entries =
-      needsSnapshot || !canSend
-        ? []
-        : store.entriesFrom(progress.nextIndex, MAX_ENTRIES_PER_MESSAGE);
-    const prevIndex = needsSnapshot ? store.baseIndex : progress.nextIndex - 1;
-    if (entries.length > 0) {
-      progress.isInFlight = true;
-      progress.sentAt = now;
-    }
-    progress.sentCommitIndex = Math.min(
-      this.member.commitIndex,
-      prevIndex + entries.length,
-    );
-    this.member.send<'append'>(progress.id, {
-      type: 'append',
-      prev_index: prevIndex,
-      prev_term: store.termAt(prevIndex) ?? 0,
-      ...(entries.length > 0 ? {entries} : {}),
-      commit: this.member.commitIndex,
-      round,
-    });
-  }
-
   private updateCommit(now: number): void {
     const {store, commitIndex, id} = this.member;
     const matches = store.members.voters
--- a/src/core/config/log/log_member.ts
+++ b/src/core/config/log/log_member.ts
@@ -11,6 +11,7 @@
 import {LogLeader} from './log_leader.js';
 import type {LogMessage} from './log_message.js';
 import type {LogMemberId} from './log_member_id.js';
+import type {LogSnapshot} from './log_snapshot.js';
 import {LogRole} from './log_role.js';
 import {LogTiming} from './log_timing.js';
 
@@ -193,6 +194,11 @@
     this.applier.compactIfNeeded();
   }
 
+  /** Snapshot of what this member has applied. */
+  createSnapshot(): LogSnapshot {
+    return this.applier.createSnapshot();
+  }
+
   restoreFromSnapshot(now: number): void {
     this.applier.restoreFromSnapshot();
     this.opts.onApplied(this.state!, now);
--- a/src/core/config/log/log_timing.ts
+++ b/src/core/config/log/log_timing.ts
@@ -20,8 +20,6 @@
    * the others sent. Exceeds the interval of ticks.
    */
   readonly CATCH_UP_MS: number;
-  /** A snapshot without a reply is sent again after this time. */
-  readonly SNAPSHOT_RETRY_MS: number;
   /** Time after which a leadership transfer is abandoned. */
   readonly TRANSFER_TIMEOUT_MS: number;
 }
@@ -36,6 +34,5 @@
   ELECTION_TIMEOUT_MS: 2_000,
   FIRST_ELECTION_MS: 2_000,
   CATCH_UP_MS: 500,
-  SNAPSHOT_RETRY_MS: 2_000,
   TRANSFER_TIMEOUT_MS: 1_000,
 };
--- a/src/core/config/log/replication_progress.ts
+++ b/src/core/config/log/replication_progress.ts
@@ -8,12 +8,10 @@
   hasReplied = false;
   /** Highest heartbeat round that the member has answered. */
   ackedRound = 0;
-  /** Whether entries or a snapshot have been sent and not answered yet. */
-  isInFlight = false;
+  /** Round of the entries or the snapshot on their way; 0 if there are none. */
+  inFlightRound = 0;
   /** Highest commit index sent, up to the last entry sent along with it. */
   sentCommitIndex = 0;
-  /** Time at which entries or a snapshot were last sent. */
-  sentAt = 0;
 
   constructor(
     readonly id: LogMemberId,
@@ -22,4 +20,17 @@
     /** Time of the last message from the member. */
     public lastContactAt: number,
   ) {}
+
+  get isInFlight(): boolean {
+    return this.inFlightRound > 0;
+  }
+
+  /**
+   * Records a reply. One to a later message than the batch shows that the batch was
+   * answered or lost, as messages keep their order; earlier ones tell nothing.
+   */
+  onReply(round: number): void {
+    this.ackedRound = Math.max(this.ackedRound, round);
+    if (round >= this.inFlightRound) this.inFlightRound = 0;
+  }
 }
