Keep core nodes that are not voters as learners of the log

Spare nodes are learners now, so that each leader knows them and they have the log, and lost voters catch up at the same time. Changes are still acknowledged only when learners have them in force, so they get them as nodes outside the log do.

Both new tests failed before.

--- a/src/core/config/follower/config_pusher.ts
+++ b/src/core/config/follower/config_pusher.ts
@@ -17,7 +17,7 @@
 /** Election timeouts of silence after which a member gets updates as others do. */
 const SILENT_TIMEOUTS = 2;
 
-/** What the leader knows about a node that does not store the log. */
+/** What the leader knows about a node that is no voter. */
 interface PushProgress {
   /** Highest version that the node has confirmed; undefined before the first one. */
   confirmed: number | undefined;
@@ -45,8 +45,9 @@
 }
 
 /**
- * The leader's side of the distribution to nodes outside the log: sends each
- * version to every node until the node confirms it.
+ * The leader's side of the distribution to nodes other than voters: sends each
+ * version to every node until the node confirms it. Learners of the log are among
+ * them, as a change is acknowledged without their part in the log.
  */
 export class ConfigPusher {
   private readonly progress = new Map<string, PushProgress>();
@@ -125,17 +126,17 @@
     for (const {done} of ended) done();
   }
 
-  /** All nodes but those to which the log itself is replicated at present. */
+  /** All nodes but the voters to which the log itself is replicated at present. */
   private findTargets(
     member: LogMember,
     leader: LogLeader,
     now: number,
   ): string[] {
-    const {voters, learners} = member.store.members;
+    const {voters} = member.store.members;
     const silentMs = SILENT_TIMEOUTS * member.timing.ELECTION_TIMEOUT_MS;
     // A leader that has just been held up has not read its replies yet.
     const isAwake = leader.hasQuorum(now, member.timing.ELECTION_TIMEOUT_MS);
-    const replicated = [...voters, ...learners].filter(id => {
+    const replicated = voters.filter(id => {
       // A node that has lost its disk is silent under its former member id.
       const contactAt = leader.progressOf(id)?.lastContactAt;
       return !isAwake || (contactAt ?? -Infinity) > now - silentMs;
--- a/src/core/config/log/membership_manager.ts
+++ b/src/core/config/log/membership_manager.ts
@@ -87,17 +87,22 @@
       this.proposeMembers(next, now);
       return;
     }
-    if (voters.some(hasStorage) || learners.some(hasStorage)) return;
-    if (replacing) return;
+    if (voters.some(hasStorage)) return;
     const old = voters.find(isAtNode);
-    if (!old) return;
+    const isLearner = learners.some(hasStorage);
+    if (!old && (isLearner || !learners.some(isAtNode))) return;
+    // Voters are replaced one at a time, but catch up at the same time.
+    if (replacing && isLearner) return;
     const rest = learners.filter(m => !isAtNode(m));
-    const next = {
-      voters,
-      learners: [...rest, reported],
-      replacing: {old, next: reported},
-    };
-    this.proposeMembers(next, now);
+    this.proposeMembers(
+      {
+        voters,
+        learners: [...rest, reported],
+        ...(replacing ? {replacing} : {}),
+        ...(old && !replacing ? {replacing: {old, next: reported}} : {}),
+      },
+      now,
+    );
   }
 
   tick(now: number): void {
--- a/src/core/config/log/voter_reconciler.test.ts
+++ b/src/core/config/log/voter_reconciler.test.ts
@@ -1,4 +1,5 @@
 import {assert} from 'chai';
+import {createPlatformConfigBench} from '../../../../test-support/fakes/create_platform_config_bench.js';
 import {ConfigBench} from '../../../../test-support/fakes/config_bench.js';
 
 function votersOf(bench: ConfigBench): string[] {
@@ -120,3 +121,42 @@
     return 'config' in answer && answer.config.document?.revision === 4;
   });
 });
+
+// A new leader knew a spare node only from a poll in its own term, and the spare had
+// nothing of the log, so that a lost voter was replaced late or not at all.
+test('nodes that are not needed as voters have the log as learners', () => {
+  const bench = createPlatformConfigBench({seed: 1, followers: 1});
+  bench.startAll();
+  const members = () =>
+    bench.node(bench.waitForLeader()).logMember!.store.members;
+  bench.waitUntil('six members', () => members().learners.length === 1, 10_000);
+  bench.request('v1', {
+    kind: 'publish',
+    document: {revision: 1, content: 'content'},
+  });
+  bench.clock.advance(200);
+  assert.lengthOf(members().voters, 5);
+  const {logMember} = bench.node(members().learners[0]!.node);
+  assert.equal(logMember!.state!.current.document?.revision, 1);
+});
+
+// The second one had to wait until the first was replaced, which takes seconds on an
+// overloaded machine.
+test('two voters with lost folders catch up at the same time', () => {
+  const bench = createPlatformConfigBench({seed: 1, followers: 1});
+  bench.startAll();
+  const members = () =>
+    bench.node(bench.waitForLeader()).logMember!.store.members;
+  bench.waitUntil('five voters', () => members().voters.length === 5, 10_000);
+  const leader = bench.waitForLeader();
+  const others = members().voters.filter(({node}) => node !== leader);
+  const lost = others.slice(0, 2).map(({node}) => node);
+  for (const id of lost) bench.crashAndWipe(id);
+  for (const id of lost) bench.start(id);
+  bench.waitUntil(
+    'both as learners',
+    () => lost.every(id => members().learners.some(({node}) => node === id)),
+    2_000,
+  );
+  assert.isDefined(members().replacing);
+});
--- a/src/core/config/log/voter_reconciler.ts
+++ b/src/core/config/log/voter_reconciler.ts
@@ -56,7 +56,9 @@
 /**
  * Keeps the number of voters at its target. While this node is the leader, adds
  * nodes with a data folder as learners, promotes learners, and replaces voters
- * that are unreachable or concentrated in one availability zone.
+ * that are unreachable or concentrated in one availability zone. Nodes that are not
+ * needed as voters remain learners, so that every leader knows them and they have the
+ * log when a voter is lost.
  */
 export class VoterReconciler {
   private nextReconcileAt = 0;
@@ -125,7 +127,9 @@
     const old =
       voters.find(v => msSince(v) > REPLACE_VOTER_AFTER_MS) ??
       this.findVoterToMove(member, next);
-    return old && {op: 'replace', old: old.node, next: next.node};
+    if (old) return {op: 'replace', old: old.node, next: next.node};
+    const joining = spares.find(s => !learners.some(l => l.node === s.node));
+    return joining && {op: 'add', node: joining.node};
   }
 
   /** A voter whose zone has at least two more voters than the spare's zone. */
