--- a/src/platform/emulator/emulated_deployment.ts
+++ b/src/platform/emulator/emulated_deployment.ts
@@ -51,6 +51,8 @@
   readonly onStart?: (run: EmulatedRun) => void;
   /** Called with the process and its exit code or signal. */
   readonly onUnexpectedExit?: (process: EmulatedProcess, code: string) => void;
+  /** Further lines of the settings of each process. Default: none. */
+  readonly settings?: readonly string[] | undefined;
   /** Options of the JavaScript engine. */
   readonly nodeOptions?: readonly string[] | undefined;
   /** Folder for a processor profile of each process; none without it. */
@@ -252,7 +254,7 @@
   }
 
   private settingsOf(role: Role, n: number, dataDir: string): string[] {
-    const {zones, lostDisks} = this.opts;
+    const {zones, lostDisks, settings = []} = this.opts;
     const address = this.addressOf(role === 'core' ? 1 : 2, n);
     const port = this.peerPort(role, n);
     return [
@@ -270,6 +272,7 @@
       ...(lostDisks === undefined
         ? []
         : [`fault_tolerance.machines=${lostDisks}`]),
+      ...settings,
     ];
   }
 
--- a/src/platform/emulator/emulated_process.ts
+++ b/src/platform/emulator/emulated_process.ts
@@ -69,6 +69,11 @@
     return this.child !== undefined;
   }
 
+  /** Process id; undefined while the process is not running. */
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
   /** When the last disturbance of these kinds ended; Infinity if it lasts. */
   lastDisturbance(...kinds: readonly Disturbance[]): number {
     const times = kinds.map(kind => this.disturbedUntil.get(kind) ?? 0);
