Bound the memory of request bodies that are being received

Bodies were kept as a list of chunks, a Buffer object each, so that 60 bodies sent byte by byte reached the heap limit of the test; their total could be 256 MiB on a VM that has 250 MB; and over the limit the newest request was refused, an ordinary one, while the stalled ones stayed for 30 s. Bodies are copied into blocks now, which count by their size, all may occupy an eighth of the VM's memory, and the uploads that have lasted longest are refused: 503 with Retry-After, and their connections close.

--- a/src/adapter/http/http_limits.ts
+++ b/src/adapter/http/http_limits.ts
@@ -2,6 +2,8 @@
 export interface HttpLimits {
   /** Open connections; further ones are closed. Default 10,000. */
   readonly maxConnections?: number;
+  /** Memory of all request bodies that are being received. Default 256 MiB. */
+  readonly maxTotalBodyBytes?: number;
   /** Requests after which a connection is closed. Default 100,000. */
   readonly maxRequestsPerConnection?: number;
   /** Timeout for receiving the headers. Default 5,000 ms. */
--- a/src/adapter/http/http_server.ts
+++ b/src/adapter/http/http_server.ts
@@ -49,13 +49,17 @@
  * completes open requests before it stops.
  */
 export class HttpServer {
-  readonly bodies = new JsonBodyReader();
+  readonly bodies: JsonBodyReader;
   private readonly server: Server;
   private readonly app: restana.Service<restana.Protocol.HTTP>;
   private readonly connections: ConnectionTracker;
 
   constructor(private readonly opts: HttpServerOptions) {
     const {limits = {}} = opts;
+    const {maxTotalBodyBytes: maxTotalBytes} = limits;
+    this.bodies = new JsonBodyReader(
+      maxTotalBytes === undefined ? {} : {maxTotalBytes},
+    );
     this.server = createServer({
       headersTimeout: limits.headersTimeoutMs ?? 5_000,
       requestTimeout: limits.requestTimeoutMs ?? 30_000,
--- a/src/adapter/http/json_body_reader.ts
+++ b/src/adapter/http/json_body_reader.ts
@@ -1,27 +1,30 @@
 import type {IncomingMessage} from 'node:http';
 import {Result} from 'true-myth';
+import type {BodyError} from './body_error.js';
+import {BodyBuffer} from './body_buffer.js';
 import {isNestedDeeperThan} from './is_nested_deeper_than.js';
 
 /** Deeper JSON could overflow the stack of recursive encoders downstream. */
 const MAX_DEPTH = 64;
-/** Limits the memory that many slow uploads can occupy in one daemon. */
+/** Limits the memory that many slow uploads can occupy in one process. */
 const DEFAULT_MAX_TOTAL_BYTES = 256 * 1024 * 1024;
 const RETRY_AFTER_MS = 1_000;
 
-interface BodyError {
-  readonly status: 400 | 413 | 503;
-  readonly detail: string;
-  readonly retryAfterMs?: number;
-}
-
 interface JsonBodyReaderOptions {
-  /** Limit of the bytes of all bodies being read. Default 256 MiB. */
+  /** Limit of the memory of all bodies being read. Default 256 MiB. */
   readonly maxTotalBytes?: number;
 }
 
+interface Upload {
+  readonly buffer: BodyBuffer;
+  readonly finish: (result: Result<Buffer, BodyError>) => void;
+}
+
 /** Reads JSON bodies within limits; invalid bodies are returned as errors. */
 export class JsonBodyReader {
-  private bufferedBytes = 0;
+  private occupiedBytes = 0;
+  /** Bodies being read, the oldest first. */
+  private readonly uploads = new Set<Upload>();
   private readonly maxTotalBytes: number;
 
   constructor(opts: JsonBodyReaderOptions = {}) {
@@ -50,27 +53,24 @@
     maxBytes: number,
   ): Promise<Result<Buffer, BodyError>> {
     return new Promise(resolve => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
+      const buffer = new BodyBuffer(maxBytes);
       const finish = (result: Result<Buffer, BodyError>) => {
-        this.bufferedBytes -= bytes;
-        bytes = 0;
+        if (!this.uploads.delete(upload)) return;
+        this.occupiedBytes -= buffer.occupiedBytes;
         req.off('data', onData).off('end', onEnd).off('close', onClose);
         req.resume();
         resolve(result);
       };
+      const upload = {buffer, finish};
+      this.uploads.add(upload);
       const onData = (chunk: Buffer) => {
-        bytes += chunk.length;
-        this.bufferedBytes += chunk.length;
-        if (bytes > maxBytes) {
-          finish(Result.err(tooLarge(maxBytes)));
-        } else if (this.bufferedBytes > this.maxTotalBytes) {
-          finish(Result.err(TOO_MANY_BODIES));
-        } else {
-          chunks.push(chunk);
-        }
+        const before = buffer.occupiedBytes;
+        const fits = buffer.append(chunk);
+        this.occupiedBytes += buffer.occupiedBytes - before;
+        if (!fits) finish(Result.err(tooLarge(maxBytes)));
+        this.refuseOldest();
       };
-      const onEnd = () => finish(Result.ok(Buffer.concat(chunks)));
+      const onEnd = () => finish(Result.ok(buffer.content));
       const onClose = () => finish(Result.err(BODY_TRUNCATED));
       // An aborted upload emits an error before its close event.
       req.on('error', () => undefined);
@@ -78,6 +78,17 @@
       if (req.destroyed) onClose();
     });
   }
+
+  /**
+   * Refuses the uploads that have lasted longest while all exceed the limit: those of
+   * ordinary clients are complete within moments.
+   */
+  private refuseOldest(): void {
+    for (const upload of this.uploads) {
+      if (this.occupiedBytes <= this.maxTotalBytes) return;
+      upload.finish(Result.err(TOO_MANY_BODIES));
+    }
+  }
 }
 
 const BODY_TRUNCATED: BodyError = {
--- a/src/platform/caller_frontend.ts
+++ b/src/platform/caller_frontend.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {HttpLimits} from '../adapter/http/http_limits.js';
 import {HttpServer} from '../adapter/http/http_server.js';
 import type {Clock} from '../core/clock/clock.js';
 import type {EntryGateway} from '../core/pool/entry/entry_gateway.js';
@@ -6,6 +7,7 @@
 import type {PoolObserver} from '../core/pool/pool_observer.js';
 import type {RoutingTable} from '../core/routing/routing_table.js';
 import {decodeJob} from './decode_job.js';
+import {sendBodyError} from './send_body_error.js';
 import {sendJson} from './send_json.js';
 import {parseJobPath} from './parse_job_path.js';
 
@@ -19,6 +21,7 @@
 interface CallerFrontendOptions {
   readonly host: string;
   readonly port: number;
+  readonly limits?: HttpLimits;
   readonly clock: Clock;
   readonly gateway: EntryGateway;
   /** Latest queue configuration known to this node. */
@@ -50,7 +53,7 @@
   ): Promise<void> {
     const {gateway, observer} = this.opts;
     const body = await this.http.bodies.read(req, MAX_BODY_BYTES);
-    if (body.isErr) return sendJson(res, body.error.status, body.error);
+    if (body.isErr) return sendBodyError(res, body.error);
     const {path, id} = parseJobPath(req.url ?? '/');
     if (id === undefined) return sendJson(res, 404, {detail: 'no such queue'});
     const job = decodeJob(id, body.value);
--- a/src/platform/control_frontend.ts
+++ b/src/platform/control_frontend.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {decodeSegment} from '../adapter/http/decode_segment.js';
+import type {HttpLimits} from '../adapter/http/http_limits.js';
 import {HttpServer} from '../adapter/http/http_server.js';
 import {watchCaller} from '../adapter/http/watch_caller.js';
 import type {WorkerReportService} from '../core/pool/registry/worker_report_service.js';
@@ -8,6 +9,7 @@
 import type {ConfigService} from '../daemon/config/config_service.js';
 import {decodeNewConfig} from './decode_new_config.js';
 import {decodeHeartbeat} from './decode_heartbeat.js';
+import {sendBodyError} from './send_body_error.js';
 import {sendJson} from './send_json.js';
 
 /** A large configuration has hundreds of routes. */
@@ -22,6 +24,7 @@
 interface ControlFrontendOptions {
   readonly host: string;
   readonly port: number;
+  readonly limits?: HttpLimits;
   readonly config: ConfigService;
   readonly evacuations: ZoneEvacuations;
   readonly reports: WorkerReportService;
@@ -68,7 +71,7 @@
     id: string,
   ): Promise<void> {
     const body = await this.http.bodies.read(req, MAX_HEARTBEAT_BYTES);
-    if (body.isErr) return sendJson(res, body.error.status, body.error);
+    if (body.isErr) return sendBodyError(res, body.error);
     const heartbeat = decodeHeartbeat(id, body.value);
     if (!heartbeat) {
       this.opts.observer.incrementCounter('report_unreadable');
@@ -90,7 +93,7 @@
   ): Promise<void> {
     const {config, observer} = this.opts;
     const body = await this.http.bodies.read(req, MAX_CONFIG_BYTES);
-    if (body.isErr) return sendJson(res, body.error.status, body.error);
+    if (body.isErr) return sendBodyError(res, body.error);
     const table = decodeNewConfig(body.value);
     if (table.isErr) {
       observer.recordStateChange('config_refused', {detail: table.error});
--- a/src/platform/core_program.ts
+++ b/src/platform/core_program.ts
@@ -10,6 +10,7 @@
 import {ClientWarmUp} from './client_warm_up.js';
 import {ControlFrontend} from './control_frontend.js';
 import {RoutingTableCache} from './routing_table_cache.js';
+import {getHttpLimits} from './get_http_limits.js';
 import {getLeaseMs} from './get_lease_ms.js';
 import {HttpWorkerClient} from './http_worker_client.js';
 import type {PlatformNode} from './platform_node.js';
@@ -97,6 +98,7 @@
     });
     this.frontend = new ControlFrontend({
       ...parseAddress(control!),
+      limits: getHttpLimits(settings),
       config: this.config,
       evacuations,
       reports: this.leaderService.reports,
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -17,6 +17,7 @@
 import {ClientWarmUp} from './client_warm_up.js';
 import {RoutingTableCache} from './routing_table_cache.js';
 import {HttpWorkerClient} from './http_worker_client.js';
+import {getHttpLimits} from './get_http_limits.js';
 import {getLeaseMs} from './get_lease_ms.js';
 import type {PlatformNode} from './platform_node.js';
 import {Program} from './program.js';
@@ -140,6 +141,7 @@
     const onError = (detail: string) => log.error('request_failed', {detail});
     this.frontend = new CallerFrontend({
       ...parseAddress(settings.callers!),
+      limits: getHttpLimits(settings),
       clock,
       gateway: this.gateway,
       routing: () => routing.get(),
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -30,6 +30,8 @@
   readonly remoteFactor: number;
   /** Time from SIGTERM to SIGKILL, in ms. */
   readonly graceMs: number;
+  /** Memory of the VM. */
+  readonly memoryBytes: number;
   /** Fraction of a processor that the process may use. */
   readonly processorShare: number;
 }
--- a/src/platform/read_platform_settings.test.ts
+++ b/src/platform/read_platform_settings.test.ts
@@ -20,6 +20,7 @@
   'fault_tolerance.machines=2',
   'bounds.max_hold_ms=1000',
   'bounds.grace_s=6',
+  'limits.memory_mb=350',
   'limits.cpu_share=0.324',
   'bounds.not_known_yet=x=y',
 ];
@@ -57,6 +58,7 @@
     resendMs: 1_300,
     remoteFactor: 2,
     graceMs: 6_000,
+    memoryBytes: 350 * 1_048_576,
     processorShare: 0.324,
   });
 });
--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -46,6 +46,8 @@
   'bounds.remote_factor': v.optional(remoteFactorText, '2'),
   /** Time from SIGTERM to SIGKILL. */
   'bounds.grace_s': v.optional(numberText, '6'),
+  /** Memory of the VM. */
+  'limits.memory_mb': v.optional(v.pipe(numberText, v.gtValue(0)), '250'),
   /** Fraction of a processor that the VM has. */
   'limits.cpu_share': v.optional(v.pipe(numberText, v.gtValue(0)), '1'),
 });
@@ -100,6 +102,7 @@
     resendMs: file['bounds.retransmit_ms'],
     remoteFactor: file['bounds.remote_factor'],
     graceMs: file['bounds.grace_s'] * 1_000,
+    memoryBytes: file['limits.memory_mb'] * 1_048_576,
     processorShare: file['limits.cpu_share'],
   });
 }
