--- a/src/adapter/http/check_request.ts
+++ b/src/adapter/http/check_request.ts
@@ -1,9 +1,9 @@
 import type {IncomingMessage} from 'node:http';
 import {RunOutcome} from '../../core/job/run_outcome.js';
+import {MAX_HEADER_LINES} from './max_header_lines.js';
 import type {Problem} from './problem.js';
 
 const MAX_URL_LENGTH = 2_048;
-const MAX_HEADER_LINES = 100;
 
 /** Returns the problem with the URL and the headers of a request, if any. */
 export function checkRequest(req: IncomingMessage): Problem | undefined {
--- a/src/adapter/http/connection_tracker.ts
+++ b/src/adapter/http/connection_tracker.ts
@@ -2,6 +2,7 @@
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import {RunOutcome} from '../../core/job/run_outcome.js';
+import {ConnectionState} from './connection_state.js';
 import {problemDocument} from './problem_document.js';
 
 interface Exchange {
@@ -18,6 +19,13 @@
   isClosing: boolean;
 }
 
+interface ConnectionTrackerOptions {
+  /** Requests after which a connection is closed. */
+  readonly maxRequests: number;
+  /** Open connections; further ones take the place of others. */
+  readonly maxConnections: number;
+}
+
 interface ClientError extends Error {
   readonly code?: string;
 }
@@ -46,11 +54,12 @@
 
   constructor(
     server: Server,
-    private readonly maxRequests: number,
+    private readonly opts: ConnectionTrackerOptions,
   ) {
     server.on('connection', socket => {
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
+      if (this.sockets.size > opts.maxConnections) this.closeOne();
     });
     server.on('clientError', (err: ClientError, socket) =>
       this.reject(err, socket as Socket),
@@ -77,7 +86,9 @@
     const connection = this.connectionOf(req.socket);
     if (connection.isClosing) return false;
     connection.requests += 1;
-    if (connection.requests >= this.maxRequests) connection.isClosing = true;
+    if (connection.requests >= this.opts.maxRequests) {
+      connection.isClosing = true;
+    }
     if (connection.isClosing || this.isClosing) closeAfterResponse(res);
     const exchange = {req, res};
     connection.last = exchange;
@@ -92,6 +103,37 @@
     return true;
   }
 
+  /**
+   * Closes the connection whose request has been incomplete for longest, as those of
+   * ordinary clients are complete within moments; otherwise the oldest idle one. If all
+   * requests await their responses, it is the newest connection.
+   */
+  private closeOne(): void {
+    let idle: Socket | undefined;
+    let newest: Socket | undefined;
+    for (const socket of this.sockets) {
+      const state = this.stateOf(socket);
+      if (state === ConnectionState.incomplete) return this.close(socket);
+      if (state === ConnectionState.idle) idle ??= socket;
+      newest = socket;
+    }
+    this.close((idle ?? newest)!);
+  }
+
+  private close(socket: Socket): void {
+    this.sockets.delete(socket);
+    socket.destroy();
+  }
+
+  private stateOf(socket: Socket): ConnectionState {
+    const connection = this.connections.get(socket);
+    const isComplete = connection?.last?.req.complete ?? false;
+    if (!connection || !isComplete) return ConnectionState.incomplete;
+    return connection.open.size > 0
+      ? ConnectionState.awaiting
+      : ConnectionState.idle;
+  }
+
   private connectionOf(socket: Socket): Connection {
     const existing = this.connections.get(socket);
     if (existing) return existing;
--- a/src/adapter/http/http_limits.ts
+++ b/src/adapter/http/http_limits.ts
@@ -1,6 +1,9 @@
 /** Limits of an HTTP server. */
 export interface HttpLimits {
-  /** Open connections; further ones are closed. Default 10,000. */
+  /**
+   * Open connections; for a further one, an incomplete or idle one is closed. Default
+   * 10,000.
+   */
   readonly maxConnections?: number;
   /** Memory of all request bodies that are being received. Default 256 MiB. */
   readonly maxTotalBodyBytes?: number;
--- a/src/adapter/http/http_server.ts
+++ b/src/adapter/http/http_server.ts
@@ -7,9 +7,12 @@
 import {ConnectionTracker} from './connection_tracker.js';
 import type {HttpLimits} from './http_limits.js';
 import {JsonBodyReader} from './json_body_reader.js';
+import {MAX_HEADER_LINES} from './max_header_lines.js';
 import type {Problem} from './problem.js';
 import {sendProblem} from './send_problem.js';
 
+/** Factor of the connections that may be open for a moment. */
+const MAX_CONNECTION_EXCESS = 1.25;
 const MAX_HEADER_BYTES = 16 * 1024;
 /** Interval at which Node checks for connections that exceed a timeout. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
@@ -71,12 +74,16 @@
       // `checkRequest` reports a missing Host header as a problem document.
       requireHostHeader: false,
     });
-    this.server.maxConnections = limits.maxConnections ?? 10_000;
+    const {maxConnections = 10_000} = limits;
+    // Closed connections keep their descriptors until the end of the turn.
+    this.server.maxConnections = MAX_CONNECTION_EXCESS * maxConnections;
+    // `checkRequest` refuses requests with more lines.
+    this.server.maxHeadersCount = MAX_HEADER_LINES + 1;
     this.server.timeout = limits.socketTimeoutMs ?? 90_000;
-    this.connections = new ConnectionTracker(
-      this.server,
-      limits.maxRequestsPerConnection ?? 100_000,
-    );
+    this.connections = new ConnectionTracker(this.server, {
+      maxConnections,
+      maxRequests: limits.maxRequestsPerConnection ?? 100_000,
+    });
     this.app = restana<restana.Protocol.HTTP>({
       routerCacheSize: ROUTE_CACHE_SIZE,
       defaultRoute: (req, res) => this.handleUnmatched(req, res),
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -15,6 +15,7 @@
 import {ConfigTelemetry} from '../daemon/config/config_telemetry.js';
 import {CallerFrontend} from './caller_frontend.js';
 import {ClientWarmUp} from './client_warm_up.js';
+import {PROBE_LIMITS} from './probe_limits.js';
 import {RoutingTableCache} from './routing_table_cache.js';
 import {HttpWorkerClient} from './http_worker_client.js';
 import {getHttpLimits} from './get_http_limits.js';
@@ -150,6 +151,7 @@
     });
     this.readiness = new HttpServer({
       ...parseAddress(settings.readiness!),
+      limits: PROBE_LIMITS,
       onError,
     });
     this.readiness.route('GET', '/ready', (_req, res) =>
--- a/src/platform/platform_node.ts
+++ b/src/platform/platform_node.ts
@@ -8,6 +8,7 @@
 import {LoopMonitor} from '../daemon/pool/loop_monitor.js';
 import {PoolTelemetry} from '../daemon/pool/pool_telemetry.js';
 import type {PlatformSettings} from './platform_settings.js';
+import {PROBE_LIMITS} from './probe_limits.js';
 import {PortOpener} from './port_opener.js';
 
 /** Must match the metrics port in the deploy file. */
@@ -78,6 +79,7 @@
     const server = new HttpServer({
       host: settings.ip,
       port: METRICS_PORT,
+      limits: PROBE_LIMITS,
       onError: detail => log.warn('metrics_error', {detail}),
     });
     server.route('GET', '/metrics', async (_req, res) => {
--- a/src/platform/platform_settings.ts
+++ b/src/platform/platform_settings.ts
@@ -32,6 +32,8 @@
   readonly graceMs: number;
   /** Memory of the VM. */
   readonly memoryBytes: number;
+  /** Descriptors that the process may have open, including reserved ones. */
+  readonly maxOpenFiles: number;
   /** Fraction of a processor that the process may use. */
   readonly processorShare: number;
 }
--- a/src/platform/read_platform_settings.test.ts
+++ b/src/platform/read_platform_settings.test.ts
@@ -21,6 +21,7 @@
   'bounds.max_hold_ms=1000',
   'bounds.grace_s=6',
   'limits.memory_mb=350',
+  'limits.max_open_files=4100',
   'limits.cpu_share=0.324',
   'bounds.not_known_yet=x=y',
 ];
@@ -59,6 +60,7 @@
     remoteFactor: 2,
     graceMs: 6_000,
     memoryBytes: 350 * 1_048_576,
+    maxOpenFiles: 4_100,
     processorShare: 0.324,
   });
 });
--- a/src/platform/read_platform_settings.ts
+++ b/src/platform/read_platform_settings.ts
@@ -48,6 +48,8 @@
   'bounds.grace_s': v.optional(numberText, '6'),
   /** Memory of the VM. */
   'limits.memory_mb': v.optional(v.pipe(numberText, v.gtValue(0)), '250'),
+  /** Descriptors that the process may have open, including reserved ones. */
+  'limits.max_open_files': v.optional(v.pipe(numberText, v.gtValue(0)), '4096'),
   /** Fraction of a processor that the VM has. */
   'limits.cpu_share': v.optional(v.pipe(numberText, v.gtValue(0)), '1'),
 });
@@ -103,6 +105,7 @@
     remoteFactor: file['bounds.remote_factor'],
     graceMs: file['bounds.grace_s'] * 1_000,
     memoryBytes: file['limits.memory_mb'] * 1_048_576,
+    maxOpenFiles: file['limits.max_open_files'],
     processorShare: file['limits.cpu_share'],
   });
 }
