Replace no voter by a learner at the node of another one

Since lost voters catch up at the same time, a learner can be at the node of a voter whose folder is lost. Chosen as the spare for a third voter, it left two voters at one node, one of them with the lost folder. The test failed before.

--- a/src/core/config/log/voter_reconciler.test.ts
+++ b/src/core/config/log/voter_reconciler.test.ts
@@ -1,6 +1,10 @@
 import {assert} from 'chai';
 import {createPlatformConfigBench} from '../../../../test-support/fakes/create_platform_config_bench.js';
 import {ConfigBench} from '../../../../test-support/fakes/config_bench.js';
+import type {LogMember} from './log_member.js';
+import {LogTiming} from './log_timing.js';
+import type {MembershipRequest} from './membership_request.js';
+import {VoterReconciler} from './voter_reconciler.js';
 
 function votersOf(bench: ConfigBench): string[] {
   const {members} = bench.node(bench.waitForLeader()).logMember!.store;
@@ -160,3 +164,39 @@
   );
   assert.isDefined(members().replacing);
 });
+
+// The node would be a voter twice, once with the folder that it has lost.
+test('a learner at the node of a lost voter does not replace another voter', () => {
+  const now = 100_000;
+  const id = (node: string, storage = `${node}1`) => ({node, storage});
+  const requests: MembershipRequest[] = [];
+  const silent = id('d');
+  const member = {
+    term: 1,
+    id: id('c'),
+    timing: LogTiming,
+    store: {
+      members: {
+        voters: [id('a', 'a0'), id('b'), id('c'), silent, id('e')],
+        learners: [id('a')],
+      },
+    },
+    leader: {
+      hasCommittedInTerm: true,
+      membership: {request: (req: MembershipRequest) => requests.push(req)},
+      progressOf: ({node}: {node: string}) => ({
+        hasReplied: true,
+        lastContactAt: node === silent.node ? now - 5_000 : now,
+      }),
+    },
+  };
+  const reconciler = new VoterReconciler({
+    voterTarget: 5,
+    nodesWithStorage: () => [],
+    zoneOf: () => undefined,
+  });
+  for (let at = now - 4_000; at <= now; at += 100) {
+    reconciler.tick(member as unknown as LogMember, at);
+  }
+  assert.isEmpty(requests);
+});
--- a/src/core/config/log/voter_reconciler.ts
+++ b/src/core/config/log/voter_reconciler.ts
@@ -155,8 +155,10 @@
       .nodesWithStorage()
       .filter(n => now - n.at < MAX_POLL_AGE_MS)
       .filter(n => !isAt(voters, n.node) && !isAt(learners, n.node));
+    // A learner at the node of a voter is going to replace that one.
     const reachable = learners.filter(
       l =>
+        !isAt(voters, l.node) &&
         this.msSinceContact(member, l, now) < member.timing.ELECTION_TIMEOUT_MS,
     );
     return [...reachable, ...nonMembers];
