Lead only in a term that is synced

Since votes are requested while the own one is written, a candidate with the votes of all others could lead before its disk had the term. After a loss of power it could be elected in the same term again and store other entries under it, so that two logs differ although index and term agree.

--- a/src/core/config/log/candidacy.test.ts
+++ b/src/core/config/log/candidacy.test.ts
@@ -15,14 +15,16 @@
   assert.equal(bench.member.term, 2);
 });
 
-// The own vote could be lost in a crash and given again to another candidate.
-test('a candidate counts its own vote only after it is synced', () => {
+// A candidate that leads in a term which it forgets in a crash could be elected in the
+// same term again, and store other entries under it.
+test('a candidate leads only after its own vote is synced', () => {
   const bench = new LogMemberBench();
   bench.join();
   bench.waitForVotes(2, true);
   const vote = {type: 'vote_reply', term: 2, granted: true};
   bench.receive('b', {...vote, pre: true});
   bench.receive('b', {...vote, pre: false});
+  bench.receive('c', {...vote, pre: false});
   assert.isUndefined(bench.member.leader);
   bench.clock.advance(100);
   assert.isDefined(bench.member.leader);
--- a/src/core/config/log/candidacy.ts
+++ b/src/core/config/log/candidacy.ts
@@ -95,7 +95,9 @@
   }
 
   private check(election: Election, now: number): void {
-    if (!election.isWon) return;
+    // Entries are stored under the term, which a crash must not make it forget.
+    const isOwnCounted = election.hasVoteOf(this.member.id.storage);
+    if (!isOwnCounted || !election.isWon) return;
     if (election.opts.isPreVote) this.startElection(now, {isTransfer: false});
     else this.onWon(election, now);
   }
--- a/src/core/config/log/election.ts
+++ b/src/core/config/log/election.ts
@@ -23,6 +23,10 @@
     this.votes.set(storage, msSinceLeaderContact);
   }
 
+  hasVoteOf(storage: string): boolean {
+    return this.votes.has(storage);
+  }
+
   /**
    * Time during which no earlier leader can have been confirmed by a majority,
    * in ms: every majority shares a voter with the one that won this election.
