Keep connections whose earlier request awaits its answer

A crowded server closed a connection with a pipelined upload that was incomplete although an earlier request on it awaited its answer. crowded_connections.test.ts failed before.

--- a/src/adapter/http/connection_state.ts
+++ b/src/adapter/http/connection_state.ts
@@ -1,8 +1,8 @@
 /** What a connection of an HTTP server is doing. */
 export const ConnectionState = {
-  /** No complete request was received, or only part of the latest one. */
+  /** Only part of a request was received, or nothing yet. */
   incomplete: 'incomplete',
-  /** The latest request was received and has no complete response. */
+  /** A complete request has no complete response. */
   awaiting: 'awaiting',
   /** All requests have their responses. */
   idle: 'idle',
--- a/src/adapter/http/connection_tracker.ts
+++ b/src/adapter/http/connection_tracker.ts
@@ -126,12 +126,13 @@
   }
 
   private stateOf(socket: Socket): ConnectionState {
-    const connection = this.connections.get(socket);
-    const isComplete = connection?.last?.req.complete ?? false;
-    if (!connection || !isComplete) return ConnectionState.incomplete;
-    return connection.open.size > 0
-      ? ConnectionState.awaiting
-      : ConnectionState.idle;
+    const {open, last} = this.connectionOf(socket);
+    // Of pipelined requests, an earlier one may be complete.
+    const isAwaiting = [...open].some(({req}) => req.complete);
+    if (isAwaiting) return ConnectionState.awaiting;
+    return last?.req.complete
+      ? ConnectionState.idle
+      : ConnectionState.incomplete;
   }
 
   private connectionOf(socket: Socket): Connection {
--- a/test-support/crowd/client_crowd.ts
+++ b/test-support/crowd/client_crowd.ts
@@ -13,10 +13,8 @@
   constructor(private readonly opts: ClientCrowdOptions) {}
 
   /** Opens connections; resolves once each has sent its text or was closed. */
-  async send(count: number, textOf: (index: number) => string): Promise<void> {
-    const work = Array.from({length: count}, (_, index) =>
-      this.sendOne(textOf(index)),
-    );
+  async send(count: number, textOf: () => string): Promise<void> {
+    const work = Array.from({length: count}, () => this.sendOne(textOf()));
     await Promise.all(work);
   }
 
