--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -202,13 +202,21 @@
 
   /**
    * Logs a submission that was late on its way, or whose entry node has not heard
-   * this dispatcher for a while: its caller may have gone since.
+   * this dispatcher for a while, or ever: its caller may have gone since.
    */
   private recordLateness(
     owner: string,
-    {job, claimStatedAt}: PoolSubmission,
+    {job, claimStatedAt, waitedMs, isLent}: PoolSubmission,
     now: number,
   ): void {
+    if (claimStatedAt === undefined) {
+      this.opts.observer.recordJobEvent('submission_undated', job.id, {
+        owner,
+        is_lent: isLent,
+        waited_ms: Math.round(waitedMs),
+        token: this.current?.token,
+      });
+    }
     const ageMs = now - (claimStatedAt ?? now);
     if (ageMs < LATE_SUBMISSION_MS) return;
     this.opts.observer.recordJobEvent('submission_late', job.id, {
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -84,7 +84,8 @@
     const settling = jobs.filter(job => job.isSettling);
     if (settling.length === 0) return;
     const acceptedToken = this.acceptedToken(workers, now);
-    const known = {acceptedToken, workers: workers.length};
+    const zones = [...new Set(workers.map(({report}) => report.zone))].sort();
+    const known = {acceptedToken, workers: workers.length, zones};
     for (const job of settling) {
       job.settle(acceptedToken, now);
       if (!job.isSettling) this.opts.trace.recordSettled(job, known, now);
--- a/src/core/pool/trace/run_trace.test.ts
+++ b/src/core/pool/trace/run_trace.test.ts
@@ -70,6 +70,7 @@
     earlier_token: 1_000,
     earlier_node: 'c1',
     workers: 2,
+    zones: ['z'],
   });
   assert.include(bench.events, 'starts_allowed');
 });
--- a/src/core/pool/trace/run_trace.ts
+++ b/src/core/pool/trace/run_trace.ts
@@ -12,8 +12,9 @@
 interface Settlement {
   /** Lowest token that a worker has accepted; infinite without workers. */
   readonly acceptedToken: number;
-  /** Number of workers that the dispatcher knows. */
+  /** Number of workers that the dispatcher knows, and their zones. */
   readonly workers: number;
+  readonly zones: readonly string[];
 }
 
 /**
@@ -38,6 +39,9 @@
       worker: worker.report.id,
       token: this.token(),
       grounds: groundsOf(task),
+      contact_age_ms: Number.isFinite(job.contactAt)
+        ? Math.round(now - job.contactAt)
+        : undefined,
       earlier_node: job.earlierNode,
       ...(lastRun && {
         earlier_run: lastRun.number,
@@ -72,7 +76,7 @@
 
   /** Logs that a job no longer waits for runs of an earlier dispatcher. */
   recordSettled(job: ActiveJob, known: Settlement, now: number): void {
-    const {acceptedToken, workers} = known;
+    const {acceptedToken, workers, zones} = known;
     this.observer.recordJobEvent('job_settled', job.spec.id, {
       token: this.token(),
       grounds: job.settledBy,
@@ -83,6 +87,7 @@
       earlier_token: job.earlierToken,
       earlier_node: job.earlierNode,
       workers,
+      zones,
     });
   }
 
