Take a submission only for the dispatcher that it is meant for

Callers saw one task run at two workers (TWICE) after changes of the holders of zones. An entry node that hears of another dispatcher of its zone hands its jobs over, with the token of the earlier one: once all workers of the new dispatcher have accepted a higher one, each run is known. It computed that from the claim that it had heard. If the node of the claim had opened another dispatcher since, for other zones, that one settled the job by workers on which the earlier dispatcher cannot have started anything, and started the task a second time.

A submission now names the token under which its dispatcher was opened. Another dispatcher of the node does not take it; it sends its claim, and the entry node decides again.

Ruled out: to compare the zones at the dispatcher, after which the job would wait at one that does not serve its zone.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -30,6 +30,8 @@
   readonly routing: () => RoutingTable | undefined;
   /** Redirects a job again that was moved before; false if it was not. */
   readonly redirectAgain?: (owner: string, id: string) => boolean;
+  /** Sends the claim of the present dispatcher to a node. */
+  readonly sendClaim?: (node: string) => void;
   readonly observer: PoolObserver;
 }
 
@@ -39,6 +41,8 @@
  */
 export class DispatcherEndpoint {
   private current: PoolDispatcher | undefined;
+  /** Token under which the dispatcher was opened; see PoolSubmission. */
+  private openedUnder = 0;
   private isConfigCurrent: (now: number) => boolean = () => true;
   private lastTickAt = Number.NEGATIVE_INFINITY;
   private attachedAt = Number.NEGATIVE_INFINITY;
@@ -108,6 +112,7 @@
     isConfigCurrent: (now: number) => boolean = () => true,
   ): void {
     this.current = dispatcher;
+    this.openedUnder = dispatcher.token;
     this.isConfigCurrent = isConfigCurrent;
     this.attachedAt = this.lastTickAt = this.opts.clock.now();
     this.answers.clear();
@@ -173,6 +178,9 @@
   private onSubmit(from: string, body: unknown, now: number): void {
     const {current} = this;
     if (!current || !v.is(PoolSubmission, body)) return;
+    if ((body.dispatcher ?? this.openedUnder) !== this.openedUnder) {
+      return this.turnAway(from, body);
+    }
     const contactAt = readContactTime(body, now) ?? now;
     // The message was late. An entry node that still waits submits the job again,
     // since its next poll finds that it is unknown.
@@ -186,6 +194,17 @@
     else this.pass(current, received, now);
   }
 
+  /** Makes an entry node submit a job again that was meant for another dispatcher. */
+  private turnAway(owner: string, {job, dispatcher}: PoolSubmission): void {
+    this.opts.observer.recordJobEvent('submission_misdirected', job.id, {
+      owner,
+      meant_for: dispatcher,
+      token: this.openedUnder,
+    });
+    this.opts.sendClaim?.(owner);
+    this.opts.peers.send(owner, 'pool.unknown', {ids: [job.id]});
+  }
+
   /** Passes a job to the dispatcher, unless it was cancelled. */
   private pass(
     current: PoolDispatcher,
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -15,6 +15,7 @@
 import {recordResubmission} from './record_resubmission.js';
 import {sendUnclear} from './send_unclear.js';
 import {Settling} from './settling.js';
+import {toSubmission} from './to_submission.js';
 import {ZoneContacts} from './zone_contacts.js';
 import {PoolMessage} from '../node/pool_message.js';
 import type {PoolObserver} from '../pool_observer.js';
@@ -261,7 +262,6 @@
       const token = Settling.earlierToken(change);
       job.earlierToken = Math.max(job.earlierToken, token);
     }
-    const isLeader = !claim.isFallback && claim.zone === undefined;
     // A holder moves no job that an earlier dispatcher had, also after its runs.
     const minMs = claim.zone !== undefined && job.earliestStartAt > 0 ? 1 : 0;
     const settleMs = Math.max(minMs, job.earliestStartAt - now);
@@ -269,23 +269,9 @@
       const change = {from: assigned, to: claim, settleMs, submittedAt};
       recordResubmission(this.opts.observer, job, change, now);
     }
-    peers.send(claim.node, 'pool.submit', {
-      host: job.host,
-      path: job.path,
-      job: job.job,
-      waitedMs: now - job.arrivedAt,
-      patienceMs: Math.max(0, job.deadlineAt - now),
-      settleMs,
-      ...(settleMs > 0 && Number.isFinite(job.earlierToken)
-        ? {earlierToken: job.earlierToken}
-        : {}),
-      losses: job.losses,
-      claimStatedAt: claim.statedAt,
-      ...(assigned ? {earlierNode: assigned.node} : {}),
-      ...(job.isLent ? {isLent: true} : {}),
-      // The leader has every committed configuration.
-      revision: isLeader ? 0 : claims.revision,
-    });
+    const {revision} = claims;
+    const target = {claim, earlier: assigned, settleMs, revision};
+    peers.send(claim.node, 'pool.submit', toSubmission(job, target, now));
   }
 
   /** Submits a job to another zone; only its dispatcher moves it, and only once. */
--- a/src/core/pool/job/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -25,6 +25,12 @@
    * `settleMs`. Older nodes omit it.
    */
   earlierToken: v.optional(count),
+  /**
+   * Token under which the dispatcher was opened that the job is meant for. What the
+   * submission says of earlier dispatchers holds for this one only: another one on
+   * the node may have other workers. Older nodes omit it.
+   */
+  dispatcher: v.optional(count),
   /** Node of the dispatcher that had the job last, for the log. */
   earlierNode: v.optional(v.string()),
   /** Workers that earlier dispatchers lost under tasks of the job. */
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -28,6 +28,8 @@
   /** Offers of the holders of other zones. */
   readonly offers: RoomOffers;
   readonly reportAddress: string;
+  /** Sends the claim of the dispatcher to a node. */
+  readonly sendClaim: (node: string) => void;
   readonly routing: () => RoutingTable | undefined;
   /** Slowdown of a task outside the rack of its data; default 2. */
   readonly remoteFactor?: number | undefined;
--- a/src/core/pool/node/core_presence.ts
+++ b/src/core/pool/node/core_presence.ts
@@ -103,6 +103,11 @@
     } else if (claim) this.sendClaim(claim, now);
   }
 
+  /** Sends the present claim to a node that acts on an older one. */
+  sendClaimTo(id: string, now: number): void {
+    this.sendTo(id, this.opts.claim(now), {});
+  }
+
   /** Sends the claim to the other core nodes, with the offer of a holder. */
   private sendToCores(lists: NodeLists, now: number): void {
     const {directory, node} = this.opts;
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -19,6 +19,7 @@
 import {CoreDispatching} from './core_dispatching.js';
 import {CorePresence} from './core_presence.js';
 import type {DispatcherClaim} from './dispatcher_claim.js';
+import type {Leadership} from './leadership.js';
 import type {NodeDirectory} from './node_directory.js';
 import {PoolMessage} from './pool_message.js';
 
@@ -35,16 +36,6 @@
  */
 const FALLBACK_EARLIEST_MS = 1_500;
 
-interface Leadership {
-  readonly term: number;
-  /** When a majority last confirmed the leadership. */
-  readonly confirmedAt: number;
-  /** Whether all entries of earlier terms are committed. */
-  readonly isSettled: boolean;
-  /** Time before the term in which no other node can have led, in ms. */
-  readonly silentMs: number;
-}
-
 interface LeaderServiceOptions extends LeaseSettings {
   readonly node: string;
   readonly zone: string;
@@ -91,7 +82,10 @@
     const {registry, offers} = this;
     const startedAt = clock.now();
     new WorkerRelay(peers, client);
-    this.dispatching = new CoreDispatching({...opts, registry, offers});
+    const sendClaim = (id: string) =>
+      this.presence.sendClaimTo(id, clock.now());
+    const dispatching = {...opts, registry, offers, sendClaim};
+    this.dispatching = new CoreDispatching(dispatching);
     this.granted = new GrantedZone({...opts, startedAt});
     this.registrySender = new WorkerRegistrySender({...opts, registry});
     this.presence = new CorePresence({
