Start an undated submission only when its entry node has confirmed it

Callers saw one task run at two workers (TWICE). A submission states the time of the last claim of the dispatcher that its entry node has heard, so that a message that is read late proves nothing newer. One that names no claim counted as news of the moment at which it was read: that of a job that its home zone moves again, or for a holder that the entry node knows from the leader's grant only. Over a late link its caller had gone before, and had sent the job to another zone 1.3 s later, while the worker's lease was bounded by a contact that never was.

The dispatcher now keeps such a submission and asks its entry node, which answers with a poll for the jobs that it still holds; the time of the question is the contact. That takes one round trip, and only where a referral is repeated or a dispatcher has just changed: first referrals carry a time. A referral no longer replaces a later statement of the same holder that was heard directly.

Two tests of the endpoint submitted without a time although they are not about that; they state one now. The fake of an older process in zones.test.ts omits the field that such a process does not send.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
@@ -25,7 +25,8 @@
   });
   endpoint.attach(bench.createDispatcher({isRegistryComplete: false}));
   const job = PoolBench.submission('j', {estimatedMs: 2_000});
-  peers.deliver('e', 'pool.submit', job);
+  const claimStatedAt = clock.now();
+  peers.deliver('e', 'pool.submit', {...job, claimStatedAt});
   clock.advance(1_000);
   endpoint.tick(clock.now());
   assert.isEmpty(events);
@@ -86,7 +87,8 @@
   const {clock, peers, endpoint, dispatcher} = createEndpoint();
   clock.advance(2_000);
   endpoint.tick(clock.now());
-  const submission = {...PoolBench.submission('j'), revision: 2};
+  const claimStatedAt = clock.now();
+  const submission = {...PoolBench.submission('j'), revision: 2, claimStatedAt};
   peers.deliver('e', 'pool.submit', submission);
   const state = {kind: 'state', id: 'j'};
   const found = {found: true};
@@ -101,3 +103,65 @@
   assert.isFalse(dispatcher.has('j'));
   assert.deepEqual(peers.sent, sent);
 });
+
+// Its caller may have gone while the message was on its way, and may have sent the job
+// again to another dispatcher: the contact counted from the reading of the message.
+test('a submission that names no claim starts when its entry node confirms it', () => {
+  const {clock, peers, endpoint, dispatcher} = createEndpoint();
+  peers.deliver('e', 'pool.submit', PoolBench.submission('j'));
+  const confirm = {ids: ['j'], claimStatedAt: clock.now()};
+  const sent = [{node: 'e', kind: 'pool.confirm', body: confirm}];
+  assert.deepEqual(peers.sent, sent);
+  endpoint.tick(clock.now());
+  assert.isFalse(dispatcher.has('j'));
+  assert.isTrue(endpoint.owners.has('e'));
+  clock.advance(3);
+  peers.deliver('e', 'pool.poll', confirm);
+  assert.isTrue(dispatcher.has('j'));
+  assert.equal(dispatcher.jobs.get('j')?.contactAt, confirm.claimStatedAt);
+});
+
+test('a submission that its entry node does not confirm is dropped', () => {
+  const {clock, peers, endpoint, dispatcher} = createEndpoint();
+  peers.deliver('e', 'pool.submit', PoolBench.submission('j'));
+  const {claimStatedAt} = peers.sent[0]!.body as {claimStatedAt: number};
+  clock.advance(1_001);
+  endpoint.tick(clock.now());
+  peers.deliver('e', 'pool.poll', {ids: ['j'], claimStatedAt});
+  assert.isFalse(dispatcher.has('j'));
+  const unknown = {node: 'e', kind: 'pool.unknown', body: {ids: ['j']}};
+  assert.deepEqual(peers.sent.at(-1), unknown);
+});
+
+// The link may have lost the question.
+test('a poll that names no claim is asked again for what it confirms', () => {
+  const {clock, peers} = createEndpoint();
+  peers.deliver('e', 'pool.submit', PoolBench.submission('j'));
+  clock.advance(200);
+  peers.deliver('e', 'pool.poll', {ids: ['j']});
+  const confirm = {ids: ['j'], claimStatedAt: clock.now()};
+  const last = {node: 'e', kind: 'pool.confirm', body: confirm};
+  assert.deepEqual(peers.sent.at(-1), last);
+});
+
+test('a cancel ends a submission that is not confirmed', async () => {
+  const {peers, endpoint} = createEndpoint();
+  peers.deliver('e', 'pool.submit', PoolBench.submission('j'));
+  const cancel = {kind: 'cancel', path: '/a/j', id: 'j'};
+  const found = {found: true};
+  assert.deepEqual(await peers.deliverRequest('pool.ask', cancel), found);
+  assert.isFalse(endpoint.owners.has('e'));
+});
+
+// Guards against a job that is settled by the workers of another dispatcher.
+test('a submission for another dispatcher of the node is not taken', () => {
+  const {clock, peers, dispatcher} = createEndpoint();
+  const job = PoolBench.submission('j');
+  const claimStatedAt = clock.now();
+  peers.deliver('e', 'pool.submit', {...job, claimStatedAt, dispatcher: 1_000});
+  assert.isFalse(dispatcher.has('j'));
+  const unknown = {node: 'e', kind: 'pool.unknown', body: {ids: ['j']}};
+  assert.deepEqual(peers.sent, [unknown]);
+  peers.deliver('e', 'pool.submit', {...job, claimStatedAt, dispatcher: 2_000});
+  assert.isTrue(dispatcher.has('j'));
+});
--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -5,12 +5,11 @@
 import type {WorkerLoss} from '../crashes/worker_loss.js';
 import {AnswerCache} from '../job/answer_cache.js';
 import type {JobReferral} from '../lending/job_referral.js';
-import type {JobContact} from '../job/job_contact.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {CancelledSubmissions} from './cancelled_submissions.js';
+import {dropSilentJobs} from './drop_silent_jobs.js';
 import {EarlySubmissions} from './early_submissions.js';
-import {FailoverTiming} from '../node/failover_timing.js';
-import type {ActiveJob} from '../job/active_job.js';
+import {isLost} from './is_lost.js';
 import type {ReceivedSubmission} from './received_submission.js';
 import {readContactTime} from './read_contact_time.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
@@ -93,6 +92,11 @@
     );
   }
 
+  /** Entry nodes that have jobs here. */
+  get owners(): ReadonlySet<string> {
+    return new Set([...(this.current?.owners ?? []), ...this.early.owners]);
+  }
+
   /** Whether another dispatcher or an entry node has told that a job may have run. */
   mayHaveRun(id: string): boolean {
     this.unclear.expire(this.opts.clock.now());
@@ -127,38 +131,14 @@
   tick(now: number): void {
     const {current} = this;
     if (!current) return;
-    this.dropSilentJobs(current, now);
+    const {observer} = this.opts;
+    dropSilentJobs(current, {observer, lastTickAt: this.lastTickAt}, now);
     this.lastTickAt = now;
-    for (const early of this.early.take(this.revision, now)) {
-      if (!isLost(early, now)) this.pass(current, early, now);
-    }
+    this.passEarly(current, now);
     current.tick(now);
     this.answers.expire(now);
   }
 
-  /** Drops jobs that their entry nodes have not stated to hold in time. */
-  private dropSilentJobs(current: PoolDispatcher, now: number): void {
-    const jobsByOwner = new Map<string, ActiveJob[]>();
-    current.dropJobs(job => {
-      if (!isLost(job, now)) return false;
-      const jobs = jobsByOwner.get(job.owner) ?? [];
-      jobs.push(job);
-      jobsByOwner.set(job.owner, jobs);
-      return true;
-    });
-    for (const [owner, jobs] of jobsByOwner) {
-      const contactAt = Math.min(...jobs.map(job => job.contactAt));
-      this.opts.observer.recordStateChange('owner_silent', {
-        owner,
-        jobs: jobs.length,
-        silent_ms: Math.round(now - contactAt),
-        // A late tick breaks the bound on the silence.
-        since_tick_ms: Math.round(now - this.lastTickAt),
-        token: current.token,
-      });
-    }
-  }
-
   /** Sends the answer of a job to its entry node. */
   answer(owner: string, id: string, answer: PoolAnswer): void {
     this.answers.set(id, answer, this.opts.clock.now());
@@ -181,19 +161,37 @@
     if ((body.dispatcher ?? this.openedUnder) !== this.openedUnder) {
       return this.turnAway(from, body);
     }
-    const contactAt = readContactTime(body, now) ?? now;
+    const contactAt = readContactTime(body, now);
     // The message was late. An entry node that still waits submits the job again,
     // since its next poll finds that it is unknown.
-    if (isLost({contactAt}, now)) return;
+    if (contactAt !== undefined && isLost({contactAt}, now)) return;
     this.recordLateness(from, body, now);
+    const {id} = body.job;
     // A resubmitted job runs again, even if it has been answered before.
-    this.answers.delete(body.job.id);
+    this.answers.delete(id);
+    if (contactAt === undefined) {
+      // The caller may have gone since the message was sent.
+      this.early.add({owner: from, submission: body, contactAt}, now);
+      return this.askToConfirm(from, [id], now);
+    }
     const isEarly = this.revision < (body.revision ?? 0);
     const received = {owner: from, submission: body, contactAt};
-    if (isEarly && !current.has(body.job.id)) this.early.add(received, now);
+    if (isEarly && !current.has(id)) this.early.add(received, now);
     else this.pass(current, received, now);
   }
 
+  /** Asks an entry node to poll for the jobs that it still holds. */
+  private askToConfirm(owner: string, ids: readonly string[], now: number) {
+    this.opts.peers.send(owner, 'pool.confirm', {ids, claimStatedAt: now});
+  }
+
+  /** Passes the jobs to the dispatcher that wait for nothing any more. */
+  private passEarly(current: PoolDispatcher, now: number): void {
+    for (const early of this.early.take(this.revision, now)) {
+      if (!isLost(early, now)) this.pass(current, early, now);
+    }
+  }
+
   /** Makes an entry node submit a job again that was meant for another dispatcher. */
   private turnAway(owner: string, {job, dispatcher}: PoolSubmission): void {
     this.opts.observer.recordJobEvent('submission_misdirected', job.id, {
@@ -255,6 +253,7 @@
     if (!current || !v.is(PoolMessage.poll, body)) return;
     const contactAt = readContactTime(body, now);
     const unknown: string[] = [];
+    const unconfirmed = body.ids.filter(id => this.early.isUnconfirmed(id));
     for (const id of body.ids) {
       if (contactAt !== undefined) {
         current.recordContact(from, id, contactAt);
@@ -269,6 +268,10 @@
       // The redirect may have been lost.
       if (!this.opts.redirectAgain?.(from, id)) unknown.push(id);
     }
+    if (unconfirmed.length > 0) {
+      if (contactAt === undefined) this.askToConfirm(from, unconfirmed, now);
+      else this.passEarly(current, now);
+    }
     if (unknown.length === 0) return;
     this.opts.peers.send(from, 'pool.unknown', {ids: unknown});
   }
@@ -290,8 +293,9 @@
    */
   private cancel(id: string, now: number): boolean {
     this.cancelled.add(id, now);
+    const isKnown = this.current?.cancel(id) ?? false;
     const owner = this.early.ownerOf(id);
-    if (owner === undefined) return this.current?.cancel(id) ?? false;
+    if (owner === undefined) return isKnown;
     this.early.delete(id);
     this.answer(owner, id, {kind: 'cancelled'});
     return true;
@@ -327,7 +331,3 @@
     }
   }
 }
-
-function isLost({contactAt}: JobContact, now: number): boolean {
-  return now - contactAt > FailoverTiming.OWNER_TIMEOUT_MS;
-}
--- a/src/core/pool/dispatcher/early_submissions.ts
+++ b/src/core/pool/dispatcher/early_submissions.ts
@@ -1,18 +1,27 @@
 import type {PoolSubmission} from '../job/pool_submission.js';
+import {FailoverTiming} from '../node/failover_timing.js';
 import type {ReceivedSubmission} from './received_submission.js';
 
 /** Time within which a new configuration reaches all core nodes. */
 const MAX_WAIT_MS = 500;
 
-interface Waiting extends ReceivedSubmission {
+interface EarlySubmission extends Omit<ReceivedSubmission, 'contactAt'> {
+  /** See JobContact; undefined until the entry node has confirmed the job. */
+  readonly contactAt: number | undefined;
+}
+
+interface Waiting extends EarlySubmission {
   readonly since: number;
 }
 
-/** Jobs submitted before their configuration has reached the dispatcher. */
+/**
+ * Jobs submitted before their configuration has reached the dispatcher, or without
+ * proof that their entry node still holds the request.
+ */
 export class EarlySubmissions {
   private readonly byId = new Map<string, Waiting>();
 
-  add(early: ReceivedSubmission, now: number): void {
+  add(early: EarlySubmission, now: number): void {
     const {id} = early.submission.job;
     const since = this.byId.get(id)?.since ?? now;
     this.byId.set(id, {...early, since});
@@ -28,6 +37,17 @@
     return this.byId.has(id);
   }
 
+  /** Whether a job waits for its entry node to confirm it. */
+  isUnconfirmed(id: string): boolean {
+    const known = this.byId.get(id);
+    return known !== undefined && known.contactAt === undefined;
+  }
+
+  /** Entry nodes of the jobs. */
+  get owners(): string[] {
+    return [...this.byId.values()].map(({owner}) => owner);
+  }
+
   delete(id: string): void {
     this.byId.delete(id);
   }
@@ -42,14 +62,20 @@
   }
 
   /**
-   * Removes and returns the jobs that `revision` suffices for or that have waited
-   * long enough; the dispatcher refuses the latter.
+   * Removes and returns the confirmed jobs that `revision` suffices for or that have
+   * waited long enough; the dispatcher refuses the latter. Also removes those that
+   * were not confirmed in time, which their entry nodes no longer hold.
    */
   take(revision: number, now: number): ReceivedSubmission[] {
     const taken: ReceivedSubmission[] = [];
     for (const [id, {owner, submission, contactAt, since}] of this.byId) {
       const isCurrent = revision >= (submission.revision ?? 0);
       const waitedMs = now - since;
+      if (contactAt === undefined) {
+        const isOver = waitedMs > FailoverTiming.OWNER_TIMEOUT_MS;
+        if (isOver) this.byId.delete(id);
+        continue;
+      }
       if (!isCurrent && waitedMs < MAX_WAIT_MS) continue;
       this.byId.delete(id);
       const waited = addWait(submission, waitedMs);
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -194,6 +194,20 @@
   assert.include(body, {claimStatedAt: 77});
 });
 
+// Guards against a start for a caller that has gone: the dispatcher asks before it.
+test('an entry node confirms the jobs that it still holds', () => {
+  const bench = createEntryGatewayBench();
+  const {peers} = bench;
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  peers.deliver('c1', 'pool.confirm', {ids: ['j', 'gone'], claimStatedAt: 77});
+  const body = {ids: ['j'], claimStatedAt: 77};
+  assert.deepEqual(peers.sent.at(-1), {node: 'c1', kind: 'pool.poll', body});
+  const count = peers.sent.length;
+  peers.deliver('c2', 'pool.confirm', {ids: ['j'], claimStatedAt: 77});
+  assert.lengthOf(peers.sent, count);
+});
+
 test('a job of a lost holder is submitted to the next with a time to settle', () => {
   const bench = createEntryGatewayBench();
   bench.announceHolder('c1', 1_001);
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -77,6 +77,7 @@
       if (!v.is(PoolMessage.redirect, body)) return;
       this.onRedirect(from, body, now);
     });
+    peers.onMessage('pool.confirm', (from, body) => this.onConfirm(from, body));
     peers.onMessage('pool.unknown', (from, body, now) =>
       this.onUnknown(from, body, now),
     );
@@ -325,6 +326,16 @@
     }
   }
 
+  /** Polls for the jobs that are still held. */
+  private onConfirm(from: string, body: unknown): void {
+    if (!v.is(PoolMessage.confirm, body)) return;
+    const {claimStatedAt} = body;
+    const isHeld = (id: string) => this.jobs.get(id)?.assignedTo?.node === from;
+    const ids = body.ids.filter(isHeld);
+    if (ids.length === 0) return;
+    this.opts.peers.send(from, 'pool.poll', {ids, claimStatedAt});
+  }
+
   private onUnknown(from: string, body: unknown, now: number): void {
     if (!v.is(PoolMessage.unknown, body)) return;
     for (const id of body.ids) {
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -116,7 +116,7 @@
 
   /** Entry nodes that have jobs here. */
   get owners(): ReadonlySet<string> {
-    return this.endpoint.dispatcher?.owners ?? new Set();
+    return this.endpoint.owners;
   }
 
   /** Whether the dispatcher is the leader's, of this term and these zones. */
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -166,10 +166,22 @@
       // Its last claim may have been stated long before.
       this.leaderClaim = {...leader, heardAt, statedAt};
     } else if (leader) {
-      this.record({...toClaim(grant, leader), heardAt: now, statedAt});
+      const claim = {...toClaim(grant, leader), heardAt: now};
+      this.record({...claim, statedAt: this.latestStatement(grant, statedAt)});
     }
   }
 
+  /** When the holder last stated its claim, as far as this node has heard. */
+  private latestStatement(
+    {zone, node, token}: ZoneGrant,
+    statedAt: number | undefined,
+  ): number | undefined {
+    const known = this.holders.get(zone);
+    if (known?.node !== node || known.token !== token) return statedAt;
+    const times = [known.statedAt, statedAt].filter(at => at !== undefined);
+    return times.length > 0 ? Math.max(...times) : undefined;
+  }
+
   /**
    * Highest configuration revision that a leader or holder has stated, or that was
    * in force at this node. Those of lost dispatchers count as well: their successors
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -72,6 +72,11 @@
     /** `statedAt` of the last claim that the entry node has received. */
     claimStatedAt: v.optional(v.number()),
   }),
+  /**
+   * Jobs that were submitted without proof that the entry node holds them; it polls
+   * for those that it still holds, with this `claimStatedAt`.
+   */
+  confirm: v.object({ids, claimStatedAt: v.number()}),
   /** Jobs of a poll that the dispatcher does not know. */
   unknown: v.object({ids}),
   drop: v.object({id: v.string(), reason: v.string()}),
--- a/src/core/pool/zones/zones.test.ts
+++ b/src/core/pool/zones/zones.test.ts
@@ -292,6 +292,8 @@
 function makeOld(bench: DeploymentBench, old: string | undefined): void {
   bench.network.translate = (from, to, body) => {
     const message = body as Record<string, unknown>;
+    const isSubmission = message['job'] !== undefined;
+    if (from === old && isSubmission) return omit(message, 'dispatcher');
     if (message['role'] === undefined) return body;
     if (from === old) return omit(message, 'isZoned zoneToken startedAt');
     const lead = message['lead'] as object | undefined;
