Repeat a leave that the leader or the holder of the zone has missed

While the link to one of them is down, the other alone accepts the leave of a worker. The holder then kept the worker until its last report expired, for up to 8 s, and sent it starts that could not be answered. The core node that has taken the leave now sends it again with the next reports, with the start time of the process, so that a later process under the same id is not removed.

--- a/src/core/pool/registry/worker_report_service.ts
+++ b/src/core/pool/registry/worker_report_service.ts
@@ -40,6 +40,8 @@
 export class WorkerReportService {
   /** Reports to pass on, by worker. */
   private readonly pending = new Map<string, WorkerReport>();
+  /** Workers that have left without notice to one of the nodes concerned. */
+  private readonly departed = new Map<string, WorkerReport>();
   private nextForward = 0;
 
   constructor(private readonly opts: WorkerReportServiceOptions) {
@@ -84,15 +86,21 @@
   async leave(id: string): Promise<boolean> {
     const {registry, clock} = this.opts;
     this.pending.delete(id);
-    const zone = registry.entries.get(id)?.report.zone;
-    const receivers = this.receivers(zone, clock.now());
-    return (await this.requestAll(receivers, 'pool.leave', {id})) > 0;
+    const report = registry.entries.get(id)?.report;
+    const receivers = this.receivers(report?.zone, clock.now());
+    const accepted = await this.requestAll(receivers, 'pool.leave', {id});
+    if (report && accepted > 0 && accepted < receivers.length) {
+      this.departed.set(id, report);
+    }
+    return accepted > 0;
   }
 
   /** Passes collected reports on to the leader and holders if it is time to. */
   tick(now: number): void {
-    if (this.pending.size === 0 || now < this.nextForward) return;
+    const count = this.pending.size + this.departed.size;
+    if (count === 0 || now < this.nextForward) return;
     const {node, peers} = this.opts;
+    this.forwardLeaves(now);
     const byReceiver = new Map<string, WorkerReport[]>();
     for (const report of this.pending.values()) {
       for (const receiver of this.receivers(report.zone, now)) {
@@ -109,6 +117,19 @@
     }
   }
 
+  /** Repeats leaves to the nodes concerned, one of which has not replied. */
+  private forwardLeaves(now: number): void {
+    const {node, peers} = this.opts;
+    for (const [id, {zone, bornAt}] of this.departed) {
+      const receivers = this.receivers(zone, now);
+      if (receivers.length === 0) continue;
+      this.departed.delete(id);
+      for (const receiver of receivers) {
+        if (receiver !== node) peers.send(receiver, 'pool.left', {id, bornAt});
+      }
+    }
+  }
+
   /** The leader and the holder of a zone, as far as they are known. */
   private receivers(zone: string | undefined, now: number): string[] {
     const {claims} = this.opts.directory;
