Count the wait of a submission from its own arrival

A submission that waits for its configuration or for its confirmation may be replaced by another of the same job, from another entry node or after another change of dispatcher. It kept the arrival time of the replaced one: up to 1 s, since, was taken off its settling time, so that it could start while the earlier dispatcher's runs were active, and off its patience. It was also dropped 1 s after the arrival of the replaced one, however recently its own entry node had been asked.

Each submission now waits from its own arrival. Ruled out: to keep both times. The first would only bound repeated submissions, and an entry node repeats none while the dispatcher knows the job.

The test fails without it: 850 ms are left of 1,800 ms, instead of 1,750 ms.

--- a/src/core/pool/dispatcher/early_submissions.test.ts
+++ b/src/core/pool/dispatcher/early_submissions.test.ts
@@ -24,3 +24,19 @@
   early.add({owner: 'e', submission, contactAt: 0}, 0);
   assert.lengthOf(early.take(2, 20), 1);
 });
+
+// Guards against a start while an earlier dispatcher may still run the job: the time
+// that another submission had waited was taken off the settling time.
+test('a submission waits from its own arrival, not from that of an earlier one', () => {
+  const early = new EarlySubmissions();
+  const submission = PoolBench.submission('j');
+  early.add({owner: 'e1', submission, contactAt: undefined}, 0);
+  const moved = {...submission, settleMs: 1_800};
+  early.add({owner: 'e2', submission: moved, contactAt: undefined}, 900);
+  early.recordContact('e2', 'j', 900);
+  const [taken] = early.take(1, 950);
+  const {waitedMs, settleMs, patienceMs} = taken!.submission;
+  assert.equal(settleMs, 1_750);
+  assert.equal(waitedMs, 50);
+  assert.equal(patienceMs, submission.patienceMs - 50);
+});
--- a/src/core/pool/dispatcher/early_submissions.ts
+++ b/src/core/pool/dispatcher/early_submissions.ts
@@ -23,8 +23,8 @@
 
   add(early: EarlySubmission, now: number): void {
     const {id} = early.submission.job;
-    const since = this.byId.get(id)?.since ?? now;
-    this.byId.set(id, {...early, since});
+    // Its times count from now, not from the arrival of a submission it replaces.
+    this.byId.set(id, {...early, since: now});
   }
 
   /** Records that the entry node of a job held its request at `contactAt`. */
