Poll with claims heard before the callers' connections were read

A caller sends its job again 1.3 s after it has closed its connection, and the earlier run is still at work.

Cause: a poll names the newest claim that the entry node has read. While a turn of its event loop is long, it reads claims of the dispatcher during a turn in which a caller's connection has become readable, but reads the connection only in the next turn. Until then each poll states contact up to two turns after the caller has gone. From 150 ms on this exceeds what the bound of the lease allows for (125 ms); a lost stop order is enough then.

Ruled out: a loop that is late because the process does not get the processor (`starve` of the fakes). It reads all that has arrived at once, so that a claim and the end of a connection before it are read together; no overlap came of it.

Change: a poll fixes the claims when it is due, lets the event loop read its sockets (`Clock.afterInput`), and then names the jobs that are still open. What had arrived before has been handled by then, however late the loop is. On a loopback server Node.js 20 reports a connection that was closed or reset at the end of the turn that reads it, after the immediates: one whole turn after a timer, two after any other callback. Nothing is done per request; a poll costs two or three callbacks.

--- a/src/adapter/event_loop_lag.test.ts
+++ b/src/adapter/event_loop_lag.test.ts
@@ -27,6 +27,7 @@
         return {cancel: () => undefined};
       },
       defer: task => task(),
+      afterInput: task => task(),
     },
     ms => readings.push(ms),
   );
--- a/src/adapter/steady_clock.ts
+++ b/src/adapter/steady_clock.ts
@@ -1,6 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import type {Cancellable} from '../core/clock/cancellable.js';
 import type {Clock} from '../core/clock/clock.js';
+import {runAfterTurns} from './run_after_turns.js';
 
 /**
  * Monotonic clock: adjustments of the system time do not affect it. It starts
@@ -8,16 +9,33 @@
  * machine is suspended.
  */
 export class SteadyClock implements Clock {
+  private isInTimer = false;
+
   now(): number {
     return performance.timeOrigin + performance.now();
   }
 
   schedule(delayMs: number, task: () => void): Cancellable {
-    const timer = setTimeout(task, delayMs);
+    const timer = setTimeout(() => {
+      this.isInTimer = true;
+      try {
+        task();
+      } finally {
+        this.isInTimer = false;
+      }
+    }, delayMs);
     return {cancel: () => clearTimeout(timer)};
   }
 
   defer(task: () => void): void {
     setImmediate(task);
   }
+
+  /**
+   * Timers are followed by a whole reading of the sockets; any other callback may run
+   * in the middle of one, so that the next one counts.
+   */
+  afterInput(task: () => void): void {
+    runAfterTurns(this.isInTimer ? 1 : 2, task);
+  }
 }
--- a/src/adapter/system_clock.ts
+++ b/src/adapter/system_clock.ts
@@ -1,5 +1,6 @@
 import type {Cancellable} from '../core/clock/cancellable.js';
 import type {Clock} from '../core/clock/clock.js';
+import {runAfterTurns} from './run_after_turns.js';
 
 /** Clock that reads the system time and uses the timers of the event loop. */
 export class SystemClock implements Clock {
@@ -15,4 +16,9 @@
   defer(task: () => void): void {
     setImmediate(task);
   }
+
+  /** See SteadyClock, which saves a turn of the event loop after timers. */
+  afterInput(task: () => void): void {
+    runAfterTurns(2, task);
+  }
 }
--- a/src/core/clock/clock.ts
+++ b/src/core/clock/clock.ts
@@ -10,4 +10,10 @@
 
   /** Runs `task` after the current turn of the event loop. */
   defer(task: () => void): void;
+
+  /**
+   * Runs `task` once all that had arrived on open connections before the call has
+   * been handled, also that they were closed.
+   */
+  afterInput(task: () => void): void;
 }
--- a/src/core/clock/stepped_clock.ts
+++ b/src/core/clock/stepped_clock.ts
@@ -40,6 +40,11 @@
     this.schedule(0, task);
   }
 
+  /** Runs the task at once: simulated messages are handled as they arrive. */
+  afterInput(task: () => void): void {
+    task();
+  }
+
   /** Moves the clock by `ms` milliseconds and runs the timers due by then. */
   advance(ms: number): void {
     const end = this.time + ms;
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -1,15 +1,14 @@
 import * as v from 'valibot';
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
-import type {DispatcherClaim} from '../node/dispatcher_claim.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import type {PoolJob} from '../job/pool_job.js';
 import {CancelNotifier} from './cancel_notifier.js';
 import type {OpenJob} from './open_job.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
+import {JobPolls} from './job_polls.js';
 import {maxWaitMs} from './max_wait_ms.js';
-import {pollCutoffMs} from './poll_cutoff_ms.js';
 import {queryDispatchers} from './query_dispatchers.js';
 import {recordCaller} from './record_caller.js';
 import {recordResubmission} from './record_resubmission.js';
@@ -21,8 +20,6 @@
 import type {PoolObserver} from '../pool_observer.js';
 import {retryAfterMs} from '../admission/retry_after.js';
 
-/** Interval of polls; contacts stay too young to shorten leases by it. */
-const POLL_MS = 200;
 /** Time for which a submission may be in flight. */
 const IN_FLIGHT_MS = 250;
 /** The caller is answered this long before its deadline. */
@@ -56,14 +53,15 @@
  */
 export class EntryGateway {
   readonly jobs = new Map<string, OpenJob>();
-  private nextPoll = 0;
   private readonly contacts: ZoneContacts;
   private readonly cancels: CancelNotifier;
+  private readonly polls: JobPolls;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
     this.contacts = new ZoneContacts({...opts, openJobs: () => this.jobs.size});
     this.cancels = new CancelNotifier(opts);
+    this.polls = new JobPolls(opts, this.jobs, this.contacts);
     peers.onMessage('pool.answer', (from, body) => {
       if (!v.is(PoolMessage.answer, body)) return;
       this.onAnswer(from, body.id, body.answer);
@@ -77,7 +75,9 @@
       if (!v.is(PoolMessage.redirect, body)) return;
       this.onRedirect(from, body, now);
     });
-    peers.onMessage('pool.confirm', (from, body) => this.onConfirm(from, body));
+    peers.onMessage('pool.confirm', (from, body) => {
+      if (v.is(PoolMessage.confirm, body)) this.polls.confirm(from, body);
+    });
     peers.onMessage('pool.unknown', (from, body, now) =>
       this.onUnknown(from, body, now),
     );
@@ -151,7 +151,7 @@
     for (const {zone} of this.jobs.values()) zones.add(zone);
     for (const zone of zones) this.contacts.update(zone, now);
     for (const job of [...this.jobs.values()]) this.updateJob(job, now);
-    if (now >= this.nextPoll) this.poll(now);
+    this.polls.tick(now);
   }
 
   private updateJob(job: OpenJob, now: number): void {
@@ -304,38 +304,6 @@
     });
   }
 
-  /** Asks each dispatcher about the jobs that it has. */
-  private poll(now: number): void {
-    let isBehind = false;
-    const idsByClaim = new Map<DispatcherClaim, string[]>();
-    for (const job of this.jobs.values()) {
-      const {claim} = this.contacts.of(job.zone);
-      if (!claim || claim.node !== job.assignedTo?.node) continue;
-      if (now - claim.heardAt >= pollCutoffMs(job)) {
-        isBehind = true;
-        continue;
-      }
-      const ids = idsByClaim.get(claim) ?? [];
-      ids.push(job.id);
-      idsByClaim.set(claim, ids);
-    }
-    // After a delay of this node, newer claims wait to be read.
-    this.nextPoll = isBehind ? now : now + POLL_MS;
-    for (const [{node, statedAt}, ids] of idsByClaim) {
-      this.opts.peers.send(node, 'pool.poll', {ids, claimStatedAt: statedAt});
-    }
-  }
-
-  /** Polls for the jobs that are still held. */
-  private onConfirm(from: string, body: unknown): void {
-    if (!v.is(PoolMessage.confirm, body)) return;
-    const {claimStatedAt} = body;
-    const isHeld = (id: string) => this.jobs.get(id)?.assignedTo?.node === from;
-    const ids = body.ids.filter(isHeld);
-    if (ids.length === 0) return;
-    this.opts.peers.send(from, 'pool.poll', {ids, claimStatedAt});
-  }
-
   private onUnknown(from: string, body: unknown, now: number): void {
     if (!v.is(PoolMessage.unknown, body)) return;
     for (const id of body.ids) {
--- a/src/core/pool/node/copied_requests.test.ts
+++ b/src/core/pool/node/copied_requests.test.ts
@@ -138,6 +138,31 @@
   assert.isEmpty(bench.log.overlaps());
 });
 
+// Guards against contact by a claim that an entry node reads before it reads that the
+// caller has gone, as each turn of its event loop takes long.
+test('a copy does not start beside a run of a busy entry node', async () => {
+  for (const turnMs of [190, 270]) {
+    for (const phaseMs of [0, 140]) {
+      const bench = createBench();
+      for (const worker of bench.workers.values()) {
+        worker.runMs = task => (task.startsWith('j.') ? 4_000 : 50);
+      }
+      await bench.run(6_000 + phaseMs);
+      await startJob(bench);
+      bench.overload('ye1', turnMs);
+      await runLoad(bench, 'ye1', 1_000);
+      bench.orderFault = call => (call === 'stop' ? 'order_lost' : 'ok');
+      bench.disconnectCaller('j');
+      await runLoad(bench, 'ye1', RESEND_MS);
+      bench.submit('ze1', 'j', JOB);
+      await bench.run(5_000);
+      const message = `${turnMs} ms, ${phaseMs} ms`;
+      assert.isEmpty(bench.log.overlaps(), message);
+      assert.equal(bench.log.answerOf('j'), 'completed', message);
+    }
+  }
+});
+
 /** Sends the job again, and checks that it completes without a second run beside. */
 async function assertCopyRunsAlone(
   bench: DeploymentBench,
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -304,6 +304,7 @@
       now: () => this.loops.get(id)?.now() ?? this.clock.now(),
       schedule,
       defer: task => schedule(0, task),
+      afterInput: task => schedule(0, task),
     };
   }
 }
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -126,10 +126,12 @@
 
   /** Lets a node run only every `lagMs`, as with too little of a processor. */
   starve(id: string, lagMs: number): void {
-    const clock = this.clockOf(id);
-    clock.lagMs = lagMs;
-    clock.isSuspended = lagMs > 0;
-    if (lagMs === 0) clock.resume();
+    this.clockOf(id).starve(lagMs);
+  }
+
+  /** Makes each turn of a node's event loop last `turnMs`, until `starve` ends it. */
+  overload(id: string, turnMs: number): void {
+    this.clockOf(id).starve(turnMs, true);
   }
 
   /** Ends a process without notice. */
@@ -182,7 +184,8 @@
       this.log.recordAnswer(id, entry, answer, this.now),
     );
     const {clock, gateway} = this.entries.get(entry)!;
-    clock.receive(() => gateway.submit({host, path, job, patienceMs}, respond));
+    const req = {host, path, job, patienceMs};
+    clock.receiveFromCaller(() => gateway.submit(req, respond));
   }
 
   /** Breaks the connection over which a job was submitted. */
@@ -190,7 +193,7 @@
     const caller = this.callers.remove(id);
     if (caller) this.log.recordRequestEnd(id, caller.entry, this.now);
     const node = caller && this.entries.get(caller.entry);
-    node?.clock.receive(() => node.gateway.drop(id, caller!.respond));
+    node?.clock.receiveFromCaller(() => node.gateway.drop(id, caller!.respond));
   }
 
   async run(ms: number): Promise<void> {
--- a/test-support/fakes/pool/suspendable_clock.ts
+++ b/test-support/fakes/pool/suspendable_clock.ts
@@ -12,8 +12,22 @@
    * is suspended.
    */
   lagMs = 0;
+  /**
+   * Whether each such interval is one turn of a busy event loop, which asks at its
+   * start which sockets are readable. The messages of other nodes are read all the
+   * time; a caller's connection that becomes readable in one turn is read at the end
+   * of the next one. Timers fire between two turns.
+   */
+  isBusy = false;
   private overdue: Array<() => void> = [];
   private arrived: Array<() => void> = [];
+  /** Messages of callers that have arrived in the present turn. */
+  private fromCallers: Array<() => void> = [];
+  /** The same of the turn before, which are read at the end of the present one. */
+  private readable: Array<() => void> = [];
+  private isResuming = false;
+  /** Tasks to run at the end of the suspension, after the messages. */
+  private afterArrived: Array<() => void> = [];
 
   constructor(readonly clock: Clock) {}
 
@@ -42,18 +56,56 @@
     this.schedule(0, task);
   }
 
+  afterInput(task: () => void): void {
+    // Messages that arrive while the node is not suspended are handled at once.
+    if (this.isBusy) this.fromCallers.push(task);
+    else if (this.isResuming) this.afterArrived.push(task);
+    else task();
+  }
+
   /** Handles an arriving message, during a suspension at its end. */
   receive(handle: () => void): void {
-    if (this.isSuspended) this.arrived.push(handle);
+    if (this.isSuspended && !this.isBusy) this.arrived.push(handle);
     else handle();
   }
 
+  /** Handles what a caller has sent, or that its connection has been closed. */
+  receiveFromCaller(handle: () => void): void {
+    if (this.isBusy) this.fromCallers.push(handle);
+    else this.receive(handle);
+  }
+
+  /** Lets the node run only every `lagMs`; 0 ends that. See `isBusy`. */
+  starve(lagMs: number, isBusy = false): void {
+    if (lagMs === 0) return this.endTurns();
+    this.lagMs = lagMs;
+    this.isBusy = isBusy;
+    this.isSuspended = true;
+  }
+
   /** Ends a suspension; `tick` is a timer that has become due in it. */
   resume(tick: () => void = () => undefined): void {
     this.isSuspended = false;
-    const due = [...this.overdue, tick, ...this.arrived];
+    this.isResuming = true;
+    const due = [...this.readable, ...this.overdue, tick, ...this.arrived];
+    this.readable = [];
     this.overdue = [];
     this.arrived = [];
     for (const act of due) act();
+    this.isResuming = false;
+    this.readable = this.fromCallers;
+    this.fromCallers = [];
+    const after = this.afterArrived;
+    this.afterArrived = [];
+    for (const act of after) act();
+  }
+
+  private endTurns(): void {
+    this.lagMs = 0;
+    this.isBusy = false;
+    this.arrived.push(...this.readable, ...this.fromCallers);
+    this.readable = [];
+    this.fromCallers = [];
+    this.resume();
   }
 }
