Keep the zones of a leader's dispatcher that names its only one

Callers could see one task run at two workers after a zone was granted. The leader's claim names the only zone of whose workers its dispatcher has runs (`soleZone`). An entry node passes the leader's token with the job to the next holder of the zone then, which settles it by its own workers. The claim was true when it was stated only: a worker of another zone that joined the dispatcher afterwards got tasks as well, and the holder does not know it.

The zone is now fixed when the first workers are known: the dispatcher takes no worker of another zone afterwards. When one reports, the leader opens a new dispatcher with a higher token, which states no sole zone. This happens once for a set of granted zones at most; a leader that grants none is not affected.

The test fails before the change with two runs of j.0.0.50: 100801 on the worker of the other zone, and 101201 of the holder 160 ms later (`settled_by_token`). Ruled out: to judge a claim by its age, as the worker may join in the next millisecond.

--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -68,6 +68,11 @@
   private firstToken = 0;
   /** Zones of all workers that the dispatcher has had. */
   private readonly servedZones = new Set<string>();
+  /**
+   * The zone of the first workers, if they are of one zone and the leader grants
+   * others. The claim names it, so no worker of another zone is taken afterwards.
+   */
+  private soleZone: string | undefined;
 
   constructor(private readonly opts: CoreDispatchingOptions) {
     const {clock, directory, client: direct, peers} = opts;
@@ -125,7 +130,8 @@
     if (scope?.term !== term || scope.zone !== undefined) return false;
     return (
       scope.excluded.size === excluded.size &&
-      [...excluded].every(zone => scope.excluded.has(zone))
+      [...excluded].every(zone => scope.excluded.has(zone)) &&
+      !this.omitsWorkers(scope)
     );
   }
 
@@ -141,7 +147,7 @@
 
   /** The claim that other nodes receive; undefined without a dispatcher. */
   claim(now: number): DispatcherClaim | undefined {
-    const {scope, opts, firstToken} = this;
+    const {scope, opts, firstToken, soleZone} = this;
     const {node, reportAddress, routing} = opts;
     if (!scope) return undefined;
     const {term, zone} = scope;
@@ -153,7 +159,7 @@
       isFallback: false,
       ...(zone === undefined ? {} : {zone}),
       ...(isFirst || zone !== undefined ? {} : {firstToken}),
-      ...(zone === undefined ? this.soleZone(scope) : {}),
+      ...(soleZone === undefined ? {} : {soleZone}),
       reportAddress,
       revision: routing()?.content.revision ?? 0,
       version: opts.evacuated?.version,
@@ -170,6 +176,7 @@
     this.scope = scope;
     this.firstToken = token;
     this.servedZones.clear();
+    this.soleZone = undefined;
     this.setRelayedWorkers(scope);
     const dispatcher = new PoolDispatcher({
       ...this.opts,
@@ -177,7 +184,7 @@
       client: this.client,
       // The leader's dispatcher is one of the last resort and makes no offers.
       lending: zone === undefined ? undefined : this.lending,
-      servesZone: each => serves(scope, each),
+      servesZone: each => this.servesZone(scope, each),
       // A closed dispatcher renews no lease.
       maySendOrders: at => this.scope === scope && maySendOrders(at),
       mayHaveRun: id => this.endpoint.mayHaveRun(id),
@@ -208,7 +215,7 @@
     const {dispatcher} = this.endpoint;
     if (!dispatcher || !scope || scope.zone !== undefined) return;
     const isContested = [...claims.zones].some(
-      zone => serves(scope, zone) && claims.tokenOf(zone) > dispatcher.token,
+      zone => covers(scope, zone) && claims.tokenOf(zone) > dispatcher.token,
     );
     if (!isContested) return;
     dispatcher.raiseToken(FencingToken.nextOfCore(claims.highestToken));
@@ -227,23 +234,32 @@
     }
   }
 
-  /** A leader of small zones does not tell, since it grants none. */
-  private soleZone({excluded}: Scope): {readonly soleZone?: string} {
-    const [soleZone, ...others] = this.servedZones;
-    if (excluded.size === 0 || others.length > 0) return {};
-    return soleZone === undefined ? {} : {soleZone};
+  private servesZone(scope: Scope, zone: string): boolean {
+    return covers(scope, zone) && zone === (this.soleZone ?? zone);
+  }
+
+  /** Whether a worker is left out whose zone the scope covers. */
+  private omitsWorkers(scope: Scope): boolean {
+    if (this.soleZone === undefined) return false;
+    return this.opts.registry.reports.some(
+      ({zone}) => covers(scope, zone) && !this.servesZone(scope, zone),
+    );
   }
 
   private setRelayedWorkers(scope: Scope): void {
     const {reports} = this.opts.registry;
-    const served = reports.filter(({zone}) => serves(scope, zone));
+    const served = reports.filter(({zone}) => this.servesZone(scope, zone));
     for (const {zone} of served) this.servedZones.add(zone);
+    // A leader that grants no zones does not need to name one.
+    if (scope.excluded.size > 0 && this.servedZones.size === 1) {
+      [this.soleZone] = this.servedZones;
+    }
     const mayLeaveZone = scope.zone === undefined;
     this.relayChooser.setWorkers(served, {mayLeaveZone});
   }
 }
 
-function serves(scope: Scope, zone: string): boolean {
+function covers(scope: Scope, zone: string): boolean {
   return scope.zone === undefined
     ? !scope.excluded.has(zone)
     : scope.zone === zone;
--- a/src/core/pool/node/dispatcher_claim.ts
+++ b/src/core/pool/node/dispatcher_claim.ts
@@ -18,8 +18,8 @@
    */
   readonly firstToken?: number | undefined;
   /**
-   * The only zone on whose workers this dispatcher of the leader can have started
-   * runs, if it is one.
+   * The only zone on whose workers this dispatcher of the leader starts runs, also
+   * after the claim was stated, if it is one.
    */
   readonly soleZone?: string | undefined;
   /** Zones that the leader has granted. Default: none. */
