Forget a submission whose job has been answered before it was confirmed

A submission without a usable time waits until its entry node has confirmed it. If the dispatcher has the job already, for another entry node, it may end meanwhile. The confirming poll got the answer, and the same poll passed the submission on, so that the job ran once more for a caller who had been answered. Before the submission only assigned the job to the second entry node.

A poll that is answered now also ends the submission of its sender. Ruled out: to compare times; an answer that is kept is always newer than the submission that waits, since reading a submission deletes the earlier answer.

The test fails without it: the dispatcher has the job again after it was answered.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
@@ -45,9 +45,9 @@
   }
 }
 
-/** An endpoint whose dispatcher has no workers, and its peers. */
-function createEndpoint() {
-  const bench = new PoolBench(0);
+/** An endpoint whose dispatcher knows no workers yet, and its peers. */
+function createEndpoint(workers = 0) {
+  const bench = new PoolBench(workers);
   const {clock} = bench;
   const peers = new RequestingPeers(clock);
   const noop = () => undefined;
@@ -68,7 +68,7 @@
     isRegistryComplete: false,
   });
   endpoint.attach(dispatcher);
-  return {clock, peers, endpoint, dispatcher};
+  return {bench, clock, peers, endpoint, dispatcher};
 }
 
 // Its entry node submits the job again within 700 ms, and it would run although its
@@ -165,3 +165,27 @@
   peers.deliver('e', 'pool.submit', {...job, claimStatedAt, dispatcher: 2_000});
   assert.isTrue(dispatcher.has('j'));
 });
+
+// Guards against a second run for a caller that has been answered: its submission
+// still waited to be confirmed when the job ended for another entry node.
+test('a job that ends before a submission is confirmed is not started again', async () => {
+  const {bench, clock, peers, endpoint} = createEndpoint(1);
+  const dispatcher = bench.createDispatcher({term: 3});
+  endpoint.attach(dispatcher);
+  const job = PoolBench.submission('j');
+  const claimStatedAt = clock.now();
+  peers.deliver('e1', 'pool.submit', {...job, claimStatedAt});
+  await bench.run(50, dispatcher);
+  assert.lengthOf([...bench.workers.get('w0')!.running], 1);
+  peers.deliver('e2', 'pool.submit', job);
+  const {body} = peers.sent.at(-1)!;
+  await bench.run(200, dispatcher);
+  const answer = bench.answers.get('j')!;
+  assert.equal(answer.kind, 'completed');
+  endpoint.answer('e1', 'j', answer);
+  peers.deliver('e2', 'pool.poll', body);
+  const last = {node: 'e2', kind: 'pool.answer', body: {id: 'j', answer}};
+  assert.deepEqual(peers.sent.at(-1), last);
+  endpoint.tick(clock.now());
+  assert.isFalse(dispatcher.has('j'));
+});
--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -261,6 +261,8 @@
       }
       const known = this.answers.get(id);
       if (known) {
+        // The job was answered after its submission here had been read.
+        if (this.early.ownerOf(id) === from) this.early.delete(id);
         this.opts.peers.send(from, 'pool.answer', {id, answer: known});
         continue;
       }
