Let a newer submission replace one that waits to be confirmed

A caller may send a job to a second entry node before the first has noticed that it has gone. If the first submission had no usable time and the second had one, the second was passed on at once and the first when it was confirmed: the job went back to the first entry node, whose drop then stopped the runs that the second one's caller waited for.

A submission that is read now replaces one of the same job that waits. Ruled out: to keep the first until it is dropped; the order of reading is the one that counts for submissions with a time.

The test fails without it: the job belongs to e1 instead of e2.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
@@ -189,3 +189,14 @@
   endpoint.tick(clock.now());
   assert.isFalse(dispatcher.has('j'));
 });
+
+// Guards against a job that is stopped when an earlier entry node drops it.
+test('a submission that is confirmed late does not replace a newer one', () => {
+  const {clock, peers, dispatcher} = createEndpoint();
+  const job = PoolBench.submission('j');
+  const claimStatedAt = clock.now();
+  peers.deliver('e1', 'pool.submit', job);
+  peers.deliver('e2', 'pool.submit', {...job, claimStatedAt});
+  peers.deliver('e1', 'pool.poll', {ids: ['j'], claimStatedAt});
+  assert.equal(dispatcher.jobs.get('j')?.owner, 'e2');
+});
--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -169,6 +169,8 @@
     const {id} = body.job;
     // A resubmitted job runs again, even if it has been answered before.
     this.answers.delete(id);
+    // It replaces one of the job that still waits.
+    this.early.delete(id);
     if (contactAt === undefined) {
       // The caller may have gone since the message was sent.
       this.early.add({owner: from, submission: body, contactAt}, now);
