Count a suspension of the machine into the age of contacts

Callers saw one task run at two workers where the machine of a dispatcher had been suspended while its caller went. The steady clock of a suspended machine stands still, so the contact with the caller's entry node looked newer than it was by the suspension, and the lease of the run outlasted the caller's resend time. The workers' own clocks refuse only orders that rest on a reading from before the suspension; the first reply of a worker after it gives a reading that is right, and with it a lease that is too long.

Each reading of a worker's clock now also tells how far that clock has gained on this one since the readings before. Contacts from before the detection are older by that. A late reply or a slow clock makes the gain smaller, so neither shortens a lease. A reply to a poll without news was read after the wait of the poll.

Ruled out: the time of day, which also counts a suspension, but jumps; to stop all orders after a suspension, which the steady clock does not show; a clock that adds the suspension, since leases must not count as over too early.

Not covered: a worker whose clock is 2% slow and was not read for 10 s hides 0.2 s of a suspension, and one whose clock was never read before hides it all.

--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -10,6 +10,7 @@
 import {RunEnd} from './run_end.js';
 import type {RunLoss} from './run_loss.js';
 import {RunRefusal} from './run_refusal.js';
+import type {SentPoll} from './sent_poll.js';
 import {startBackoffMs} from './start_backoff_ms.js';
 import type {WorkerClient} from './worker_client.js';
 import {WorkerFence} from './worker_fence.js';
@@ -172,7 +173,7 @@
       .poll(this.report, {acknowledged, waitMs, leaseEnd})
       .then(reply => {
         this.pendingPolls -= 1;
-        this.onPollReply(reply, now, token);
+        this.onPollReply(reply, {at: now, token, waitMs});
       });
   }
 
@@ -226,33 +227,34 @@
     this.close(LossCause.restarted);
   }
 
-  private onPollReply(reply: PollReply, sentAt: number, token: number): void {
+  private onPollReply(reply: PollReply, sent: SentPoll): void {
     const now = this.opts.clock.now();
     if (reply.kind === 'ok') {
       const wasUsable = this.isUsable(now);
       this.probes.onReply();
       // A part of the list does not show all runs of earlier dispatchers.
-      this.fence.recordAccepted(reply.look.isPartial ? 0 : token);
-      this.onStatus(reply.look, sentAt, now);
+      this.fence.recordAccepted(reply.look.isPartial ? 0 : sent.token);
+      this.onStatus(reply.look, sent, now);
       if (!wasUsable && this.isUsable(now)) this.opts.listener.onChange(this);
     } else if (reply.kind === 'lost') {
       this.probes.onTimeout(reply.isRefused);
     } else {
-      this.onRefusal(reply.reason, token);
+      this.onRefusal(reply.reason, sent.token);
       if (this.isOutranked) this.opts.listener.onChange(this);
       else if (reply.reason !== RunRefusal.otherLife) this.probes.onTimeout();
     }
     this.tick(now);
   }
 
-  private onStatus(status: Status, sentAt: number, now: number): void {
-    const {bornAt} = status;
+  private onStatus(status: Status, {at, waitMs}: SentPoll, now: number): void {
+    const {bornAt, clockMs} = status;
     if (bornAt !== undefined && this.instance.update(bornAt, now)) {
       this.acks.reset();
       this.lease.reset();
       this.ledger.inherited.clear();
     }
-    this.lease.updateClock(status.clockMs, sentAt, now);
+    const waitedMs = status.ended.length === 0 ? waitMs : 0;
+    this.lease.updateClock(clockMs, at, now, Math.min(now, at + waitedMs));
     for (const {number, task, run, how} of status.ended) {
       if (this.acks.receive(number, now)) this.onListedEnd(task, run, how);
     }
@@ -265,7 +267,7 @@
     const lost: Run[] = [];
     for (const run of [...this.runs.values()]) {
       if (reported.get(run.task) === run.number) run.confirmedAt ??= now;
-      else if (this.isLost(run, status, sentAt, now)) lost.push(run);
+      else if (this.isLost(run, status, at, now)) lost.push(run);
     }
     const [previous] = lost.flatMap(r => this.instance.previousOf(r) ?? []);
     if (previous === undefined) this.loseRuns(lost, LossCause.notListed);
@@ -274,10 +276,7 @@
 
   private onListedEnd(task: string, number: number, how: RunEnd): void {
     const run = this.runs.get(task);
-    if (run && run.number === number) {
-      this.endRun(run, how);
-      return;
-    }
+    if (run?.number === number) return this.endRun(run, how);
     if (this.inherited.get(task) === number) this.ledger.inherited.delete(task);
     this.opts.listener.onInheritedRunEnded(task, number, how);
   }
--- a/src/core/pool/lease/worker_lease.test.ts
+++ b/src/core/pool/lease/worker_lease.test.ts
@@ -66,3 +66,25 @@
   assert.isFalse(lease.isExpired(400));
   assert.isTrue(lease.isExpired(800));
 });
+
+// Guards against a lease that outlasts a contact by the time in which the machine of
+// the dispatcher was suspended.
+test('a contact is older by a suspension that a worker shows', () => {
+  const lease = new WorkerLease(LEASE_MS);
+  lease.updateClock(10_001, 0, 2);
+  lease.updateClock(10_101, 100, 102);
+  // Suspended for 900 ms at 250.
+  lease.updateClock(11_201, 300, 302);
+  const end = lease.extend(302, {contactAt: 200})!;
+  assert.isBelow((end - 10_200) / 0.98, 1_300);
+  assert.isFalse(lease.permits({contactAt: 0}, 302));
+  assert.equal(lease.extend(352, {contactAt: 310}), 11_851);
+});
+
+// Guards against leases that lapse because a dispatcher reads replies late.
+test('a late reply does not count as a suspension', () => {
+  const lease = new WorkerLease(LEASE_MS);
+  lease.updateClock(10_001, 0, 302);
+  lease.updateClock(10_401, 400, 402);
+  assert.equal(lease.extend(402, {contactAt: 0}), 11_001);
+});
--- a/src/core/pool/lease/worker_lease.ts
+++ b/src/core/pool/lease/worker_lease.ts
@@ -1,5 +1,6 @@
 import type {JobContact} from '../job/job_contact.js';
 import {LeaseTiming} from './lease_timing.js';
+import {SuspendedTime} from './suspended_time.js';
 
 /** Minimum rate of a worker's clock relative to this one; it may be 2% slow. */
 const MIN_CLOCK_RATE = 0.98;
@@ -32,6 +33,7 @@
   /** End of the longest lease that the contacts of the last extension permit. */
   private limit = Number.POSITIVE_INFINITY;
   private readonly contactLeaseMs: number;
+  private readonly suspended = new SuspendedTime();
 
   /**
    * `leaseMs` is the longest lease that workers grant, `resendMs` the time after
@@ -50,9 +52,18 @@
     return this.workerClockMs !== undefined;
   }
 
-  /** Stores the clock reading of the reply to an order sent at `sentAt`. */
-  updateClock(workerMs: number, sentAt: number, now: number): void {
+  /**
+   * Stores the clock reading of the reply to an order sent at `sentAt`; the worker
+   * has not read its clock before `earliestAt`.
+   */
+  updateClock(
+    workerMs: number,
+    sentAt: number,
+    now: number,
+    earliestAt = sentAt,
+  ): void {
     if (sentAt < this.sentAt) return;
+    this.suspended.record(workerMs, earliestAt, now);
     // A lease may be active whose end was not known before the first reading.
     if (!this.isClockKnown) this.end = workerMs + this.leaseMs;
     this.workerClockMs = workerMs;
@@ -65,6 +76,7 @@
     this.workerClockMs = undefined;
     this.sentAt = Number.NEGATIVE_INFINITY;
     this.end = 0;
+    this.suspended.reset();
   }
 
   /**
@@ -74,7 +86,7 @@
    * oldest one with the entry nodes of the worker's jobs.
    */
   extend(now: number, contact: JobContact): number | undefined {
-    this.limit = contact.contactAt + this.contactLeaseMs;
+    this.limit = this.limitOf(contact);
     const durationMs = Math.min(this.leaseMs, this.limit - now);
     if (durationMs <= 0) return undefined;
     const end = Math.floor(this.clockAt(now) + durationMs);
@@ -86,9 +98,9 @@
    * Whether a run of a job may be started: the lease that the worker has already,
    * which cannot be shortened, ends in time.
    */
-  permits({contactAt}: JobContact, now: number): boolean {
+  permits(contact: JobContact, now: number): boolean {
     const leftMs = Math.max(0, this.end - this.clockAt(now));
-    return now + leftMs <= contactAt + this.contactLeaseMs;
+    return now + leftMs <= this.limitOf(contact);
   }
 
   /** Takes over a lease of another dispatcher, whose end is not known. */
@@ -123,6 +135,14 @@
     return now >= this.receivedAt + leftMs + EXPIRY_SLACK_MS;
   }
 
+  /**
+   * End of the longest lease that a contact permits. It is older than it looks by
+   * the time in which the machine of this node was suspended.
+   */
+  private limitOf({contactAt}: JobContact): number {
+    return contactAt - this.suspended.since(contactAt) + this.contactLeaseMs;
+  }
+
   /** Estimate of the worker's clock, in ms; not ahead of it. */
   private clockAt(now: number): number {
     return (this.workerClockMs ?? 0) + (now - this.receivedAt);
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -116,8 +116,8 @@
       .map(([id]) => id);
   }
 
-  suspend(id: string): void {
-    this.clockOf(id).isSuspended = true;
+  suspend(id: string, isCounted = true): void {
+    this.clockOf(id).suspend(isCounted);
   }
 
   resume(id: string): void {
@@ -166,7 +166,7 @@
     const service = new LeaderService({
       ...common,
       reportAddress: `${id}:1`,
-      leadership: () => this.election.leadershipOf(id),
+      leadership: () => this.election.leadershipOf(id, common.clock),
     });
     this.cores.set(id, {id, clock: common.clock, service});
   }
@@ -217,22 +217,22 @@
     for (const node of [...this.cores.values(), ...this.entries.values()]) {
       const {clock} = node;
       if (clock.lagMs === 0 || now % clock.lagMs !== 0) continue;
-      clock.resume(() => this.tickNode(node, now));
+      clock.resume(() => this.tickNode(node));
       clock.isSuspended = true;
     }
     if (now % TICK_MS.core === 0) {
       this.election.tick();
       for (const core of this.cores.values()) {
-        if (!core.clock.isSuspended) this.tickNode(core, now);
+        if (!core.clock.isSuspended) this.tickNode(core);
       }
       for (const {clock, fallback} of this.entries.values()) {
-        if (!clock.isSuspended && fallback.isDispatching) fallback.tick(now);
+        if (clock.isSuspended || !fallback.isDispatching) continue;
+        fallback.tick(clock.now());
       }
     }
     if (now % TICK_MS.entry === 0) {
       for (const entry of this.entries.values()) {
-        if (entry.clock.isSuspended) continue;
-        this.tickNode(entry, now);
+        if (!entry.clock.isSuspended) this.tickNode(entry);
       }
     }
     let n = 0;
@@ -242,7 +242,8 @@
     }
   }
 
-  private tickNode(node: Core | Entry, now: number): void {
+  private tickNode(node: Core | Entry): void {
+    const now = node.clock.now();
     if ('service' in node) {
       if (!this.closed.has(node.id)) node.service.tick(now);
       return;
--- a/test-support/fakes/pool/fake_election.ts
+++ b/test-support/fakes/pool/fake_election.ts
@@ -1,4 +1,5 @@
 import type {FakeClock} from '../fake_clock.js';
+import type {SuspendableClock} from './suspendable_clock.js';
 
 /** Time without a confirmed leader after which another node is elected. */
 const ELECTION_MS = 600;
@@ -79,10 +80,12 @@
     if (this.current === id) this.current = undefined;
   }
 
-  leadershipOf(id: string) {
+  /** What a node believes of its leadership, with times of its clock. */
+  leadershipOf(id: string, clock: SuspendableClock) {
     const belief = this.beliefs.get(id);
     if (!belief) return undefined;
-    return {...belief, isSettled: true, silentMs: 0};
+    const confirmedAt = clock.ownTimeOf(belief.confirmedAt);
+    return {...belief, confirmedAt, isSettled: true, silentMs: 0};
   }
 
   private elect(id: string): void {
--- a/test-support/fakes/pool/suspendable_clock.ts
+++ b/test-support/fakes/pool/suspendable_clock.ts
@@ -6,30 +6,54 @@
  * timers fire before the messages that have arrived are read.
  */
 export class SuspendableClock implements Clock {
-  isSuspended = false;
   /**
    * Interval at which the node gets the processor, if it is starved; between, it
    * is suspended.
    */
   lagMs = 0;
+  private suspendedAt: number | undefined;
+  private isCounted = true;
+  /** Suspensions that did not count, on the clock of the network. */
+  private readonly pauses: Array<{from: number; to: number}> = [];
   private overdue: Array<() => void> = [];
   private arrived: Array<() => void> = [];
 
   constructor(readonly clock: Clock) {}
 
+  get isSuspended(): boolean {
+    return this.suspendedAt !== undefined;
+  }
+
+  set isSuspended(isSuspended: boolean) {
+    this.suspendedAt = isSuspended
+      ? (this.suspendedAt ?? this.clock.now())
+      : undefined;
+  }
+
   now(): number {
-    return this.clock.now();
+    return this.ownTimeOf(this.clock.now());
+  }
+
+  /** Time of this clock at a time of the network's clock. */
+  ownTimeOf(at: number): number {
+    let own = at;
+    for (const {from, to} of this.pauses) {
+      own -= Math.max(0, Math.min(at, to) - from);
+    }
+    return own;
   }
 
   schedule(delayMs: number, task: () => void): Cancellable {
     let isCancelled = false;
-    const timer = this.clock.schedule(delayMs, () => {
-      const run = () => {
-        if (!isCancelled) task();
-      };
-      if (this.isSuspended) this.overdue.push(run);
-      else run();
-    });
+    const dueAt = this.now() + delayMs;
+    const fire = () => {
+      if (isCancelled) return;
+      const leftMs = dueAt - this.now();
+      if (this.isSuspended) this.overdue.push(fire);
+      else if (leftMs > 0) timer = this.clock.schedule(leftMs, fire);
+      else task();
+    };
+    let timer = this.clock.schedule(delayMs, fire);
     return {
       cancel: () => {
         isCancelled = true;
@@ -48,9 +72,22 @@
     else handle();
   }
 
+  /**
+   * Begins a suspension. One that is not counted is of the machine: its steady clock
+   * stands still, and its timers with it.
+   */
+  suspend(isCounted = true): void {
+    this.isSuspended = true;
+    this.isCounted = isCounted;
+  }
+
   /** Ends a suspension; `tick` is a timer that has become due in it. */
   resume(tick: () => void = () => undefined): void {
+    if (this.suspendedAt !== undefined && !this.isCounted) {
+      this.pauses.push({from: this.suspendedAt, to: this.clock.now()});
+    }
     this.isSuspended = false;
+    this.isCounted = true;
     const due = [...this.overdue, tick, ...this.arrived];
     this.overdue = [];
     this.arrived = [];
