Keep the jobs of an entry node with one of two fallbacks with the same token

Callers could see one task run at two workers while a zone had two fallbacks. Two entry nodes that do not hear each other may both have been told the same rank, as the leader forgets a node after 10 s, and then choose the same token if both poll the workers at the same time. An entry node that hears both took the claim that it had heard last for its dispatcher: it moved its jobs with each claim, 50 times in 5 s, so both kept contact with them. The second one started them 1.8 s later on workers of its own, as it could not reach the one of the first run.

Of two live claims of fallbacks with the same token, the first one stays. Contact with the other ends, as with any change of dispatcher.

Overlapping run numbers under one token were looked at as well: a worker takes a start under a known number for the run that it has, and refuses one that has ended, so they lead to refused starts only (read, not played). Ruled out: a token for each node, since the number of entry nodes of a zone has no bound.

concurrent_fallbacks.test.ts failed before, with two runs of j.0.0.0. Tests of src/core/pool: 361 passing.

--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -204,6 +204,10 @@
     const known = this.fallback;
     const isKnown = known && isLive(known, claim.heardAt);
     if (isKnown && claim.token < known.token) return;
+    // Two nodes of one rank may have the same token. Jobs that went from one to the
+    // other with each claim would keep their contact with both.
+    const isOther = claim.node !== known?.node;
+    if (isKnown && isOther && claim.token === known.token) return;
     this.fallback = claim;
     if (claim.zone !== undefined) this.recordZoneToken(claim.zone, claim.token);
   }
