Count no claim that an earlier process of a node has stated

A caller could see one task run at two workers after a dispatcher's process had been started again while the time of day was set back: the contact of its job rested on a claim of the earlier process, which looked newer by the step. The clock of a process begins with the time of day.

One way was left: a referral to a holder whose node leads meanwhile replaced the time of the leader's claim by that of the holder's, perhaps of an earlier process.

Ruled out: to count times from the start of the dispatcher on only, as a step that is longer than the restart passes that. Not covered: entry nodes of versions that send times, but no token.

--- a/src/core/pool/node/dispatcher_claims.test.ts
+++ b/src/core/pool/node/dispatcher_claims.test.ts
@@ -91,3 +91,16 @@
   claims.clear('h');
   assert.equal(claims.revision, 9);
 });
+
+// Guards against a time that an earlier process of the leader's node has stated, as
+// the holder of a zone: the clocks of two processes cannot be compared.
+test('a referral does not tell when a leader stated its claim', () => {
+  const claims = new DispatcherClaims();
+  claims.record(holderClaim({statedAt: 900}));
+  claims.record(leaderClaim({node: 'h', term: 2, token: 2_000, statedAt: 300}));
+  const referral = {zone: 'z', node: 'h', token: 1_001, statedAt: 900};
+  claims.recordReferral(referral, 100);
+  const claim = claims.remoteDispatcherOf('z', 100);
+  assert.include(claim, {node: 'h', token: 2_000});
+  assert.isUndefined(claim?.statedAt);
+});
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -163,8 +163,9 @@
     const leader = this.leaderClaim;
     if (leader?.node === grant.node) {
       const heardAt = Math.max(leader.heardAt, now);
-      // Its last claim may have been stated long before.
-      this.leaderClaim = {...leader, heardAt, statedAt};
+      // Its last claim may have been stated long before, and the one of the referral
+      // by a holder in an earlier process of the node.
+      this.leaderClaim = {...leader, heardAt, statedAt: undefined};
     } else if (leader) {
       const claim = {...toClaim(grant, leader), heardAt: now};
       this.record({...claim, statedAt: this.latestStatement(grant, statedAt)});
