--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -163,8 +163,9 @@
     const leader = this.leaderClaim;
     if (leader?.node === grant.node) {
       const heardAt = Math.max(leader.heardAt, now);
-      // Its last claim may have been stated long before.
-      this.leaderClaim = {...leader, heardAt, statedAt};
+      // Its last claim may have been stated long before, and the one of the referral
+      // by a holder in an earlier process of the node.
+      this.leaderClaim = {...leader, heardAt, statedAt: undefined};
     } else if (leader) {
       const claim = {...toClaim(grant, leader), heardAt: now};
       this.record({...claim, statedAt: this.latestStatement(grant, statedAt)});
@@ -204,6 +205,10 @@
     const known = this.fallback;
     const isKnown = known && isLive(known, claim.heardAt);
     if (isKnown && claim.token < known.token) return;
+    // Two nodes of one rank may have the same token. Jobs that went from one to the
+    // other with each claim would keep their contact with both.
+    const isOther = claim.node !== known?.node;
+    if (isKnown && isOther && claim.token === known.token) return;
     this.fallback = claim;
     if (claim.zone !== undefined) this.recordZoneToken(claim.zone, claim.token);
   }
