Keep the sums above each bucket of a distribution of run times

Cause: the watch for stragglers asks for each run in progress, every 60 ms, how long tasks of its queue take that have reached its age. Each such lookup went through up to 150 buckets with a power for each.

Ruled out: longer intervals of the watch, which would change when runs are stopped.

Change: the sums above each bucket are computed at the first lookup after a value was recorded, and the middles of the buckets once. A run below the smallest limit is no longer compared with the quantiles. What is decided stays the same, but for the order in which sums are rounded.

--- a/src/core/dispatch/target/quantile_sketch.ts
+++ b/src/core/dispatch/target/quantile_sketch.ts
@@ -4,6 +4,11 @@
 /** Covers 0.5 to more than 600,000: 10 minutes in milliseconds. */
 const BUCKETS = 150;
 const LOG_GROWTH = Math.log(GROWTH);
+/** Middle of each bucket; a power for each bucket took most of a lookup. */
+const MIDDLES = Float64Array.from(
+  {length: BUCKETS},
+  (_, at) => MIN_VALUE * GROWTH ** (at + 0.5),
+);
 /** Total weight at which counts are halved, so that recent values dominate. */
 const MAX_WEIGHT = 2_000;
 
@@ -13,6 +18,10 @@
  */
 export class QuantileSketch {
   private readonly counts = new Float64Array(BUCKETS);
+  /** Weight and sum of the values above each bucket; see `refresh`. */
+  private readonly weightAbove = new Float64Array(BUCKETS);
+  private readonly sumAbove = new Float64Array(BUCKETS);
+  private isStale = false;
   private weight = 0;
   private sum = 0;
   private sumOfSquares = 0;
@@ -26,6 +35,7 @@
     this.weight += 1;
     this.sum += bounded;
     this.sumOfSquares += bounded * bounded;
+    this.isStale = true;
     if (this.weight >= MAX_WEIGHT) this.decay();
   }
 
@@ -58,7 +68,7 @@
     let rest = q * this.weight;
     for (let at = 0; at < BUCKETS; at += 1) {
       rest -= this.counts[at]!;
-      if (rest <= 0) return MIN_VALUE * GROWTH ** (at + 0.5);
+      if (rest <= 0) return MIDDLES[at]!;
     }
     return MIN_VALUE * GROWTH ** BUCKETS;
   }
@@ -66,30 +76,30 @@
   /** Share of the values above `value`, with a precision of 10% of it. */
   shareAbove(value: number): number {
     if (this.weight === 0) return 0;
-    let above = 0;
-    for (
-      let at = bucketOf(Math.max(MIN_VALUE, value)) + 1;
-      at < BUCKETS;
-      at += 1
-    ) {
-      above += this.counts[at]!;
-    }
-    return above / this.weight;
+    this.refresh();
+    return this.weightAbove[bucketOf(value)]! / this.weight;
   }
 
   /** Mean of the values above `value`; `value` if there are none. */
   meanAbove(value: number): number {
+    this.refresh();
+    const at = bucketOf(value);
+    const above = this.weightAbove[at]!;
+    return above === 0 ? value : this.sumAbove[at]! / above;
+  }
+
+  /** A dispatcher asks for each run in progress, far more often than runs end. */
+  private refresh(): void {
+    if (!this.isStale) return;
+    this.isStale = false;
     let above = 0;
     let sum = 0;
-    for (
-      let at = bucketOf(Math.max(MIN_VALUE, value)) + 1;
-      at < BUCKETS;
-      at += 1
-    ) {
+    for (let at = BUCKETS - 1; at >= 0; at -= 1) {
+      this.weightAbove[at] = above;
+      this.sumAbove[at] = sum;
       above += this.counts[at]!;
-      sum += this.counts[at]! * MIN_VALUE * GROWTH ** (at + 0.5);
+      sum += this.counts[at]! * MIDDLES[at]!;
     }
-    return above === 0 ? value : sum / above;
   }
 
   private decay(): void {
@@ -101,6 +111,7 @@
 }
 
 function bucketOf(value: number): number {
-  const at = Math.floor(Math.log(value / MIN_VALUE) / LOG_GROWTH);
+  const bounded = Math.max(MIN_VALUE, value);
+  const at = Math.floor(Math.log(bounded / MIN_VALUE) / LOG_GROWTH);
   return Math.min(BUCKETS - 1, at);
 }
--- a/src/core/pool/placement/straggler_policy.ts
+++ b/src/core/pool/placement/straggler_policy.ts
@@ -37,6 +37,8 @@
 
   /** Whether a run has taken so much longer than any other that it hangs. */
   isEndless(run: Run, worker: string, stops: number, now: number): boolean {
+    // Most runs are below every limit, and each is checked some 16 times a second.
+    if (now - run.sentAt <= MIN_LIMIT_MS) return false;
     const ratios = this.times.ratiosFor(run.workload!);
     if (ratios.count < FEW_SAMPLES) return false;
     const limit =
