Ping a link with periodic presence messages once for each message

Cause: most links of a large deployment (an entry node has one to each core node and to each entry node of its zone) carry one presence message every 2.5 s. It is checked by a ping 0.4 s later. A quiet link is pinged again 2 s after that, 0.1 s before the next message, which is followed by a ping of its own: two pings and two pongs for each message, each of which wakes both processes.

Ruled out: no ping after a presence message, after which a dead connection would be noticed later than 1.2 s after a message was lost; and a longer interval of the messages, which the lists of nodes and pressures depend on.

Change: quiet links are pinged after 2.5 s, so that the next message comes first. A dead link on which nothing is sent is noticed 0.5 s later; one on which something is sent, as before. The server closes links after 5 s without data, as before.

--- a/src/platform/platform_node.ts
+++ b/src/platform/platform_node.ts
@@ -7,18 +7,13 @@
 import {LoadSampler} from '../daemon/pool/load_sampler.js';
 import {LoopMonitor} from '../daemon/pool/loop_monitor.js';
 import {PoolTelemetry} from '../daemon/pool/pool_telemetry.js';
+import {PLATFORM_LINK_TIMING} from './platform_link_timing.js';
 import type {PlatformSettings} from './platform_settings.js';
 import {PROBE_LIMITS} from './probe_limits.js';
 import {PortOpener} from './port_opener.js';
 
 /** Must match the metrics port in the deploy file. */
 const METRICS_PORT = 9_464;
-/**
- * A dead connection must be detected well before callers time out. Most links of
- * a large deployment carry next to nothing and are pinged less often.
- */
-const LINK_TIMING = {busyMs: 250, idleMs: 400, quietMs: 2_000};
-
 interface PlatformNodeOptions {
   readonly settings: PlatformSettings;
   readonly clock: Clock;
@@ -61,7 +56,7 @@
       listen: {host: ip, port: peerPort},
       peers: seeds.filter(seed => seed !== ip).map(locate),
       locate,
-      linkTiming: LINK_TIMING,
+      linkTiming: PLATFORM_LINK_TIMING,
       clock,
       onError: detail => log.warn('peer_error', {detail}),
       onHandled: kind => this.telemetry.incrementCounter(`message_${kind}`),
