Count contact of a submission from when its request may have arrived

The run of a request that was read late is still at work when the caller sends the job again, 1.3 s after it has closed the first connection.

Cause: a submission names the newest claim that the entry node has heard, also one that was stated while the request, and the end of its connection, were waiting to be read. The drop follows a turn of the event loop later; with a lost stop order, the lease lasts 1.15 s from the claim.

Ruled out: that a fixed number of turns bounds the delay. Node.js 20 (libuv 1.46) accepts one connection in each turn of its event loop: of 40 connections opened at once, with turns of 3 ms, the last request was read some 100 ms late on a loopback server.

Change: an entry node keeps up to when it has handled the messages of its callers (`InputProgress`, each 100 ms, by `Clock.afterInput`), and up to when it has accepted all connections: a turn that accepts none shows that none was waiting. A submission states no contact after that, by one subtraction. While the event loop is on time, the contact is at most some 100 ms older, far from the 0.55 s from which on it shortens leases. Where connections have waited for more than a second, the dispatcher discards the submission as it does others of that age, and the next poll has it sent again.

--- a/src/adapter/http/http_server.ts
+++ b/src/adapter/http/http_server.ts
@@ -33,6 +33,8 @@
     req: IncomingMessage,
     res: ServerResponse,
   ) => Problem | undefined;
+  /** Called when a connection was accepted. */
+  readonly onConnection?: () => void;
   readonly onError: (detail: string) => void;
 }
 
@@ -80,6 +82,7 @@
     // `checkRequest` refuses requests with more lines.
     this.server.maxHeadersCount = MAX_HEADER_LINES + 1;
     this.server.timeout = limits.socketTimeoutMs ?? 90_000;
+    this.server.on('connection', () => opts.onConnection?.());
     this.connections = new ConnectionTracker(this.server, {
       maxConnections,
       maxRequests: limits.maxRequestsPerConnection ?? 100_000,
--- a/src/adapter/steady_clock.ts
+++ b/src/adapter/steady_clock.ts
@@ -16,14 +16,7 @@
   }
 
   schedule(delayMs: number, task: () => void): Cancellable {
-    const timer = setTimeout(() => {
-      this.isInTimer = true;
-      try {
-        task();
-      } finally {
-        this.isInTimer = false;
-      }
-    }, delayMs);
+    const timer = setTimeout(() => this.runTimer(task), delayMs);
     return {cancel: () => clearTimeout(timer)};
   }
 
@@ -36,6 +29,15 @@
    * in the middle of one, so that the next one counts.
    */
   afterInput(task: () => void): void {
-    runAfterTurns(this.isInTimer ? 1 : 2, task);
+    runAfterTurns(this.isInTimer ? 1 : 2, () => this.runTimer(task));
+  }
+
+  private runTimer(task: () => void): void {
+    this.isInTimer = true;
+    try {
+      task();
+    } finally {
+      this.isInTimer = false;
+    }
   }
 }
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -6,6 +6,7 @@
 import type {PoolJob} from '../job/pool_job.js';
 import {CancelNotifier} from './cancel_notifier.js';
 import type {OpenJob} from './open_job.js';
+import {InputProgress} from './input_progress.js';
 import {isSameDispatcher} from './is_same_dispatcher.js';
 import {JobPolls} from './job_polls.js';
 import {maxWaitMs} from './max_wait_ms.js';
@@ -53,12 +54,14 @@
  */
 export class EntryGateway {
   readonly jobs = new Map<string, OpenJob>();
+  readonly input: InputProgress;
   private readonly contacts: ZoneContacts;
   private readonly cancels: CancelNotifier;
   private readonly polls: JobPolls;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
+    this.input = new InputProgress(opts.clock);
     this.contacts = new ZoneContacts({...opts, openJobs: () => this.jobs.size});
     this.cancels = new CancelNotifier(opts);
     this.polls = new JobPolls(opts, this.jobs, this.contacts);
@@ -152,6 +155,7 @@
     for (const zone of zones) this.contacts.update(zone, now);
     for (const job of [...this.jobs.values()]) this.updateJob(job, now);
     this.polls.tick(now);
+    this.input.tick(now);
   }
 
   private updateJob(job: OpenJob, now: number): void {
@@ -271,7 +275,9 @@
       recordResubmission(this.opts.observer, job, change, now);
     }
     const {revision} = claims;
-    const target = {claim, earlier: assigned, settleMs, revision};
+    const {acceptedUpTo, handledUpTo} = this.input;
+    const inputUpTo = submittedAt > 0 ? handledUpTo : acceptedUpTo;
+    const target = {claim, earlier: assigned, settleMs, revision, inputUpTo};
     peers.send(claim.node, 'pool.submit', toSubmission(job, target, now));
   }
 
--- a/src/core/pool/entry/to_submission.ts
+++ b/src/core/pool/entry/to_submission.ts
@@ -11,12 +11,14 @@
   readonly settleMs: number;
   /** Highest revision of the configuration that this node knows. */
   readonly revision: number;
+  /** Up to when messages of callers were handled, also of the job's one. */
+  readonly inputUpTo: number;
 }
 
 /** Message that submits an open job to a dispatcher; see PoolSubmission. */
 export function toSubmission(
   job: OpenJob,
-  {claim, earlier, settleMs, revision}: Target,
+  {claim, earlier, settleMs, revision, inputUpTo}: Target,
   now: number,
 ) {
   const isLeader = !claim.isFallback && claim.zone === undefined;
@@ -31,7 +33,7 @@
       ? {earlierToken: job.earlierToken}
       : {}),
     losses: job.losses,
-    claimStatedAt: claim.statedAt,
+    claimStatedAt: contactAt(claim, inputUpTo),
     dispatcher: openingToken(claim),
     ...(earlier ? {earlierNode: earlier.node} : {}),
     ...(job.isLent ? {isLent: true} : {}),
@@ -39,3 +41,16 @@
     revision: isLeader ? 0 : revision,
   };
 }
+
+/**
+ * Latest time, on the clock of the dispatcher, at which the caller is known to have
+ * waited. A claim that was heard after the callers' messages were handled proves only
+ * the time before: the caller may have gone since.
+ */
+function contactAt(
+  {statedAt, heardAt}: DispatcherClaim,
+  inputUpTo: number,
+): number | undefined {
+  if (statedAt === undefined) return undefined;
+  return statedAt - Math.max(0, heardAt - inputUpTo);
+}
--- a/src/core/pool/node/copied_requests.test.ts
+++ b/src/core/pool/node/copied_requests.test.ts
@@ -163,6 +163,32 @@
   }
 });
 
+// Guards against contact by a claim that was stated after the caller had gone: a busy
+// entry node reads the request late, and then that its connection was closed.
+test('a copy does not start beside a run of a request that was read late', async () => {
+  for (const turnMs of [270, 290]) {
+    for (const phaseMs of [0, 120]) {
+      const bench = createBench();
+      for (const worker of bench.workers.values()) {
+        worker.runMs = task => (task.startsWith('j.') ? 4_000 : 50);
+      }
+      await bench.run(6_000);
+      bench.overload('ye1', turnMs);
+      await runLoad(bench, 'ye1', 1_000 + phaseMs);
+      bench.submit('ye1', 'j', JOB);
+      await runLoad(bench, 'ye1', turnMs);
+      bench.orderFault = call => (call === 'stop' ? 'order_lost' : 'ok');
+      bench.disconnectCaller('j');
+      await runLoad(bench, 'ye1', RESEND_MS);
+      bench.submit('ze1', 'j', JOB);
+      await bench.run(5_000);
+      const message = `${turnMs} ms, ${phaseMs} ms`;
+      assert.isEmpty(bench.log.overlaps(), message);
+      assert.equal(bench.log.answerOf('j'), 'completed', message);
+    }
+  }
+});
+
 /** Sends the job again, and checks that it completes without a second run beside. */
 async function assertCopyRunsAlone(
   bench: DeploymentBench,
--- a/src/platform/caller_frontend.ts
+++ b/src/platform/caller_frontend.ts
@@ -39,7 +39,8 @@
   readonly http: HttpServer;
 
   constructor(private readonly opts: CallerFrontendOptions) {
-    this.http = new HttpServer(opts);
+    const onConnection = () => opts.gateway.input.recordConnection();
+    this.http = new HttpServer({...opts, onConnection});
     this.http.route('POST', '/*', (req, res) => this.submit(req, res), {
       takesBody: true,
     });
