Settle a job only with a confirmed copy of the earlier dispatcher's workers

Callers could see one task run at two workers after a change of the dispatcher. A new one starts a job's tasks once every worker that it knows has accepted its token. That proves nothing about workers that it does not know, and its list counted as complete by its age: a leader's always, 4 s after its start, another node's up to 5 s after it read a copy. Two ways led to a list that lacks a worker with runs:

- a worker joins the holder of a zone during a cut of 0.6 s; the holder stops 0.7 s after the cut, before the worker's next report is due;
- a worker's first report reaches the leader, which stops or is cut off before the others have it.

Each dispatcher of a core node now lists the workers that it uses, and the nodes that may succeed it keep copies. It uses a new worker only when all nodes that it has answered within 3.0 s have confirmed it; a copy counts for 2.9 s from when it was asked for. Grants name the token of the dispatcher before, submissions do already, and a dispatcher without a copy for that token waits for the leases. Between leaders of all zones, jobs therefore carry a time to settle (950 ms, the earlier leader's orders and leases), which ends at once where the copy is there.

Ruled out: completeness that comes back one report interval after a cut, since a report can be late or lost; to have the leader alone accept a worker first, as it can be lost as well; a majority's lists at each takeover, as the pool does not know the voters.

The settling times of a lost leader's job in entry_gateway.test.ts and settling.test.ts were 0 by the rule that is replaced; both now demand 950 ms and the token that may end it.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -91,6 +91,7 @@
     const onRemoved = (id: string) => {
       this.times.removeWorker(id);
       this.breaker.remove(id);
+      opts.onWorkerRemoved?.(id);
     };
     this.startable = new StartableWorkers({...opts, forget: onRemoved});
     const {servesZone = () => true} = opts;
--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -8,6 +8,7 @@
 import type {LeaseSettings} from '../lease/lease_settings.js';
 import type {WorkerClient} from '../lease/worker_client.js';
 import type {WorkerRegistry} from '../registry/worker_registry.js';
+import type {WorkerReport} from '../registry/worker_report.js';
 
 /** Options of a PoolDispatcher. */
 export interface PoolDispatcherOptions extends LeaseSettings {
@@ -16,14 +17,26 @@
   readonly registry: WorkerRegistry;
   /** Whether workers of a zone belong to the dispatcher. Default: all do. */
   readonly servesZone?: (zone: string) => boolean;
+  /** Whether a worker may be used yet. Default: it may. */
+  readonly mayJoin?: ((report: WorkerReport) => boolean) | undefined;
+  /** Called when a worker is no longer used. */
+  readonly onWorkerRemoved?: ((id: string) => void) | undefined;
   /** Initial fencing token. */
   readonly token: number;
   /** Slowdown of a task outside the rack of its data; default 2. */
   readonly remoteFactor?: number | undefined;
   /** Longest time that leases of earlier dispatchers may still last, in ms. */
   readonly earlierLeasesMs: number;
-  /** Whether the registry was up to date when the dispatcher started. */
+  /**
+   * Whether the registry had all workers of the earlier dispatcher when this one
+   * started.
+   */
   readonly isRegistryComplete: boolean;
+  /**
+   * Whether it had all workers of the dispatcher that used a token. Default: if it
+   * was complete.
+   */
+  readonly knowsWorkersOf?: ((token: number) => boolean) | undefined;
   readonly maySendOrders: (now: number) => boolean;
   /** Current queue configuration; undefined before the first one. */
   readonly routing: () => RoutingTable | undefined;
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -24,6 +24,8 @@
   /** Longest time that leases of earlier dispatchers may still last, in ms. */
   readonly leasesMs: number;
   readonly isRegistryComplete: boolean;
+  /** See PoolDispatcherOptions. */
+  readonly knowsWorkersOf?: ((token: number) => boolean) | undefined;
   /** Fencing token of the dispatcher when it was opened. */
   readonly token: number;
   readonly trace: RunTrace;
@@ -83,26 +85,20 @@
   ): void {
     const settling = jobs.filter(job => job.isSettling);
     if (settling.length === 0) return;
-    const acceptedToken = this.acceptedToken(workers, now);
+    const acceptedToken = lowestAcceptedToken(workers);
     const zones = [...new Set(workers.map(({report}) => report.zone))].sort();
     const known = {acceptedToken, workers: workers.length, zones};
     for (const job of settling) {
-      job.settle(acceptedToken, now);
+      const isKnown = this.knowsWorkersOf(job.earlierToken);
+      job.settle(isKnown ? acceptedToken : 0, now);
       if (!job.isSettling) this.opts.trace.recordSettled(job, known, now);
     }
   }
 
-  /**
-   * Lowest fencing token that a worker has accepted last; 0 while workers may be
-   * missing in the registry.
-   */
-  private acceptedToken(workers: readonly LeasedWorker[], now: number): number {
-    if (!this.opts.isRegistryComplete && !this.areWorkersKnown(now)) return 0;
-    let lowest = Number.POSITIVE_INFINITY;
-    for (const worker of workers) {
-      lowest = Math.min(lowest, worker.fence.acceptedToken);
-    }
-    return lowest;
+  /** Whether no worker is missing on which a dispatcher may have started runs. */
+  private knowsWorkersOf(token = Number.POSITIVE_INFINITY): boolean {
+    const {isRegistryComplete, knowsWorkersOf} = this.opts;
+    return knowsWorkersOf ? knowsWorkersOf(token) : isRegistryComplete;
   }
 
   /** Whether enough time has passed for all workers to have reported. */
@@ -183,6 +179,12 @@
   }
 }
 
+/** Lowest fencing token that a worker has accepted last. */
+function lowestAcceptedToken(workers: readonly LeasedWorker[]): number {
+  const tokens = workers.map(({fence}) => fence.acceptedToken);
+  return Math.min(Number.POSITIVE_INFINITY, ...tokens);
+}
+
 function adoptRun(
   task: PoolTask,
   worker: LeasedWorker,
--- a/src/core/pool/dispatcher/worker_fleet.ts
+++ b/src/core/pool/dispatcher/worker_fleet.ts
@@ -12,6 +12,8 @@
   readonly observer: PoolObserver;
   /** Whether workers of a zone belong to the dispatcher. */
   readonly servesZone: (zone: string) => boolean;
+  /** Whether a worker may be used yet. Default: it may. */
+  readonly mayJoin?: ((report: WorkerReport) => boolean) | undefined;
   /** Current configuration; undefined before the first one. */
   readonly routing: () => RoutingTable | undefined;
   /** Called when a worker has been removed. */
@@ -44,7 +46,7 @@
 
   private sync(): void {
     const {registry, client, observer, onRemoved} = this.opts;
-    const {servesZone, routing} = this.opts;
+    const {servesZone, routing, mayJoin = () => true} = this.opts;
     const table = routing();
     let isChanged = false;
     for (const [id, {report, seenAt}] of registry.entries) {
@@ -56,6 +58,7 @@
         continue;
       }
       if (!known && !isServiceKnown(table, report.service)) continue;
+      if (!mayJoin(report)) continue;
       isChanged = true;
       known?.close(LossCause.moved);
       this.byId.set(id, new LeasedWorker(this.opts, report, seenAt));
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -222,14 +222,15 @@
   assert.deepInclude(submits[1]?.body, {settleMs: 1_800, earlierToken: 1_001});
 });
 
-// Small deployments wait no longer than before: a new leader polls all workers.
-test('a job of a lost leader needs no time to settle at the next leader', () => {
+// Guards against two runs at once after a leader had a worker that the next one lacks.
+// Small deployments wait no longer if the next one knows the workers of the token.
+test('a job of a lost leader settles by its token, or when its leases are over', () => {
   const bench = createEntryGatewayBench();
   bench.announceLeader('c1', 1);
   bench.submit();
   bench.announceLeader('c2', 2);
   const submits = bench.peers.sent.filter(s => s.kind === 'pool.submit');
-  assert.deepInclude(submits[1]?.body, {settleMs: 0});
+  assert.deepInclude(submits[1]?.body, {settleMs: 950, earlierToken: 1_000});
 });
 
 test('only the dispatcher that has a job is asked about it', () => {
--- a/src/core/pool/entry/settling.test.ts
+++ b/src/core/pool/entry/settling.test.ts
@@ -35,11 +35,14 @@
   }
 });
 
-test('the next leader of all zones waits for nothing, one of some does', () => {
+// The next leader of all zones once waited for nothing, as it polls all workers that
+// it knows; the one before had started runs on a worker that it did not know.
+test('the next leader of all zones waits for leases unless it knows all workers', () => {
   const from = claim({});
   const all = claim({term: 2, token: 2_000});
   const some = claim({term: 2, token: 2_000, grants});
-  assert.equal(Settling.durationMs({zone: 'z', from, to: all}), 0);
+  assert.equal(Settling.durationMs({zone: 'z', from, to: all}), 950);
+  assert.equal(Settling.earlierToken({zone: 'z', from, to: all}), 1_000);
   assert.equal(Settling.durationMs({zone: 'z', from, to: some}), 1_800);
   assert.equal(Settling.earlierToken({zone: 'z', from, to: some}), Infinity);
 });
--- a/src/core/pool/entry/settling.ts
+++ b/src/core/pool/entry/settling.ts
@@ -17,9 +17,10 @@
     if (to.isFallback) return 0;
     const areLeaders = from.zone === undefined && to.zone === undefined;
     const isNewTerm = areLeaders && from.term !== to.term;
-    // A new leader of all zones polls all workers before it starts anything, and
-    // its predecessor cannot have sent orders since.
-    return isNewTerm && servesAll(to) ? 0 : FailoverTiming.RUNS_ENDED_MS;
+    // Its predecessor can have sent no orders without a majority's confirmation.
+    return isNewTerm && servesAll(to)
+      ? FailoverTiming.LEADER_RUNS_ENDED_MS
+      : FailoverTiming.RUNS_ENDED_MS;
   },
 
   /**
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -12,6 +12,7 @@
 import type {WorkerClient} from '../lease/worker_client.js';
 import {DEFAULT_REMOTE_FACTOR} from '../placement/default_remote_factor.js';
 import type {PoolObserver} from '../pool_observer.js';
+import {WorkerLists} from '../registry/worker_lists.js';
 import type {WorkerRegistry} from '../registry/worker_registry.js';
 import {RelayChooser} from '../relay/relay_chooser.js';
 import {RelayedWorkerClient} from '../relay/relayed_worker_client.js';
@@ -20,6 +21,7 @@
 
 interface CoreDispatchingOptions extends LeaseSettings {
   readonly node: string;
+  readonly zone: string;
   readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly client: WorkerClient;
@@ -49,8 +51,9 @@
 
 interface OpenOptions extends Scope {
   readonly token: number;
+  /** Token of the dispatcher that had a granted zone before, if known. */
+  readonly earlierToken: number | undefined;
   readonly earlierLeasesMs: number;
-  readonly isRegistryComplete: boolean;
   readonly maySendOrders: (now: number) => boolean;
   readonly isConfigCurrent: (now: number) => boolean;
 }
@@ -66,6 +69,7 @@
   private readonly lending: CapacityLending;
   private scope: Scope | undefined;
   private firstToken = 0;
+  private readonly lists: WorkerLists;
   /** Zones of all workers that the dispatcher has had. */
   private readonly servedZones = new Set<string>();
   /**
@@ -76,6 +80,11 @@
 
   constructor(private readonly opts: CoreDispatchingOptions) {
     const {clock, directory, client: direct, peers} = opts;
+    this.lists = new WorkerLists({
+      ...opts,
+      currentToken: () => this.token,
+      onConfirmed: now => this.tick(now),
+    });
     this.endpoint = new DispatcherEndpoint({
       ...opts,
       redirectAgain: (owner, id) =>
@@ -177,10 +186,12 @@
     this.firstToken = token;
     this.servedZones.clear();
     this.soleZone = undefined;
+    const known = this.lists.open(options, this.opts.clock.now());
     this.setRelayedWorkers(scope);
     const dispatcher = new PoolDispatcher({
       ...this.opts,
       ...options,
+      ...known,
       client: this.client,
       // The leader's dispatcher is one of the last resort and makes no offers.
       lending: zone === undefined ? undefined : this.lending,
@@ -198,14 +209,21 @@
 
   /** Stops dispatching without stopping any run. */
   close(): void {
+    this.lists.close(this.opts.clock.now());
     this.endpoint.close();
     this.scope = undefined;
   }
 
   tick(now: number): void {
+    this.lists.tick(now);
     if (!this.scope) return;
     this.setRelayedWorkers(this.scope);
-    this.endpoint.tick(now);
+    this.lists.runPass(() => this.endpoint.tick(now), now);
+  }
+
+  /** Lets no dispatcher wait for this node, which will not succeed it. */
+  releaseCopies(): void {
+    this.lists.releaseCopies();
   }
 
   /** Raises the token above those of fallbacks in the zones of the leader. */
--- a/src/core/pool/node/failover_timing.ts
+++ b/src/core/pool/node/failover_timing.ts
@@ -27,4 +27,9 @@
    * an entry node is active: their leases end by then, see WorkerLease.
    */
   RUNS_ENDED_MS: 1_800,
+  /**
+   * Time since the election of a leader after which no run of the one before is
+   * active: it sends orders for 250 ms without a confirmation, and leases last 600.
+   */
+  LEADER_RUNS_ENDED_MS: 950,
 } as const;
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -25,10 +25,6 @@
 
 /** A leader that no majority has confirmed for this long sends no orders. */
 const CONFIRMATION_MAX_AGE_MS = 250;
-/** Age up to which a full copy of the registry counts as complete. */
-const REGISTRY_MAX_AGE_MS = 5_000;
-/** Time after which the workers have reported to a leader that knew none. */
-const WORKER_DISCOVERY_MS = 4_000;
 /**
  * Time after the last contact with a leader within which no fallback can have
  * started. After it, leases of a fallback may be active, about which the voters
@@ -73,9 +69,7 @@
   private readonly guard = new ResumeGuard();
   private readonly granted: GrantedZone;
   private leader: ZoneLeader | undefined;
-  private leaderSince = 0;
   private isDraining = false;
-  private fullSnapshotAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly opts: LeaderServiceOptions) {
     const {peers, client, clock} = opts;
@@ -157,6 +151,7 @@
   announceDrain(): void {
     const now = this.opts.clock.now();
     this.isDraining = true;
+    this.dispatching.releaseCopies();
     this.updateHolder(now);
     this.presence.makeDue(now);
     this.presence.tick(now);
@@ -210,7 +205,6 @@
       observer.recordStateChange('lead_won', {
         term: state.term,
         workers: this.registry.entries.size,
-        is_book_complete: this.isRegistryComplete(now),
         confirmed_ms_ago: Math.round(now - state.confirmedAt),
         silent_ms: Math.round(state.silentMs),
         revision: routing()?.content.revision,
@@ -219,17 +213,14 @@
         ...this.opts,
         registry: this.registry,
         term: state.term,
+        currentToken: () => this.dispatching.token,
       });
-      this.leaderSince = now;
       this.registrySender.makeDue();
     }
     this.lead(this.leader, state, now);
   }
 
   private lead(leader: ZoneLeader, state: Leadership, now: number): void {
-    if (now - this.leaderSince >= WORKER_DISCOVERY_MS) {
-      this.fullSnapshotAt = now;
-    }
     // After a suspension, all holders seem silent until their messages are read.
     if (!this.guard.isAwake(now)) return;
     if (leader.update(state.confirmedAt, now)) {
@@ -250,7 +241,7 @@
       zone: undefined,
       excluded,
       token,
-      isRegistryComplete: this.isRegistryComplete(now),
+      earlierToken: undefined,
       // An earlier leader may have granted its last lease when its confirmation
       // became too old.
       earlierLeasesMs:
@@ -287,7 +278,7 @@
   }
 
   private hold(grant: ZoneGrant & {readonly term: number}, now: number): void {
-    const {zone, token, term} = grant;
+    const {zone, token, term, earlierToken} = grant;
     const {leaseMs, observer} = this.opts;
     this.granted.recordOpened(token);
     observer.recordStateChange('zone_opened', {
@@ -301,7 +292,7 @@
       zone,
       excluded: new Set(),
       token,
-      isRegistryComplete: this.isRegistryComplete(now),
+      earlierToken,
       earlierLeasesMs: leaseMs,
       maySendOrders: at =>
         this.guard.isAwake(at) && this.granted.isHighest(token),
@@ -330,14 +321,9 @@
     });
   }
 
-  private isRegistryComplete(now: number): boolean {
-    return now - this.fullSnapshotAt < REGISTRY_MAX_AGE_MS;
-  }
-
   private onRegistryUpdate(body: unknown, now: number): void {
     if (!v.is(PoolMessage.book, body)) return;
     for (const report of body.reports) this.registry.update(report, now);
-    if (body.isWhole && !this.leader) this.fullSnapshotAt = now;
     // A drain must be obeyed without delay.
     if (!body.isWhole) this.dispatching.tick(now);
   }
--- a/src/core/pool/zones/zone_grant.ts
+++ b/src/core/pool/zones/zone_grant.ts
@@ -13,6 +13,11 @@
    * Absent if the dispatcher was open already.
    */
   startedAt: v.optional(v.number()),
+  /**
+   * Token of the dispatcher that had the zone before, as far as the leader knows;
+   * the holder has to know the workers of that one.
+   */
+  earlierToken: v.optional(v.pipe(v.number(), v.safeInteger(), v.minValue(0))),
 });
 
 /** Permission of the leader to dispatch for a zone. */
--- a/src/core/pool/zones/zone_grants.test.ts
+++ b/src/core/pool/zones/zone_grants.test.ts
@@ -17,6 +17,7 @@
       token += 1;
       return token;
     },
+    currentToken: () => 1_000,
   });
   const heard = new Map([
     ['a', now],
--- a/src/core/pool/zones/zone_grants.ts
+++ b/src/core/pool/zones/zone_grants.ts
@@ -16,6 +16,8 @@
   readonly node: string;
   /** Returns the next fencing token of the term. */
   readonly nextToken: () => number;
+  /** Present token of the leader's own dispatcher; 0 if it has none. */
+  readonly currentToken: () => number;
 }
 
 /**
@@ -97,7 +99,8 @@
       if (now - state.grantedAt < ZoneTiming.REGRANT_MS) return undefined;
       const token = this.opts.nextToken();
       const {id: node, startedAt} = core;
-      const grant = {zone: view.zone, node, token, startedAt};
+      const earlierToken = before?.token ?? this.opts.currentToken();
+      const grant = {zone: view.zone, node, token, startedAt, earlierToken};
       state.grant(grant, now);
       return {event: 'zone_granted', grant, reason};
     }
--- a/src/core/pool/zones/zone_leader.ts
+++ b/src/core/pool/zones/zone_leader.ts
@@ -14,6 +14,8 @@
   readonly node: string;
   readonly zone: string;
   readonly term: number;
+  /** Present token of this node's dispatcher; 0 if it has none. */
+  readonly currentToken: () => number;
   readonly directory: NodeDirectory;
   readonly registry: WorkerRegistry;
   /** Default: no zone is ever evacuated. */
