--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -268,11 +268,12 @@
       core === first ? 2 : Number(this.zoneOf.get(core) === zone);
     const ids = [...this.cores.keys()].sort((a, b) => rank(b) - rank(a));
     for (const core of ids) {
-      const {clock, service} = this.cores.get(core)!;
-      if (clock.isSuspended || this.isCut(id, core)) continue;
+      // A node may be lost while another one takes the report.
+      const node = this.cores.get(core);
+      if (!node || node.clock.isSuspended || this.isCut(id, core)) continue;
       this.sequence += 1;
       worker.report = {...worker.report, sequence: this.sequence};
-      const address = await service.reports.report(worker.report);
+      const address = await node.service.reports.report(worker.report);
       if (address !== undefined) return address;
     }
     return undefined;
