--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -207,8 +207,7 @@
   async runLoad(ms: number, everyMs: number, opts = {}): Promise<void> {
     for (let passed = 0; passed < ms; passed += everyMs) {
       for (const [id, {clock}] of this.entries) {
-        if (clock.isSuspended) continue;
-        this.submit(id, `${id}-${this.now}`, opts);
+        if (!clock.isSuspended) this.submit(id, `${id}-${this.now}`, opts);
       }
       await this.run(everyMs);
     }
