Read the clock of a worker that refuses a start as late

After its machine was suspended for longer than a lease, a dispatcher sent the same task to the same idle workers every 3 ms, and all refused it: the end of the lease was computed from a reading of the worker's clock from before the suspension, and a new one came with the reply to the next poll only, which may wait for 250 ms.

The new test failed before.

--- a/src/core/pool/lease/leased_worker.test.ts
+++ b/src/core/pool/lease/leased_worker.test.ts
@@ -138,6 +138,21 @@
   assert.lengthOf(worker!.history, 1);
 });
 
+// Guards against starts that are repeated until the next poll, each refused since it
+// rests on the same old reading of the worker's clock.
+test('a worker that refuses a start as late shows its clock', async () => {
+  const bench = new PoolBench(1, 1);
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  const [worker] = bench.workers.values();
+  worker!.aheadMs += 5_000;
+  dispatcher.submit('e', PoolBench.submission('j'));
+  await bench.run(50, dispatcher);
+  assert.equal(worker!.running.size, 1);
+  const starts = bench.client.calls.filter(c => c.call === 'start');
+  assert.lengthOf(starts, 2);
+});
+
 // Guards against starts on a worker that does not check its capacity, while runs
 // of an earlier dispatcher are being stopped whose demand nobody knows.
 test('a worker gets no starts until its unclaimed runs have ended', async () => {
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -216,6 +216,7 @@
     if (until > this.backoffUntil) this.backoffUntil = until;
     this.rejectRun(run, reason);
     this.onRefusal(reason, token);
+    if (reason === RunRefusal.late) this.poll(0, now);
   }
 
   /** Handles the refusals that concern the worker and not a single run. */
