Confirm no new workers to a dispatcher that was succeeded

Found by reading. A node that opens a dispatcher went on to ask the one before it for changes of its list, which confirms them. An earlier dispatcher that does not know of the next one, and whose drop of a job was lost, could use a worker so confirmed and start a task on it that the next one had settled and started already.

A node now confirms nothing more for the tokens that it has succeeded, and a copy settles only jobs that were handed over 1.2 s or more before it ends: the earlier dispatcher drops a job 1.0 s after its last contact. To leave time for the detection of a loss and an election, copies count for 3.9 s instead of 2.9 s, and a lost node holds new workers up for 4.0 s instead of 3.0 s.

Two of the four tests in worker_lists.test.ts fail before the change: the worker is used at once, and the copy settles jobs at any time.

--- a/src/core/pool/dispatcher/pool_dispatcher_options.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher_options.ts
@@ -33,10 +33,11 @@
    */
   readonly isRegistryComplete: boolean;
   /**
-   * Whether it had all workers of the dispatcher that used a token. Default: if it
-   * was complete.
+   * Whether it had all workers on which the dispatcher with a token can start tasks
+   * of a job that was handed over at `handedOverAt`. Default: if it was complete.
    */
-  readonly knowsWorkersOf?: ((token: number) => boolean) | undefined;
+  readonly knowsWorkersOf?:
+    ((token: number, handedOverAt: number) => boolean) | undefined;
   readonly maySendOrders: (now: number) => boolean;
   /** Current queue configuration; undefined before the first one. */
   readonly routing: () => RoutingTable | undefined;
--- a/src/core/pool/dispatcher/takeover.ts
+++ b/src/core/pool/dispatcher/takeover.ts
@@ -25,7 +25,8 @@
   readonly leasesMs: number;
   readonly isRegistryComplete: boolean;
   /** See PoolDispatcherOptions. */
-  readonly knowsWorkersOf?: ((token: number) => boolean) | undefined;
+  readonly knowsWorkersOf?:
+    ((token: number, handedOverAt: number) => boolean) | undefined;
   /** Fencing token of the dispatcher when it was opened. */
   readonly token: number;
   readonly trace: RunTrace;
@@ -89,16 +90,19 @@
     const zones = [...new Set(workers.map(({report}) => report.zone))].sort();
     const known = {acceptedToken, workers: workers.length, zones};
     for (const job of settling) {
-      const isKnown = this.knowsWorkersOf(job.earlierToken);
+      const isKnown = this.knowsWorkersBefore(job);
       job.settle(isKnown ? acceptedToken : 0, now);
       if (!job.isSettling) this.opts.trace.recordSettled(job, known, now);
     }
   }
 
-  /** Whether no worker is missing on which a dispatcher may have started runs. */
-  private knowsWorkersOf(token = Number.POSITIVE_INFINITY): boolean {
+  /** Whether no worker is missing on which a job may have been started. */
+  private knowsWorkersBefore({earlierToken, acceptedAt}: ActiveJob): boolean {
     const {isRegistryComplete, knowsWorkersOf} = this.opts;
-    return knowsWorkersOf ? knowsWorkersOf(token) : isRegistryComplete;
+    if (!knowsWorkersOf) return isRegistryComplete;
+    return (
+      earlierToken !== undefined && knowsWorkersOf(earlierToken, acceptedAt)
+    );
   }
 
   /** Whether enough time has passed for all workers to have reported. */
--- a/src/core/pool/registry/worker_list_copies.ts
+++ b/src/core/pool/registry/worker_list_copies.ts
@@ -21,11 +21,14 @@
 export class WorkerListCopies {
   private readonly byNode = new Map<string, WorkerListCopy>();
   private readonly nextRequests = new Map<string, number>();
+  /** Tokens of the dispatchers that one of this node has succeeded. */
+  private readonly succeeded = new Set<number>();
   private isReleased = false;
 
   constructor(private readonly opts: WorkerListCopiesOptions) {
     opts.peers.onMessage('pool.workers_changed', (from, _body, now) => {
-      if (this.byNode.has(from)) this.request(from, now);
+      const copy = this.byNode.get(from);
+      if (copy && !this.isSucceeded(copy)) this.request(from, now);
     });
   }
 
@@ -41,11 +44,20 @@
    * one only; later, some of its workers no longer exist.
    */
   recordOwn(
-    copy: Omit<WorkerListCopy, 'version' | 'validUntil'>,
+    copy: Omit<WorkerListCopy, 'version' | 'validUntil' | 'isFinal'>,
     now: number,
   ): void {
     const validUntil = now + WorkerListTiming.VALID_MS;
-    this.byNode.set(this.opts.node, {...copy, version: 0, validUntil});
+    const final = {version: 0, validUntil, isFinal: true};
+    this.byNode.set(this.opts.node, {...copy, ...final});
+  }
+
+  /**
+   * Confirms no more changes of a dispatcher that one of this node succeeds: it may
+   * not know yet, and start tasks on new workers that the next one does not have.
+   */
+  freeze(copies: readonly WorkerListCopy[]): void {
+    for (const {firstToken} of copies) this.succeeded.add(firstToken);
   }
 
   /** Copies that have all workers on which runs may be active. */
@@ -65,6 +77,10 @@
     }
   }
 
+  private isSucceeded({firstToken}: Pick<WorkerListCopy, 'firstToken'>) {
+    return this.succeeded.has(firstToken);
+  }
+
   private findDispatchers(now: number): ReadonlySet<string> {
     const {node, zone, directory} = this.opts;
     const {claims} = directory;
@@ -80,7 +96,11 @@
     if (this.isReleased) return;
     const {REQUEST_MS, REQUEST_TIMEOUT_MS} = WorkerListTiming;
     this.nextRequests.set(node, now + REQUEST_MS);
-    const {firstToken: token = 0, version = 0} = this.byNode.get(node) ?? {};
+    const copy = this.byNode.get(node);
+    const isKept = copy !== undefined && !this.isSucceeded(copy);
+    const {firstToken: token, version} = isKept
+      ? copy
+      : {firstToken: 0, version: 0};
     const {peers} = this.opts;
     void peers
       .request(node, 'pool.workers', {token, version}, REQUEST_TIMEOUT_MS)
@@ -92,6 +112,7 @@
   private onChanges(node: string, body: unknown, askedAt: number): void {
     if (this.isReleased || !v.is(WorkerListChanges, body)) return;
     const {since, reports, removed, isHeld, ...source} = body;
+    if (this.isSucceeded(source)) return;
     const known = this.byNode.get(node);
     const isSame = known?.firstToken === source.firstToken;
     if (!isSame && since > 0) return;
@@ -108,7 +129,7 @@
     const workers = new Map(since > 0 ? before?.workers : []);
     for (const id of removed) workers.delete(id);
     for (const report of reports) workers.set(report.id, report);
-    this.byNode.set(node, {...source, workers, validUntil});
+    this.byNode.set(node, {...source, workers, validUntil, isFinal: false});
     // Confirms the changes.
     this.request(node, this.opts.clock.now());
   }
--- a/src/core/pool/registry/worker_list_copy.ts
+++ b/src/core/pool/registry/worker_list_copy.ts
@@ -13,4 +13,6 @@
   readonly workers: ReadonlyMap<string, WorkerReport>;
   /** Until when the dispatcher uses no worker that the copy lacks. */
   readonly validUntil: number;
+  /** Whether the dispatcher has closed, so that it starts nothing more. */
+  readonly isFinal: boolean;
 }
--- a/src/core/pool/registry/worker_list_timing.ts
+++ b/src/core/pool/registry/worker_list_timing.ts
@@ -10,10 +10,15 @@
    * worker that the node has not confirmed. Exceeds the time in which the loss of a
    * leader is detected and the next one is elected.
    */
-  HELD_MS: 3_000,
+  HELD_MS: 4_000,
   /**
    * Time for which a copy is complete, from when it was asked for. Clocks may
    * differ by 2%.
    */
-  VALID_MS: 2_900,
+  VALID_MS: 3_900,
+  /**
+   * Time after an entry node has handed a job over within which the dispatcher
+   * before may start its tasks: it drops the job 1,000 ms after its last contact.
+   */
+  LAST_START_MS: 1_200,
 } as const;
--- a/src/core/pool/registry/worker_lists.ts
+++ b/src/core/pool/registry/worker_lists.ts
@@ -7,6 +7,7 @@
 import {WorkerListCopies} from './worker_list_copies.js';
 import type {WorkerListCopy} from './worker_list_copy.js';
 import {WorkerListRequest} from './worker_list_request.js';
+import {WorkerListTiming} from './worker_list_timing.js';
 import type {WorkerRegistry} from './worker_registry.js';
 import type {WorkerReport} from './worker_report.js';
 
@@ -28,6 +29,8 @@
   readonly term: number;
   /** Zone of a holder; undefined for the leader. */
   readonly zone: string | undefined;
+  /** Zones that the leader does not dispatch. */
+  readonly excluded: ReadonlySet<string>;
   readonly token: number;
   /** Token of the dispatcher that had a granted zone before, if known. */
   readonly earlierToken: number | undefined;
@@ -65,7 +68,10 @@
    */
   open(opening: Opening, now: number) {
     const {registry, clock} = this.opts;
-    const copies = this.copies.valid(now);
+    const copies = this.copies
+      .valid(now)
+      .filter(copy => isSucceeded(opening, copy));
+    this.copies.freeze(copies);
     for (const {workers} of copies) {
       for (const report of workers.values()) registry.update(report, now);
     }
@@ -74,8 +80,10 @@
     this.opened = {...opening, at: now, list, isRegistryComplete};
     return {
       isRegistryComplete,
-      knowsWorkersOf: (token: number) =>
-        copies.some(copy => hasUsed(copy, token)),
+      knowsWorkersOf: (token: number, handedOverAt: number) =>
+        copies.some(
+          copy => hasUsed(copy, token) && isUnchanged(copy, handedOverAt),
+        ),
       mayJoin: (report: WorkerReport) => list.mayUse(report, clock.now()),
       onWorkerRemoved: (id: string) => list.remove(id),
     };
@@ -141,6 +149,28 @@
   }
 }
 
+/** Whether a dispatcher takes over what the one of a copy dispatches. */
+function isSucceeded(
+  {zone, excluded, earlierToken = 0}: Opening,
+  copy: WorkerListCopy,
+): boolean {
+  if (zone !== undefined) {
+    return copy.zone === zone || hasUsed(copy, earlierToken);
+  }
+  return copy.zone === undefined || !excluded.has(copy.zone);
+}
+
+/**
+ * Whether the dispatcher of a copy uses no other workers as long as it may start
+ * tasks of a job that was handed over.
+ */
+function isUnchanged(
+  {isFinal, validUntil}: WorkerListCopy,
+  handedOverAt: number,
+): boolean {
+  return isFinal || handedOverAt + WorkerListTiming.LAST_START_MS <= validUntil;
+}
+
 /** Whether the workers of the dispatcher before a new one are known. */
 function isEarlierKnown(
   {term, zone, earlierToken = 0}: Opening,
