Ask a worker for its token again when its report shows a new process

A worker whose process has restarted has seen no token, so it obeys the orders of an earlier dispatcher. A later dispatcher noticed the restart only in a reply, and it polls an idle worker only when there is an end to acknowledge. Until then the token that the process before had accepted counted: a job was settled by it, and a task ran at the later dispatcher beside its run at the earlier one. The worker was also used without a list of its runs.

A report that shows a new process now resets the fence, and the worker is polled at once. Replies to orders that were sent before the report do not count, as the process before may have given them. A report of a process that a reply has shown already changes nothing, so nothing else waits. Ruled out: to compare start times in replies as well, since a clock that was set back would make the worker unusable.

What remains: the time between the start of the process and its first report.

--- a/src/core/pool/dispatcher/worker_fleet.ts
+++ b/src/core/pool/dispatcher/worker_fleet.ts
@@ -53,8 +53,7 @@
       if (!servesZone(report.zone)) continue;
       const known = this.byId.get(id);
       if (known?.report.address === report.address) {
-        known.report = report;
-        known.seenAt = seenAt;
+        known.update(report, seenAt);
         continue;
       }
       if (!known && !isServiceKnown(table, report.service)) continue;
--- a/src/core/pool/lease/leased_worker.test.ts
+++ b/src/core/pool/lease/leased_worker.test.ts
@@ -197,3 +197,25 @@
     assert.isDefined(run);
   });
 }
+
+// Guards against two runs at once: the new process of a worker obeyed the earlier
+// dispatcher, and the token that the one before had accepted settled the job.
+test('a job is not settled by the token of a worker that has restarted', async () => {
+  const bench = new PoolBench(2, 1);
+  for (const worker of bench.workers.values()) worker.runMs = () => 900;
+  const earlier = bench.createDispatcher({term: 1});
+  await bench.run(50, earlier);
+  const later = bench.createDispatcher({term: 2});
+  await bench.run(1_500, earlier, later);
+  bench.workers.get('w0')!.restart();
+  const job = PoolBench.submission('j', {estimatedMs: 900});
+  earlier.submit('e', job);
+  await bench.run(50, earlier);
+  assert.lengthOf([...bench.workers.get('w0')!.running], 1);
+  bench.tick(later);
+  const settling = {settleMs: 1_800, earlierToken: earlier.token};
+  later.submit('e', {...job, ...settling});
+  await bench.run(2_000, later);
+  assert.deepEqual(bench.overlaps(), []);
+  assert.equal(bench.answers.get('j')?.kind, 'completed');
+});
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -96,10 +96,22 @@
     );
   }
 
+  /** Records a report, which may be the first one of a new process. */
+  update(report: WorkerReport, seenAt: number): void {
+    const isOther = report.bornAt !== this.report.bornAt;
+    this.report = report;
+    this.seenAt = seenAt;
+    if (!isOther || this.instance.bornAt === report.bornAt) return;
+    this.fence.onRestart(seenAt);
+    this.probes.makeDue();
+  }
+
   tick(now: number): void {
     this.endExpiredRuns(now);
     if (this.isOutranked || !this.opts.maySendOrders(now)) return;
-    this.retryStops(now);
+    for (const run of this.runs.values()) {
+      if (run.isStopOverdue(now)) this.sendStop(run, now);
+    }
     if (this.pendingPolls === 0) this.pollIfDue(now);
   }
 
@@ -192,7 +204,10 @@
         return;
       case 'refused':
         if (run.confirmedAt !== undefined) return;
-        this.onStartRefused(run, reply.reason, now, token);
+        this.delayStarts(now + startBackoffMs(reply.reason));
+        this.rejectRun(run, reply.reason);
+        this.onRefusal(reply.reason, token);
+        if (reply.reason === RunRefusal.late) this.poll(0, now);
         return;
       case 'lost':
         if (run.confirmedAt !== undefined) return;
@@ -206,17 +221,8 @@
     }
   }
 
-  private onStartRefused(
-    run: Run,
-    reason: RunRefusal,
-    now: number,
-    token: number,
-  ): void {
-    const until = now + startBackoffMs(reason);
-    if (until > this.backoffUntil) this.backoffUntil = until;
-    this.rejectRun(run, reason);
-    this.onRefusal(reason, token);
-    if (reason === RunRefusal.late) this.poll(0, now);
+  private delayStarts(until: number): void {
+    this.backoffUntil = Math.max(this.backoffUntil, until);
   }
 
   /** Handles the refusals that concern the worker and not a single run. */
@@ -234,7 +240,8 @@
       const wasUsable = this.isUsable(now);
       this.probes.onReply();
       // A part of the list does not show all runs of earlier dispatchers.
-      this.fence.recordAccepted(reply.look.isPartial ? 0 : sent.token);
+      const acceptedToken = reply.look.isPartial ? 0 : sent.token;
+      this.fence.recordAccepted(acceptedToken, sent.at);
       this.onStatus(reply.look, sent, now);
       if (!wasUsable && this.isUsable(now)) this.opts.listener.onChange(this);
     } else if (reply.kind === 'lost') {
@@ -312,12 +319,6 @@
     });
   }
 
-  private retryStops(now: number): void {
-    for (const run of this.runs.values()) {
-      if (run.isStopOverdue(now)) this.sendStop(run, now);
-    }
-  }
-
   /** Ends all runs after lease expiry, when the worker has stopped them. */
   private endExpiredRuns(now: number): void {
     if (this.runs.size === 0 || !this.lease.isExpired(now)) return;
--- a/src/core/pool/lease/worker_fence.test.ts
+++ b/src/core/pool/lease/worker_fence.test.ts
@@ -4,7 +4,7 @@
 test('a refusal of an outdated token is ignored', () => {
   let token = 5;
   const fence = new WorkerFence(() => token);
-  fence.recordAccepted(5);
+  fence.recordAccepted(5, 0);
   token = 7;
   // The reply to an order that was sent before the token was raised.
   fence.recordFenced(5);
@@ -16,7 +16,7 @@
 test('a raised token must be accepted again', () => {
   let token = 5;
   const fence = new WorkerFence(() => token);
-  fence.recordAccepted(5);
+  fence.recordAccepted(5, 0);
   assert.isFalse(fence.onTokenRaised());
   assert.isTrue(fence.isAccepted);
   fence.recordFenced(5);
@@ -25,3 +25,17 @@
   assert.isFalse(fence.isOutranked);
   assert.isFalse(fence.isAccepted);
 });
+
+// Guards against a reply of the process before a restart, read after the restart was
+// reported, that counts for the process after it.
+test('a new process accepts the token by replies to later orders only', () => {
+  const fence = new WorkerFence(() => 5);
+  fence.recordAccepted(5, 0);
+  fence.onRestart(10);
+  fence.recordAccepted(5, 9);
+  assert.isFalse(fence.isAccepted);
+  assert.equal(fence.acceptedToken, 0);
+  fence.recordAccepted(5, 10);
+  assert.isTrue(fence.isAccepted);
+  assert.equal(fence.acceptedToken, 5);
+});
--- a/src/core/pool/lease/worker_fence.ts
+++ b/src/core/pool/lease/worker_fence.ts
@@ -3,6 +3,8 @@
   private accepted = false;
   private token = 0;
   private outranked = false;
+  /** When the present process is known to have run, if another one ran before. */
+  private restartedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly currentToken: () => number) {}
 
@@ -21,8 +23,12 @@
     return this.outranked;
   }
 
-  /** Records the reply to an order that was sent with `token`. */
-  recordAccepted(token: number): void {
+  /**
+   * Records the reply to an order that was sent with `token` at `sentAt`; the
+   * process before may have replied to one that was sent before a restart.
+   */
+  recordAccepted(token: number, sentAt: number): void {
+    if (sentAt < this.restartedAt) return;
     this.accepted = true;
     this.token = Math.max(this.token, token);
   }
@@ -33,6 +39,12 @@
     this.token = 0;
   }
 
+  /** Handles the report of a new process, which has not seen the token. */
+  onRestart(reportedAt: number): void {
+    this.restartedAt = reportedAt;
+    this.reset();
+  }
+
   /** Records a refusal; only one of the current token is significant. */
   recordFenced(token: number): void {
     if (token === this.currentToken()) this.outranked = true;
