Use a worker of a fallback's zone when it has accepted the raised token

When a leader hears of a fallback in one of its zones, it raises its token. A worker had to prove itself again only if it had refused an order, and an idle worker gets none. So the leader started tasks beside runs of the fallback that it did not know, and each start prolonged the lease of all runs on the worker, also of those whose callers had gone and could have sent the job again.

Each worker of a contested zone now has to reply under the raised token before it gets starts. A token that is found in another zone after the raise counts as well. The token that entry nodes know from the leader does not, so the other zones wait for nothing; takeover and the settling of jobs go by the first reply as before. Cost: one poll per worker of the zone for each fallback that is found. token_raised names the zones.

Ruled out: to poll idle workers all the time, which costs as many messages as starts. What remains: where the leader's raised token reaches an entry node before its fallback's reaches the leader, the leader learns of its own token only.

The test of the fence that a raise without a refusal changes nothing holds for zones that are not contested, and says so now.

--- a/src/core/pool/dispatcher/pool_dispatcher.ts
+++ b/src/core/pool/dispatcher/pool_dispatcher.ts
@@ -126,10 +126,12 @@
     return this.lending.room(this.jobs.all, startable, now);
   }
 
-  /** Raises the token, so that workers taken by other dispatchers accept it. */
-  raiseToken(token: number): void {
+  /** Raises the token, so that workers of the contested zones accept it again. */
+  raiseToken(token: number, contested: ReadonlySet<string>): void {
     this.currentToken = token;
-    for (const worker of this.workers.all) worker.onTokenRaised();
+    for (const worker of this.workers.all) {
+      worker.onTokenRaised(contested.has(worker.report.zone));
+    }
   }
 
   /**
--- a/src/core/pool/lease/leased_worker.test.ts
+++ b/src/core/pool/lease/leased_worker.test.ts
@@ -219,3 +219,27 @@
   assert.deepEqual(bench.overlaps(), []);
   assert.equal(bench.answers.get('j')?.kind, 'completed');
 });
+
+// Guards against a run that outlives its contact: the leader, whose token was raised,
+// started a task beside a run of the fallback that it did not know.
+test('a start after a raised token does not prolong the runs of a fallback', async () => {
+  const bench = new PoolBench(1, 2);
+  const [worker] = bench.workers.values();
+  worker!.runMs = task => (task.startsWith('j.') ? 60_000 : 100);
+  const leader = bench.createDispatcher({term: 1});
+  await bench.run(1_500, leader);
+  const fallback = bench.createDispatcher({term: 2});
+  await bench.run(50, leader, fallback);
+  fallback.submit('e', PoolBench.submission('j', {estimatedMs: 60_000}));
+  await bench.run(50, leader, fallback);
+  fallback.close();
+  const closedAt = bench.clock.now();
+  bench.client.faultOf = call => (call === 'stop' ? 'order_lost' : 'ok');
+  await bench.run(500, leader);
+  leader.raiseToken(3_000, new Set(['z']));
+  leader.submit('e', PoolBench.submission('k'));
+  await bench.run(2_000, leader);
+  const run = worker!.history.find(({task}) => task.startsWith('j.'));
+  assert.isAtMost(run!.to - closedAt, 1_000);
+  assert.equal(bench.answers.get('k')?.kind, 'completed');
+});
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -11,7 +11,7 @@
 import type {RunLoss} from './run_loss.js';
 import {RunRefusal} from './run_refusal.js';
 import type {SentPoll} from './sent_poll.js';
-import {startBackoffMs} from './start_backoff_ms.js';
+import {StartBackoff} from './start_backoff.js';
 import type {WorkerClient} from './worker_client.js';
 import {WorkerFence} from './worker_fence.js';
 import {WorkerLease} from './worker_lease.js';
@@ -38,7 +38,7 @@
   private readonly orders: WorkerOrders;
   private pendingPolls = 0;
   private readonly probes = new ProbeBackoff();
-  private backoffUntil = 0;
+  private readonly startBackoff = new StartBackoff();
 
   constructor(
     private readonly opts: LeaseOptions,
@@ -70,6 +70,11 @@
     return this.probes.isSilent;
   }
 
+  /** Whether its runs are unknown until it replies. */
+  private get needsProbe(): boolean {
+    return this.isSilent || !this.fence.isProven;
+  }
+
   /** Whether a task that may crash the worker runs on it. */
   get hasSuspect(): boolean {
     return this.ledger.hasSuspect;
@@ -86,13 +91,12 @@
   /** Whether the worker can be given start orders. */
   isUsable(now: number): boolean {
     return (
-      this.isFenced &&
+      !this.needsProbe &&
       !this.isOutranked &&
-      !this.isSilent &&
       !this.report.isDraining &&
       this.ledger.isAccountedFor &&
       (this.isIdle || !this.lease.isTooShort(now)) &&
-      now >= this.backoffUntil
+      this.startBackoff.isOver(now)
     );
   }
 
@@ -147,9 +151,13 @@
     return runs;
   }
 
-  /** Handles a raised token, which the worker may accept again. */
-  onTokenRaised(): void {
-    if (this.fence.onTokenRaised()) this.probes.makeDue();
+  /** Handles a raised token; `isContested` as for `WorkerFence`. */
+  onTokenRaised(isContested: boolean): void {
+    if (!this.fence.onTokenRaised(isContested)) return;
+    const now = this.opts.clock.now();
+    this.probes.makeDue();
+    // A poll that waits for the end of a run was sent with the earlier token.
+    if (this.opts.maySendOrders(now)) this.pollIfDue(now);
   }
 
   /** Whether inherited runs have been reported since before `at`. */
@@ -164,7 +172,7 @@
   }
 
   private pollIfDue(now: number): void {
-    if (this.isSilent || !this.isFenced) {
+    if (this.needsProbe) {
       if (this.probes.takeIfDue(now)) this.poll(0, now);
     } else if (!this.isIdle) {
       this.poll(this.lease.pollWaitMs(now), now);
@@ -178,7 +186,7 @@
     // of a worker whose replies are lost would never end.
     const {lease, ledger} = this;
     const mayExtend =
-      lease.isClockKnown && !this.isSilent && this.opts.maySendOrders(now);
+      lease.isClockKnown && !this.needsProbe && this.opts.maySendOrders(now);
     const leaseEnd = mayExtend ? lease.extend(now, ledger) : undefined;
     this.pendingPolls += 1;
     void this.orders
@@ -204,7 +212,7 @@
         return;
       case 'refused':
         if (run.confirmedAt !== undefined) return;
-        this.delayStarts(now + startBackoffMs(reply.reason));
+        this.startBackoff.onRefusal(reply.reason, now);
         this.rejectRun(run, reply.reason);
         this.onRefusal(reply.reason, token);
         if (reply.reason === RunRefusal.late) this.poll(0, now);
@@ -221,10 +229,6 @@
     }
   }
 
-  private delayStarts(until: number): void {
-    this.backoffUntil = Math.max(this.backoffUntil, until);
-  }
-
   /** Handles the refusals that concern the worker and not a single run. */
   private onRefusal(reason: RunRefusal, token: number): void {
     if (reason === RunRefusal.fenced) this.fence.recordFenced(token);
@@ -293,13 +297,8 @@
    * Handles a run that the worker lists neither as active nor as ended; returns
    * whether it is lost.
    */
-  private isLost(
-    run: Run,
-    reply: Status,
-    sentAt: number,
-    now: number,
-  ): boolean {
-    const outcome = resolveMissingRun(run, reply.clockMs, sentAt);
+  private isLost(run: Run, look: Status, sentAt: number, now: number): boolean {
+    const outcome = resolveMissingRun(run, look.clockMs, sentAt);
     if (outcome === RunEnd.lost) return true;
     if (outcome) this.rejectRun(run, outcome);
     else if (run.isStartReplyLost && run.stopRequestedAt === undefined) {
--- a/src/core/pool/lease/worker_fence.test.ts
+++ b/src/core/pool/lease/worker_fence.test.ts
@@ -13,15 +13,33 @@
   assert.isTrue(fence.isOutranked);
 });
 
-test('a raised token must be accepted again', () => {
+// Guards against starts beside the runs of another dispatcher, which may have used a
+// worker that has refused nothing.
+test('a token that is raised for a contested zone must be accepted again', () => {
   let token = 5;
   const fence = new WorkerFence(() => token);
   fence.recordAccepted(5, 0);
-  assert.isFalse(fence.onTokenRaised());
+  assert.isTrue(fence.isProven);
+  token = 9;
+  assert.isTrue(fence.onTokenRaised(true));
+  assert.isFalse(fence.isProven);
+  // The reply to an order that was sent before the token was raised.
+  fence.recordAccepted(5, 0);
+  assert.isFalse(fence.isProven);
+  fence.recordAccepted(9, 0);
+  assert.isTrue(fence.isProven);
+});
+
+test('a raised token must be accepted again after a refusal', () => {
+  let token = 5;
+  const fence = new WorkerFence(() => token);
+  fence.recordAccepted(5, 0);
+  assert.isFalse(fence.onTokenRaised(false));
+  assert.isTrue(fence.isProven);
   assert.isTrue(fence.isAccepted);
   fence.recordFenced(5);
   token = 9;
-  assert.isTrue(fence.onTokenRaised());
+  assert.isTrue(fence.onTokenRaised(false));
   assert.isFalse(fence.isOutranked);
   assert.isFalse(fence.isAccepted);
 });
--- a/src/core/pool/lease/worker_fence.ts
+++ b/src/core/pool/lease/worker_fence.ts
@@ -3,6 +3,8 @@
   private accepted = false;
   private token = 0;
   private outranked = false;
+  /** Token that the worker has to accept before it is used. */
+  private requiredToken = 0;
   /** When the present process is known to have run, if another one ran before. */
   private restartedAt = Number.NEGATIVE_INFINITY;
 
@@ -13,6 +15,11 @@
     return this.accepted;
   }
 
+  /** Whether it has, since its zone was last contested: all its runs are known. */
+  get isProven(): boolean {
+    return this.accepted && this.token >= this.requiredToken;
+  }
+
   /** Highest token that the worker has accepted from here; 0 if none. */
   get acceptedToken(): number {
     return this.token;
@@ -50,9 +57,13 @@
     if (token === this.currentToken()) this.outranked = true;
   }
 
-  /** Handles an increase of the token; returns whether the state changed. */
-  onTokenRaised(): boolean {
-    if (!this.outranked) return false;
+  /**
+   * Handles an increase of the token; returns whether the state changed. If another
+   * dispatcher may have used the worker, it is contested and has to reply again.
+   */
+  onTokenRaised(isContested: boolean): boolean {
+    if (isContested) this.requiredToken = this.currentToken();
+    if (!this.outranked) return isContested;
     this.outranked = false;
     this.accepted = false;
     return true;
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -70,6 +70,10 @@
   private scope: Scope | undefined;
   private firstToken = 0;
   private readonly lists: WorkerLists;
+  /** Highest token that was found in each zone since the dispatcher was opened. */
+  private readonly foundTokens = new Map<string, number>();
+  /** Tokens that the dispatcher has used. */
+  private readonly ownTokens = new Set<number>();
   /** Zones of all workers that the dispatcher has had. */
   private readonly servedZones = new Set<string>();
   /**
@@ -184,6 +188,8 @@
     const scope = {term, zone, excluded};
     this.scope = scope;
     this.firstToken = token;
+    this.foundTokens.clear();
+    this.ownTokens.clear();
     this.servedZones.clear();
     this.soleZone = undefined;
     const known = this.lists.open(options, this.opts.clock.now());
@@ -226,21 +232,36 @@
     this.lists.releaseCopies();
   }
 
-  /** Raises the token above those of fallbacks in the zones of the leader. */
+  /**
+   * Raises the token above those of fallbacks in the zones of the leader, whose
+   * workers have to accept it before they are used again.
+   */
   raiseToken(): void {
     const {opts, scope} = this;
     const {claims} = opts.directory;
     const {dispatcher} = this.endpoint;
     if (!dispatcher || !scope || scope.zone !== undefined) return;
-    const isContested = [...claims.zones].some(
-      zone => covers(scope, zone) && claims.tokenOf(zone) > dispatcher.token,
-    );
-    if (!isContested) return;
-    dispatcher.raiseToken(FencingToken.nextOfCore(claims.highestToken));
+    const contested = new Set<string>();
+    let token = dispatcher.token;
+    for (const [zone, found] of claims.zoneTokens) {
+      const known = this.foundTokens.get(zone) ?? this.firstToken;
+      if (!covers(scope, zone) || found <= known) continue;
+      this.foundTokens.set(zone, found);
+      // Entry nodes also state the token that they know from the leader.
+      if (this.ownTokens.has(found)) continue;
+      contested.add(zone);
+      // A raise for another zone may have been high enough already.
+      const next = FencingToken.nextOfCore(claims.highestToken);
+      if (found > dispatcher.token) token = next;
+    }
+    if (contested.size === 0) return;
+    dispatcher.raiseToken(token, contested);
+    this.ownTokens.add(token);
     claims.recordToken(dispatcher.token);
     opts.observer.recordStateChange('token_raised', {
       term: scope.term,
       token: dispatcher.token,
+      zones: [...contested],
     });
   }
 
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -12,7 +12,7 @@
   private fallback: DispatcherClaim | undefined;
   private readonly holders = new Map<string, DispatcherClaim>();
   /** Highest token known for a zone; tokens of the leader are not included. */
-  private readonly zoneTokens = new Map<string, number>();
+  private readonly tokensByZone = new Map<string, number>();
   private maxToken = 0;
   private maxRevision = 0;
 
@@ -41,8 +41,8 @@
   /** Records a fencing token that a dispatcher of the zone uses. */
   recordZoneToken(zone: string, token: number): void {
     this.recordToken(token);
-    const known = this.zoneTokens.get(zone) ?? 0;
-    if (token > known) this.zoneTokens.set(zone, token);
+    const known = this.tokensByZone.get(zone) ?? 0;
+    if (token > known) this.tokensByZone.set(zone, token);
   }
 
   /** Records a configuration revision that is in force at some node. */
@@ -57,7 +57,7 @@
   /** Highest fencing token known for a zone. */
   tokenOf(zone: string): number {
     const leader = this.leaderClaim;
-    const known = this.zoneTokens.get(zone) ?? 0;
+    const known = this.tokensByZone.get(zone) ?? 0;
     return leader && isServing(leader, zone)
       ? Math.max(known, leader.token)
       : known;
@@ -91,9 +91,9 @@
     return this.holders.size > 0;
   }
 
-  /** Zones whose holder was heard, and zones with a known token. */
-  get zones(): Iterable<string> {
-    return this.zoneTokens.keys();
+  /** Highest token known for each zone, as far as nodes have told it by zone. */
+  get zoneTokens(): ReadonlyMap<string, number> {
+    return this.tokensByZone;
   }
 
   /** Node of the holder of a zone, if it was heard recently. */
--- a/src/core/pool/registry/worker_list_copies.ts
+++ b/src/core/pool/registry/worker_list_copies.ts
@@ -85,7 +85,7 @@
     const {node, zone, directory} = this.opts;
     const {claims} = directory;
     const leader = claims.leader(now)?.node;
-    const zones = leader === node ? claims.zones : [zone];
+    const zones = leader === node ? claims.zoneTokens.keys() : [zone];
     const holders = [...zones].map(each => claims.liveHolderOf(each, now));
     const nodes = new Set([leader, ...holders].flatMap(id => id ?? []));
     nodes.delete(node);
--- a/src/core/pool/zones/view_zones.ts
+++ b/src/core/pool/zones/view_zones.ts
@@ -48,7 +48,7 @@
       });
     }
   }
-  for (const zone of directory.claims.zones) draftOf(zone);
+  for (const zone of directory.claims.zoneTokens.keys()) draftOf(zone);
   return [...drafts].map(([zone, draft]) => {
     return {zone, ...draft, claim: directory.claims.holderOf(zone)};
   });
