Match the answer to a job with the caller's request

An entry node matched answers by node and id. A "refused" or "no_queue" for a request that had ended could be read after the caller's copy had been submitted to the same dispatcher through the same entry node. The copy's caller was told "not run", and the dispatcher then started the copy.

A submission now carries the number of the caller's request, and the answer names it. An answer to an earlier request is ignored unless it is "completed"; if the dispatcher keeps it and repeats it on polls, the job is submitted again, as for one that it does not know. The number is the arrival time, raised to be unique, so that it is another one after a restart too. It is absent in messages of older nodes, which are matched as before. About 17 bytes more per submission and per answer.

Ruled out: to number each submission, since an answer to an earlier submission of the same request is true or is known not to be (`wasResubmitted`), and the caller would wait for another one.

Two tests of the entry node fail before: the copy is answered "refused", and it is not submitted again.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
@@ -200,3 +200,24 @@
   peers.deliver('e1', 'pool.poll', {ids: ['j'], claimStatedAt});
   assert.equal(dispatcher.jobs.get('j')?.owner, 'e2');
 });
+
+// Guards against an answer that is taken for one to a later request for the same job.
+test('an answer names the request that it is for, also when it is repeated', () => {
+  const {peers, endpoint, clock} = createEndpoint();
+  const claimStatedAt = clock.now();
+  const job = PoolBench.submission('j', {estimatedMs: 2_000});
+  peers.deliver('e', 'pool.submit', {...job, request: 7, claimStatedAt});
+  // The requests of open jobs are kept.
+  for (const ms of [600, 600]) {
+    clock.advance(ms);
+    endpoint.tick(clock.now());
+    peers.deliver('e', 'pool.poll', {ids: ['j'], claimStatedAt: clock.now()});
+  }
+  const answer = {kind: 'failed'} as const;
+  endpoint.answer('e', 'j', answer);
+  const body = {id: 'j', answer, request: 7};
+  const sent = {node: 'e', kind: 'pool.answer', body};
+  assert.deepEqual(peers.sent, [sent]);
+  peers.deliver('e', 'pool.poll', {ids: ['j'], claimStatedAt: clock.now()});
+  assert.deepEqual(peers.sent, [sent, sent]);
+});
--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -3,13 +3,13 @@
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {RoutingTable} from '../../routing/routing_table.js';
 import type {WorkerLoss} from '../crashes/worker_loss.js';
-import {AnswerCache} from '../job/answer_cache.js';
 import type {JobReferral} from '../lending/job_referral.js';
 import type {PoolAnswer} from '../job/pool_answer.js';
 import {CancelledSubmissions} from './cancelled_submissions.js';
 import {dropSilentJobs} from './drop_silent_jobs.js';
 import {EarlySubmissions} from './early_submissions.js';
 import {isLost} from './is_lost.js';
+import {JobAnswers} from './job_answers.js';
 import type {ReceivedSubmission} from './received_submission.js';
 import {readContactTime} from './read_contact_time.js';
 import type {PoolDispatcher} from './pool_dispatcher.js';
@@ -45,7 +45,7 @@
   private isConfigCurrent: (now: number) => boolean = () => true;
   private lastTickAt = Number.NEGATIVE_INFINITY;
   private attachedAt = Number.NEGATIVE_INFINITY;
-  private readonly answers = new AnswerCache();
+  private readonly answers: JobAnswers;
   /** Jobs that may have run under any dispatcher of the deployment. */
   private readonly unclear = new RecentStarts();
   /** Jobs that need a newer configuration than this node has. */
@@ -55,6 +55,7 @@
 
   constructor(private readonly opts: DispatcherEndpointOptions) {
     const {peers, routing} = opts;
+    this.answers = new JobAnswers(opts);
     const isConfigCurrent = (now: number) => this.isConfigCurrent(now);
     this.cancelled = new CancelledSubmissions({routing, isConfigCurrent});
     peers.onMessage('pool.submit', (from, body, now) =>
@@ -136,13 +137,12 @@
     this.lastTickAt = now;
     this.passEarly(current, now);
     current.tick(now);
-    this.answers.expire(now);
+    this.answers.expire(now, id => current.has(id));
   }
 
   /** Sends the answer of a job to its entry node. */
   answer(owner: string, id: string, answer: PoolAnswer): void {
-    this.answers.set(id, answer, this.opts.clock.now());
-    this.opts.peers.send(owner, 'pool.answer', {id, answer});
+    this.answers.send(owner, id, answer);
   }
 
   /** Sends the entry node what it needs to submit the job elsewhere. */
@@ -212,6 +212,7 @@
     now: number,
   ): void {
     const {id} = submission.job;
+    this.answers.recordRequest(submission);
     const answer = this.cancelled.answerTo(submission, now);
     if (!answer) return current.submit(owner, submission, contactAt);
     const fields = {owner, answer: answer.kind};
@@ -261,11 +262,9 @@
         current.recordContact(from, id, contactAt);
         this.early.recordContact(from, id, contactAt);
       }
-      const known = this.answers.get(id);
-      if (known) {
+      if (this.answers.resend(from, id)) {
         // The job was answered after its submission here had been read.
         if (this.early.ownerOf(id) === from) this.early.delete(id);
-        this.opts.peers.send(from, 'pool.answer', {id, answer: known});
         continue;
       }
       if (current.has(id) || this.early.has(id)) continue;
@@ -298,10 +297,11 @@
   private cancel(id: string, now: number): boolean {
     this.cancelled.add(id, now);
     const isKnown = this.current?.cancel(id) ?? false;
-    const owner = this.early.ownerOf(id);
-    if (owner === undefined) return isKnown;
+    const early = this.early.get(id);
+    if (!early) return isKnown;
     this.early.delete(id);
-    this.answer(owner, id, {kind: 'cancelled'});
+    this.answers.recordRequest(early.submission);
+    this.answer(early.owner, id, {kind: 'cancelled'});
     return true;
   }
 
--- a/src/core/pool/dispatcher/early_submissions.ts
+++ b/src/core/pool/dispatcher/early_submissions.ts
@@ -33,6 +33,10 @@
     if (known?.owner === owner) this.byId.set(id, {...known, contactAt});
   }
 
+  get(id: string): EarlySubmission | undefined {
+    return this.byId.get(id);
+  }
+
   has(id: string): boolean {
     return this.byId.has(id);
   }
--- a/src/core/pool/entry/entry_gateway.test.ts
+++ b/src/core/pool/entry/entry_gateway.test.ts
@@ -293,3 +293,41 @@
   assert.equal(submit?.node, 'c2');
   assert.propertyVal(submit?.body, 'revision', 7);
 });
+
+// Guards against "not run" for a copy of a request that the dispatcher then starts: the
+// answer to the first request was still on its way when the copy was submitted.
+test('an answer to an earlier request does not turn away its copy', () => {
+  const bench = createEntryGatewayBench();
+  const {peers, gateway} = bench;
+  bench.announceLeader('c1', 1);
+  const first = bench.submit();
+  gateway.drop('j', first);
+  bench.submit();
+  const [earlier, copy] = peers.sent
+    .filter(({kind}) => kind === 'pool.submit')
+    .map(({body}) => body as {request: number});
+  const refused = {kind: 'refused', reason: 'too_late', retryAfterMs: 1};
+  for (const answer of [refused, {kind: 'no_queue'}, {kind: 'failed'}]) {
+    peers.deliver('c1', 'pool.answer', {...earlier, id: 'j', answer});
+  }
+  assert.isEmpty(bench.answers);
+  const answer = {id: 'j', answer: refused};
+  peers.deliver('c1', 'pool.answer', {...copy, ...answer});
+  assert.deepEqual(
+    bench.answers.map(({kind}) => kind),
+    ['refused'],
+  );
+});
+
+test('a job whose dispatcher has kept an answer to an earlier request is submitted again', () => {
+  const bench = createEntryGatewayBench();
+  const {peers} = bench;
+  bench.announceLeader('c1', 1);
+  bench.submit();
+  bench.run(300);
+  const answer = {kind: 'given_up', reason: 'deadline'};
+  peers.deliver('c1', 'pool.answer', {id: 'j', answer, request: 1});
+  const submits = peers.sent.filter(({kind}) => kind === 'pool.submit');
+  assert.lengthOf(submits, 2);
+  assert.isEmpty(bench.answers);
+});
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -58,6 +58,7 @@
   private readonly contacts: ZoneContacts;
   private readonly cancels: CancelNotifier;
   private readonly polls: JobPolls;
+  private lastRequest = 0;
 
   constructor(private readonly opts: EntryGatewayOptions) {
     const {peers} = opts;
@@ -65,9 +66,9 @@
     this.contacts = new ZoneContacts({...opts, openJobs: () => this.jobs.size});
     this.cancels = new CancelNotifier(opts);
     this.polls = new JobPolls(opts, this.jobs, this.contacts);
-    peers.onMessage('pool.answer', (from, body) => {
+    peers.onMessage('pool.answer', (from, body, now) => {
       if (!v.is(PoolMessage.answer, body)) return;
-      this.onAnswer(from, body.id, body.answer);
+      this.onAnswer(from, body, now);
     });
     peers.onMessage('pool.losses', (from, body) => {
       if (!v.is(PoolMessage.losses, body)) return;
@@ -106,9 +107,11 @@
       known.respond = respond;
       return;
     }
+    this.lastRequest = Math.max(this.lastRequest + 1, Math.floor(now));
     const job: OpenJob = {
       ...req,
       id,
+      request: this.lastRequest,
       arrivedAt: now,
       deadlineAt: now + req.patienceMs,
       respond,
@@ -212,12 +215,19 @@
 
   /**
    * Only the dispatcher that has the job knows that it will not complete. An
-   * earlier one may have been suspended and answer from what it knew before.
+   * earlier one may have been suspended and answer from what it knew before, and
+   * the same one may have answered an earlier request for the job.
    */
-  private onAnswer(from: string, id: string, answer: PoolAnswer): void {
+  private onAnswer(
+    from: string,
+    {id, answer, request}: v.InferOutput<typeof PoolMessage.answer>,
+    now: number,
+  ): void {
     const job = this.jobs.get(id);
     if (!job) return;
-    if (answer.kind === 'completed' || job.assignedTo?.node === from) {
+    const isAssigned = job.assignedTo?.node === from;
+    const isCurrent = (request ?? job.request) === job.request;
+    if (answer.kind === 'completed' || (isAssigned && isCurrent)) {
       this.respondTo(id, answer);
       return;
     }
@@ -225,7 +235,10 @@
       from,
       kind: answer.kind,
       lead: job.assignedTo?.node,
+      is_for_earlier_request: !isCurrent || undefined,
     });
+    // A dispatcher that keeps such an answer has not read this submission.
+    this.onUnknown(from, {ids: [id]}, now);
   }
 
   private respondTo(id: string, answer: PoolAnswer): void {
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -9,6 +9,8 @@
   readonly host: string;
   readonly path: string;
   readonly job: PoolJob;
+  /** Number of the request at this node; rises across restarts, too. */
+  readonly request: number;
   readonly arrivedAt: number;
   readonly deadlineAt: number;
   respond: (answer: PoolAnswer) => void;
--- a/src/core/pool/entry/to_submission.ts
+++ b/src/core/pool/entry/to_submission.ts
@@ -26,6 +26,7 @@
     host: job.host,
     path: job.path,
     job: job.job,
+    request: job.request,
     waitedMs: now - job.arrivedAt,
     patienceMs: Math.max(0, job.deadlineAt - now),
     settleMs,
--- a/src/core/pool/job/answer_cache.ts
+++ b/src/core/pool/job/answer_cache.ts
@@ -1,4 +1,7 @@
-import type {PoolAnswer} from './pool_answer.js';
+import type * as v from 'valibot';
+import type {PoolMessage} from '../node/pool_message.js';
+
+type AnswerMessage = v.InferOutput<typeof PoolMessage.answer>;
 
 /** Time for which entry nodes can fetch an answer that they did not receive. */
 const RETENTION_MS = 4_000;
@@ -7,16 +10,17 @@
 export class AnswerCache {
   private readonly answers = new Map<
     string,
-    {readonly answer: PoolAnswer; readonly at: number}
+    {readonly message: AnswerMessage; readonly at: number}
   >();
 
-  get(id: string): PoolAnswer | undefined {
-    return this.answers.get(id)?.answer;
+  get(id: string): AnswerMessage | undefined {
+    return this.answers.get(id)?.message;
   }
 
-  set(id: string, answer: PoolAnswer, now: number): void {
+  set(message: AnswerMessage, now: number): void {
+    const {id} = message;
     this.answers.delete(id);
-    this.answers.set(id, {answer, at: now});
+    this.answers.set(id, {message, at: now});
   }
 
   delete(id: string): void {
--- a/src/core/pool/job/pool_submission.ts
+++ b/src/core/pool/job/pool_submission.ts
@@ -10,6 +10,11 @@
   host: v.string(),
   path: v.string(),
   job: PoolJob,
+  /**
+   * Number of the caller's request at the entry node, which the answer names: an
+   * answer to an earlier one says nothing about a copy. Older nodes omit it.
+   */
+  request: v.optional(count),
   /** Time that the job has waited at the entry node. */
   waitedMs: ms,
   /** Time left until the deadline of the caller. */
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -86,7 +86,12 @@
   release: v.object({ids, reason: v.string()}),
   /** Jobs that may have run, and whose callers may send them again anywhere. */
   unclear: v.object({ids}),
-  answer: v.object({id: v.string(), answer: PoolAnswer}),
+  answer: v.object({
+    id: v.string(),
+    answer: PoolAnswer,
+    /** `request` of the submission that is answered; older nodes omit it. */
+    request: v.optional(count),
+  }),
   /**
    * Tells the entry node of a job to submit it to the dispatcher of another zone;
    * the sender has started nothing of it and forgets it.
