--- a/src/core/pool/node/copied_requests.test.ts
+++ b/src/core/pool/node/copied_requests.test.ts
@@ -167,7 +167,7 @@
 // entry node reads the request late, and then that its connection was closed.
 test('a copy does not start beside a run of a request that was read late', async () => {
   for (const turnMs of [270, 290]) {
-    for (const phaseMs of [0, 120]) {
+    for (const phaseMs of [0, 120, 180]) {
       const bench = createBench();
       for (const worker of bench.workers.values()) {
         worker.runMs = task => (task.startsWith('j.') ? 4_000 : 50);
@@ -189,6 +189,36 @@
   }
 });
 
+// Guards against a deadline that is counted from when an entry node reads the request,
+// while its event loop is behind: it holds the job longer than its caller waits, of
+// whose lost connection it is not told.
+test('a copy does not start beside a run whose deadline was late', async () => {
+  const patienceMs = 2_000;
+  for (const turnMs of [290]) {
+    for (const phaseMs of [60, 120]) {
+      const bench = createBench();
+      for (const worker of bench.workers.values()) {
+        worker.runMs = task => (task.startsWith('j.') ? 5_000 : 50);
+      }
+      await bench.run(6_000);
+      bench.overload('ye1', turnMs);
+      await runLoad(bench, 'ye1', 1_000 + phaseMs);
+      bench.submit('ye1', 'j', {estimatedMs: 500, patienceMs});
+      bench.orderFault = call => (call === 'stop' ? 'order_lost' : 'ok');
+      await runLoad(bench, 'ye1', 2 * turnMs);
+      bench.starve('ye1', 0);
+      await runLoad(bench, 'ye1', patienceMs - 2 * turnMs);
+      bench.callers.remove('j');
+      await runLoad(bench, 'ye1', RESEND_MS);
+      bench.submit('ze1', 'j', {...JOB, patienceMs: 7_000});
+      await bench.run(6_000);
+      const message = `${turnMs} ms, ${phaseMs} ms`;
+      assert.isEmpty(bench.log.overlaps(), message);
+      assert.equal(bench.log.answerOf('j'), 'completed', message);
+    }
+  }
+});
+
 /** Sends the job again, and checks that it completes without a second run beside. */
 async function assertCopyRunsAlone(
   bench: DeploymentBench,
