Log how late an entry node reads that a caller has gone

Change: `caller_gone`, `job_given_up` and `job_sent_again` carry `loop_behind_ms`, the time since the entry node had read all its connections: the caller may have gone up to that long before.

Measured: the test of record_resubmission.test.ts failed before, as there was no such field; the 13 tests about log lines pass.

--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -102,7 +102,9 @@
     const {id} = req.job;
     const known = this.jobs.get(id);
     if (known) {
-      recordCaller(this.opts.observer, 'job_sent_again', known, now);
+      const {input} = this;
+      const {observer} = this.opts;
+      recordCaller(observer, 'job_sent_again', known, {now, input});
       known.respond({kind: 'given_up', reason: 'replaced by a resubmission'});
       known.respond = respond;
       return;
@@ -136,7 +138,8 @@
     if (!job || job.respond !== respond) return;
     this.jobs.delete(id);
     const {observer, clock} = this.opts;
-    recordCaller(observer, 'caller_gone', job, clock.now());
+    const event = {now: clock.now(), input: this.input};
+    recordCaller(observer, 'caller_gone', job, event);
     this.sendDrop(job, 'caller_gone');
     sendUnclear(job, this.opts);
   }
@@ -180,12 +183,12 @@
 
   /** Gives up a job that a lost dispatcher may have run. */
   private giveUpLost(job: OpenJob): void {
+    const now = this.opts.clock.now();
     this.opts.observer.recordJobEvent('job_given_up', job.id, {
       reason: 'lead_lost',
       lead: job.assignedTo?.node,
-      lead_silent_ms: Math.round(
-        this.opts.clock.now() - this.contacts.of(job.zone).seenAt,
-      ),
+      lead_silent_ms: Math.round(now - this.contacts.of(job.zone).seenAt),
+      loop_behind_ms: Math.round(now - this.input.handledUpTo),
     });
     this.sendDrop(job, 'lead_lost');
     this.respondTo(job.id, {kind: 'given_up', reason: 'lead_lost'});
@@ -198,7 +201,8 @@
       return;
     }
     const {observer, clock} = this.opts;
-    recordCaller(observer, 'job_given_up', job, clock.now(), reason);
+    const event = {now: clock.now(), input: this.input, reason};
+    recordCaller(observer, 'job_given_up', job, event);
     this.sendDrop(job, reason);
     this.respondTo(job.id, {kind: 'given_up', reason});
   }
--- a/src/core/pool/entry/record_resubmission.test.ts
+++ b/src/core/pool/entry/record_resubmission.test.ts
@@ -50,3 +50,15 @@
   const lead = {after_ms: 40, lead: 'c1', token: 1_000};
   assert.deepInclude(bench.events[0]!.fields, lead);
 });
+
+// Whether a run outlived its caller depends on how late this node read its sockets.
+test('a caller that disconnects is logged with how late that may be read', () => {
+  const bench = createEntryGatewayBench();
+  bench.announceLeader('c1', 1);
+  const respond = bench.submit();
+  bench.clock.advance(350);
+  bench.gateway.drop('j', respond);
+  const {event, fields} = bench.events.at(-1)!;
+  assert.equal(event, 'caller_gone');
+  assert.deepInclude(fields, {after_ms: 350, loop_behind_ms: 350});
+});
