Repeat a refusal to the entry node only that it was sent to

After a refusal the caller may send the job to another entry node, for which it runs in another zone. If that one's submission to the first dispatcher was read too late, it was ignored and did not delete the kept answer, so that the next poll got "refused", also after `pool.unclear`. The entry node took it for an answer to its own submission and told the caller "not run".

"refused" and "no_queue" are now repeated only to the entry node that they were sent to; another one is told that the job is unknown, and submits it. Ruled out: to give the other answers to their entry node only; they claim nothing that may become untrue, and a job that has failed would run once more.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.test.ts
@@ -221,3 +221,20 @@
   peers.deliver('e', 'pool.poll', {ids: ['j'], claimStatedAt: clock.now()});
   assert.deepEqual(peers.sent, [sent, sent]);
 });
+
+// Guards against an untrue "not run": the job was refused here, and its caller sent it
+// to a second entry node, for which it ran in another zone.
+test('a refusal is repeated to no other entry node', () => {
+  const {clock, peers, endpoint} = createEndpoint();
+  const refused = {kind: 'refused', reason: 'x', retryAfterMs: 1} as const;
+  endpoint.answer('e1', 'j', refused);
+  peers.deliver('e1', 'pool.unclear', {ids: ['j']});
+  const claimStatedAt = clock.now();
+  clock.advance(1_300);
+  // It is read too late, so that it is ignored.
+  const submission = {...PoolBench.submission('j'), claimStatedAt};
+  peers.deliver('e2', 'pool.submit', submission);
+  peers.deliver('e2', 'pool.poll', {ids: ['j'], claimStatedAt: clock.now()});
+  const unknown = {node: 'e2', kind: 'pool.unknown', body: {ids: ['j']}};
+  assert.deepEqual(peers.sent.at(-1), unknown);
+});
--- a/src/core/pool/dispatcher/job_answers.ts
+++ b/src/core/pool/dispatcher/job_answers.ts
@@ -31,14 +31,21 @@
     const {clock, peers} = this.opts;
     const request = this.requests.get(id);
     const message = {id, answer, ...(request === undefined ? {} : {request})};
-    this.kept.set(message, clock.now());
+    this.kept.set(message, owner, clock.now());
     peers.send(owner, 'pool.answer', message);
   }
 
-  /** Sends a kept answer again; returns whether there is one. */
+  /**
+   * Sends a kept answer again; returns whether there is one. That a job was not run
+   * holds for its entry node only: it may have run for another one since.
+   */
   resend(to: string, id: string): boolean {
-    const message = this.kept.get(id);
-    if (!message) return false;
+    const kept = this.kept.get(id);
+    if (!kept) return false;
+    const {message, owner} = kept;
+    const {kind} = message.answer;
+    const isNotRun = kind === 'refused' || kind === 'no_queue';
+    if (isNotRun && owner !== to) return false;
     this.opts.peers.send(to, 'pool.answer', message);
     return true;
   }
