Take the redirect of a lent job for one that its lender does not know

A dispatcher that has moved a job answers each poll for it with the referral, in place of `pool.unknown`. If a job was moved from y to z and its copy from z to y, and the submission of the copy to y was lost or read too late, each poll got y's old referral. The entry node ignored it, since a job is moved only once, and the caller had no answer until the deadline.

The redirect of a lent job by the dispatcher that it is assigned to now counts as `pool.unknown`: the job is submitted there again, 250 ms after the last time at the earliest. Ruled out: to follow the referral, as the zones may refer to each other without end.

--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -306,9 +306,10 @@
     now: number,
   ): void {
     const job = this.jobs.get(id);
-    if (!job || job.isLent || job.assignedTo?.node !== from) return;
-    if (job.earliestStartAt > 0) {
-      // The home moved the job before another dispatcher of the zone had it.
+    if (!job || job.assignedTo?.node !== from) return;
+    if (job.isLent || job.earliestStartAt > 0) {
+      // The sender moved the job before it was lent to it, or before another
+      // dispatcher of the zone had it.
       return this.onUnknown(from, {ids: [id]}, now);
     }
     this.opts.directory.claims.recordReferral(referral, now);
