Forget the move of a job that is lent back

A dispatcher that had moved a job took its copy as a lent one when the other zone moved that back, but still remembered the move. The next request for the job was sent to the other zone again, although the job had run here. The lender there does not know of that run, so that it may refuse the job as "not run".

A lent submission now deletes the move, as one does that another dispatcher of the zone had since. Ruled out: to check `mayHaveRun` before the referral; a copy of a job that runs at the lender has to go there.

--- a/src/core/pool/lending/dispatcher_lending.test.ts
+++ b/src/core/pool/lending/dispatcher_lending.test.ts
@@ -159,6 +159,22 @@
   assert.isEmpty(bench.overlaps());
 });
 
+// Guards against a copy that is moved although its job has run here: the lender refuses
+// it as "not run".
+test('a moved job that comes back as a lent one is not moved again', async () => {
+  const bench = await createBench();
+  for (let n = 0; n < 14; n += 1) bench.submit(0, wide(`j${n}`));
+  await bench.run(300);
+  const {id} = bench.redirects[0]!;
+  const before = bench.redirects.length;
+  const home = bench.zones[0]!.dispatcher;
+  home.submit('e2', {...wide(id), isLent: true});
+  await bench.run(300);
+  assert.equal(bench.zones[0]!.bench.answers.get(id)?.kind, 'completed');
+  home.submit('e3', wide(id));
+  assert.lengthOf(bench.redirects, before);
+});
+
 // While the home was suspended, a fallback has started the job in its zone.
 test('a moved job that another dispatcher of the zone had since stays', async () => {
   const bench = await createBench();
--- a/src/core/pool/lending/dispatcher_lending.ts
+++ b/src/core/pool/lending/dispatcher_lending.ts
@@ -50,10 +50,9 @@
     for (const {count, demand} of lending ? job.steps : []) {
       lending?.taskSize.record(demand.cpu, count);
     }
-    // Its home has moved it here, whatever this dispatcher did with it before.
-    if (isLent) return false;
-    if (settleMs > 0) {
-      // Another dispatcher of this zone had the job since, and may have run it.
+    if (isLent || settleMs > 0) {
+      // It may run here, whatever this dispatcher did with it before: its home has
+      // moved it here, or another dispatcher of this zone had it since.
       lending?.forget(job.id);
       return false;
     }
