Give up a job that was referred again while its lender is not known

An entry node that follows a referral has no dispatcher for the job until it knows one of the lender's zone. If it knew none, it refused the job as "not run". That is true of the first referral, which the home sends before anything has started. A referral that the home repeats for a copy names a lender that may have run the job for the earlier request.

Such a job is given up now (504), and the core nodes are told that it may have run. A referral counts as repeated if it names no statement of the lender's claim. Ruled out: to mark the job as submitted before, since the lender's own refusal is true: it knows what it has run.

What remains: a first referral that was lost and is repeated for the same request, or that an older node sends, is given up as well where no dispatcher is known.

--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -126,6 +126,7 @@
       earlierToken: 0,
       losses: [],
       wasResubmitted: false,
+      wasReferredAgain: false,
       maxWaitMs: maxWaitMs(req.job),
     };
     this.jobs.set(id, job);
@@ -207,13 +208,18 @@
     this.respondTo(job.id, {kind: 'given_up', reason});
   }
 
+  /** Refuses a job that no dispatcher has, unless it may have run before. */
   refuse(job: OpenJob, reason: string): void {
     const {observer, clock} = this.opts;
-    const now = clock.now();
-    observer.recordJobEvent('job_refused', job.id, {
+    const event = job.wasReferredAgain ? 'job_given_up' : 'job_refused';
+    observer.recordJobEvent(event, job.id, {
       reason,
-      waited_ms: Math.round(now - job.arrivedAt),
+      waited_ms: Math.round(clock.now() - job.arrivedAt),
     });
+    if (job.wasReferredAgain) {
+      this.respondTo(job.id, {kind: 'given_up', reason});
+      return;
+    }
     const retryMs = retryAfterMs(job.id, RETRY_AFTER_MS);
     this.respondTo(job.id, {kind: 'refused', reason, retryAfterMs: retryMs});
   }
@@ -314,6 +320,7 @@
     }
     this.opts.directory.claims.recordReferral(referral, now);
     job.isLent = true;
+    job.wasReferredAgain = referral.statedAt === undefined;
     job.zone = referral.zone;
     // The job has not been started, so it needs no time to settle.
     job.assignedTo = undefined;
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -33,4 +33,6 @@
   readonly maxWaitMs: number;
   /** Whether the job has been submitted more than once. */
   wasResubmitted: boolean;
+  /** Whether its home may have moved it for an earlier request, which may have run. */
+  wasReferredAgain: boolean;
 }
--- a/src/core/pool/entry/repeated_redirects.test.ts
+++ b/src/core/pool/entry/repeated_redirects.test.ts
@@ -21,3 +21,24 @@
   );
   assert.include(submits[2]!.body, {isLent: true});
 });
+
+// Guards against an untrue "not run": the first request for the job may have run at the
+// lender, whose zone has no known dispatcher any more.
+test('a job that is referred again is given up while its lender is not known', () => {
+  for (const [statedAt, kind] of [
+    [undefined, 'given_up'],
+    [7, 'refused'],
+  ] as const) {
+    const bench = createEntryGatewayBench();
+    bench.announceHolder('c1', 1_001);
+    bench.submit();
+    bench.peers.deliver('c1', 'pool.redirect', {...REDIRECT, statedAt});
+    bench.run(1_000);
+    assert.deepEqual(
+      bench.answers.map(answer => answer.kind),
+      [kind],
+    );
+    const unclear = bench.peers.sent.some(s => s.kind === 'pool.unclear');
+    assert.equal(unclear, kind === 'given_up');
+  }
+});
--- a/src/core/pool/entry/send_unclear.ts
+++ b/src/core/pool/entry/send_unclear.ts
@@ -14,10 +14,10 @@
  * an entry node of any zone, whose dispatcher must not refuse it as not run.
  */
 export function sendUnclear(
-  {id, assignedTo, wasResubmitted}: OpenJob,
+  {id, assignedTo, wasResubmitted, wasReferredAgain}: OpenJob,
   {directory, clock, peers}: SendUnclearOptions,
 ): void {
-  if (!assignedTo && !wasResubmitted) return;
+  if (!assignedTo && !wasResubmitted && !wasReferredAgain) return;
   const now = clock.now();
   const dispatching = directory.claims.dispatchingNodes(now);
   for (const node of new Set([...directory.coreIds(now), ...dispatching])) {
