Keep the time of a leader's own claim when a referral names its node

A referral to the leader's own node took the time out of the leader's claim, so that polls for all jobs there carried no contact until the next claim. It also revived the claim of a leader that had withdrawn it, so that jobs of all zones were submitted to its node.

The leader's own time stays while its claim is live; that of the referral is not used, as an earlier process of the node may have stated it as a holder. After a withdrawal the referral stands for the holder of the zone that it names.

'a referral does not tell when a leader stated its claim' demanded no time at all; it now demands the leader's own one, and none once that claim is old. The two other tests of dispatcher_claims.test.ts failed before.

--- a/src/core/pool/node/dispatcher_claims.test.ts
+++ b/src/core/pool/node/dispatcher_claims.test.ts
@@ -101,6 +101,28 @@
   const referral = {zone: 'z', node: 'h', token: 1_001, statedAt: 900};
   claims.recordReferral(referral, 100);
   const claim = claims.remoteDispatcherOf('z', 100);
-  assert.include(claim, {node: 'h', token: 2_000});
-  assert.isUndefined(claim?.statedAt);
+  assert.include(claim, {node: 'h', token: 2_000, statedAt: 300});
+  claims.recordReferral(referral, 5_000);
+  assert.isUndefined(claims.remoteDispatcherOf('z', 5_000)?.statedAt);
+});
+
+// Guards against jobs whose contact is lost to a repeated referral, which names no time.
+test('a referral to the leader keeps the time of its own claim', () => {
+  const claims = new DispatcherClaims();
+  claims.record(leaderClaim({heardAt: 500, statedAt: 490}));
+  claims.recordReferral({zone: 'z', node: 'l', token: 1_000}, 600);
+  assert.include(claims.leader(600), {heardAt: 600, statedAt: 490});
+});
+
+// Guards against jobs that are submitted to a node that has said that it leads no more.
+test('a referral does not revive the withdrawn claim of a leader', () => {
+  const claims = new DispatcherClaims();
+  claims.record(leaderClaim());
+  claims.clear('l');
+  const referral = {zone: 'z', node: 'l', token: 1_004, statedAt: 90};
+  claims.recordReferral(referral, 100);
+  assert.isUndefined(claims.leader(100));
+  // The node may hold the zone since.
+  assert.include(claims.dispatcherOf('z', 100), {node: 'l', zone: 'z'});
+  assert.isUndefined(claims.dispatcherOf('y', 100));
 });
--- a/src/core/pool/node/dispatcher_claims.ts
+++ b/src/core/pool/node/dispatcher_claims.ts
@@ -161,26 +161,19 @@
   /** Records the dispatcher of another zone that a dispatcher has named. */
   recordReferral({statedAt, ...grant}: JobReferral, now: number): void {
     const leader = this.leaderClaim;
-    if (leader?.node === grant.node) {
+    if (!leader) return;
+    const {node, zone, token} = grant;
+    if (leader.node === node && !isWithdrawn(leader)) {
       const heardAt = Math.max(leader.heardAt, now);
-      // Its last claim may have been stated long before, and the one of the referral
-      // by a holder in an earlier process of the node.
-      this.leaderClaim = {...leader, heardAt, statedAt: undefined};
-    } else if (leader) {
-      const claim = {...toClaim(grant, leader), heardAt: now};
-      this.record({...claim, statedAt: this.latestStatement(grant, statedAt)});
+      // The time of the referral may be of a holder in an earlier process of the node.
+      const own = isLive(leader, now) ? leader.statedAt : undefined;
+      this.leaderClaim = {...leader, heardAt, statedAt: own};
+      return;
     }
-  }
-
-  /** When the holder last stated its claim, as far as this node has heard. */
-  private latestStatement(
-    {zone, node, token}: ZoneGrant,
-    statedAt: number | undefined,
-  ): number | undefined {
     const known = this.holders.get(zone);
-    if (known?.node !== node || known.token !== token) return statedAt;
-    const times = [known.statedAt, statedAt].filter(at => at !== undefined);
-    return times.length > 0 ? Math.max(...times) : undefined;
+    const isSame = known?.node === node && known.token === token;
+    const latest = isSame ? latestOf(known.statedAt, statedAt) : statedAt;
+    this.record({...toClaim(grant, leader), heardAt: now, statedAt: latest});
   }
 
   /**
@@ -257,6 +250,16 @@
   return {node, zone, token, term, heardAt, isFallback: false, revision: 0};
 }
 
+/** The later one of two statements of a claim, if any. */
+function latestOf(...statements: Array<number | undefined>) {
+  const times = statements.filter(at => at !== undefined);
+  return times.length > 0 ? Math.max(...times) : undefined;
+}
+
+function isWithdrawn({heardAt}: DispatcherClaim): boolean {
+  return heardAt === Number.NEGATIVE_INFINITY;
+}
+
 /** Whether a leader dispatches a zone itself. */
 function isServing(leader: DispatcherClaim, zone: string): boolean {
   const {grants = [], unserved = []} = leader;
