Suspend machines in the generated histories of zones

A suspended machine whose steady clock stands still was a fault that no generated history had. `npm run check -- pool` now suspends core and entry nodes that way for 0.1 to 1.7 s.

--- a/src/check/pool/zone_run.ts
+++ b/src/check/pool/zone_run.ts
@@ -140,7 +140,15 @@
         return this.after(step.forMs, () => bench.heal());
       }
       case 'starve':
-        return this.starve(step);
+        return this.disturb(step, {
+          begin: id => bench.starve(id, step.lagMs),
+          end: id => bench.starve(id, 0),
+        });
+      case 'suspend_machine':
+        return this.disturb(step, {
+          begin: id => bench.suspend(id, false),
+          end: id => bench.resume(id),
+        });
       case 'slow_link': {
         const id = this.coreOf(step.core);
         bench.linkDelayMs.set(id, step.delayMs);
@@ -207,17 +215,20 @@
     this.after(700 + forMs, () => bench.startEntry(id));
   }
 
-  private starve(step: Extract<ZoneStep, {kind: 'starve'}>): void {
+  /** Lets a node run late or not at all for some time. */
+  private disturb(
+    {isCore, node, forMs}: Extract<ZoneStep, {isCore: boolean}>,
+    {begin, end}: Record<'begin' | 'end', (id: string) => void>,
+  ): void {
     const {bench} = this;
-    const {isCore, node, lagMs, forMs} = step;
     const id = isCore ? this.coreOf(node) : this.entryOf(node);
     const nodes = isCore ? bench.cores : bench.entries;
     const known = nodes.get(id);
     if (known?.clock.isSuspended !== false || bench.isClosed(id)) return;
     if (!isCore) this.callers.disturb(id);
-    bench.starve(id, lagMs);
+    begin(id);
     // Another process may have started meanwhile.
-    this.after(forMs, () => nodes.get(id) === known && bench.starve(id, 0));
+    this.after(forMs, () => nodes.get(id) === known && end(id));
   }
 
   private cut(
--- a/src/check/pool/zone_step.ts
+++ b/src/check/pool/zone_step.ts
@@ -72,6 +72,13 @@
         readonly lagMs: number;
         readonly forMs: number;
       }
+    /** The machine of a node is suspended, and its steady clock stands still. */
+    | {
+        readonly kind: 'suspend_machine';
+        readonly isCore: boolean;
+        readonly node: number;
+        readonly forMs: number;
+      }
     /** All messages from and to a core node are delayed. */
     | {
         readonly kind: 'slow_link';
--- a/src/check/pool/zone_steps_arbitrary.ts
+++ b/src/check/pool/zone_steps_arbitrary.ts
@@ -84,6 +84,13 @@
   lagMs: fc.integer({min: 40, max: 450}),
   forMs,
 });
+const suspendMachine = fc.record({
+  kind: fc.constant('suspend_machine' as const),
+  waitMs,
+  isCore: fc.boolean(),
+  node: entry,
+  forMs: fc.integer({min: 100, max: 1_700}),
+});
 const slowLink = fc.record({
   kind: fc.constant('slow_link' as const),
   waitMs,
@@ -189,6 +196,7 @@
   {weight: 4, arbitrary: loseMessages},
   {weight: 3, arbitrary: loseOrders},
   {weight: 4, arbitrary: backlog},
+  {weight: 3, arbitrary: suspendMachine},
   {weight: 4, arbitrary: loseCores},
 ];
 const nodeSteps = [
