Count the deadline of a request from its reading again

This reverts the change of: it took the time since the entry node last had no connection waiting off the deadline of each request. libuv accepts one connection in a turn of the event loop, so with a crowd of connections that time has no limit, and ordinary requests were answered 504 at once: 'bodies in tiny chunks that never end leave a process within its memory' failed in a whole test run.

--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -110,13 +110,12 @@
       return;
     }
     this.lastRequest = Math.max(this.lastRequest + 1, Math.floor(now));
-    const arrivedAt = now - this.input.lateMs(now);
     const job: OpenJob = {
       ...req,
       id,
       request: this.lastRequest,
-      arrivedAt,
-      deadlineAt: arrivedAt + req.patienceMs,
+      arrivedAt: now,
+      deadlineAt: now + req.patienceMs,
       respond,
       zone: this.opts.zone,
       isLent: false,
--- a/src/core/pool/entry/input_progress.ts
+++ b/src/core/pool/entry/input_progress.ts
@@ -2,8 +2,6 @@
 
 /** Interval at which the progress is measured. */
 const INTERVAL_MS = 100;
-/** Age of the progress while the event loop is on time: timers are some ms late. */
-const ON_TIME_MS = 130;
 
 /**
  * Up to when an entry node has handled what has arrived from its callers. A caller
@@ -31,14 +29,6 @@
     return this.acceptedAt;
   }
 
-  /**
-   * How late a request that is read now may be read, in ms; 0 while the event loop is
-   * on time, although it may be up to ON_TIME_MS then.
-   */
-  lateMs(now: number): number {
-    return Math.max(0, now - this.acceptedAt - ON_TIME_MS);
-  }
-
   /** Records that a connection was accepted, of which a turn accepts one only. */
   recordConnection(): void {
     this.connections += 1;
--- a/src/core/pool/entry/open_job.ts
+++ b/src/core/pool/entry/open_job.ts
@@ -11,9 +11,7 @@
   readonly job: PoolJob;
   /** Number of the request at this node; rises across restarts, too. */
   readonly request: number;
-  /** Earliest time at which the request may have arrived, if it was read late. */
   readonly arrivedAt: number;
-  /** When the caller no longer waits. */
   readonly deadlineAt: number;
   respond: (answer: PoolAnswer) => void;
   /** Zone whose dispatcher has the job or is to get it. */
