Show that jobs of an entry node with long turns are dropped

With turns of 250 ms and more, what an entry node can state about its callers is older than the 1.0 s after which their jobs count as abandoned. Tried without an effect: another poll at once after one that was delayed.

--- a/src/core/pool/node/copied_requests.test.ts
+++ b/src/core/pool/node/copied_requests.test.ts
@@ -157,6 +157,23 @@
   });
 }
 
+// Guards against jobs that are dropped while their callers wait: an entry node whose turns
+// are long states contacts that are old.
+test('a busy entry node keeps the jobs of its callers', async () => {
+  for (const turnMs of [150, 250, 290]) {
+    const bench = createBench({}, 900);
+    await bench.run(6_000);
+    bench.overload('ye1', turnMs);
+    const ids = Array.from({length: 40}, (_, n) => `j.${n}`);
+    for (const id of ids) {
+      bench.submit('ye1', id, {estimatedMs: 900, patienceMs: 5_000});
+      await bench.run(50);
+    }
+    await bench.run(3_000);
+    assert.equal(bench.log.count('owner_silent'), 0, `${turnMs} ms`);
+  }
+});
+
 // Guards against contact by a claim that was stated after the caller had gone: a busy
 // entry node reads the request late, and then that its connection was closed.
 for (const [turnMs, phaseMs] of grid([270, 290], [0, 120, 180])) {
