Begin polls with a timer, so that a turn of the event loop suffices

An entry node with turns of 250 ms and more lost the jobs of its callers: a poll that was begun by a message of a dispatcher waits for two turns until all connections have been read, and its claims were older than 1.0 s when the dispatcher read it.

Tried without an effect: another poll at once after one that was delayed.

--- a/src/core/pool/dispatcher/dispatcher_endpoint.ts
+++ b/src/core/pool/dispatcher/dispatcher_endpoint.ts
@@ -48,7 +48,7 @@
   private readonly answers: JobAnswers;
   /** Jobs that may have run under any dispatcher of the deployment. */
   private readonly unclear = new RecentStarts();
-  /** Jobs that need a newer configuration than this node has. */
+  /** Jobs that wait for a configuration, or for their entry node to confirm them. */
   private readonly early = new EarlySubmissions();
   /** Outlasts a dispatcher of this node, and is kept on nodes without one. */
   private readonly cancelled: CancelledSubmissions;
--- a/src/core/pool/entry/entry_gateway.ts
+++ b/src/core/pool/entry/entry_gateway.ts
@@ -102,9 +102,8 @@
     const {id} = req.job;
     const known = this.jobs.get(id);
     if (known) {
-      const {input} = this;
-      const {observer} = this.opts;
-      recordCaller(observer, 'job_sent_again', known, {now, input});
+      const event = {now, input: this.input};
+      recordCaller(this.opts.observer, 'job_sent_again', known, event);
       known.respond({kind: 'given_up', reason: 'replaced by a resubmission'});
       known.respond = respond;
       return;
@@ -154,15 +153,21 @@
     return queryDispatchers(this.opts, request);
   }
 
+  /** Called by a timer, after which the event loop reads all connections soonest. */
   tick(now: number): void {
+    this.onDispatcher(now);
+    this.polls.tick(now);
+    this.input.tick(now);
+  }
+
+  /** Handles news of a dispatcher: submits the jobs that it is to get. */
+  onDispatcher(now: number): void {
     // A new dispatcher has to know the cancels before jobs are submitted again.
     this.cancels.tick(now);
     const zones = new Set([this.opts.zone]);
     for (const {zone} of this.jobs.values()) zones.add(zone);
     for (const zone of zones) this.contacts.update(zone, now);
     for (const job of [...this.jobs.values()]) this.updateJob(job, now);
-    this.polls.tick(now);
-    this.input.tick(now);
   }
 
   private updateJob(job: OpenJob, now: number): void {
@@ -216,8 +221,7 @@
       waited_ms: Math.round(clock.now() - job.arrivedAt),
     });
     if (job.wasReferredAgain) {
-      this.respondTo(job.id, {kind: 'given_up', reason});
-      return;
+      return this.respondTo(job.id, {kind: 'given_up', reason});
     }
     const retryMs = retryAfterMs(job.id, RETRY_AFTER_MS);
     this.respondTo(job.id, {kind: 'refused', reason, retryAfterMs: retryMs});
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -129,7 +129,7 @@
       zonePeers,
       fallback: this.fallback,
       relief: this.relief,
-      onDispatcher: now => this.gateway.tick(now),
+      onDispatcher: now => this.gateway.onDispatcher(now),
     });
     this.gateway = new EntryGateway({
       zone,
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -319,7 +319,7 @@
     const opts = {...common, relief, zonePeers: new ZonePeers()};
     const fallback = new FallbackService(opts);
     const gateway = new EntryGateway(opts);
-    const onDispatcher = (now: number) => gateway.tick(now);
+    const onDispatcher = (now: number) => gateway.onDispatcher(now);
     const presence = new EntryPresence({...opts, fallback, onDispatcher});
     this.entries.set(id, {clock: common.clock, fallback, gateway, presence});
   }
--- a/test-support/fakes/pool/zone_pool_bench.ts
+++ b/test-support/fakes/pool/zone_pool_bench.ts
@@ -201,7 +201,7 @@
     const options = {...this.common(id, zone), zonePeers: new ZonePeers()};
     const fallback = new FallbackService(options);
     const gateway = new EntryGateway(options);
-    const onDispatcher = (now: number) => gateway.tick(now);
+    const onDispatcher = (now: number) => gateway.onDispatcher(now);
     const relief = new ReliefService({...options, share: 1});
     const presence = new EntryPresence({
       ...options,
