--- a/src/platform/closed_callers.test.ts
+++ b/src/platform/closed_callers.test.ts
@@ -25,8 +25,10 @@
   reset: socket => socket.resetAndDestroy(),
 };
 
-/** Runs a task from a callback of the event loop: a timer, or a file operation that is over, as one
- * of the sockets that are read. */
+/**
+ * Runs a task from a callback of the event loop: of a timer, or of a file operation,
+ * which the loop handles like the reading of a socket.
+ */
 const FROM: Readonly<Record<string, (clock: Clock, task: () => void) => void>> =
   {
     'a timer': (clock, task) => void clock.schedule(0, task),
