--- a/review/lib-2/standin_worker.js
+++ b/review/lib-2/standin_worker.js
@@ -21,6 +21,7 @@
     this.opts = opts;
     this.cpu = opts.cpu;
     this.labels = opts.labels;
+    this.state = 'ready';
     this.beats = [];
     this.life = undefined;
     this.port = 0;
@@ -71,6 +72,41 @@
     void this.beatLoop(life);
   }
 
+  /** Reports that it drains, until a node acknowledges it; resolves to the time. */
+  async drain() {
+    const {life} = this;
+    const {control, id, events} = this.opts;
+    this.state = 'draining';
+    for (let n = 0; this.life === life; n += 1) {
+      const to = control[n % control.length];
+      const path = `/Instances.Heartbeat/${id}`;
+      const reply = await post(to, path, this.heartbeat(life), 1_000);
+      events.add('draining_reported', {worker: id, to, status: reply.status});
+      if (reply.status === 200) return performance.now();
+      await this.sleep(life, 100);
+    }
+    return undefined;
+  }
+
+  /** Says that it leaves, to one node after the other until one answers, and ends. */
+  async leave(nodes) {
+    const {life} = this;
+    const {id, events} = this.opts;
+    for (const to of nodes) {
+      const path = `/Instances.Leave/${id}`;
+      const reply = await post(to, path, undefined, 1_000);
+      events.add('left', {
+        worker: id,
+        to,
+        status: reply.status,
+        error: reply.error,
+      });
+      if (reply.status === 200) break;
+    }
+    if (this.life === life) this.crash();
+    this.state = 'ready';
+  }
+
   /** The process dies: its runs end with it, and nothing is said. */
   crash() {
     const {life} = this;
@@ -103,7 +139,7 @@
       zone,
       version: 'v1',
       slots: 8,
-      state: 'ready',
+      state: this.state,
       cold_remaining_ms: 0,
       capacity: {cpu: this.cpu, mem_mb: memMb, gpu: 0},
       labels: this.labels,
