Log orders that a relay reads after their sender has given them up

A relayed order stated its timeout, but not when it was stated, so neither a log nor the relay could tell an old order from a new one. Presence messages now state the time of their sender's clock. The sender of an order derives from it until when it stands by the order, on the relay's clock, and names the process instance of the worker. The relay logs what it reads later than that (`order_expired`), and still passes it on: no behaviour changes here.

The time that is stated includes suspensions of the machine (`ElapsedTime`), as the steady clock stands still in them.

--- a/src/adapter/event_loop_lag.test.ts
+++ b/src/adapter/event_loop_lag.test.ts
@@ -22,6 +22,7 @@
   const lag = new EventLoopLag(
     {
       now: () => now,
+      elapsed: () => now,
       schedule: (_delay, task) => {
         run = task;
         return {cancel: () => undefined};
--- a/src/adapter/steady_clock.ts
+++ b/src/adapter/steady_clock.ts
@@ -1,6 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import type {Cancellable} from '../core/clock/cancellable.js';
 import type {Clock} from '../core/clock/clock.js';
+import {ElapsedTime} from './elapsed_time.js';
 import {runAfterTurns} from './run_after_turns.js';
 
 /**
@@ -10,11 +11,16 @@
  */
 export class SteadyClock implements Clock {
   private isInTimer = false;
+  private readonly elapsedTime = new ElapsedTime();
 
   now(): number {
     return performance.timeOrigin + performance.now();
   }
 
+  elapsed(): number {
+    return this.elapsedTime.now();
+  }
+
   schedule(delayMs: number, task: () => void): Cancellable {
     const timer = setTimeout(() => this.runTimer(task), delayMs);
     return {cancel: () => clearTimeout(timer)};
--- a/src/core/clock/clock.ts
+++ b/src/core/clock/clock.ts
@@ -5,6 +5,13 @@
   /** Milliseconds since the Unix epoch, as `Date.now` returns them. */
   now(): number;
 
+  /**
+   * Monotonic time in ms that includes suspensions of the machine, in which `now`
+   * may stand still. Differences between two readings never understate the time
+   * that has passed.
+   */
+  elapsed(): number;
+
   /** Runs `task` once after `delayMs` unless it is cancelled first. */
   schedule(delayMs: number, task: () => void): Cancellable;
 
--- a/src/core/clock/stepped_clock.ts
+++ b/src/core/clock/stepped_clock.ts
@@ -20,6 +20,10 @@
     return this.time;
   }
 
+  elapsed(): number {
+    return this.time;
+  }
+
   schedule(delayMs: number, task: () => void): Cancellable {
     this.order += 1;
     const timer: Timer = {
--- a/src/core/pool/entry/entry_presence.ts
+++ b/src/core/pool/entry/entry_presence.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {FallbackService} from './fallback_service.js';
 import type {NodeDirectory} from '../node/node_directory.js';
@@ -25,6 +26,7 @@
 interface EntryPresenceOptions {
   readonly node: string;
   readonly zone: string;
+  readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly directory: NodeDirectory;
   readonly zonePeers: ZonePeers;
@@ -144,7 +146,7 @@
   }
 
   private createBody(now: number) {
-    const {directory, fallback, relief, zone} = this.opts;
+    const {clock, directory, fallback, relief, zone} = this.opts;
     const claim = fallback.claim(now);
     if (claim) directory.claims.record(claim);
     return {
@@ -155,6 +157,7 @@
       highestToken: directory.claims.highestToken,
       zoneToken: directory.claims.tokenOf(zone),
       isZoned: true,
+      statedAt: clock.elapsed(),
       hasLead: this.hasLeader(now),
       relays: !this.isDraining,
       mayFallBack: fallback.canFallBack,
--- a/src/core/pool/lease/worker_client.ts
+++ b/src/core/pool/lease/worker_client.ts
@@ -5,6 +5,11 @@
   readonly id: string;
   /** Host and port. */
   readonly address: string;
+  /**
+   * Start time of the process instance for which the order was decided; undefined
+   * for a poll that any instance may answer.
+   */
+  readonly bornAt?: number | undefined;
 }
 
 interface RunOrder {
--- a/src/core/pool/node/core_dispatching.ts
+++ b/src/core/pool/node/core_dispatching.ts
@@ -104,6 +104,8 @@
     this.relayChooser = new RelayChooser(directory, clock);
     this.client = new RelayedWorkerClient({
       peers,
+      clock,
+      directory,
       direct,
       chooser: this.relayChooser,
     });
--- a/src/core/pool/node/core_presence.ts
+++ b/src/core/pool/node/core_presence.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import type {Room} from '../lending/room.js';
 import type {RoomOffers} from '../lending/room_offers.js';
@@ -33,6 +34,7 @@
 interface CorePresenceOptions {
   readonly node: string;
   readonly zone: string;
+  readonly clock: Clock;
   readonly peers: PeerTransport;
   readonly directory: NodeDirectory;
   /** Start time of this process. */
@@ -168,7 +170,7 @@
     claim: DispatcherClaim | undefined,
     lists: NodeLists,
   ): void {
-    const {directory, peers, zone, isRelaying} = this.opts;
+    const {clock, directory, peers, zone, isRelaying} = this.opts;
     // An older node would take a holder for the leader.
     const isUnderstood = claim?.zone === undefined || directory.isZoned(id);
     peers.send(id, 'pool.presence', {
@@ -177,6 +179,7 @@
       highestToken: directory.claims.highestToken,
       relays: isRelaying(),
       isZoned: true,
+      statedAt: clock.elapsed(),
       startedAt: this.opts.startedAt,
       cores: lists.cores ?? [],
       ...(lists.entries ? {entries: lists.entries} : {}),
@@ -198,6 +201,7 @@
     directory.setRelay(from, relays);
     directory.setZoned(from, isZoned);
     directory.setStartedAt(from, parsed.output.startedAt, now);
+    directory.recordClock(from, parsed.output.statedAt, now);
     // Informs a new node, and the others of it, without delay.
     if (isNew) this.makeDue(now);
     if (role === 'entry') {
--- a/src/core/pool/node/leader_service.ts
+++ b/src/core/pool/node/leader_service.ts
@@ -72,10 +72,10 @@
   private isDraining = false;
 
   constructor(private readonly opts: LeaderServiceOptions) {
-    const {peers, client, clock} = opts;
+    const {clock} = opts;
     const {registry, offers} = this;
     const startedAt = clock.now();
-    new WorkerRelay(peers, client);
+    new WorkerRelay(opts);
     const sendClaim = (id: string) =>
       this.presence.sendClaimTo(id, clock.now());
     const dispatching = {...opts, registry, offers, sendClaim};
@@ -95,7 +95,7 @@
       isRelaying: () => !this.isDraining,
       onClaim: now => this.updateHolder(now),
     });
-    peers.onMessage('pool.book', (_from, body, now) =>
+    opts.peers.onMessage('pool.book', (_from, body, now) =>
       this.onRegistryUpdate(body, now),
     );
     this.reports = new WorkerReportService({
--- a/src/core/pool/node/node_directory.ts
+++ b/src/core/pool/node/node_directory.ts
@@ -1,4 +1,5 @@
 import {DispatcherClaims} from './dispatcher_claims.js';
+import {PeerClock} from './peer_clock.js';
 
 /** A node that has sent nothing for this long is removed. */
 const RETENTION_MS = 10_000;
@@ -27,6 +28,7 @@
   private readonly unzoned = new Set<string>();
   /** Start time of each core node's process, and since when it is known. */
   private readonly processes = new Map<string, {at: number; since: number}>();
+  private readonly clocks = new Map<string, PeerClock>();
   /** Claims to dispatch. */
   readonly claims = new DispatcherClaims();
 
@@ -101,6 +103,22 @@
     this.processes.set(node, {at, since: now});
   }
 
+  /** Records the time of a node's clock at which it stated a message. */
+  recordClock(node: string, statedAt: number | undefined, now: number): void {
+    if (statedAt === undefined) return;
+    let clock = this.clocks.get(node);
+    if (!clock) {
+      clock = new PeerClock();
+      this.clocks.set(node, clock);
+    }
+    clock.record(statedAt, now);
+  }
+
+  /** Reading of a node's clock, not ahead of it; undefined for an older node. */
+  clockOf(node: string, now: number): number | undefined {
+    return this.clocks.get(node)?.read(now);
+  }
+
   /** When the process of a core node started, as stated by the node. */
   startedAt(node: string): number | undefined {
     return this.processes.get(node)?.at;
--- a/src/core/pool/node/pool_message.ts
+++ b/src/core/pool/node/pool_message.ts
@@ -53,6 +53,8 @@
     zoneToken: v.optional(count),
     /** Start time of the process of a core node. */
     startedAt: v.optional(v.number()),
+    /** When the message was stated, on the sender's elapsed time. */
+    statedAt: v.optional(v.number()),
     /** Whether the sender knows claims by zone; older nodes do not. */
     isZoned: v.optional(v.boolean(), false),
     /** Whether an entry node has contact with the dispatcher of its zone. */
--- a/src/core/pool/relay/relay.test.ts
+++ b/src/core/pool/relay/relay.test.ts
@@ -21,7 +21,10 @@
   const peers = new InMemoryPeers(clock);
   const directory = new NodeDirectory('c', []);
   const relayed = new FakeWorkerClient(clock, workers);
-  for (const id of NODES) new WorkerRelay(peers.node(id), relayed);
+  const {observer} = bench;
+  const relay = (id: string, client = relayed) =>
+    new WorkerRelay({peers: peers.node(id), client, clock, observer});
+  for (const id of NODES) relay(id);
   const recordPresence = () => {
     for (const id of NODES.filter(n => !peers.cut.has(n))) {
       directory.recordSeen(id, 'entry', clock.now(), 'z');
@@ -33,7 +36,13 @@
   chooser.setWorkers([...workers.values()].map(w => w.report));
   const direct = bench.client;
   const dispatcher = bench.createDispatcher({
-    client: new RelayedWorkerClient({peers: peers.node('c'), direct, chooser}),
+    client: new RelayedWorkerClient({
+      peers: peers.node('c'),
+      clock,
+      directory,
+      direct,
+      chooser,
+    }),
   });
   const run = async (ms: number) => {
     for (let passed = 0; passed < ms; passed += 500) {
@@ -44,6 +53,7 @@
   return {
     bench,
     peers,
+    relay,
     directory,
     chooser,
     relayed,
@@ -135,9 +145,10 @@
 
 test('a relay rejects a malformed order', async () => {
   const {bench, relayed} = createBench();
+  const {clock, observer} = bench;
   const peers = new LossyPeers(bench.clock, new SeededRandom(1));
   const node = peers.connect('e');
-  new WorkerRelay(node, relayed);
+  new WorkerRelay({peers: node, client: relayed, clock, observer});
   for (const body of [undefined, {kind: 'start'}, {kind: 'look', order: {}}]) {
     const outcome = await node.request('e', 'pool.order', body, 10).then(
       () => 'relayed the order',
@@ -210,9 +221,9 @@
 // One core node relays for a whole zone, so its loss must not let the leases of
 // that many workers expire.
 test('no run is lost when the core node that relays stops responding', async () => {
-  const {bench, directory, peers, run, dispatcher} = createBench();
+  const {bench, directory, peers, relay, run, dispatcher} = createBench();
   const relayed = new FakeWorkerClient(bench.clock, bench.workers);
-  new WorkerRelay(peers.node('k'), relayed);
+  relay('k', relayed);
   directory.recordSeen('k', 'core', bench.clock.now(), 'z');
   directory.setRelay('k', true);
   for (const worker of bench.workers.values()) worker.runMs = () => 3_000;
--- a/src/core/pool/relay/relayed_worker_client.ts
+++ b/src/core/pool/relay/relayed_worker_client.ts
@@ -1,14 +1,19 @@
+import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
 import {WorkerClient} from '../lease/worker_client.js';
+import type {NodeDirectory} from '../node/node_directory.js';
 import type {RelayChooser} from './relay_chooser.js';
 import type {RelayOrder} from './relay_order.js';
+import {RelayTiming} from './relay_timing.js';
 import {RelayReply} from './relay_reply.js';
 
-/** Round trip time to the entry node, added to the timeout of each order. */
-const HOP_MS = 40;
+type Target = Parameters<WorkerClient['start']>[0];
 
 interface RelayedWorkerClientOptions {
   readonly peers: PeerTransport;
+  readonly clock: Clock;
+  /** Knows the clocks of the relays. */
+  readonly directory: NodeDirectory;
   /** Client for workers without a relay. */
   readonly direct: WorkerClient;
   readonly chooser: RelayChooser;
@@ -27,7 +32,7 @@
 
   override start: WorkerClient['start'] = async (target, order, timeoutMs) => {
     const {direct} = this.opts;
-    const to = addressOf(target);
+    const to = toRelayTarget(target);
     const res = await this.relay({kind: 'start', target: to, order, timeoutMs});
     if (res === 'unsent') return direct.start(target, order, timeoutMs);
     return RelayReply.isOrderReply(res) ? res : NO_REPLY;
@@ -35,7 +40,7 @@
 
   override stop: WorkerClient['stop'] = async (target, order, timeoutMs) => {
     const {direct} = this.opts;
-    const to = addressOf(target);
+    const to = toRelayTarget(target);
     const res = await this.relay({kind: 'stop', target: to, order, timeoutMs});
     if (res === 'unsent') return direct.stop(target, order, timeoutMs);
     return RelayReply.isOrderReply(res) ? res : NO_REPLY;
@@ -43,7 +48,7 @@
 
   override poll: WorkerClient['poll'] = async (target, order, timeoutMs) => {
     const {direct} = this.opts;
-    const to = addressOf(target);
+    const to = toRelayTarget(target);
     const res = await this.relay({kind: 'look', target: to, order, timeoutMs});
     if (res === 'unsent') return direct.poll(target, order, timeoutMs);
     return RelayReply.isPollReply(res) ? res : NO_REPLY;
@@ -54,11 +59,15 @@
   }
 
   private async relay(order: RelayOrder): Promise<unknown> {
-    const {chooser, peers} = this.opts;
+    const {chooser, clock, directory, peers} = this.opts;
     const node = chooser.choose(order.target.id);
     if (node === undefined) return 'unsent';
-    const timeoutMs = order.timeoutMs + HOP_MS;
-    const res = await peers.request(node, 'pool.order', order, timeoutMs);
+    const relayMs = directory.clockOf(node, clock.now());
+    const expiresAt =
+      relayMs === undefined ? undefined : relayMs + RelayTiming.validMs(order);
+    const timeoutMs = order.timeoutMs + RelayTiming.HOP_MS;
+    const body = {...order, expiresAt};
+    const res = await peers.request(node, 'pool.order', body, timeoutMs);
     if (res.isOk) return res.value;
     const isUnsent = res.error.kind === 'unsent';
     // A lost start is resolved by the next poll, but lost polls let leases expire.
@@ -69,6 +78,7 @@
 
 const NO_REPLY = {kind: 'lost', detail: 'the relay did not reply'} as const;
 
-function addressOf({id, address}: {id: string; address: string}) {
-  return {id, address};
+/** What a relay needs of a target, which may be a whole report. */
+function toRelayTarget({id, address, bornAt}: Target): Target {
+  return {id, address, bornAt};
 }
--- a/src/platform/entry_program.ts
+++ b/src/platform/entry_program.ts
@@ -102,7 +102,7 @@
       observer,
     );
     this.client = client;
-    new WorkerRelay(peers, client);
+    new WorkerRelay({peers, client, clock, observer});
     this.fallback = new FallbackService({
       node: ip,
       zone,
@@ -124,6 +124,7 @@
     this.presence = new EntryPresence({
       node: ip,
       zone,
+      clock,
       peers,
       directory,
       zonePeers,
--- a/test-support/fakes/config_bench.ts
+++ b/test-support/fakes/config_bench.ts
@@ -300,8 +300,10 @@
       const loop = this.loops.get(id);
       return this.clock.schedule(delayMs, () => loop?.receive(task));
     };
+    const now = () => this.loops.get(id)?.now() ?? this.clock.now();
     return {
-      now: () => this.loops.get(id)?.now() ?? this.clock.now(),
+      now,
+      elapsed: now,
       schedule,
       defer: task => schedule(0, task),
       afterInput: task => schedule(0, task),
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -314,7 +314,7 @@
   startEntry(id: string): void {
     const zone = id[0]!;
     const common = this.common(id, zone);
-    new WorkerRelay(common.peers, common.client);
+    new WorkerRelay(common);
     const relief = new ReliefService({...common, share: 1});
     const opts = {...common, relief, zonePeers: new ZonePeers()};
     const fallback = new FallbackService(opts);
--- a/test-support/fakes/pool/pool_bench.ts
+++ b/test-support/fakes/pool/pool_bench.ts
@@ -3,6 +3,7 @@
 import {PoolDispatcher} from '../../../src/core/pool/dispatcher/pool_dispatcher.js';
 import type {CapacityLending} from '../../../src/core/pool/lending/capacity_lending.js';
 import type {WorkerLoss} from '../../../src/core/pool/crashes/worker_loss.js';
+import type {PoolObserver} from '../../../src/core/pool/pool_observer.js';
 import type {PoolSubmission} from '../../../src/core/pool/job/pool_submission.js';
 import {WorkerRegistry} from '../../../src/core/pool/registry/worker_registry.js';
 import type {WorkerClient} from '../../../src/core/pool/lease/worker_client.js';
@@ -61,6 +62,14 @@
   readonly events: string[] = [];
   /** Events of jobs that dispatchers have recorded. */
   readonly jobEvents: JobEvent[] = [];
+  readonly observer: PoolObserver = {
+    recordJobEvent: (event, job, fields) =>
+      this.jobEvents.push({event, job, fields}),
+    recordStateChange: event => this.events.push(event),
+    recordResponseTime: () => undefined,
+    recordPhase: () => undefined,
+    incrementCounter: () => undefined,
+  };
   readonly evacuated = new EvacuatedZones(() => this.config);
   private readonly registry = new WorkerRegistry(service =>
     this.services.includes(service),
@@ -164,14 +173,7 @@
         this.answeredAt.set(id, clock.now());
       },
       reportLosses: (_owner, id, losses) => this.losses.set(id, losses),
-      observer: {
-        recordJobEvent: (event, job, fields) =>
-          this.jobEvents.push({event, job, fields}),
-        recordStateChange: event => this.events.push(event),
-        recordResponseTime: () => undefined,
-        recordPhase: () => undefined,
-        incrementCounter: () => undefined,
-      },
+      observer: this.observer,
     });
     return dispatcher;
   }
--- a/test-support/fakes/pool/suspendable_clock.ts
+++ b/test-support/fakes/pool/suspendable_clock.ts
@@ -48,6 +48,10 @@
     return this.ownTimeOf(this.clock.now());
   }
 
+  elapsed(): number {
+    return this.clock.now();
+  }
+
   /** Time of this clock at a time of the network's clock. */
   ownTimeOf(at: number): number {
     let own = at;
