Refuse relayed orders that their sender has given up

Callers' tasks ran twice at the same time for up to a second: a core process was suspended for 4 s, workers of its zone crashed and came back under their ids, and when the process went on it passed on the start orders in its socket. The leader had long started these tasks elsewhere.

Cause: the leader concludes that an unanswered start cannot be carried out any more once the worker has confirmed a stop of the run. That holds for the process instance that confirmed it only; nothing bounded the time at which the relay passes the start on to the next one, which knows neither the stop, nor the token, nor the clock on which the lease was stated.

An order now states until when its sender stands by it, on the relay's clock, as known from the times in the relay's presence messages. The relay refuses what it reads later, or what is stated on another clock, and shortens the timeout of its own call to what is left. The leader starts the run elsewhere and pauses the relay. The time includes suspensions of the machine. Orders of nodes of the version before state no time and are passed on as before.

Why this works: before the time that is stated the leader counts the run as active and draws no conclusion; after it, no relay passes the order on. An estimate of the relay's clock that is behind only makes the time shorter.

The fake worker now records both runs if a task gets a second one on the same worker; it kept only the later one, which hid them.

--- a/src/core/pool/lease/run_refusal.ts
+++ b/src/core/pool/lease/run_refusal.ts
@@ -12,6 +12,8 @@
   unhealthy: 'unhealthy',
   /** Another process instance replied at the address. */
   otherLife: 'other_life',
+  /** A relay read the order after its sender had given it up. */
+  expired: 'expired',
   /** The worker rejected the order as malformed. */
   invalid: 'invalid',
 } as const;
--- a/src/core/pool/relay/relay.test.ts
+++ b/src/core/pool/relay/relay.test.ts
@@ -159,6 +159,34 @@
   assert.isEmpty(relayed.calls);
 });
 
+// Nodes of the version before state no time during a rolling change.
+test('a relay passes on what it may, by its own clock', async () => {
+  const {bench, peers, relay} = createBench();
+  const client = new FakeWorkerClient(bench.clock, bench.workers);
+  relay('k', client);
+  const [worker] = bench.workers.values();
+  const now = bench.clock.now();
+  const send = async (expiresAt?: number) => {
+    const target = worker!.report;
+    const order = {token: 1_000_000, acknowledged: 0, waitMs: 100};
+    const body = {kind: 'look', target, order, timeoutMs: 200, expiresAt};
+    let kind: unknown;
+    void peers
+      .node('c')
+      .request('k', 'pool.order', body, 300)
+      .then(res => {
+        if (res.isOk) kind = (res.value as {kind: string}).kind;
+      });
+    await bench.run(200);
+    return kind;
+  };
+  assert.equal(await send(now - 1), 'refused');
+  assert.equal(await send(now + 60_000), 'refused');
+  assert.isEmpty(client.calls);
+  assert.equal(await send(bench.clock.now() + 100), 'ok');
+  assert.equal(await send(), 'ok');
+});
+
 // With a hundred entry nodes the leader would write one order at a time to each
 // of a hundred links.
 test('the core node of a zone relays before its entry nodes', () => {
--- a/src/core/pool/relay/relayed_worker_client.ts
+++ b/src/core/pool/relay/relayed_worker_client.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../clock/clock.js';
 import type {PeerTransport} from '../../peer/peer_transport.js';
+import {RunRefusal} from '../lease/run_refusal.js';
 import {WorkerClient} from '../lease/worker_client.js';
 import type {NodeDirectory} from '../node/node_directory.js';
 import type {RelayChooser} from './relay_chooser.js';
@@ -68,7 +69,12 @@
     const timeoutMs = order.timeoutMs + RelayTiming.HOP_MS;
     const body = {...order, expiresAt};
     const res = await peers.request(node, 'pool.order', body, timeoutMs);
-    if (res.isOk) return res.value;
+    if (res.isOk) {
+      const isExpired = isRefusedAsExpired(res.value);
+      // The node is slow, or its clock was set, and it would refuse others as well.
+      if (isExpired) chooser.pause(node);
+      return isExpired && order.kind === 'look' ? undefined : res.value;
+    }
     const isUnsent = res.error.kind === 'unsent';
     // A lost start is resolved by the next poll, but lost polls let leases expire.
     if (isUnsent || order.kind === 'look') chooser.pause(node);
@@ -78,6 +84,11 @@
 
 const NO_REPLY = {kind: 'lost', detail: 'the relay did not reply'} as const;
 
+function isRefusedAsExpired(reply: unknown): boolean {
+  if (!RelayReply.isOrderReply(reply)) return false;
+  return reply.kind === 'refused' && reply.reason === RunRefusal.expired;
+}
+
 /** What a relay needs of a target, which may be a whole report. */
 function toRelayTarget({id, address, bornAt}: Target): Target {
   return {id, address, bornAt};
--- a/test-support/fakes/pool/fake_pool_worker.ts
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -85,6 +85,7 @@
     if (this.guardsCapacity && this.running.size >= cpu / 1_000) {
       return RunRefusal.noRoom;
     }
+    this.recordReplaced(task);
     const endsAt = this.clockMs + this.runMs(task);
     const startedAt = this.clockMs;
     this.running.set(task, {run, startedAt, endsAt, how: this.endOf(task)});
@@ -144,6 +145,16 @@
     this.highestRun.set(task, Math.max(highest, run));
   }
 
+  /** Records an active run of a task that gets another one: both are at work. */
+  private recordReplaced(task: string): void {
+    const active = this.running.get(task);
+    if (!active) return;
+    const {run, startedAt, endsAt} = active;
+    const from = this.bootedAt + startedAt;
+    const to = this.bootedAt + Math.min(endsAt, this.leaseEnd);
+    this.history.push({task, run, from, to});
+  }
+
   private end(task: string, run: number, how: RunEnd, at: number): void {
     const {startedAt} = this.running.get(task)!;
     this.running.delete(task);
