Send no order to a worker after its timeout

What callers may have seen: the same second run of a task as with a relay that was suspended, for a node that calls its workers itself.

Cause: an order waits in the HTTP client for one of six connections, or for one that is being made. Its timeout is a timer on the steady clock, which stands still while the machine is suspended, and which may fire after the sockets are read when the process goes on. So the client could write an order that was seconds old.

The client now compares the elapsed time, which includes suspensions, in the moment before it writes the request. A poll may be written until its timeout less the time that the worker may wait. A request that comes too late no longer closes the connection that it was given.

--- a/src/adapter/http/send_request.ts
+++ b/src/adapter/http/send_request.ts
@@ -25,6 +25,11 @@
   /** A longer response body is an error. */
   readonly maxBytes: number;
   readonly clock: Clock;
+  /**
+   * Asked before the request is written, which may be long after the call: it waits
+   * for a connection. Default: it may be written until the timeout.
+   */
+  readonly mayBegin?: (() => boolean) | undefined;
 }
 
 /**
@@ -35,7 +40,7 @@
 export function sendRequest(
   dispatcher: Dispatcher,
   request: Request,
-  {timeoutMs, maxBytes, clock}: RequestLimits,
+  {timeoutMs, maxBytes, clock, mayBegin = () => true}: RequestLimits,
 ): Promise<Result<Response, RequestError>> {
   return new Promise(resolve => {
     let controller: Dispatcher.DispatchController | undefined;
@@ -56,8 +61,8 @@
     dispatcher.dispatch(request, {
       onRequestStart: newController => {
         controller = newController;
-        // The timeout expired while the request waited for a connection.
-        if (isFinished) newController.abort(new Error('timeout'));
+        // An error leaves the connection to other requests.
+        if (isFinished || !mayBegin()) throw new Error('not sent in time');
       },
       onResponseStart: (_controller, code) => {
         status = code;
--- a/src/platform/http_worker_client.ts
+++ b/src/platform/http_worker_client.ts
@@ -58,6 +58,12 @@
   | {readonly kind: 'refused'; readonly reason: RunRefusal}
   | Lost;
 
+interface CallTimes {
+  readonly timeoutMs: number;
+  /** Part of the timeout in which the worker may wait before it replies. */
+  readonly waitMs?: number;
+}
+
 /**
  * Client of the workers' HTTP API. Each request carries the dispatcher's fencing
  * token and the id of the process instance that it is meant for.
@@ -80,7 +86,9 @@
       deadline_ms: order.leaseEnd,
       fencing_token: order.token,
     };
-    return decodeClock(await this.post(target, '/run-start', body, timeoutMs));
+    return decodeClock(
+      await this.post(target, '/run-start', body, {timeoutMs}),
+    );
   }
 
   override async stop(target: Target, order: StopOrder, timeoutMs: number) {
@@ -89,7 +97,7 @@
       run: order.run,
       fencing_token: order.token,
     };
-    return decodeClock(await this.post(target, '/run-stop', body, timeoutMs));
+    return decodeClock(await this.post(target, '/run-stop', body, {timeoutMs}));
   }
 
   override async poll(target: Target, order: PollOrder, timeoutMs: number) {
@@ -99,7 +107,8 @@
       ...(order.leaseEnd === undefined ? {} : {deadline_ms: order.leaseEnd}),
       ...(order.waitMs > 0 ? {wait_ms: order.waitMs} : {}),
     };
-    const reply = await this.post(target, '/hold', body, timeoutMs);
+    const times = {timeoutMs, waitMs: order.waitMs};
+    const reply = await this.post(target, '/hold', body, times);
     if (reply.kind !== 'ok') return reply;
     const parsed = v.safeParse(HoldReply, reply.body);
     if (!parsed.success) return lost('the reply to /hold is malformed');
@@ -131,16 +140,18 @@
     {id, address}: Target,
     path: string,
     body: object,
-    timeoutMs: number,
+    {timeoutMs, waitMs = 0}: CallTimes,
   ): Promise<Reply> {
+    const {clock} = this;
+    const expiresAt = clock.elapsed() + timeoutMs - waitMs;
     const request = {
       method: 'POST',
       path,
       headers: {'content-type': 'application/json', 'x-expect-instance': id},
       body: JSON.stringify(body),
     } as const;
-    const {clock} = this;
-    const limits = {timeoutMs, maxBytes: MAX_REPLY_BYTES, clock};
+    const mayBegin = () => clock.elapsed() < expiresAt;
+    const limits = {timeoutMs, maxBytes: MAX_REPLY_BYTES, clock, mayBegin};
     const res = await sendRequest(this.getPool(address), request, limits);
     return res.isOk
       ? decodeReply(res.value.status, res.value.text)
