Send orders only to the process of a worker that they name

What callers may have seen: a task that had ended `done` ran again, and late orders ran beside another run of their task.

Cause: a worker may start again under its id and address. Orders named the id only, so what was decided for one process reached the next one: a start or stop that waited in the HTTP client, and a poll with the numbers of the ends that the earlier process had listed. The new process then forgot ends of its own up to that number, and the dispatcher started a run anew that it found in neither list.

Orders now name the process (`bornAt`). The client that writes them to a connection knows from replies to which process its connections lead (`InstanceProofs`). A connection never leads to another process than at its beginning, so a proof holds until a connection to the worker is lost; then one poll without effects comes before the next order, and an order for another process is refused. A dispatcher that is not sure of the process polls without acknowledgements, as it already did without a lease. One mechanism serves direct calls, core and entry relays, holders and fallbacks, as all of them write through this client.

Why it works without clocks: a new process cannot be reached over an old connection, and a new connection counts as unproven until all that had arrived before it has been read, which shows the loss of the old ones.

Evidence, each failing before: "an order whose worker has restarted unnoticed is refused" (the start was carried out) and "does not reach the next process" on real loopback servers; "ends of a worker that has restarted unnoticed are not acknowledged" (6 runs in place of 5). Where no connection is lost, no request is added ("a lost connection costs one request more, and only then").

--- a/src/adapter/http/send_request.ts
+++ b/src/adapter/http/send_request.ts
@@ -18,6 +18,8 @@
   readonly detail: string;
   /** Whether no process listened at the address. */
   readonly isRefused: boolean;
+  /** Whether the request was not written because `mayBegin` forbade it. */
+  readonly isWithheld: boolean;
 }
 
 interface RequestLimits {
@@ -45,12 +47,13 @@
   return new Promise(resolve => {
     let controller: Dispatcher.DispatchController | undefined;
     let isFinished = false;
+    let isWithheld = false;
     let status = 0;
     let bytes = 0;
     const chunks: Buffer[] = [];
     const timer = clock.schedule(timeoutMs, () => {
       const detail = `no response in ${timeoutMs} ms`;
-      finish(Result.err({detail, isRefused: false}));
+      finish(Result.err({detail, isRefused: false, isWithheld: false}));
       controller?.abort(new Error('timeout'));
     });
     const finish = (result: Result<Response, RequestError>) => {
@@ -62,7 +65,10 @@
       onRequestStart: newController => {
         controller = newController;
         // An error leaves the connection to other requests.
-        if (isFinished || !mayBegin()) throw new Error('not sent in time');
+        isWithheld = !isFinished && !mayBegin();
+        if (isFinished || isWithheld) {
+          throw new Error('the request was not sent');
+        }
       },
       onResponseStart: (_controller, code) => {
         status = code;
@@ -83,7 +89,7 @@
       onResponseError: (_controller, err) => {
         const isRefused =
           (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-        finish(Result.err({detail: err.message, isRefused}));
+        finish(Result.err({detail: err.message, isRefused, isWithheld}));
       },
     });
   });
--- a/src/core/pool/entry/fallback_service.ts
+++ b/src/core/pool/entry/fallback_service.ts
@@ -209,7 +209,9 @@
       waitMs: 0,
     };
     const replies = await Promise.all(
-      workers.map(w => client.poll(w, order, PROBE_TIMEOUT_MS)),
+      workers.map(({id, address}) =>
+        client.poll({id, address}, order, PROBE_TIMEOUT_MS),
+      ),
     );
     const answered = replies.filter(r => r.kind === 'ok');
     const isInUse =
--- a/src/core/pool/lease/leased_worker.test.ts
+++ b/src/core/pool/lease/leased_worker.test.ts
@@ -243,3 +243,20 @@
   assert.isAtMost(run!.to - closedAt, 1_000);
   assert.equal(bench.answers.get('k')?.kind, 'completed');
 });
+
+// Guards against a second run: the new process forgot ends of its own, which were
+// acknowledged by the numbers of the process before, so that its run seemed lost.
+test('ends of a worker that has restarted unnoticed are not acknowledged', async () => {
+  const bench = new PoolBench(1, 4);
+  const dispatcher = bench.createDispatcher();
+  await bench.run(50, dispatcher);
+  dispatcher.submit('e', PoolBench.submission('a', {tasks: 4}));
+  await bench.run(1_000, dispatcher);
+  const [worker] = bench.workers.values();
+  worker!.restart();
+  const before = worker!.history.length;
+  dispatcher.submit('e', PoolBench.submission('b'));
+  await bench.run(1_000, dispatcher);
+  assert.equal(bench.answers.get('b')?.kind, 'completed');
+  assert.lengthOf(worker!.history, before + 1);
+});
--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -18,6 +18,7 @@
 import {WorkerOrders} from './worker_orders.js';
 import type {WorkerReport} from '../registry/worker_report.js';
 
+type Target = Parameters<WorkerClient['poll']>[0];
 type PollReply = Awaited<ReturnType<WorkerClient['poll']>>;
 type Status = Extract<PollReply, {kind: 'ok'}>['look'];
 
@@ -75,6 +76,17 @@
     return this.isSilent || !this.fence.isProven;
   }
 
+  /** The process instance for which orders are decided. */
+  private get target(): Target {
+    const {bornAt = this.report.bornAt} = this.instance;
+    return {...this.anyInstance, bornAt};
+  }
+
+  private get anyInstance(): Target {
+    const {id, address} = this.report;
+    return {id, address};
+  }
+
   /** Whether a task that may crash the worker runs on it. */
   get hasSuspect(): boolean {
     return this.ledger.hasSuspect;
@@ -126,7 +138,7 @@
     // A worker refuses a start whose lease is over.
     run.startLeaseEnd = this.lease.extend(now, this.ledger) ?? 0;
     void this.orders
-      .start(this.report, run, payload)
+      .start(this.target, run, payload)
       .then(reply => this.onStartReply(run, reply, now, token));
     this.tick(now);
   }
@@ -181,16 +193,20 @@
 
   private poll(waitMs: number, now: number): void {
     const {token} = this.orders;
-    const acknowledged = this.acks.take();
+    // Until the worker has replied, its process may be another one: it would forget
+    // ends of its own, and extend its leases by the clock of the earlier one.
+    const isProbe = this.needsProbe;
+    const acknowledged = isProbe ? 0 : this.acks.take();
+    const target = isProbe ? this.anyInstance : this.target;
     // An unanswered poll may still renew the lease; without this check, the runs
     // of a worker whose replies are lost would never end.
     const {lease, ledger} = this;
     const mayExtend =
-      lease.isClockKnown && !this.needsProbe && this.opts.maySendOrders(now);
+      lease.isClockKnown && !isProbe && this.opts.maySendOrders(now);
     const leaseEnd = mayExtend ? lease.extend(now, ledger) : undefined;
     this.pendingPolls += 1;
     void this.orders
-      .poll(this.report, {acknowledged, waitMs, leaseEnd})
+      .poll(target, {acknowledged, waitMs, leaseEnd})
       .then(reply => {
         this.pendingPolls -= 1;
         this.onPollReply(reply, {at: now, token, waitMs});
@@ -310,7 +326,7 @@
   private sendStop(run: Run, now: number): void {
     const {token} = this.orders;
     run.stopRequestedAt = now;
-    void this.orders.stop(this.report, run).then(reply => {
+    void this.orders.stop(this.target, run).then(reply => {
       if (reply.kind === 'ok') run.stoppedAt ??= this.opts.clock.now();
       else if (reply.kind === 'refused') this.onRefusal(reply.reason, token);
       if (this.pendingPolls === 0) this.tick(this.opts.clock.now());
--- a/src/core/pool/relay/late_orders.test.ts
+++ b/src/core/pool/relay/late_orders.test.ts
@@ -13,6 +13,7 @@
   const bench = new DeploymentBench({
     coresPerZone: 1,
     workersPerZone: WORKERS_PER_ZONE,
+    provesInstances: false,
   });
   for (const worker of bench.workers.values()) {
     worker.runMs = task => (task.startsWith('j') ? JOB.estimatedMs : 50);
--- a/src/platform/http_worker_client.test.ts
+++ b/src/platform/http_worker_client.test.ts
@@ -17,11 +17,14 @@
   /** Replies to polls that are held back until the test sends them. */
   readonly held: Array<() => void> = [];
   holdsPolls = false;
+  /** Whether each connection is closed after its first reply. */
+  closesConnections = false;
   private readonly sockets = new Set<Socket>();
   private readonly server = http.createServer((req, res) => {
     req.resume();
     req.on('end', () => {
       this.paths.push(req.url!);
+      if (this.closesConnections) res.setHeader('connection', 'close');
       const reply = () =>
         res.end(
           JSON.stringify({
@@ -95,6 +98,38 @@
   await waitUntil('all connections are in use', areHeld);
 }
 
+test('an order whose worker has restarted unnoticed is refused', async () => {
+  const {client, first, port, target} = await createWorker();
+  await first.stop();
+  const second = new Instance(2);
+  await second.listen(port);
+  const order = {...ORDER, acknowledged: 57, leaseEnd: 1_000};
+  const refused = {kind: 'refused', reason: 'other_life'} as const;
+  assert.deepEqual(await client.start(target, START, 1_000), refused);
+  assert.deepEqual(await client.stop(target, START, 1_000), refused);
+  assert.deepEqual(await client.poll(target, order, 1_000), refused);
+  assert.deepEqual([...new Set(second.paths)], ['/hold']);
+  const next = {...target, bornAt: second.bornAt};
+  assert.equal((await client.start(next, START, 1_000)).kind, 'ok');
+  client.release(target.address);
+  await second.stop();
+});
+
+// Guards against orders that wait in the client while the worker is down.
+test('an order that waits for a connection does not reach the next process', async () => {
+  const worker = await createWorker();
+  const {client, first, port, target} = worker;
+  await occupyConnections(worker);
+  const start = client.start(target, START, 2_000);
+  await first.stop();
+  const second = new Instance(2);
+  await second.listen(port);
+  assert.notEqual((await start).kind, 'ok');
+  assert.equal(second.count('/run-start'), 0);
+  client.release(target.address);
+  await second.stop();
+});
+
 // The steady clock of a suspended machine stands still, and so do its timers.
 test('an order that waits for a connection is not sent after its timeout', async () => {
   const worker = await createWorker();
@@ -108,3 +143,40 @@
   client.release(target.address);
   await first.stop();
 });
+
+test('a lost connection costs one request more, and only then', async () => {
+  const {client, first, target} = await createWorker();
+  const polls = first.count('/hold');
+  for (let n = 0; n < 3; n += 1) await client.start(target, START, 1_000);
+  assert.equal(first.count('/hold'), polls);
+  first.resetConnections();
+  const isStarted = async () =>
+    (await client.start(target, START, 1_000)).kind === 'ok';
+  // The first one may be written to a connection that is being closed.
+  await waitUntil('a start is answered', isStarted);
+  for (let n = 0; n < 3; n += 1) assert.isTrue(await isStarted());
+  assert.equal(first.count('/hold'), polls + 1);
+  client.release(target.address);
+  await first.stop();
+});
+
+test('a worker that states no start time gets its orders', async () => {
+  const {client, port, first} = await createWorker();
+  await first.stop();
+  const silent = new Instance(undefined as unknown as number);
+  await silent.listen(port);
+  const target = {id: 'w', address: `127.0.0.1:${port}`, bornAt: 7};
+  assert.equal((await client.start(target, START, 1_000)).kind, 'ok');
+  client.release(target.address);
+  await silent.stop();
+});
+
+test('a worker that closes each connection gets its orders', async () => {
+  const {client, first, target} = await createWorker();
+  first.closesConnections = true;
+  for (let n = 0; n < 3; n += 1) {
+    assert.equal((await client.start(target, START, 1_000)).kind, 'ok');
+  }
+  client.release(target.address);
+  await first.stop();
+});
--- a/src/platform/http_worker_client.ts
+++ b/src/platform/http_worker_client.ts
@@ -2,6 +2,7 @@
 import * as v from 'valibot';
 import {sendRequest} from '../adapter/http/send_request.js';
 import type {Clock} from '../core/clock/clock.js';
+import {InstanceProofs} from '../core/pool/lease/instance_proofs.js';
 import {RunEnd} from '../core/pool/lease/run_end.js';
 import {RunRefusal} from '../core/pool/lease/run_refusal.js';
 import {WorkerClient} from '../core/pool/lease/worker_client.js';
@@ -16,6 +17,13 @@
 const KEEP_ALIVE_MS = 60_000;
 /** Time after which the connections to a worker without calls are closed. */
 const UNUSED_MS = 120_000;
+/** Timeout of the request that shows a worker's process instance. */
+const PROOF_TIMEOUT_MS = 150;
+/**
+ * Number of such requests for one order, after which it is sent in any case: a worker
+ * that closes each connection proves its instance for no longer than a reply.
+ */
+const MAX_PROOFS = 2;
 /** Several times the size of a reply with MAX_ENDED_RUNS and as many active runs. */
 const MAX_REPLY_BYTES = 512 * 1024;
 /** Maximum number of ended runs in one `/hold` reply. */
@@ -58,7 +66,11 @@
   | {readonly kind: 'refused'; readonly reason: RunRefusal}
   | Lost;
 
-interface CallTimes {
+interface Call {
+  readonly path: string;
+  /** Fencing token in the body. */
+  readonly token: number;
+  readonly body: object;
   readonly timeoutMs: number;
   /** Part of the timeout in which the worker may wait before it replies. */
   readonly waitMs?: number;
@@ -66,10 +78,12 @@
 
 /**
  * Client of the workers' HTTP API. Each request carries the dispatcher's fencing
- * token and the id of the process instance that it is meant for.
+ * token and the id of the worker. A worker may start again under its id, so orders
+ * are written only to connections that lead to the process instance they name.
  */
 export class HttpWorkerClient extends WorkerClient {
   private readonly pools = new Map<string, Pool>();
+  private readonly instances = new InstanceProofs();
   /** When each pool was last used, by address. */
   private readonly usedAt = new Map<string, number>();
 
@@ -78,41 +92,43 @@
   }
 
   override async start(target: Target, order: StartOrder, timeoutMs: number) {
+    const {token} = order;
     const body = {
       task: order.task,
       run: order.run,
       spec: order.payload,
       // End of the lease on the worker's clock.
       deadline_ms: order.leaseEnd,
-      fencing_token: order.token,
+      fencing_token: token,
     };
-    return decodeClock(
-      await this.post(target, '/run-start', body, {timeoutMs}),
-    );
+    const call = {path: '/run-start', token, body, timeoutMs};
+    return decodeClock(await this.post(target, call));
   }
 
   override async stop(target: Target, order: StopOrder, timeoutMs: number) {
-    const body = {
-      task: order.task,
-      run: order.run,
-      fencing_token: order.token,
-    };
-    return decodeClock(await this.post(target, '/run-stop', body, {timeoutMs}));
+    const {token} = order;
+    const body = {task: order.task, run: order.run, fencing_token: token};
+    const call = {path: '/run-stop', token, body, timeoutMs};
+    return decodeClock(await this.post(target, call));
   }
 
   override async poll(target: Target, order: PollOrder, timeoutMs: number) {
+    const {token, waitMs} = order;
     const body = {
-      fencing_token: order.token,
+      fencing_token: token,
       acked_upto: order.acknowledged,
       ...(order.leaseEnd === undefined ? {} : {deadline_ms: order.leaseEnd}),
-      ...(order.waitMs > 0 ? {wait_ms: order.waitMs} : {}),
+      ...(waitMs > 0 ? {wait_ms: waitMs} : {}),
     };
-    const times = {timeoutMs, waitMs: order.waitMs};
-    const reply = await this.post(target, '/hold', body, times);
+    const call = {path: '/hold', token, body, timeoutMs, waitMs};
+    const {address} = target;
+    const losses = this.instances.lossesOf(address);
+    const reply = await this.post(target, call);
     if (reply.kind !== 'ok') return reply;
     const parsed = v.safeParse(HoldReply, reply.body);
     if (!parsed.success) return lost('the reply to /hold is malformed');
     const {clock_ms: clockMs, born: bornAt, running, finished} = parsed.output;
+    this.instances.record(address, bornAt, losses);
     const polled = {
       clockMs,
       bornAt,
@@ -132,30 +148,57 @@
     const pool = this.pools.get(address);
     this.pools.delete(address);
     this.usedAt.delete(address);
+    this.instances.delete(address);
     // Replies to requests that are still in flight are no longer needed.
     void pool?.destroy().catch(() => undefined);
   }
 
-  private async post(
+  /** Sends an order to no other process instance than the one it is meant for. */
+  private async post(target: Target, call: Call): Promise<Reply> {
+    const {clock, instances} = this;
+    const expiresAt = clock.elapsed() + call.timeoutMs - (call.waitMs ?? 0);
+    let proofs = 0;
+    const mayBegin = () =>
+      clock.elapsed() < expiresAt &&
+      (instances.isProven(target) || proofs >= MAX_PROOFS);
+    for (;;) {
+      if (!instances.isProven(target)) await instances.settle(target.address);
+      if (!instances.isProven(target)) {
+        const reply = await this.prove(target, call);
+        if (reply.kind !== 'ok') return reply;
+        const {bornAt = target.bornAt} = reply.look;
+        if (bornAt !== target.bornAt) return refused(RunRefusal.otherLife);
+        proofs += 1;
+      }
+      const res = await this.exchange(target, call, mayBegin);
+      if (res.isOk) return decodeReply(res.value.status, res.value.text);
+      const {detail, isRefused, isWithheld} = res.error;
+      // A new connection was made for the request, or one was lost.
+      const mayRepeat = isWithheld && clock.elapsed() < expiresAt;
+      if (!mayRepeat) return {kind: 'lost', detail, isRefused};
+    }
+  }
+
+  /** Asks which process instance a worker runs, without a change to its state. */
+  private prove({id, address}: Target, {token}: Call) {
+    const order = {token, acknowledged: 0, waitMs: 0};
+    return this.poll({id, address}, order, PROOF_TIMEOUT_MS);
+  }
+
+  private exchange(
     {id, address}: Target,
-    path: string,
-    body: object,
-    {timeoutMs, waitMs = 0}: CallTimes,
-  ): Promise<Reply> {
-    const {clock} = this;
-    const expiresAt = clock.elapsed() + timeoutMs - waitMs;
+    {path, body, timeoutMs}: Call,
+    mayBegin: () => boolean,
+  ) {
     const request = {
       method: 'POST',
       path,
       headers: {'content-type': 'application/json', 'x-expect-instance': id},
       body: JSON.stringify(body),
     } as const;
-    const mayBegin = () => clock.elapsed() < expiresAt;
+    const {clock} = this;
     const limits = {timeoutMs, maxBytes: MAX_REPLY_BYTES, clock, mayBegin};
-    const res = await sendRequest(this.getPool(address), request, limits);
-    return res.isOk
-      ? decodeReply(res.value.status, res.value.text)
-      : {kind: 'lost', ...res.error};
+    return sendRequest(this.getPool(address), request, limits);
   }
 
   /** A relay is not told which workers are gone. */
@@ -178,6 +221,12 @@
         keepAliveTimeout: KEEP_ALIVE_MS,
         keepAliveMaxTimeout: KEEP_ALIVE_MS,
       });
+      const {clock, instances} = this;
+      pool.on('connect', () => {
+        const read = new Promise<void>(done => clock.afterInput(done));
+        instances.recordConnection(address, read);
+      });
+      pool.on('disconnect', () => instances.recordLoss(address));
       this.pools.set(address, pool);
     }
     return pool;
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -41,6 +41,8 @@
   readonly coresPerZone?: number;
   readonly entriesPerZone?: number;
   readonly workersPerZone?: number;
+  /** As of FakeWorkerClient; default true. */
+  readonly provesInstances?: boolean;
 }
 
 /**
@@ -70,7 +72,7 @@
   private sequence = 0;
   private readonly startedAt = this.clock.now();
 
-  constructor(opts: BenchOptions = {}) {
+  constructor(private readonly opts: BenchOptions = {}) {
     super();
     const {zones = ['x', 'y', 'z'], coresPerZone = 2} = opts;
     const {entriesPerZone = 2, workersPerZone = 50} = opts;
@@ -328,6 +330,7 @@
     this.zoneOf.set(id, zone);
     const clock = new SuspendableClock(this.clock);
     const client = new FakeWorkerClient(clock, this.workers, 1, this.clock);
+    client.provesInstances = this.opts.provesInstances ?? true;
     client.faultOf = (call, worker) => {
       if (this.isCut(id, worker)) return 'order_lost';
       if (this.isCut(worker, id)) return 'answer_lost';
--- a/test-support/fakes/pool/fake_worker_client.ts
+++ b/test-support/fakes/pool/fake_worker_client.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../../src/core/clock/clock.js';
 import {WorkerClient} from '../../../src/core/pool/lease/worker_client.js';
+import {RunRefusal} from '../../../src/core/pool/lease/run_refusal.js';
 import type {FakePoolWorker} from './fake_pool_worker.js';
 
 const POLL_MS = 5;
@@ -12,11 +13,21 @@
  */
 type Fault = 'ok' | 'order_lost' | 'answer_lost' | {readonly lateMs: number};
 
+type Target = Parameters<WorkerClient['poll']>[0];
+type Refused = {readonly kind: 'refused'; readonly reason: RunRefusal};
+interface Lost {
+  readonly kind: 'lost';
+  readonly detail: string;
+  readonly isRefused?: boolean;
+}
+
 /** Client of fake workers whose orders or replies can be lost. */
 export class FakeWorkerClient extends WorkerClient {
   readonly calls: Array<{readonly call: Call; readonly worker: string}> = [];
   /** Workers whose process has crashed: connections to them are refused. */
   readonly crashed = new Set<string>();
+  /** Whether orders reach only the process instance that they name. */
+  provesInstances = true;
   /** Chooses the fault of each call. */
   faultOf: (call: Call, worker: string) => Fault = () => 'ok';
 
@@ -45,7 +56,7 @@
   override start: WorkerClient['start'] = (target, order, timeoutMs) =>
     this.call(
       'start',
-      target.id,
+      target,
       timeoutMs,
       worker => {
         const reason = worker.start(order);
@@ -59,7 +70,7 @@
   override stop: WorkerClient['stop'] = (target, order, timeoutMs) =>
     this.call(
       'stop',
-      target.id,
+      target,
       timeoutMs,
       worker => {
         const reason = worker.stop(order);
@@ -94,11 +105,11 @@
   override release(): void {}
 
   private pollOnce(
-    target: Parameters<WorkerClient['poll']>[0],
+    target: Target,
     order: Parameters<WorkerClient['poll']>[1],
     timeoutMs: number,
   ): ReturnType<WorkerClient['poll']> {
-    return this.call('look', target.id, timeoutMs, worker => {
+    return this.call('look', target, timeoutMs, worker => {
       const runs = worker.poll(order);
       if (typeof runs === 'string') return {kind: 'refused', reason: runs};
       const {clockMs, report} = worker;
@@ -109,11 +120,11 @@
 
   private async call<T>(
     call: Call,
-    id: string,
+    {id, bornAt}: Target,
     timeoutMs: number,
     act: (worker: FakePoolWorker) => T,
     onFault: (fault: Fault) => void = () => undefined,
-  ): Promise<T | {kind: 'lost'; detail: string; isRefused?: boolean}> {
+  ): Promise<T | Refused | Lost> {
     this.calls.push({call, worker: id});
     const fault = this.faultOf(call, id);
     onFault(fault);
@@ -130,6 +141,10 @@
       await this.sleep(timeoutMs);
       return {kind: 'lost', detail: 'late'};
     }
+    const isOther = bornAt !== undefined && worker?.report.bornAt !== bornAt;
+    if (worker && isOther && fault === 'ok' && this.provesInstances) {
+      return {kind: 'refused', reason: RunRefusal.otherLife};
+    }
     const answer = worker && fault !== 'order_lost' ? act(worker) : undefined;
     if (answer === undefined || fault === 'answer_lost') {
       await this.sleep(timeoutMs);
