Match the replies of workers with the process that an order named

A poll answered by the earlier process set the clock, the lease and the list of runs back to that one, and a refusal for the earlier process gave up the runs of the present one, which go on.

Replies now carry what was known when their order was sent (`SentOrder`): the list of a process that a newer reply has replaced is ignored, and a refusal concerns the process that the order named. The two fields join the ones that were passed along singly. Polls of an unknown process have a method of their own, `probe`.

No test of this failed before: within the timeout of a poll, the expiry of the lease closes the runs in question first in the histories that were tried.

--- a/src/core/pool/lease/leased_worker.ts
+++ b/src/core/pool/lease/leased_worker.ts
@@ -10,7 +10,7 @@
 import {RunEnd} from './run_end.js';
 import type {RunLoss} from './run_loss.js';
 import {RunRefusal} from './run_refusal.js';
-import type {SentPoll} from './sent_poll.js';
+import type {SentOrder} from './sent_order.js';
 import {StartBackoff} from './start_backoff.js';
 import type {WorkerClient} from './worker_client.js';
 import {WorkerFence} from './worker_fence.js';
@@ -18,7 +18,7 @@
 import {WorkerOrders} from './worker_orders.js';
 import type {WorkerReport} from '../registry/worker_report.js';
 
-type Target = Parameters<WorkerClient['poll']>[0];
+type StartReply = Awaited<ReturnType<WorkerClient['start']>>;
 type PollReply = Awaited<ReturnType<WorkerClient['poll']>>;
 type Status = Extract<PollReply, {kind: 'ok'}>['look'];
 
@@ -48,7 +48,7 @@
     public seenAt: number,
   ) {
     this.lease = new WorkerLease(opts.leaseMs, opts.resendMs);
-    this.orders = new WorkerOrders(opts);
+    this.orders = new WorkerOrders(opts, this.instance);
     this.fence = new WorkerFence(opts.currentToken);
   }
 
@@ -76,17 +76,6 @@
     return this.isSilent || !this.fence.isProven;
   }
 
-  /** The process instance for which orders are decided. */
-  private get target(): Target {
-    const {bornAt = this.report.bornAt} = this.instance;
-    return {...this.anyInstance, bornAt};
-  }
-
-  private get anyInstance(): Target {
-    const {id, address} = this.report;
-    return {id, address};
-  }
-
   /** Whether a task that may crash the worker runs on it. */
   get hasSuspect(): boolean {
     return this.ledger.hasSuspect;
@@ -132,14 +121,14 @@
   }
 
   start(run: Run, payload: string): void {
-    const {token} = this.orders;
     const now = this.opts.clock.now();
+    const sent = this.orders.describe(now);
     this.ledger.add(run);
     // A worker refuses a start whose lease is over.
     run.startLeaseEnd = this.lease.extend(now, this.ledger) ?? 0;
     void this.orders
-      .start(this.target, run, payload)
-      .then(reply => this.onStartReply(run, reply, now, token));
+      .start(this.report, run, payload)
+      .then(reply => this.onStartReply(run, reply, sent));
     this.tick(now);
   }
 
@@ -192,45 +181,36 @@
   }
 
   private poll(waitMs: number, now: number): void {
-    const {token} = this.orders;
-    // Until the worker has replied, its process may be another one: it would forget
-    // ends of its own, and extend its leases by the clock of the earlier one.
-    const isProbe = this.needsProbe;
-    const acknowledged = isProbe ? 0 : this.acks.take();
-    const target = isProbe ? this.anyInstance : this.target;
-    // An unanswered poll may still renew the lease; without this check, the runs
-    // of a worker whose replies are lost would never end.
-    const {lease, ledger} = this;
-    const mayExtend =
-      lease.isClockKnown && !isProbe && this.opts.maySendOrders(now);
-    const leaseEnd = mayExtend ? lease.extend(now, ledger) : undefined;
+    const {orders, lease, ledger, report} = this;
+    const sent = orders.describe(now, waitMs);
     this.pendingPolls += 1;
-    void this.orders
-      .poll(target, {acknowledged, waitMs, leaseEnd})
-      .then(reply => {
-        this.pendingPolls -= 1;
-        this.onPollReply(reply, {at: now, token, waitMs});
-      });
-  }
-
-  private onStartReply(
-    run: Run,
-    reply: Awaited<ReturnType<WorkerClient['start']>>,
-    sentAt: number,
-    token: number,
-  ): void {
+    const send = () => {
+      if (this.needsProbe) return orders.probe(report, waitMs);
+      const acknowledged = this.acks.take();
+      // An unanswered poll may still renew the lease, so a silent worker gets none.
+      const mayExtend = lease.isClockKnown && this.opts.maySendOrders(now);
+      const leaseEnd = mayExtend ? lease.extend(now, ledger) : undefined;
+      return orders.poll(report, {acknowledged, waitMs, leaseEnd});
+    };
+    void send().then(reply => {
+      this.pendingPolls -= 1;
+      this.onPollReply(reply, sent);
+    });
+  }
+
+  private onStartReply(run: Run, reply: StartReply, sent: SentOrder): void {
     if (this.runs.get(run.task) !== run) return;
     const now = this.opts.clock.now();
     switch (reply.kind) {
       case 'ok':
         run.confirmedAt ??= now;
-        this.lease.updateClock(reply.clockMs, sentAt, now);
+        this.lease.updateClock(reply.clockMs, sent.at, now);
         return;
       case 'refused':
         if (run.confirmedAt !== undefined) return;
         this.startBackoff.onRefusal(reply.reason, now);
         this.rejectRun(run, reply.reason);
-        this.onRefusal(reply.reason, token);
+        this.onRefusal(reply.reason, sent);
         if (reply.reason === RunRefusal.late) this.poll(0, now);
         return;
       case 'lost':
@@ -246,37 +226,40 @@
   }
 
   /** Handles the refusals that concern the worker and not a single run. */
-  private onRefusal(reason: RunRefusal, token: number): void {
+  private onRefusal(reason: RunRefusal, {token, bornAt}: SentOrder): void {
     if (reason === RunRefusal.fenced) this.fence.recordFenced(token);
-    if (reason !== RunRefusal.otherLife) return;
+    // The process that has replaced the one of the order may be known by now.
+    const isKnown = bornAt !== this.instance.bornAt;
+    if (reason !== RunRefusal.otherLife || isKnown) return;
     this.fence.reset();
     this.probes.onTimeout();
     this.close(LossCause.restarted);
   }
 
-  private onPollReply(reply: PollReply, sent: SentPoll): void {
+  private onPollReply(reply: PollReply, sent: SentOrder): void {
     const now = this.opts.clock.now();
     if (reply.kind === 'ok') {
       const wasUsable = this.isUsable(now);
       this.probes.onReply();
       // A part of the list does not show all runs of earlier dispatchers.
-      const acceptedToken = reply.look.isPartial ? 0 : sent.token;
-      this.fence.recordAccepted(acceptedToken, sent.at);
+      const {isPartial} = reply.look;
+      this.fence.recordAccepted(isPartial ? 0 : sent.token, sent.at);
       this.onStatus(reply.look, sent, now);
       if (!wasUsable && this.isUsable(now)) this.opts.listener.onChange(this);
     } else if (reply.kind === 'lost') {
       this.probes.onTimeout(reply.isRefused);
     } else {
-      this.onRefusal(reply.reason, sent.token);
+      this.onRefusal(reply.reason, sent);
       if (this.isOutranked) this.opts.listener.onChange(this);
       else if (reply.reason !== RunRefusal.otherLife) this.probes.onTimeout();
     }
     this.tick(now);
   }
 
-  private onStatus(status: Status, {at, waitMs}: SentPoll, now: number): void {
+  private onStatus(status: Status, {at, waitMs}: SentOrder, now: number): void {
     const {bornAt, clockMs} = status;
-    if (bornAt !== undefined && this.instance.update(bornAt, now)) {
+    if (this.instance.isOutdated(bornAt, at)) return;
+    if (bornAt !== undefined && this.instance.update(bornAt, at, now)) {
       this.acks.reset();
       this.lease.reset();
       this.ledger.inherited.clear();
@@ -324,11 +307,11 @@
   }
 
   private sendStop(run: Run, now: number): void {
-    const {token} = this.orders;
+    const sent = this.orders.describe(now);
     run.stopRequestedAt = now;
-    void this.orders.stop(this.target, run).then(reply => {
+    void this.orders.stop(this.report, run).then(reply => {
       if (reply.kind === 'ok') run.stoppedAt ??= this.opts.clock.now();
-      else if (reply.kind === 'refused') this.onRefusal(reply.reason, token);
+      else if (reply.kind === 'refused') this.onRefusal(reply.reason, sent);
       if (this.pendingPolls === 0) this.tick(this.opts.clock.now());
       else this.poll(0, this.opts.clock.now());
     });
--- a/src/core/pool/relay/late_orders.test.ts
+++ b/src/core/pool/relay/late_orders.test.ts
@@ -13,9 +13,10 @@
   const bench = new DeploymentBench({
     coresPerZone: 1,
     workersPerZone: WORKERS_PER_ZONE,
-    provesInstances: false,
   });
   for (const worker of bench.workers.values()) {
+    // The time alone must suffice.
+    worker.refusesOthers = false;
     worker.runMs = task => (task.startsWith('j') ? JOB.estimatedMs : 50);
   }
   await bench.run(6_000);
--- a/test-support/fakes/pool/deployment_bench.ts
+++ b/test-support/fakes/pool/deployment_bench.ts
@@ -41,8 +41,6 @@
   readonly coresPerZone?: number;
   readonly entriesPerZone?: number;
   readonly workersPerZone?: number;
-  /** As of FakeWorkerClient; default true. */
-  readonly provesInstances?: boolean;
 }
 
 /**
@@ -72,7 +70,7 @@
   private sequence = 0;
   private readonly startedAt = this.clock.now();
 
-  constructor(private readonly opts: BenchOptions = {}) {
+  constructor(opts: BenchOptions = {}) {
     super();
     const {zones = ['x', 'y', 'z'], coresPerZone = 2} = opts;
     const {entriesPerZone = 2, workersPerZone = 50} = opts;
@@ -330,7 +328,6 @@
     this.zoneOf.set(id, zone);
     const clock = new SuspendableClock(this.clock);
     const client = new FakeWorkerClient(clock, this.workers, 1, this.clock);
-    client.provesInstances = this.opts.provesInstances ?? true;
     client.faultOf = (call, worker) => {
       if (this.isCut(id, worker)) return 'order_lost';
       if (this.isCut(worker, id)) return 'answer_lost';
--- a/test-support/fakes/pool/fake_pool_worker.ts
+++ b/test-support/fakes/pool/fake_pool_worker.ts
@@ -36,6 +36,8 @@
   guardsCapacity = true;
   /** Called with the task of each run that starts. */
   onStart: (task: string) => void = () => undefined;
+  /** Whether clients deliver only the orders for its present process instance. */
+  refusesOthers = true;
   /** Time that has passed here while the machine of the dispatcher was suspended. */
   aheadMs = 0;
   private readonly ends: End[] = [];
--- a/test-support/fakes/pool/fake_worker_client.ts
+++ b/test-support/fakes/pool/fake_worker_client.ts
@@ -26,8 +26,6 @@
   readonly calls: Array<{readonly call: Call; readonly worker: string}> = [];
   /** Workers whose process has crashed: connections to them are refused. */
   readonly crashed = new Set<string>();
-  /** Whether orders reach only the process instance that they name. */
-  provesInstances = true;
   /** Chooses the fault of each call. */
   faultOf: (call: Call, worker: string) => Fault = () => 'ok';
 
@@ -142,7 +140,7 @@
       return {kind: 'lost', detail: 'late'};
     }
     const isOther = bornAt !== undefined && worker?.report.bornAt !== bornAt;
-    if (worker && isOther && fault === 'ok' && this.provesInstances) {
+    if (worker && isOther && fault === 'ok' && worker.refusesOthers) {
       return {kind: 'refused', reason: RunRefusal.otherLife};
     }
     const answer = worker && fault !== 'order_lost' ? act(worker) : undefined;
