Ignore the departure of an earlier process of a worker

Cause: a worker ends during a cut and starts again under its id. Its departure arrives after the first report of the next process. It does not name its process, so it was taken for one of the present process, all of whose reports were then ignored. The next leader did not know the worker, held its list for complete, and started the tasks that ran there on others.

A worker drains before it leaves, so a departure concerns a process that drains. One that finds the worker ready, after a report of its next process, is answered and has no effect (`departure_outdated`).

--- a/src/core/pool/registry/worker_report_service.ts
+++ b/src/core/pool/registry/worker_report_service.ts
@@ -85,11 +85,13 @@
    */
   async leave(id: string): Promise<boolean> {
     const {registry, clock} = this.opts;
-    this.pending.delete(id);
     const report = registry.entries.get(id)?.report;
+    const isOutdated = report !== undefined && !report.isDraining;
+    if (!isOutdated) this.pending.delete(id);
     const receivers = this.receivers(report?.zone, clock.now());
     const accepted = await this.requestAll(receivers, 'pool.leave', {id});
-    if (report && accepted > 0 && accepted < receivers.length) {
+    const isPartial = accepted > 0 && accepted < receivers.length;
+    if (report && !isOutdated && isPartial) {
       this.departed.set(id, report);
     }
     return accepted > 0;
@@ -191,12 +193,20 @@
   }
 
   private onLeave(body: unknown): Promise<boolean> {
-    const {clock, directory, node, peers, registry, isLeading} = this.opts;
+    const {clock, directory, node, observer} = this.opts;
+    const {peers, registry, isLeading} = this.opts;
     if (!v.is(PoolMessage.left, body)) return Promise.resolve(false);
-    const zone = registry.entries.get(body.id)?.report.zone;
-    if (!this.takes(zone)) return Promise.resolve(false);
+    const known = registry.entries.get(body.id)?.report;
+    if (!this.takes(known?.zone)) return Promise.resolve(false);
+    // A departure does not name its process, but a process drains before it leaves.
+    // One that does not drain has started under the id since.
+    if (known && !known.isDraining && body.bornAt === undefined) {
+      const {id: worker, bornAt: born_at} = known;
+      observer.recordStateChange('departure_outdated', {worker, born_at});
+      return Promise.resolve(true);
+    }
     const now = clock.now();
-    const bornAt = body.bornAt ?? registry.entries.get(body.id)?.report.bornAt;
+    const bornAt = body.bornAt ?? known?.bornAt;
     registry.remove(body.id, now, bornAt);
     if (!isLeading()) return Promise.resolve(true);
     const left = {...body, ...(bornAt === undefined ? {} : {bornAt})};
