Take no heartbeat that lacks a field

Another writer sent one heartbeat under the id of a worker that ran tasks, without `version`, `slots`, `cold_remaining_ms` and `clock_ms`, and with an address of its own. It displaced the worker, whose runs counted as over at once.

Cause: only the fields that are used were checked.

`version`, `slots` and `cold_remaining_ms` are required now. The stand-ins send all fields.

Evidence: the new test failed before ("version is missing").

--- a/src/platform/decode.test.ts
+++ b/src/platform/decode.test.ts
@@ -43,6 +43,7 @@
   version: 'v1',
   slots: 8,
   state: 'ready',
+  cold_remaining_ms: 0,
   capacity: {cpu: 16_000, mem_mb: 32_768, gpu: 0},
   labels: ['a', 'r1-3'],
   clock_ms: 482_113,
@@ -50,6 +51,9 @@
   born: 1_700_000_000_000,
 };
 
+/** Fields that workers of some operators do not send. */
+const OPTIONAL_FIELDS = new Set(['labels', 'born', 'clock_ms']);
+
 test('the queue with the longest matching path prefix is selected', () => {
   const table = decodeConfig(configOf()).unwrapOrElse(detail => {
     throw new Error(detail);
@@ -116,6 +120,21 @@
   }
 });
 
+// Guards against a heartbeat of another writer that displaces a worker, whose runs
+// then count as over.
+test('a heartbeat with a missing field is rejected', () => {
+  for (const field of Object.keys(heartbeat)) {
+    if (OPTIONAL_FIELDS.has(field)) continue;
+    const body = {...heartbeat, [field]: undefined};
+    assert.isUndefined(decodeHeartbeat('i', body), `${field} is missing`);
+    const other = {...heartbeat, [field]: [{}]};
+    assert.isUndefined(
+      decodeHeartbeat('i', other),
+      `${field} has another type`,
+    );
+  }
+});
+
 test('a malformed heartbeat is rejected', () => {
   assert.equal(decodeHeartbeat('i', heartbeat)?.capacity.memoryMb, 32_768);
   const malformed = [
--- a/src/platform/decode_heartbeat.ts
+++ b/src/platform/decode_heartbeat.ts
@@ -4,11 +4,20 @@
 
 const nonNegativeNumber = v.pipe(v.number(), v.finite(), v.minValue(0));
 
+/**
+ * All fields that workers send, also those that are not used: a heartbeat without one
+ * of them is of another writer, and must not displace a worker.
+ */
 const HeartbeatBody = v.object({
   /** Name of the service that the worker belongs to. */
   backend: v.string(),
   address: v.pipe(v.string(), v.check(isWorkerAddress)),
   zone: v.string(),
+  /** Version of the worker's software. */
+  version: v.string(),
+  slots: nonNegativeNumber,
+  /** How much longer the worker is slow after its start. */
+  cold_remaining_ms: nonNegativeNumber,
   state: v.picklist(['ready', 'draining']),
   /** `cpu` is in thousandths of a core; `gpu` is a number of accelerators. */
   capacity: v.object({
--- a/src/platform/emulator/emulated_fleet.ts
+++ b/src/platform/emulator/emulated_fleet.ts
@@ -9,6 +9,7 @@
 const RETRY_MS = 200;
 const PORT = 8_080;
 const MEMORY_MB = 64_000;
+const SLOTS = 8;
 /** The slowest clock that workers may have. */
 const MIN_CLOCK_RATE = 0.98;
 
@@ -115,7 +116,10 @@
         backend: service,
         address: `${address}:${port}`,
         zone,
+        version: 'v1',
+        slots: SLOTS,
         state: 'ready',
+        cold_remaining_ms: 0,
         capacity: {cpu: this.opts.cpu, mem_mb: MEMORY_MB, gpu: 0},
         labels: ['a', `r-${n >> 3}`],
         seq,
--- a/src/platform/foreign_heartbeats.test.ts
+++ b/src/platform/foreign_heartbeats.test.ts
@@ -7,7 +7,10 @@
 const HEARTBEAT = {
   backend: 'guarded',
   zone: 'z0',
+  version: 'v1',
+  slots: 8,
   state: 'ready',
+  cold_remaining_ms: 0,
   capacity: {cpu: 16_000, mem_mb: 32_768, gpu: 0},
   seq: 1,
   born: 1,
