Decide outside the platform folder when an order may be written

The client of the users' platform held the rule by which an order waits for the proof of a worker's process. `InstanceProofs.send` has it now; the client only sends requests and says whether one was withheld. No behaviour changes.

--- a/src/core/pool/relay/relay_order.ts
+++ b/src/core/pool/relay/relay_order.ts
@@ -17,7 +17,7 @@
   expiresAt: v.optional(v.number()),
 };
 
-/** Validator of an order to a worker that an entry node relays. */
+/** Validator of an order to a worker that a core or entry node relays. */
 export const RelayOrder = v.variant('kind', [
   v.object({
     kind: v.literal('start'),
@@ -44,5 +44,5 @@
   }),
 ]);
 
-/** An order to a worker that an entry node relays; `look` is a poll. */
+/** An order to a worker that a core or entry node relays; `look` is a poll. */
 export type RelayOrder = Readonly<v.InferOutput<typeof RelayOrder>>;
--- a/src/core/pool/relay/relay_timing.ts
+++ b/src/core/pool/relay/relay_timing.ts
@@ -11,7 +11,7 @@
    * Time for which the sender of an order stands by it: until its timeout, or for a
    * poll as long before that as the worker may wait for an end.
    */
-  validMs(order: Pick<RelayOrder, 'kind' | 'timeoutMs' | 'order'>): number {
+  validMs(order: Pick<RelayOrder, 'timeoutMs' | 'order'>): number {
     return order.timeoutMs + HOP_MS - waitMsOf(order);
   },
 } as const;
--- a/src/core/pool/relay/relayed_worker_client.ts
+++ b/src/core/pool/relay/relayed_worker_client.ts
@@ -24,7 +24,8 @@
  * Sends orders to the workers of a large fleet through entry nodes of their
  * zones. The leader's CPU limits the size of a deployment, and relayed orders
  * are small frames on few connections. An order without a reply counts as lost;
- * the next one uses another relay.
+ * the next one uses another relay. Each order states until when it may be passed
+ * on, which is not later than its timeout here.
  */
 export class RelayedWorkerClient extends WorkerClient {
   constructor(private readonly opts: RelayedWorkerClientOptions) {
--- a/src/platform/http_worker_client.ts
+++ b/src/platform/http_worker_client.ts
@@ -19,11 +19,6 @@
 const UNUSED_MS = 120_000;
 /** Timeout of the request that shows a worker's process instance. */
 const PROOF_TIMEOUT_MS = 150;
-/**
- * Number of such requests for one order, after which it is sent in any case: a worker
- * that closes each connection proves its instance for no longer than a reply.
- */
-const MAX_PROOFS = 2;
 /** Several times the size of a reply with MAX_ENDED_RUNS and as many active runs. */
 const MAX_REPLY_BYTES = 512 * 1024;
 /** Maximum number of ended runs in one `/hold` reply. */
@@ -153,30 +148,14 @@
     void pool?.destroy().catch(() => undefined);
   }
 
-  /** Sends an order to no other process instance than the one it is meant for. */
-  private async post(target: Target, call: Call): Promise<Reply> {
-    const {clock, instances} = this;
+  private post(target: Target, call: Call): Promise<Reply> {
+    const {clock} = this;
     const expiresAt = clock.elapsed() + call.timeoutMs - (call.waitMs ?? 0);
-    let proofs = 0;
-    const mayBegin = () =>
-      clock.elapsed() < expiresAt &&
-      (instances.isProven(target) || proofs >= MAX_PROOFS);
-    for (;;) {
-      if (!instances.isProven(target)) await instances.settle(target.address);
-      if (!instances.isProven(target)) {
-        const reply = await this.prove(target, call);
-        if (reply.kind !== 'ok') return reply;
-        const {bornAt = target.bornAt} = reply.look;
-        if (bornAt !== target.bornAt) return refused(RunRefusal.otherLife);
-        proofs += 1;
-      }
-      const res = await this.exchange(target, call, mayBegin);
-      if (res.isOk) return decodeReply(res.value.status, res.value.text);
-      const {detail, isRefused, isWithheld} = res.error;
-      // A new connection was made for the request, or one was lost.
-      const mayRepeat = isWithheld && clock.elapsed() < expiresAt;
-      if (!mayRepeat) return {kind: 'lost', detail, isRefused};
-    }
+    return this.instances.send(target, {
+      isValid: () => clock.elapsed() < expiresAt,
+      prove: () => this.prove(target, call),
+      exchange: mayBegin => this.exchange(target, call, mayBegin),
+    });
   }
 
   /** Asks which process instance a worker runs, without a change to its state. */
@@ -185,11 +164,11 @@
     return this.poll({id, address}, order, PROOF_TIMEOUT_MS);
   }
 
-  private exchange(
+  private async exchange(
     {id, address}: Target,
     {path, body, timeoutMs}: Call,
     mayBegin: () => boolean,
-  ) {
+  ): Promise<{reply: Reply; isWithheld: boolean}> {
     const request = {
       method: 'POST',
       path,
@@ -198,7 +177,13 @@
     } as const;
     const {clock} = this;
     const limits = {timeoutMs, maxBytes: MAX_REPLY_BYTES, clock, mayBegin};
-    return sendRequest(this.getPool(address), request, limits);
+    const res = await sendRequest(this.getPool(address), request, limits);
+    if (res.isOk) {
+      const {status, text} = res.value;
+      return {reply: decodeReply(status, text), isWithheld: false};
+    }
+    const {isWithheld, ...error} = res.error;
+    return {reply: {kind: 'lost', ...error}, isWithheld};
   }
 
   /** A relay is not told which workers are gone. */
